Serve a call end to end: platform clients, agents, gateways, fescuectl and stand-ins

A manifest is committed with a rising version, weights reach the engines in verified chunks, gateways route calls through agents that alone admit work, keyed calls are claimed first.

--- /dev/null
+++ b/src/agent/settings.ts
@@ -0,0 +1,37 @@
+/**
+ * Settings of an agent.
+ *
+ * @packageDocumentation
+ */
+import * as Edge from '../edge/index.ts'
+
+/** Settings that all daemons share. */
+export const SHARED = {
+  instanceId: Edge.Settings.text('Name of this instance'),
+  zone: Edge.Settings.text('Availability zone of this instance'),
+  region: Edge.Settings.text('Region of the availability zone'),
+  listenHost: Edge.Settings.text('Address to listen on', '127.0.0.1'),
+  listenPort: Edge.Settings.count('Port to listen on; 0 for any free one', 0, 65_535, 0),
+  tableService: Edge.Settings.address('The platform\'s table service'),
+  objectStore: Edge.Settings.address('The platform\'s object store'),
+  instanceList: Edge.Settings.address('The platform\'s list of instances'),
+  peerKey: Edge.Settings.text('Key that the system\'s own processes prove to one another', undefined, true),
+  pollMs: Edge.Settings.count('Time between reads of the store and the instance list, in milliseconds', 10, 60_000, 500),
+  storeTimeoutMs: Edge.Settings.count('Time for one call of the table service, in milliseconds', 10, 60_000, 2_000),
+  stopGraceMs: Edge.Settings.count('Time that requests in flight have at a stop, in milliseconds', 0, 3_600_000, 30_000),
+  logLevel: Edge.Settings.choice('Lowest level of log lines', Edge.Log.LEVELS, 'info')
+}
+
+/** Settings of an agent. */
+export const SPEC = {
+  ...SHARED,
+  service: Edge.Settings.text('Service of the endpoint'),
+  endpoint: Edge.Settings.address('The endpoint beside the agent'),
+  origin: Edge.Settings.address('The origin of weights'),
+  weightStore: Edge.Settings.optionalText('The weight store, HOST:PORT; empty for none'),
+  maxBodyBytes: Edge.Settings.count('Largest request body in bytes', 1, 1 << 30, 1 << 20),
+  endpointPollMs: Edge.Settings.count('Time between load reports of the endpoint, in milliseconds', 10, 60_000, 200)
+}
+
+/** Values of an agent's settings. */
+export type AgentSettings = Edge.Settings.Values<typeof SPEC>
--- /dev/null
+++ b/src/agent/systems/endpoint.ts
@@ -0,0 +1,42 @@
+/**
+ * Follows the endpoint: its incarnation, its model and whether it answers.
+ *
+ * @packageDocumentation
+ */
+import type * as Messages from '../messages.ts'
+import * as Tables from '../tables.ts'
+
+/** An endpoint that has not answered for so long counts as unreachable, in milliseconds. */
+const UNREACHABLE_AFTER_MS = 3_000
+
+/** Takes what the endpoint told of itself. */
+export const endpointSystem: Tables.System = {
+  name: 'endpoint',
+  run: (tables, tick) => {
+    for (const input of tick.inputs) {
+      if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load)
+      if (input.kind === 'stopping') tables.stopping = true
+    }
+    const { endpoint } = tables
+    if (endpoint.reachable && tick.nowMs - endpoint.lastSeenMs > UNREACHABLE_AFTER_MS) {
+      endpoint.reachable = false
+      tick.log('endpoint', 'Endpoint does not answer.', { lastSeenMs: endpoint.lastSeenMs })
+    }
+  }
+}
+
+function see (tables: Tables.Tables, tick: Tables.Tick, load: Messages.EndpointLoad): void {
+  const { endpoint } = tables
+  if (endpoint.incarnation !== load.incarnation) {
+    tick.log('endpoint', 'Endpoint has a new incarnation.', { incarnation: load.incarnation })
+    endpoint.orderPending = false
+    endpoint.limitCount = 1
+  }
+  endpoint.incarnation = load.incarnation
+  endpoint.reachable = true
+  endpoint.modelName = load.modelName
+  endpoint.modelVersion = load.modelVersion
+  endpoint.modelDigest = load.modelDigest
+  endpoint.coldReported = load.cold
+  endpoint.lastSeenMs = tick.nowMs
+}
--- /dev/null
+++ b/src/agent/tables.ts
@@ -0,0 +1,191 @@
+/**
+ * The tables of an agent.
+ *
+ * @packageDocumentation
+ */
+import * as Control from '../control/index.ts'
+import * as Core from '../core/index.ts'
+import type * as Schemas from '../schema/index.ts'
+import type * as Messages from './messages.ts'
+
+/** An attempt that was offered to this agent and is not finished. */
+export interface AttemptRow {
+  readonly envelope: Schemas.Calls.CallEnvelope
+  state: 'queued' | 'running'
+  readonly offeredAtMs: number
+  readonly deadlineMs: number
+  admittedAtMs: number
+  answeringAtMs: number
+}
+
+/** An attempt that is finished or fenced, kept for questions about its claim. */
+export interface FinishedRow {
+  readonly attemptId: string
+  readonly state: 'done' | 'fenced' | 'unknown' | 'neverRun'
+  readonly outcome: Schemas.Calls.Outcome | undefined
+  readonly finishedAtMs: number
+}
+
+/** Weights that the agent collects. */
+export interface WeightsRow {
+  readonly digest: string
+  heldCount: number
+  wantedCount: number
+  whole: boolean
+}
+
+/** The endpoint beside the agent. */
+export interface EndpointRow {
+  incarnation: string
+  reachable: boolean
+  modelName: string | undefined
+  modelVersion: string | undefined
+  modelDigest: string | undefined
+  role: Schemas.Manifest.Role
+  coldReported: boolean
+  limitCount: number
+  /** The limit while the endpoint is warm. */
+  warmLimitCount: number
+  lastSeenMs: number
+  orderPending: boolean
+  orderedAtMs: number
+}
+
+/** Who the agent is and what it was set to. */
+export interface AgentIdentity extends Control.Node.Identity {
+  readonly service: string
+}
+
+/** Everything that an agent's systems decide from. */
+export interface Tables {
+  readonly identity: AgentIdentity
+  readonly held: Control.Documents.Held
+  readonly attempts: Core.Table.Table<AttemptRow>
+  readonly finished: Core.Table.Table<FinishedRow>
+  readonly weights: Core.Table.Table<WeightsRow>
+  readonly endpoint: EndpointRow
+  /** The highest fencing number that the agent has acted on. */
+  fencingNumber: number
+  stopping: boolean
+}
+
+/** A system of an agent. */
+export type System = Core.Loop.System<Tables, Messages.Input, Messages.Command>
+/** A tick of an agent. */
+export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
+
+/**
+ * Creates the tables of an agent that has just started.
+ *
+ * @param identity - Who the agent is.
+ * @param held - The documents it holds.
+ * @returns The tables.
+ */
+export function createTables (identity: AgentIdentity, held: Control.Documents.Held): Tables {
+  return {
+    identity,
+    held,
+    attempts: Core.Table.createTable('attempts'),
+    finished: Core.Table.createTable('finished'),
+    weights: Core.Table.createTable('weights'),
+    endpoint: {
+      incarnation: '',
+      reachable: false,
+      modelName: undefined,
+      modelVersion: undefined,
+      modelDigest: undefined,
+      role: 'mixed',
+      coldReported: false,
+      limitCount: 1,
+      warmLimitCount: 1,
+      lastSeenMs: 0,
+      orderPending: false,
+      orderedAtMs: 0
+    },
+    fencingNumber: 0,
+    stopping: false
+  }
+}
+
+/**
+ * Finds the service that the agent's endpoint belongs to.
+ *
+ * @param tables - The agent's tables.
+ * @returns The service, once a manifest names it.
+ */
+export function serviceOf (tables: Tables): Schemas.Manifest.Service | undefined {
+  return tables.held.manifest()?.services.find(service => service.name === tables.identity.service)
+}
+
+/**
+ * Finds what the plan in force assigns to this instance.
+ *
+ * @param tables - The agent's tables.
+ * @returns The assignment, if there is one.
+ */
+export function assignmentOf (tables: Tables): Schemas.Control.Assignment | undefined {
+  return tables.held.placement()?.assignments.find(assignment => assignment.instanceId === tables.identity.instanceId)
+}
+
+/**
+ * Counts the attempts that the endpoint runs now.
+ *
+ * @param tables - The agent's tables.
+ * @returns The count.
+ */
+export function runningCount (tables: Tables): number {
+  let count = 0
+  for (const attempt of tables.attempts.rows()) if (attempt.state === 'running') count++
+  return count
+}
+
+/**
+ * Tells whether the endpoint can serve calls now.
+ *
+ * @param tables - The agent's tables.
+ * @returns The endpoint's state as reported to gateways.
+ */
+export function stateOf (tables: Tables): Schemas.Control.AgentReport['state'] {
+  const { identity, endpoint } = tables
+  if (tables.stopping || Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone)) return 'draining'
+  if (!endpoint.reachable) return 'unreachable'
+  const assignment = assignmentOf(tables)
+  const service = serviceOf(tables)
+  if (assignment === undefined || service === undefined) return 'starting'
+  return service.kind === 'plain' || endpoint.modelDigest !== undefined ? 'live' : 'starting'
+}
+
+/**
+ * Makes the agent's report.
+ *
+ * @param tables - The agent's tables.
+ * @returns The report.
+ */
+export function reportOf (tables: Tables): Schemas.Control.AgentReport {
+  const { identity, endpoint } = tables
+  const activeCount = runningCount(tables)
+  let heldChunkCount = 0
+  let wantedChunkCount = 0
+  for (const row of tables.weights.rows()) {
+    heldChunkCount += row.heldCount
+    wantedChunkCount += row.wantedCount
+  }
+  return {
+    instanceId: identity.instanceId,
+    service: identity.service,
+    zone: identity.zone,
+    incarnation: identity.incarnation,
+    endpointIncarnation: endpoint.incarnation,
+    state: stateOf(tables),
+    modelName: endpoint.modelName,
+    modelVersion: endpoint.modelVersion,
+    role: endpoint.role,
+    heldChunkCount,
+    wantedChunkCount,
+    limitCount: endpoint.limitCount,
+    activeCount,
+    queuedCount: tables.attempts.count() - activeCount,
+    cold: endpoint.limitCount < endpoint.warmLimitCount,
+    versions: tables.held.versions()
+  }
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,13 @@
+/**
+ * What all processes hold in common: documents, leases, placement and the node that spreads them.
+ *
+ * @packageDocumentation
+ */
+export * as Commits from './commits.ts'
+export * as Documents from './documents.ts'
+export * as Lease from './lease.ts'
+export * as ManifestFile from './manifestFile.ts'
+export * as ManifestRules from './manifestRules.ts'
+export * as Node from './node.ts'
+export * as Placement from './placement.ts'
+export * as PlacementHolder from './placementHolder.ts'
--- /dev/null
+++ b/src/control/manifestFile.ts
@@ -0,0 +1,87 @@
+/**
+ * Manifest files: JSON or YAML, with line and field in each error.
+ *
+ * @packageDocumentation
+ */
+import * as Neverthrow from 'neverthrow'
+import * as Yaml from 'yaml'
+import * as Schemas from '../schema/index.ts'
+import * as ManifestRules from './manifestRules.ts'
+
+/** One thing wrong with a file. */
+export interface FileProblem {
+  readonly line: number
+  readonly column: number
+  readonly field: string
+  readonly message: string
+}
+
+/** The largest manifest file in bytes. */
+export const MAX_FILE_BYTES = 2 * 1024 * 1024
+const decode = Schemas.Decode.strict(Schemas.Manifest.Manifest)
+
+/**
+ * Parses and checks a manifest file.
+ *
+ * @param text - The file's text.
+ * @returns The manifest, or every problem found.
+ */
+export function parse (text: string): Neverthrow.Result<Schemas.Manifest.Manifest, FileProblem[]> {
+  if (Buffer.byteLength(text) > MAX_FILE_BYTES) {
+    return Neverthrow.err([{ line: 1, column: 1, field: '', message: `the file is larger than ${MAX_FILE_BYTES} bytes` }])
+  }
+  const lines = new Yaml.LineCounter()
+  const document = Yaml.parseDocument(text, { lineCounter: lines, prettyErrors: false, logLevel: 'silent' })
+  if (document.errors.length > 0) {
+    return Neverthrow.err(document.errors.map(error => ({ ...placeOf(lines, error.pos[0]), field: '', message: error.message })))
+  }
+  const data = toData(document)
+  if (data.isErr()) return Neverthrow.err([{ line: 1, column: 1, field: '', message: data.error }])
+  const located = (problems: readonly Schemas.Decode.Problem[]): FileProblem[] => problems.map(problem => locate(document, lines, problem))
+  return decode(data.value).mapErr(located).andThen(manifest => {
+    const problems = ManifestRules.check(manifest)
+    return problems.length === 0 ? Neverthrow.ok(manifest) : Neverthrow.err(located(problems))
+  })
+}
+
+/**
+ * Writes a problem in one line.
+ *
+ * @param file - The file's name.
+ * @param problem - The problem.
+ * @returns `FILE:LINE:COLUMN: FIELD: MESSAGE`.
+ */
+export function describe (file: string, problem: FileProblem): string {
+  return `${file}:${problem.line}:${problem.column}: ${problem.field === '' ? '' : `${problem.field}: `}${problem.message}`
+}
+
+function toData (document: Yaml.Document): Neverthrow.Result<unknown, string> {
+  try {
+    return Neverthrow.ok(document.toJS({ maxAliasCount: 100 }))
+  } catch (error) {
+    return Neverthrow.err((error as Error).message)
+  }
+}
+
+function locate (document: Yaml.Document, lines: Yaml.LineCounter, problem: Schemas.Decode.Problem): FileProblem {
+  return { ...placeOf(lines, offsetOf(document, problem.path)), field: problem.path.join('.'), message: problem.message }
+}
+
+/** Finds where a path starts in the text; a missing field is placed at what should contain it. */
+function offsetOf (document: Yaml.Document, path: ReadonlyArray<string | number>): number {
+  for (let length = path.length; length > 0; length--) {
+    const parent = length === 1 ? document.contents : document.getIn(path.slice(0, length - 1), true)
+    if (Yaml.isMap(parent)) {
+      const pair = parent.items.find(item => (Yaml.isScalar(item.key) ? item.key.value : item.key) === path[length - 1])
+      if (pair !== undefined && Yaml.isNode(pair.key) && pair.key.range != null) return pair.key.range[0]
+    }
+    const node = document.getIn(path.slice(0, length), true)
+    if (Yaml.isNode(node) && node.range != null) return node.range[0]
+  }
+  return document.contents?.range?.[0] ?? 0
+}
+
+function placeOf (lines: Yaml.LineCounter, offset: number): { line: number, column: number } {
+  const place = lines.linePos(offset)
+  return { line: Math.max(1, place.line), column: Math.max(1, place.col) }
+}
--- /dev/null
+++ b/src/control/manifestRules.ts
@@ -0,0 +1,70 @@
+/**
+ * Rules that a manifest must keep beyond its schema.
+ *
+ * @packageDocumentation
+ */
+import type * as Schemas from '../schema/index.ts'
+
+type Path = ReadonlyArray<string | number>
+
+/**
+ * Finds what is wrong with a well-formed manifest.
+ *
+ * @param manifest - The manifest.
+ * @returns The problems with their places; none for a valid manifest.
+ */
+export function check (manifest: Schemas.Manifest.Manifest): Schemas.Decode.Problem[] {
+  return [
+    ...duplicates(manifest.zones, ['zones']),
+    ...duplicates(manifest.models, ['models']),
+    ...duplicates(manifest.adapters, ['adapters']),
+    ...duplicates(manifest.services, ['services']),
+    ...duplicates(manifest.workspaces, ['workspaces']),
+    ...manifest.adapters.flatMap((adapter, index) =>
+      unknown(adapter.model, manifest.models, ['adapters', index, 'model'], 'model')),
+    ...manifest.services.flatMap((service, index) => checkService(manifest, service, ['services', index])),
+    ...duplicateRoutes(manifest)
+  ]
+}
+
+function checkService (manifest: Schemas.Manifest.Manifest, service: Schemas.Manifest.Service, path: Path): Schemas.Decode.Problem[] {
+  const problems: Schemas.Decode.Problem[] = []
+  if (service.kind === 'engine' && service.model === undefined) problems.push({ path: [...path, 'model'], message: 'an engine service needs a model' })
+  if (service.kind === 'plain' && service.model !== undefined) problems.push({ path: [...path, 'model'], message: 'a plain service has no model' })
+  if (service.model !== undefined) problems.push(...unknown(service.model, manifest.models, [...path, 'model'], 'model'))
+  service.adapters?.forEach((name, index) => {
+    problems.push(...unknown(name, manifest.adapters, [...path, 'adapters', index], 'adapter'))
+    const adapter = manifest.adapters.find(candidate => candidate.name === name)
+    if (adapter !== undefined && adapter.model !== service.model) problems.push({ path: [...path, 'adapters', index], message: `adapter "${name}" belongs to another model` })
+  })
+  service.placements.forEach((placement, index) => {
+    problems.push(...unknown(placement.zone, manifest.zones, [...path, 'placements', index, 'zone'], 'zone'))
+  })
+  problems.push(...repeated(service.placements.map(placement => `${placement.zone}/${placement.role ?? 'mixed'}`), [...path, 'placements'], 'placement'))
+  return problems
+}
+
+function duplicates (entries: ReadonlyArray<{ readonly name: string }>, path: Path): Schemas.Decode.Problem[] {
+  const seen = new Set<string>()
+  return entries.flatMap(({ name }, index) => {
+    if (!seen.has(name)) { seen.add(name); return [] }
+    return [{ path: [...path, index, 'name'], message: `duplicate name "${name}"` }]
+  })
+}
+
+function repeated (values: readonly string[], path: Path, what: string): Schemas.Decode.Problem[] {
+  return values.flatMap((value, index) => values.indexOf(value) === index ? [] : [{ path: [...path, index], message: `duplicate ${what} "${value}"` }])
+}
+
+function unknown (name: string, entries: ReadonlyArray<{ readonly name: string }>, path: Path, what: string): Schemas.Decode.Problem[] {
+  return entries.some(entry => entry.name === name) ? [] : [{ path, message: `unknown ${what} "${name}"` }]
+}
+
+function duplicateRoutes (manifest: Schemas.Manifest.Manifest): Schemas.Decode.Problem[] {
+  const seen = new Set<string>()
+  return manifest.services.flatMap((service, serviceIndex) => service.routes.flatMap((route, routeIndex) => {
+    const key = `${route.method} ${route.path}`
+    if (!seen.has(key)) { seen.add(key); return [] }
+    return [{ path: ['services', serviceIndex, 'routes', routeIndex], message: `duplicate route "${key}"` }]
+  }))
+}
--- /dev/null
+++ b/src/control/placement.ts
@@ -0,0 +1,53 @@
+/**
+ * Placement: which instance holds which model version, adapters and role.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+import type * as Schemas from '../schema/index.ts'
+
+/** What placement is decided from. */
+export interface PlacementInput {
+  readonly manifest: Schemas.Manifest.Manifest
+  readonly instances: readonly Schemas.Platform.Instance[]
+  readonly previous: Schemas.Control.PlacementPlan | undefined
+}
+
+/**
+ * Assigns instances to the manifest's services. An instance keeps its assignment where it can.
+ *
+ * @param input - Manifest, instances and the plan in force.
+ * @returns The assignments in a stable order.
+ */
+export function placeReplicas (input: PlacementInput): Schemas.Control.Assignment[] {
+  const kept = new Set(input.previous?.assignments.map(assignment => assignment.instanceId))
+  return input.manifest.services.flatMap(service => service.placements.flatMap(placement => {
+    const candidates = input.instances.filter(instance =>
+      instance.kind === 'agent' && instance.state === 'live' && instance.service === service.name && instance.zone === placement.zone)
+    const ranked = Core.Hash.rendezvous(`${service.name}/${placement.zone}`, candidates.map(instance => instance.instanceId))
+    const ordered = [...ranked.filter(id => kept.has(id)), ...ranked.filter(id => !kept.has(id))]
+    return ordered.slice(0, placement.replicaCount).map(instanceId => assign(input.manifest, service, placement, instanceId))
+  })).sort((a, b) => a.instanceId < b.instanceId ? -1 : 1)
+}
+
+/**
+ * Tells whether two plans assign the same.
+ *
+ * @param a - One list of assignments.
+ * @param b - Another.
+ * @returns Whether they are equal.
+ */
+export function sameAssignments (a: readonly Schemas.Control.Assignment[], b: readonly Schemas.Control.Assignment[]): boolean {
+  return JSON.stringify(a) === JSON.stringify(b)
+}
+
+function assign (manifest: Schemas.Manifest.Manifest, service: Schemas.Manifest.Service, placement: Schemas.Manifest.Placement, instanceId: string): Schemas.Control.Assignment {
+  const model = manifest.models.find(candidate => candidate.name === service.model)
+  return {
+    instanceId,
+    service: service.name,
+    role: placement.role ?? 'mixed',
+    ...(model === undefined ? {} : { model }),
+    adapters: manifest.adapters.filter(adapter => service.adapters?.includes(adapter.name) === true)
+  }
+}
--- /dev/null
+++ b/src/core/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Tables, the tick loop and result codes: what every part is built on.
+ *
+ * @packageDocumentation
+ */
+export * as Codes from './codes.ts'
+export * as Hash from './hash.ts'
+export * as Loop from './loop.ts'
+export * as Random from './random.ts'
+export * as Table from './table.ts'
--- /dev/null
+++ b/src/ctl/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The operators' command line.
+ *
+ * @packageDocumentation
+ */
+export * as Commands from './commands.ts'
--- /dev/null
+++ b/src/edge/httpClient.ts
@@ -0,0 +1,129 @@
+/**
+ * Outgoing HTTP over Node's own client, with connection reuse and time limits.
+ *
+ * @packageDocumentation
+ */
+import * as Http from 'node:http'
+
+/** A server to talk to. */
+export interface Target {
+  readonly host: string
+  readonly port: number
+}
+
+/** An outgoing request whose answer is read whole. */
+export interface Request {
+  readonly target: Target
+  readonly method: string
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: Uint8Array | string
+  /** Time for the whole exchange in milliseconds. */
+  readonly timeoutMs: number
+  /** The largest answer taken, in bytes. */
+  readonly maxAnswerBytes?: number
+}
+
+/** A whole answer. */
+export interface Answer {
+  readonly status: number
+  readonly headers: Http.IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+/** Why there is no answer, and whether the request may have reached the server. */
+export class TransportError extends Error {
+  constructor (message: string, readonly reachedServer: boolean) {
+    super(message)
+    this.name = 'TransportError'
+  }
+}
+
+const DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+const CONNECTION_IDLE_MS = 15_000
+
+/** The process's pool of connections. */
+export const pool = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+
+/**
+ * Parses `host:port`.
+ *
+ * @param text - The address.
+ * @returns The target.
+ */
+export function targetOf (text: string): Target {
+  const at = text.lastIndexOf(':')
+  return { host: text.slice(0, at), port: Number(text.slice(at + 1)) }
+}
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @param request - The request.
+ * @returns The answer, of any status.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function send (request: Request): Promise<Answer> {
+  return await new Promise((resolve, reject) => {
+    let connected = false
+    const maxAnswerBytes = request.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
+    const outgoing = Http.request({
+      host: request.target.host,
+      port: request.target.port,
+      method: request.method,
+      path: request.path,
+      headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
+      agent: pool
+    })
+    const fail = (message: string): void => {
+      clearTimeout(timer)
+      outgoing.destroy()
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected))
+    }
+    const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
+    outgoing.on('socket', socket => {
+      connected = !socket.connecting
+      socket.once('connect', () => { connected = true })
+    })
+    outgoing.on('error', error => { fail(error.message) })
+    outgoing.on('response', incoming => {
+      const parts: Buffer[] = []
+      let sizeBytes = 0
+      incoming.on('data', (part: Buffer) => {
+        sizeBytes += part.length
+        if (sizeBytes > maxAnswerBytes) { fail('answer too large'); return }
+        parts.push(part)
+      })
+      incoming.on('error', error => { fail(error.message) })
+      incoming.on('end', () => {
+        if (!incoming.complete) { fail('answer cut short'); return }
+        clearTimeout(timer)
+        resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: Buffer.concat(parts) })
+      })
+    })
+    outgoing.end(request.body)
+  })
+}
+
+/**
+ * Sends JSON and reads JSON.
+ *
+ * @param target - The server.
+ * @param method - The HTTP method.
+ * @param path - The path.
+ * @param value - The value to send, or undefined for none.
+ * @param timeoutMs - Time for the whole exchange in milliseconds.
+ * @param headers - Further headers.
+ * @returns The status and the parsed body.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
+  const body = value === undefined ? undefined : JSON.stringify(value)
+  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
+  const text = answer.body.toString()
+  try {
+    return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
+  } catch {
+    throw new TransportError(`${method} ${path}: answer is not JSON`, true)
+  }
+}
--- /dev/null
+++ b/src/edge/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Edges shared by the daemons: HTTP, procedures, logs, metrics, settings and shutdown.
+ *
+ * @packageDocumentation
+ */
+export * as HttpClient from './httpClient.ts'
+export * as HttpServer from './httpServer.ts'
+export * as Launch from './launch.ts'
+export * as Log from './log.ts'
+export * as Metrics from './metrics.ts'
+export * as Rpc from './rpc.ts'
+export * as Settings from './settings.ts'
--- /dev/null
+++ b/src/edge/log.ts
@@ -0,0 +1,37 @@
+/**
+ * Structured logs: short sentences with a fixed prefix for each part.
+ *
+ * @packageDocumentation
+ */
+import pino from 'pino'
+import type * as Core from '../core/index.ts'
+
+/** Writes log lines. */
+export interface Log {
+  info: (prefix: string, sentence: string, fields?: object) => void
+  warn: (prefix: string, sentence: string, fields?: object) => void
+  /** Writes a decision of the loop. */
+  decision: (decision: Core.Loop.Decision) => void
+}
+
+/** The levels that a process may log at. */
+export const LEVELS = ['debug', 'info', 'warn', 'error', 'silent'] as const
+/** A level to log at. */
+export type Level = typeof LEVELS[number]
+
+/**
+ * Creates a log on standard output.
+ *
+ * @param program - The program's name.
+ * @param instanceId - The instance.
+ * @param level - The lowest level written.
+ * @returns The log.
+ */
+export function createLog (program: string, instanceId: string, level: Level): Log {
+  const logger = pino({ level, base: { program, instanceId } })
+  return {
+    info: (prefix, sentence, fields = {}) => { logger.info(fields, `${prefix}: ${sentence}`) },
+    warn: (prefix, sentence, fields = {}) => { logger.warn(fields, `${prefix}: ${sentence}`) },
+    decision: ({ prefix, sentence, fields }) => { logger.info(fields, `${prefix}: ${sentence}`) }
+  }
+}
--- /dev/null
+++ b/src/edge/rpc.ts
@@ -0,0 +1,118 @@
+/**
+ * Procedures between the system's own processes: trpc over Node's HTTP client and server.
+ *
+ * @packageDocumentation
+ */
+import * as Crypto from 'node:crypto'
+import * as TrpcClient from '@trpc/client'
+import * as TrpcServer from '@trpc/server'
+import * as Observable from '@trpc/server/observable'
+import * as HttpClient from './httpClient.ts'
+import * as HttpServer from './httpServer.ts'
+
+/** Where procedures are served. */
+export const RPC_PATH = '/rpc/'
+const MAX_INPUT_BYTES = 4 * 1024 * 1024
+const INPUT_TIMEOUT_MS = 5_000
+
+/** Who calls a procedure. */
+export interface Context {
+  readonly role: 'peer' | 'operator' | 'none'
+}
+
+/** Keys that callers of procedures prove to hold; read at each use, so that they may change. */
+export interface Keys {
+  readonly peerKey: () => string
+  readonly operatorToken: () => string
+}
+
+const builder = TrpcServer.initTRPC.context<Context>().create()
+
+/** Makes a router of procedures. */
+export const router = builder.router
+/** A procedure that only the system's own processes may call. */
+export const peerProcedure = builder.procedure.use(async ({ ctx, next }) => {
+  if (ctx.role !== 'peer') throw new TrpcServer.TRPCError({ code: 'UNAUTHORIZED', message: 'peer key required' })
+  return await next()
+})
+/** A procedure that only operators may call. */
+export const operatorProcedure = builder.procedure.use(async ({ ctx, next }) => {
+  if (ctx.role !== 'operator') throw new TrpcServer.TRPCError({ code: 'UNAUTHORIZED', message: 'operator token required' })
+  return await next()
+})
+
+/** Any router of procedures. */
+export type AnyRouter = TrpcServer.AnyTRPCRouter
+
+/**
+ * Makes the HTTP route that serves a router.
+ *
+ * @param procedures - The router.
+ * @param keys - The keys of callers.
+ * @param onRefused - Told of each call without the right key.
+ * @returns The route.
+ */
+export function createRpcRoute (procedures: AnyRouter, keys: Keys, onRefused: (path: string) => void): HttpServer.Route {
+  return {
+    method: 'POST',
+    path: `${RPC_PATH}*`,
+    handle: async (request, response, path) => {
+      const body = await HttpServer.readBody(request, MAX_INPUT_BYTES, INPUT_TIMEOUT_MS)
+      if (body.isErr()) { HttpServer.sendCode(response, body.error); return }
+      const name = path.slice(RPC_PATH.length)
+      const context: Context = { role: roleOf(request.headers.authorization, keys) }
+      try {
+        const input = body.value.length === 0 ? undefined : JSON.parse(body.value.toString())
+        const result = await TrpcServer.callTRPCProcedure({
+          router: procedures,
+          path: name,
+          getRawInput: async () => input,
+          ctx: context,
+          type: 'mutation',
+          signal: undefined,
+          batchIndex: 0
+        })
+        HttpServer.sendJson(response, 200, { result: result ?? null })
+      } catch (error) {
+        const failure = TrpcServer.getTRPCErrorFromUnknown(error)
+        if (failure.code === 'UNAUTHORIZED') onRefused(name)
+        HttpServer.sendJson(response, failure.code === 'UNAUTHORIZED' ? 401 : 400, { error: { code: failure.code, message: failure.message } })
+      }
+    }
+  }
+}
+
+/**
+ * Makes a typed client of a router.
+ *
+ * @param target - The server.
+ * @param key - Returns the key or token to prove.
+ * @param timeoutMs - Time for each call in milliseconds.
+ * @returns The client. Its calls fail with a TRPCClientError.
+ */
+export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number): TrpcClient.TRPCClient<Router> {
+  const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
+    HttpClient.sendJson(target, 'POST', RPC_PATH + op.path, op.input, timeoutMs, { authorization: `Bearer ${key()}` }).then(
+      answer => {
+        const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
+        if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
+        observer.next({ result: { data: value.result } })
+        observer.complete()
+      },
+      error => { observer.error(TrpcClient.TRPCClientError.from(error as Error)) }
+    )
+  })
+  return TrpcClient.createTRPCClient<Router>({ links: [link] })
+}
+
+function roleOf (authorization: string | undefined, keys: Keys): Context['role'] {
+  if (authorization === undefined || !authorization.startsWith('Bearer ')) return 'none'
+  const given = authorization.slice('Bearer '.length)
+  if (sameSecret(given, keys.peerKey())) return 'peer'
+  return sameSecret(given, keys.operatorToken()) ? 'operator' : 'none'
+}
+
+function sameSecret (given: string, expected: string): boolean {
+  const digest = (text: string): Buffer => Crypto.createHash('sha256').update(text).digest()
+  return expected !== '' && Crypto.timingSafeEqual(digest(given), digest(expected))
+}
--- /dev/null
+++ b/src/gateway/systems/index.ts
@@ -0,0 +1,20 @@
+/**
+ * The systems of a gateway, in order.
+ *
+ * @packageDocumentation
+ */
+import type * as Tables from '../tables.ts'
+import * as Calls from './calls.ts'
+import * as Claims from './claims.ts'
+import * as Endpoints from './endpoints.ts'
+import * as Routing from './routing.ts'
+
+/** The systems of a gateway in the order in which they run. */
+export const SYSTEMS: readonly Tables.System[] = [
+  Endpoints.endpointsSystem,
+  Calls.acceptSystem,
+  Calls.settleSystem,
+  Claims.claimsSystem,
+  Routing.routingSystem,
+  Calls.deadlineSystem
+]
--- /dev/null
+++ b/src/schema/calls.ts
@@ -0,0 +1,102 @@
+/**
+ * What gateways and agents say to one another about calls, and claims as stored.
+ *
+ * @packageDocumentation
+ */
+import * as Schema from 'effect/Schema'
+import * as Manifest from './manifest.ts'
+
+/** What a gateway tells an agent about a call, in a header beside the body. */
+export const CallEnvelope = Schema.Struct({
+  /** Names the caller's call through all its attempts. */
+  callId: Schema.String,
+  /** Names this attempt. */
+  attemptId: Schema.String,
+  gatewayId: Schema.String,
+  workspace: Manifest.Name,
+  service: Manifest.Name,
+  method: Schema.String,
+  path: Schema.String,
+  contentType: Schema.optional(Schema.String),
+  modelVersion: Schema.optional(Schema.String),
+  adapter: Schema.optional(Schema.String),
+  /** Time left until the caller's deadline in milliseconds. */
+  timeLeftMs: Schema.Number,
+  priority: Manifest.Count,
+  idempotent: Schema.Boolean,
+  stream: Schema.Boolean,
+  /** The first token still wanted of a stream that is being resumed. */
+  resumeFromIndex: Manifest.Count,
+  /** The digest of route and body. */
+  digest: Manifest.Digest,
+  /** The key of the claim that covers the attempt. */
+  claimKey: Schema.optional(Schema.String),
+  /** The idempotency key handed on to the endpoint. */
+  idempotencyKey: Schema.optional(Schema.String),
+  /** The incarnation of the agent that the attempt is meant for. */
+  agentIncarnation: Schema.String
+})
+/** What a gateway tells an agent about a call. */
+export type CallEnvelope = typeof CallEnvelope.Type
+
+/** What an agent tells a gateway about an attempt, in a header of the answer. */
+export const CallResult = Schema.Struct({
+  callId: Schema.String,
+  attemptId: Schema.String,
+  code: Schema.Int,
+  run: Schema.Literals(['notRun', 'ran', 'unknown']),
+  agentIncarnation: Schema.String,
+  limitCount: Manifest.Count,
+  activeCount: Manifest.Count,
+  queuedCount: Manifest.Count,
+  modelVersion: Schema.optional(Schema.String),
+  /** The workspace's share of the limit at a refusal. */
+  shareCount: Schema.optional(Schema.Number),
+  retryAfterMs: Schema.optional(Schema.Number),
+  reason: Schema.optional(Schema.String)
+})
+/** What an agent tells a gateway about an attempt. */
+export type CallResult = typeof CallResult.Type
+
+/** A finished call's answer, as saved. */
+export const Outcome = Schema.Struct({
+  httpStatus: Schema.Int,
+  contentType: Schema.String,
+  /** The body in base64. */
+  bodyBase64: Schema.String
+})
+/** A finished call's answer, as saved. */
+export type Outcome = typeof Outcome.Type
+
+/** A claim of an idempotency key, as stored. */
+export const ClaimRecord = Schema.Struct({
+  /** Written by the claimant, so that a lost answer can be settled by reading back. */
+  nonce: Schema.String,
+  digest: Manifest.Digest,
+  gatewayId: Schema.String,
+  callId: Schema.String,
+  attemptId: Schema.String,
+  agentId: Schema.String,
+  agentIncarnation: Schema.String,
+  state: Schema.Literals(['claimed', 'done', 'unknown']),
+  /** Wall-clock time in milliseconds since 1970. */
+  claimedAtMs: Schema.Number,
+  /** Wall-clock time in milliseconds since 1970 after which the row may be deleted. */
+  expiresAtMs: Schema.Number,
+  outcome: Schema.optional(Outcome)
+})
+/** A claim of an idempotency key, as stored. */
+export type ClaimRecord = typeof ClaimRecord.Type
+
+/** A question about an unfinished claim: fences the attempt unless it was run. */
+export const FenceQuestion = Schema.Struct({ attemptId: Schema.String, agentIncarnation: Schema.String })
+/** A question about an unfinished claim. */
+export type FenceQuestion = typeof FenceQuestion.Type
+
+/** What the agent knows of the attempt; with `neverRun` it promises never to run it. */
+export const FenceAnswer = Schema.Struct({
+  state: Schema.Literals(['done', 'running', 'neverRun', 'unknown']),
+  outcome: Schema.optional(Outcome)
+})
+/** What the agent knows of the attempt. */
+export type FenceAnswer = typeof FenceAnswer.Type
--- /dev/null
+++ b/src/schema/decode.ts
@@ -0,0 +1,109 @@
+/**
+ * Decoding at the edge: the only place where data becomes trusted.
+ *
+ * @packageDocumentation
+ */
+import * as Result from 'effect/Result'
+import * as Schema from 'effect/Schema'
+import * as Neverthrow from 'neverthrow'
+
+/** One thing wrong with a value. */
+export interface Problem {
+  readonly path: ReadonlyArray<string | number>
+  readonly message: string
+}
+
+/** A schema that decodes without services. */
+export type Codec<T> = Schema.Codec<T, any, never, never>
+
+const STRICT = { errors: 'all', onExcessProperty: 'error' } as const
+const LENIENT = { errors: 'first' } as const
+
+/**
+ * Makes a decoder that names every problem and refuses unknown fields.
+ *
+ * @param schema - The schema.
+ * @returns A function from unknown data to the value or its problems.
+ */
+export function strict<T> (schema: Codec<T>): (data: unknown) => Neverthrow.Result<T, Problem[]> {
+  const decode = Schema.decodeUnknownResult(schema, STRICT)
+  return data => {
+    const result = decode(data)
+    return Result.isSuccess(result) ? Neverthrow.ok(result.success) : Neverthrow.err(problemsOf(result.failure.message))
+  }
+}
+
+/**
+ * Makes a decoder for messages between processes: unknown fields are dropped, so that versions may differ.
+ *
+ * @param schema - The schema.
+ * @returns A function from unknown data to the value or its first problem.
+ */
+export function lenient<T> (schema: Codec<T>): (data: unknown) => Neverthrow.Result<T, Problem[]> {
+  const decode = Schema.decodeUnknownResult(schema, LENIENT)
+  return data => {
+    const result = decode(data)
+    return Result.isSuccess(result) ? Neverthrow.ok(result.success) : Neverthrow.err(problemsOf(result.failure.message))
+  }
+}
+
+/**
+ * Makes a parser that throws, in the form that procedure inputs take.
+ *
+ * @param schema - The schema.
+ * @returns A function from unknown data to the value.
+ * @throws When the data does not fit the schema.
+ */
+export function parser<T> (schema: Codec<T>): (data: unknown) => T {
+  return Schema.decodeUnknownSync(schema) as (data: unknown) => T
+}
+
+/**
+ * Parses JSON text and decodes it leniently.
+ *
+ * @param schema - The schema.
+ * @returns A function from text to the value or its problems.
+ */
+export function json<T> (schema: Codec<T>): (text: string) => Neverthrow.Result<T, Problem[]> {
+  const decode = lenient(schema)
+  return text => parseJson(text).andThen(decode)
+}
+
+/**
+ * Writes problems in one line.
+ *
+ * @param problems - The problems.
+ * @returns Text for a log line or an answer.
+ */
+export function describe (problems: readonly Problem[]): string {
+  return problems.map(problem => `${problem.path.join('.') || 'value'}: ${problem.message}`).join('; ')
+}
+
+function parseJson (text: string): Neverthrow.Result<unknown, Problem[]> {
+  try {
+    return Neverthrow.ok(JSON.parse(text))
+  } catch (error) {
+    return Neverthrow.err([{ path: [], message: (error as Error).message }])
+  }
+}
+
+function problemsOf (text: string): Problem[] {
+  const problems: Problem[] = []
+  let message = ''
+  for (const line of text.split('\n')) {
+    const at = /^\s+at (\[.*\])$/.exec(line)
+    if (at === null) {
+      if (message !== '') problems.push({ path: [], message })
+      message = line.trim()
+    } else {
+      problems.push({ path: pathOf(at[1] ?? ''), message })
+      message = ''
+    }
+  }
+  if (message !== '') problems.push({ path: [], message })
+  return problems
+}
+
+function pathOf (text: string): Array<string | number> {
+  return Array.from(text.matchAll(/\[("(?:[^"\\]|\\.)*"|\d+)\]/g), match => JSON.parse(match[1] ?? '""') as string | number)
+}
--- /dev/null
+++ b/src/schema/index.ts
@@ -0,0 +1,11 @@
+/**
+ * One schema for each message, manifest and stored row; types are inferred from them.
+ *
+ * @packageDocumentation
+ */
+export * as Calls from './calls.ts'
+export * as Control from './control.ts'
+export * as Decode from './decode.ts'
+export * as Manifest from './manifest.ts'
+export * as Platform from './platform.ts'
+export * as Weights from './weights.ts'
