--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -125,6 +125,7 @@
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
     perform: command => { Core.Loop.dispatch(perform, command) },
     record: log.decision,
+    violate: Edge.Violations.createReporter(log, metrics),
     clock,
     beatMs: BEAT_MS
   })
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -60,6 +60,7 @@
     attempt.state = 'running'
     attempt.admittedAtMs = tick.nowMs
     runningCount++
+    tick.check('startLimit', runningCount <= tables.endpoint.limitCount, () => ({ attemptId: attempt.envelope.attemptId, runningCount, limitCount: tables.endpoint.limitCount }))
     tick.log('admission', 'Attempt admitted.', { attemptId: attempt.envelope.attemptId, workspace: attempt.envelope.workspace, runningCount, limitCount: tables.endpoint.limitCount, reason: 'below the limit' })
     tick.emit({ kind: 'admit', attemptId: attempt.envelope.attemptId })
   }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -5,6 +5,7 @@
  */
 export * as Codes from './codes.ts'
 export * as Hash from './hash.ts'
+export * as Invariants from './invariants.ts'
 export * as Loop from './loop.ts'
 export * as Random from './random.ts'
 export * as Table from './table.ts'
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -6,6 +6,7 @@
  *
  * @packageDocumentation
  */
+import * as Invariants from './invariants.ts'
 import type * as Random from './random.ts'
 
 /** One line of the decision log. */
@@ -25,6 +26,8 @@
   emit: (command: Command) => void
   /** Appends a line to the decision log. */
   log: (prefix: string, sentence: string, fields?: Readonly<Record<string, unknown>>) => void
+  /** Checks an invariant; a violation is counted and logged, and fails tests and soaks. */
+  check: Invariants.Check
 }
 
 /** A named function over the tables. */
@@ -37,6 +40,7 @@
 export interface Step<Command> {
   readonly commands: readonly Command[]
   readonly decisions: readonly Decision[]
+  readonly violations: readonly Invariants.Violation[]
 }
 
 /** Runs the systems once over the given inputs. Free of I/O and clocks. */
@@ -58,15 +62,17 @@
   return (inputs, nowMs) => {
     const commands: Command[] = []
     const decisions: Decision[] = []
+    const violations: Invariants.Violation[] = []
     const tick: Tick<Input, Command> = {
       nowMs,
       random,
       inputs,
       emit: command => { commands.push(command) },
-      log: (prefix, sentence, fields = {}) => { decisions.push({ prefix, sentence, fields }) }
+      log: (prefix, sentence, fields = {}) => { decisions.push({ prefix, sentence, fields }) },
+      check: Invariants.createCheck(violation => { violations.push(violation) })
     }
     for (const system of systems) system.run(tables, tick)
-    return { commands, decisions }
+    return { commands, decisions, violations }
   }
 }
 
@@ -75,6 +81,7 @@
   readonly step: Stepper<Input, Command>
   readonly perform: (command: Command) => void
   readonly record: (decision: Decision) => void
+  readonly violate: (violation: Invariants.Violation) => void
   /** Returns monotonic time in milliseconds. */
   readonly clock: () => number
   /** The longest time between ticks in milliseconds. */
@@ -106,6 +113,7 @@
     pending = []
     const step = options.step(inputs, options.clock())
     step.decisions.forEach(options.record)
+    step.violations.forEach(options.violate)
     step.commands.forEach(options.perform)
   }
   const schedule = (): void => {
