--- a/build.js
+++ b/build.js
@@ -1,7 +1,12 @@
-// Bundles the library and the three programs into dist.
+// Bundles the library, the three programs and the stand-ins into dist.
 import * as esbuild from 'esbuild'
 
-const PROGRAMS = { gateway: 'src/daemon/gateway/main.ts', agent: 'src/daemon/agent/main.ts', fescuectl: 'src/ctl/main.ts' }
+const PROGRAMS = {
+  gateway: 'src/daemon/gateway/main.ts',
+  agent: 'src/daemon/agent/main.ts',
+  fescuectl: 'src/ctl/main.ts',
+  standin: 'standins/main.ts'
+}
 
 const shared = {
   bundle: true,
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -139,7 +139,6 @@
     const exchange = exchanges.get(attemptId)
     if (exchange === undefined) { options.push({ kind: 'callEnded', attemptId, ending: 'neverSent' }); return }
     const { envelope, body } = exchange
-    let connected = false
     const upstream = Http.request({
       host: options.endpoint.host,
       port: options.endpoint.port,
@@ -155,17 +154,14 @@
       }
     })
     exchange.upstream = upstream
-    upstream.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = Edge.HttpClient.trackConnect(upstream)
     upstream.on('response', incoming => { relayAnswer(exchange, incoming) })
     upstream.on('error', () => {
       if (exchange.ended) return
-      const code = connected ? 'endpointFailed' : 'endpointUnreachable'
+      const code = connected() ? 'endpointFailed' : 'endpointUnreachable'
       if (exchange.response.headersSent) exchange.response.destroy()
       else sendResult(exchange, code)
-      end(exchange, connected ? 'failed' : 'neverSent')
+      end(exchange, connected() ? 'failed' : 'neverSent')
     })
     upstream.end(body)
   }
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -65,7 +65,6 @@
  */
 export async function send (request: Request): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    let connected = false
     const maxAnswerBytes = request.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
     const outgoing = Http.request({
       host: request.target.host,
@@ -78,13 +77,10 @@
     const fail = (message: string): void => {
       clearTimeout(timer)
       outgoing.destroy()
-      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected))
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
     }
     const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
-    outgoing.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
@@ -105,6 +101,21 @@
   })
 }
 
+/**
+ * Follows whether a request has a connection, so that its bytes may have reached the server.
+ *
+ * @param outgoing - The request, just made.
+ * @returns A function that tells whether it was ever connected.
+ */
+export function trackConnect (outgoing: Http.ClientRequest): () => boolean {
+  let connected = false
+  outgoing.on('socket', socket => {
+    connected = !socket.connecting
+    if (!connected) socket.once('connect', () => { connected = true })
+  })
+  return () => connected
+}
+
 /**
  * Sends JSON and reads JSON.
  *
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -89,7 +89,6 @@
     const { attemptId } = envelope
     exchange.attemptId = attemptId
     exchange.answer = undefined
-    let connected = false
     const attempt = Http.request({
       host: target.host,
       port: target.port,
@@ -104,12 +103,9 @@
     })
     exchange.attempt = attempt
     attempt.setTimeout(SILENT_ATTEMPT_MS, () => { attempt.destroy(new Error('silent connection')) })
-    attempt.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = Edge.HttpClient.trackConnect(attempt)
     attempt.on('error', error => {
-      endAttempt(exchange, attemptId, connected
+      endAttempt(exchange, attemptId, connected()
         ? { run: 'unknown', code: 'outcomeUnknown', reason: error.message }
         : { run: 'notRun', code: 'endpointUnreachable', reason: error.message })
     })
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -43,6 +43,8 @@
   role: string
   activeCount: number
   maxActiveCount: number
+  /** Sequences that were ever started. */
+  startedCount: number
   /** Times that more sequences ran than it bears. */
   overloadCount: number
   crashCount: number
@@ -117,6 +119,7 @@
     role: 'mixed',
     activeCount: 0,
     maxActiveCount: 0,
+    startedCount: 0,
     overloadCount: 0,
     crashCount: 0,
     fencingNumber: 0,
@@ -164,6 +167,7 @@
   }
   const start = (sequence: Sequence): void => {
     sequences.add(sequence)
+    state.startedCount++
     state.activeCount = sequences.size
     state.maxActiveCount = Math.max(state.maxActiveCount, sequences.size)
     const bearableCount = cold() ? coldCapacityCount : capacityCount
