Check capacity before a drain, survey every process for status, recover lost lease grants

Cause: a drain of the zone with a service's only endpoint went through without a word; a lease holder whose renewal lost its answer twice had to wait out its own lease. A gateway in a drained zone is not ready, so that the balancer sends callers elsewhere.

--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -5,6 +5,7 @@
  */
 export * as Commits from './commits.ts'
 export * as Documents from './documents.ts'
+export * as DrainCheck from './drainCheck.ts'
 export * as Lease from './lease.ts'
 export * as ManifestFile from './manifestFile.ts'
 export * as ManifestRules from './manifestRules.ts'
--- a/src/control/lease.ts
+++ b/src/control/lease.ts
@@ -6,7 +6,6 @@
  *
  * @packageDocumentation
  */
-import * as Crypto from 'node:crypto'
 import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
 
@@ -39,6 +38,13 @@
   readonly durationMs: number
   /** Returns monotonic time in milliseconds. */
   readonly clock: () => number
+  /** Makes a nonce that no other write carries. */
+  readonly makeNonce: () => string
+}
+
+interface Found {
+  readonly revision: number
+  readonly record: Schemas.Control.LeaseRecord
 }
 
 const decode = Schemas.Decode.lenient(Schemas.Control.LeaseRecord)
@@ -52,29 +58,36 @@
 export function createLease (options: LeaseOptions): Lease {
   let grant: Grant | undefined
   let seen: { revision: number, sinceMs: number } | undefined
+  let lastWrite: { nonce: string, startedMs: number } | undefined
 
   const current = (): Grant | undefined => grant !== undefined && options.clock() < grant.validUntilMs ? grant : undefined
 
   const write = async (revision: number, fencingNumber: number): Promise<void> => {
     const startedMs = options.clock()
-    const nonce = Crypto.randomUUID()
+    const nonce = options.makeNonce()
+    lastWrite = { nonce, startedMs }
     const value: Schemas.Control.LeaseRecord = { holder: options.holder, nonce, fencingNumber, durationMs: options.durationMs }
     const answer = await options.tables.transact({
       conditions: [{ table: LEASE_TABLE, key: options.name, revision }],
       writes: [{ table: LEASE_TABLE, key: options.name, value }]
     })
     if (answer.isErr()) {
-      if (answer.error.maybeApplied) await readBack(nonce, startedMs)
+      if (answer.error.maybeApplied) await readBack()
       return
     }
     grant = answer.value.committed ? { fencingNumber, revision: answer.value.revision, validUntilMs: startedMs + options.durationMs } : undefined
   }
-  const readBack = async (nonce: string, startedMs: number): Promise<void> => {
+  const readBack = async (): Promise<void> => {
     const found = await find()
-    if (found?.record.nonce !== nonce) return
-    grant = { fencingNumber: found.record.fencingNumber, revision: found.revision, validUntilMs: startedMs + options.durationMs }
+    if (found !== undefined) adoptOwn(found)
+  }
+  /** Takes up a grant whose answer was lost, unless its time is over. */
+  const adoptOwn = (found: Found): boolean => {
+    if (lastWrite === undefined || found.record.nonce !== lastWrite.nonce) return false
+    grant = { fencingNumber: found.record.fencingNumber, revision: found.revision, validUntilMs: lastWrite.startedMs + options.durationMs }
+    return true
   }
-  const find = async (): Promise<{ revision: number, record: Schemas.Control.LeaseRecord } | undefined> => {
+  const find = async (): Promise<Found | undefined> => {
     const rows = await options.tables.read([{ table: LEASE_TABLE, key: options.name }])
     if (rows.isErr() || rows.value[0] === undefined) return undefined
     const record = decode(rows.value[0].value)
@@ -87,6 +100,7 @@
     if (row === undefined) { await write(0, 1); return }
     const record = decode(row.value)
     if (record.isErr()) return
+    if (adoptOwn({ revision: row.revision, record: record.value }) && current() !== undefined) return
     if (seen?.revision !== row.revision) { seen = { revision: row.revision, sinceMs: options.clock() }; return }
     if (options.clock() - seen.sinceMs >= record.value.durationMs) await write(row.revision, record.value.fencingNumber + 1)
   }
@@ -103,7 +117,7 @@
       if (held === undefined) return
       await options.tables.transact({
         conditions: [{ table: LEASE_TABLE, key: options.name, revision: held.revision }],
-        writes: [{ table: LEASE_TABLE, key: options.name, value: { holder: '', nonce: Crypto.randomUUID(), fencingNumber: held.fencingNumber, durationMs: 1 } }]
+        writes: [{ table: LEASE_TABLE, key: options.name, value: { holder: '', nonce: options.makeNonce(), fencingNumber: held.fencingNumber, durationMs: 1 } }]
       })
     }
   }
--- a/src/control/placementHolder.ts
+++ b/src/control/placementHolder.ts
@@ -44,7 +44,8 @@
     name: PLACEMENT_LEASE,
     holder: options.instanceId,
     durationMs: options.leaseDurationMs,
-    clock: options.clock
+    clock: options.clock,
+    makeNonce: Crypto.randomUUID
   })
   const plan = async (): Promise<void> => {
     const grant = lease.current()
--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -13,6 +13,8 @@
 
 type Options = Client.CommonOptions
 
+const WATCH_MS = 1_000
+
 /**
  * Reads and checks a manifest file.
  *
@@ -87,12 +89,26 @@
  * @param options - Common options.
  * @returns The exit code.
  */
-export async function status (options: Options): Promise<number> {
+export async function status (options: Options & { watch: boolean }): Promise<number> {
+  do {
+    await printStatus(options)
+    if (options.watch) await new Promise(resolve => setTimeout(resolve, WATCH_MS))
+  } while (options.watch)
+  return Client.EXIT.ok
+}
+
+async function printStatus (options: Options): Promise<void> {
   const shown = await Client.connect(options).status.mutate()
   const lines = shown.endpoints.map(report =>
     [report.instanceId, report.zone, report.service, report.state, `${report.modelName ?? '-'}@${report.modelVersion ?? '-'}`, `chunks ${report.heldChunkCount}/${report.wantedChunkCount}`, `active ${report.activeCount}/${report.limitCount}`, `manifest ${report.versions.manifest}`].join('\t'))
-  Client.print(options, shown, [`gateway ${shown.gateway.instanceId}\tmanifest ${shown.gateway.versions.manifest}\tplan ${shown.gateway.versions.placement}`, ...lines, `drained zones: ${shown.drains.zones.join(', ') || 'none'}`])
-  return Client.EXIT.ok
+  Client.print(options, shown, [
+    ...shown.gateways.map(report => [report.instanceId, report.zone, 'gateway', `calls ${report.activeCount}`, `manifest ${report.versions.manifest}`].join('\t')),
+    ...lines,
+    `drained zones: ${listOf(shown.drains.zones)}`,
+    `drained instances: ${listOf(shown.drains.instanceIds)}`,
+    `lagging: ${listOf(shown.laggingInstanceIds)}`,
+    `silent: ${listOf(shown.silentInstanceIds)}`
+  ])
 }
 
 /**
@@ -101,8 +117,10 @@
  * @param options - Common options and what to take out or bring back.
  * @returns The exit code.
  */
-export async function drain (options: Options & { what: 'zone' | 'instance', name: string, drained: boolean }): Promise<number> {
-  const answer = await Client.connect(options).drain.mutate({ what: options.what, name: options.name, drained: options.drained })
+export async function drain (options: Options & { what: 'zone' | 'instance', name: string, drained: boolean, force: boolean }): Promise<number> {
+  const { what, name, drained, force } = options
+  const answer = await Client.connect(options).drain.mutate({ what, name, drained, force })
+  for (const shortfall of answer.shortfalls ?? []) process.stderr.write(`${Control.DrainCheck.describe(shortfall)}\n`)
   return conclude(options, answer, `${options.what} ${options.name} is ${options.drained ? 'out of' : 'back in'} service (drains version ${answer.version})`)
 }
 
@@ -116,8 +134,8 @@
 export function addCommands (parser: Yargs.Argv<Options>, run: (work: () => number | Promise<number>) => void): Yargs.Argv<Options> {
   const file = (sub: Yargs.Argv<Options>) => sub.positional('file', { type: 'string', demandOption: true, describe: 'Manifest file, JSON or YAML' })
   const named = (what: 'zone' | 'instance') => (sub: Yargs.Argv<Options>) => sub
-    .command('drain <name>', `Take ${what} out of service`, inner => inner.positional('name', { type: 'string', demandOption: true }), argv => { run(async () => await drain({ ...argv, what, drained: true })) })
-    .command('restore <name>', `Bring ${what} back into service`, inner => inner.positional('name', { type: 'string', demandOption: true }), argv => { run(async () => await drain({ ...argv, what, drained: false })) })
+    .command('drain <name>', `Take ${what} out of service`, inner => inner.positional('name', { type: 'string', demandOption: true }).option('force', { type: 'boolean', default: false, describe: 'Go on although calls would be refused' }), argv => { run(async () => await drain({ ...argv, what, drained: true })) })
+    .command('restore <name>', `Bring ${what} back into service`, inner => inner.positional('name', { type: 'string', demandOption: true }), argv => { run(async () => await drain({ ...argv, what, drained: false, force: false })) })
     .demandCommand(1)
   return parser
     .command('manifest', 'Work with manifests', sub => sub
@@ -128,7 +146,7 @@
       .demandCommand(1))
     .command('zone', 'Take availability zones out of service and back', named('zone'))
     .command('instance', 'Take instances out of service and back', named('instance'))
-    .command('status', 'Show endpoints, versions and drains', sub => sub, argv => { run(async () => await status(argv)) })
+    .command('status', 'Show endpoints, versions, drains and who lags', sub => sub.option('watch', { type: 'boolean', default: false, describe: 'Print again every second' }), argv => { run(async () => await status(argv)) })
 }
 
 function conclude (options: Options, answer: Operators.ChangeAnswer, sentence: string): number {
@@ -140,6 +158,10 @@
   return answer.current === undefined ? Client.EXIT.failed : Client.EXIT.conflict
 }
 
+function listOf (names: readonly string[]): string {
+  return names.join(', ') || 'none'
+}
+
 function invalid (lines: readonly string[]): number {
   process.stderr.write(`${lines.join('\n')}\n`)
   return Client.EXIT.invalid
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -141,11 +141,13 @@
     activeCount: tables.calls.count(),
     versions: node.held.versions()
   })
+  /** A gateway in a drained zone tells the balancer to send callers elsewhere; calls that still come are served. */
+  const isReady = (): boolean => node.ready() && !tables.stopping && !Control.Documents.isDrained(node.held.drains(), identity.instanceId, identity.zone)
   const procedures = Operators.createProcedures({
     node,
     tables: store,
     report,
-    endpointReports: () => [...tables.endpoints.rows()].flatMap(row => row.report ?? []),
+    peerKey,
     log
   })
   const server = await Edge.HttpServer.listen({
@@ -156,7 +158,7 @@
       Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
-      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() && !tables.stopping ? 200 : 503, report()) } }
+      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, isReady() ? 200 : 503, report()) } }
     ],
     fallback: callers.handle
   })
--- a/src/gateway/operators.ts
+++ b/src/gateway/operators.ts
@@ -11,13 +11,14 @@
 import * as Edge from '../edge/index.ts'
 import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as Survey from './survey.ts'
 
 /** What the procedures need. */
 export interface OperatorOptions {
   readonly node: Control.Node.ControlNode
   readonly tables: Platform.TableClient.TableClient
   readonly report: () => Schemas.Control.GatewayReport
-  readonly endpointReports: () => readonly Schemas.Control.AgentReport[]
+  readonly peerKey: () => string
   readonly log: Edge.Log.Log
 }
 
@@ -29,10 +30,12 @@
   readonly version: number
   /** The document in force, at a conflict. */
   readonly current?: Schemas.Control.Document
+  /** What the change would refuse or does refuse. */
+  readonly shortfalls?: readonly Control.DrainCheck.Shortfall[]
 }
 
 const CommitInput = Schema.Struct({ manifest: Schema.Unknown, expectedVersion: Schema.optional(Schema.Int) })
-const DrainInput = Schema.Struct({ what: Schema.Literals(['zone', 'instance']), name: Schema.String, drained: Schema.Boolean })
+const DrainInput = Schema.Struct({ what: Schema.Literals(['zone', 'instance']), name: Schema.String, drained: Schema.Boolean, force: Schema.Boolean })
 const HistoryInput = Schema.Struct({ limitCount: Schema.Int })
 const decodeManifest = Schemas.Decode.strict(Schemas.Manifest.Manifest)
 const HISTORY_SCAN_COUNT = 10_000
@@ -60,12 +63,7 @@
     drain: operatorProcedure
       .input(Schemas.Decode.parser(DrainInput))
       .mutation(async ({ input }) => await changeDrain(options, input)),
-    status: operatorProcedure.mutation(() => ({
-      gateway: options.report(),
-      endpoints: options.endpointReports(),
-      drains: options.node.held.drains(),
-      instanceCount: options.node.instances().length
-    }))
+    status: operatorProcedure.mutation(async () => await readStatus(options))
   })
 }
 
@@ -87,19 +85,42 @@
 }
 
 async function changeDrain (options: OperatorOptions, input: typeof DrainInput.Type): Promise<ChangeAnswer> {
-  const edit = (names: readonly string[]): string[] => {
-    const others = names.filter(name => name !== input.name)
-    return input.drained ? [...others, input.name].sort() : others
-  }
+  const manifest = options.node.held.manifest()
+  if (manifest === undefined) return refused('notReady', 'no manifest is in force here')
+  if (!isKnown(options, manifest, input)) return refused('notFound', `there is no ${input.what} "${input.name}"`)
+  const drains = Control.DrainCheck.applyChange(options.node.held.drains(), input)
+  const shortfalls = input.drained
+    ? Control.DrainCheck.findShortfalls({ manifest, drains, reports: (await survey(options)).agents })
+    : []
+  if (shortfalls.length > 0 && !input.force) return { ...refused('wouldRefuse', ''), shortfalls }
   const committed = await Control.Commits.commit(options.tables, {
     kind: 'drains',
     nonce: Crypto.randomUUID(),
-    change: body => {
-      const drains = (body ?? { zones: [], instanceIds: [] }) as Schemas.Control.Drains
-      return input.what === 'zone' ? { ...drains, zones: edit(drains.zones) } : { ...drains, instanceIds: edit(drains.instanceIds) }
-    }
+    change: body => Control.DrainCheck.applyChange((body ?? { zones: [], instanceIds: [] }) as Schemas.Control.Drains, input)
   })
-  return conclude(options, committed)
+  return { ...conclude(options, committed), shortfalls }
+}
+
+function isKnown (options: OperatorOptions, manifest: Schemas.Manifest.Manifest, input: typeof DrainInput.Type): boolean {
+  const names = input.what === 'zone' ? manifest.zones.map(zone => zone.name) : options.node.instances().map(instance => instance.instanceId)
+  return !input.drained || names.includes(input.name)
+}
+
+async function survey (options: OperatorOptions): Promise<Survey.Survey> {
+  return await Survey.survey(options.node.instances(), options.peerKey)
+}
+
+async function readStatus (options: OperatorOptions) {
+  const { agents, gateways, silentInstanceIds } = await survey(options)
+  const newest = Math.max(options.node.held.versions().manifest, ...[...agents, ...gateways].map(report => report.versions.manifest))
+  return {
+    gateway: options.report(),
+    gateways,
+    endpoints: agents,
+    silentInstanceIds,
+    laggingInstanceIds: [...agents, ...gateways].filter(report => report.versions.manifest < newest).map(report => report.instanceId),
+    drains: options.node.held.drains()
+  }
 }
 
 async function readHistory (options: OperatorOptions, limitCount: number): Promise<Array<{ version: number, name: string }>> {
--- /dev/null
+++ b/test/lease.test.ts
@@ -0,0 +1,146 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as FastCheck from 'fast-check'
+import * as Control from '../src/control/index.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const DURATION_MS = 1_000
+
+/** Contenders for one lease over one table, each with a clock that can be read and moved. */
+function createContenders (count: number) {
+  const table = TestKit.FakeTable.createFakeTable()
+  let nowMs = 0
+  let nonceCount = 0
+  const leases = Array.from({ length: count }, (_, index) => Control.Lease.createLease({
+    tables: table.client,
+    name: 'placement',
+    holder: `holder-${index}`,
+    durationMs: DURATION_MS,
+    clock: () => nowMs,
+    makeNonce: () => `nonce-${++nonceCount}`
+  }))
+  const lease = (index: number): Control.Lease.Lease => leases[index] as Control.Lease.Lease
+  return { table, lease, leases, advance: (byMs: number) => { nowMs += byMs } }
+}
+
+describe('createLease', () => {
+  describe('poll', () => {
+    it('grants a free lease to the first and not to the second', async () => {
+      const { lease } = createContenders(2)
+      await lease(0).poll()
+      await lease(1).poll()
+      expect([lease(0).current()?.fencingNumber, lease(1).current()]).toEqual([1, undefined])
+    })
+
+    it('renews without a new fencing number', async () => {
+      const { lease, advance } = createContenders(1)
+      await lease(0).poll()
+      advance(DURATION_MS / 2)
+      await lease(0).poll()
+      advance(DURATION_MS / 2 + 1)
+      expect(lease(0).current()?.fencingNumber).toEqual(1)
+    })
+
+    it('hands a lapsed lease over with a higher fencing number, and the paused holder has nothing', async () => {
+      const { lease, advance } = createContenders(2)
+      await lease(0).poll()
+      await lease(1).poll()
+      advance(DURATION_MS)
+      await lease(1).poll()
+      expect(lease(1).current()?.fencingNumber).toEqual(2)
+      expect(lease(0).current()).toEqual(undefined)
+      await lease(0).poll()
+      expect(lease(0).current()).toEqual(undefined)
+    })
+
+    it('takes up a grant whose answer was lost', async () => {
+      const { lease, table } = createContenders(1)
+      table.setMishap(() => 'lostAfter')
+      await lease(0).poll()
+      expect(lease(0).current()?.fencingNumber).toEqual(1)
+    })
+
+    it('holds nothing while the store is down for longer than the lease', async () => {
+      const { lease, table, advance } = createContenders(1)
+      await lease(0).poll()
+      table.setMishap(() => 'unavailable')
+      advance(DURATION_MS)
+      await lease(0).poll()
+      expect(lease(0).current()).toEqual(undefined)
+    })
+  })
+
+  describe('release', () => {
+    it('lets the next contender in without the whole wait', async () => {
+      const { lease, advance } = createContenders(2)
+      await lease(0).poll()
+      await lease(0).release()
+      await lease(1).poll()
+      advance(1)
+      await lease(1).poll()
+      expect(lease(1).current()?.fencingNumber).toEqual(2)
+    })
+  })
+
+  it('never has two holders, whatever pauses, losses and outages come', async () => {
+    const step = FastCheck.record({
+      who: FastCheck.nat(2),
+      advanceMs: FastCheck.nat(DURATION_MS),
+      mishap: FastCheck.constantFrom<TestKit.FakeTable.Mishap>('none', 'none', 'none', 'unavailable', 'lostBefore', 'lostAfter')
+    })
+    await FastCheck.assert(FastCheck.asyncProperty(FastCheck.array(step, { minLength: 10, maxLength: 60 }), async steps => {
+      const { table, lease, leases, advance } = createContenders(3)
+      let highest = 0
+      for (const { who, advanceMs, mishap } of steps) {
+        table.setMishap(() => mishap)
+        await lease(who).poll()
+        const holders = leases.flatMap(each => each.current() ?? [])
+        expect(holders.length <= 1).toEqual(true)
+        const fencingNumber = holders[0]?.fencingNumber ?? highest
+        expect(fencingNumber >= highest).toEqual(true)
+        highest = fencingNumber
+        advance(advanceMs)
+      }
+    }), { seed: 7, numRuns: 300 })
+  })
+})
+
+describe('createHolder', () => {
+  it('cannot commit a plan after another holder has taken over', async () => {
+    const table = TestKit.FakeTable.createFakeTable()
+    let nowMs = 0
+    const held = Control.Documents.createHeld()
+    const manifest = TestKit.Manifests.makeManifest(TestKit.Shapes.CONSORTIUM, { version: 'v1', digest: 'a'.repeat(64), sizeBytes: 1 })
+    held.adopt({ kind: 'manifest', version: 1, body: manifest })
+    const refusals: string[] = []
+    const makeHolder = (instanceId: string, tables = table.client) => Control.PlacementHolder.createHolder({
+      tables,
+      instanceId,
+      leaseDurationMs: DURATION_MS,
+      clock: () => nowMs,
+      held,
+      instances: () => [],
+      onPlan: () => {},
+      log: (_sentence, fields) => { refusals.push((fields as { code?: string }).code ?? 'none') }
+    })
+    // The first holder is paused between its grant and its plan; the second takes over meanwhile.
+    const second = makeHolder('second')
+    let paused = true
+    const first = makeHolder('first', {
+      ...table.client,
+      read: async rows => {
+        if (paused && rows[0]?.table === 'control') {
+          paused = false
+          await second.poll()
+          nowMs += DURATION_MS
+          await second.poll()
+        }
+        return await table.client.read(rows)
+      }
+    })
+    await first.poll()
+    expect(refusals.filter(code => code === 'staleFencing').length).toEqual(1)
+    const stored = table.rows('control')[0]?.value as { version: number, body: { fencingNumber: number } }
+    expect([stored.version, stored.body.fencingNumber]).toEqual([1, 2])
+  })
+})
--- /dev/null
+++ b/test/manifest-file.test.ts
@@ -0,0 +1,94 @@
+import * as Fs from 'node:fs'
+import * as Os from 'node:os'
+import * as Path from 'node:path'
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as ManifestFile from '../src/control/manifestFile.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const VALID = TestKit.Manifests.makeManifest(TestKit.Shapes.CONSORTIUM, { version: 'v1', digest: 'a'.repeat(64), sizeBytes: 1 })
+const TEXT = JSON.stringify(VALID, null, 2)
+
+type Edit = (copy: any) => void
+const edited = (edit: Edit): string => {
+  const copy = JSON.parse(TEXT)
+  edit(copy)
+  return JSON.stringify(copy, null, 2)
+}
+
+/** Broken manifests and the field that each error must name. */
+const BROKEN: ReadonlyArray<readonly [string, string, string]> = [
+  ['truncated', TEXT.slice(0, TEXT.length / 2), ''],
+  ['empty', '', ''],
+  ['a list', '[]', ''],
+  ['a number for a name', edited(copy => { copy.name = 7 }), 'name'],
+  ['an unknown field', edited(copy => { copy.colour = 'red' }), 'colour'],
+  ['an unknown nested field', edited(copy => { copy.services[0].speed = 1 }), 'services.0.speed'],
+  ['a duplicate service', edited(copy => { copy.services.push({ ...copy.services[0], routes: [] }) }), 'services.3.name'],
+  ['a duplicate zone', edited(copy => { copy.zones.push(copy.zones[0]) }), 'zones.3.name'],
+  ['a duplicate model', edited(copy => { copy.models.push(copy.models[0]) }), 'models.1.name'],
+  ['a duplicate workspace', edited(copy => { copy.workspaces.push(copy.workspaces[0]) }), 'workspaces.10.name'],
+  ['a duplicate key', TEXT.replace('"name": "consortium"', '"name": "consortium", "name": "other"'), ''],
+  ['an unknown zone', edited(copy => { copy.services[0].placements[0].zone = 'batumi' }), 'services.0.placements.0.zone'],
+  ['an unknown model', edited(copy => { copy.services[0].model = 'other' }), 'services.0.model'],
+  ['a negative count', edited(copy => { copy.services[0].placements[0].replicaCount = -1 }), 'services.0.placements.0.replicaCount'],
+  ['a fractional count', edited(copy => { copy.services[0].maxConcurrentCount = 1.5 }), 'services.0.maxConcurrentCount'],
+  ['a digest that is too short', edited(copy => { copy.models[0].digest = 'abc' }), 'models.0.digest'],
+  ['a digest that is too long', edited(copy => { copy.models[0].digest = 'a'.repeat(65) }), 'models.0.digest'],
+  ['a missing field', edited(copy => { delete copy.zones[0].region }), 'zones.0.region'],
+  ['an unknown kind', edited(copy => { copy.services[0].kind = 'magic' }), 'services.0.kind'],
+  ['a duplicate route', edited(copy => { copy.services[1].routes.push(copy.services[0].routes[0]) }), 'services.1.routes.2'],
+  ['an engine without a model', edited(copy => { delete copy.services[0].model }), 'services.0.model'],
+  ['no services', edited(copy => { copy.services = [] }), 'services'],
+  ['10 MB of junk', 'x'.repeat(10 * 1024 * 1024), '']
+]
+
+describe('parse', () => {
+  it('takes what a build pipeline generates', () => {
+    expect(ManifestFile.parse(TEXT)._unsafeUnwrap()).toEqual(VALID)
+  })
+
+  it('points to the line of the field', () => {
+    const problems = ManifestFile.parse(edited(copy => { copy.models[0].digest = 'abc' }))._unsafeUnwrapErr()
+    const line = TEXT.split('\n').findIndex(text => text.includes('"digest"')) + 1
+    expect(problems.map(problem => problem.line)).toEqual([line])
+  })
+
+  for (const [what, text, field] of BROKEN) {
+    it(`refuses ${what}`, () => {
+      const problems = ManifestFile.parse(text)._unsafeUnwrapErr()
+      expect(problems.map(problem => problem.field)).toInclude(field)
+      expect(problems.every(problem => problem.line >= 1 && problem.message.length > 0)).toEqual(true)
+    })
+  }
+})
+
+describe('fescuectl manifest', () => {
+  const folder = Fs.mkdtempSync(Path.join(Os.tmpdir(), 'fescuespread-manifests-'))
+  const shape: TestKit.Shapes.Shape = { ...TestKit.Shapes.CONSORTIUM, zones: TestKit.Shapes.CONSORTIUM.zones.slice(0, 1), services: [] }
+  let deployment: TestKit.Deployment.Deployment
+  before(async () => { deployment = await TestKit.Deployment.createDeployment({ shape }) })
+  after(async () => {
+    await deployment.stop()
+    Fs.rmSync(folder, { recursive: true })
+  })
+
+  it('exits 2 on every broken file, names the place and stores nothing', async () => {
+    const outcomes = await Promise.all(BROKEN.map(async ([what, text], index) => {
+      const file = Path.join(folder, `${index}.json`)
+      Fs.writeFileSync(file, text)
+      const verb = index % 2 === 0 ? 'validate' : 'commit'
+      const finished = await deployment.ctl(['manifest', verb, file])
+      return { what, code: finished.code, named: new RegExp(`${index}\\.json:\\d+:\\d+: `).test(finished.stderr) }
+    }))
+    expect(outcomes).toEqual(BROKEN.map(([what]) => ({ what, code: 2, named: true })))
+    expect(deployment.table.rowsOf('control')).toEqual([])
+    expect(deployment.table.rowsOf('manifestHistory')).toEqual([])
+  })
+
+  it('exits 0 on a valid file', async () => {
+    const file = Path.join(folder, 'valid.json')
+    Fs.writeFileSync(file, TEXT)
+    expect((await deployment.ctl(['manifest', 'validate', file])).code).toEqual(0)
+  })
+})
--- a/tools/demo/steps.ts
+++ b/tools/demo/steps.ts
@@ -94,7 +94,10 @@
 }
 
 async function drainZone (system: System.System, print: (line: string) => void): Promise<string> {
-  const zone = system.shape.zones[0]?.name ?? ''
+  const warned = await system.ctl(['zone', 'drain', system.shape.zones[0]?.name ?? ''])
+  expectThat(warned.code !== 0, 'a zone with the only endpoint of a service was taken out without a warning')
+  print(warned.stderr.trim())
+  const zone = system.shape.zones[1]?.name ?? ''
   const engines = system.runners.filter(runner => runner.place.zone === zone && runner.service.kind === 'engine')
   const startedCount = async (): Promise<number> => {
     const loads = await Promise.all(engines.map(async runner => await System.request(runner.endpoint.port, 'GET', '/load') as { startedCount: number }))
