Take endpoints out of service and back in one system of the agent

Cause: an agent that the platform listed as leaving took new work until its gateways had heard, and a restored endpoint came back at its full limit.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -80,7 +80,9 @@
     pollMs: settings.pollMs,
     log,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
-    onInstances: () => {}
+    onInstances: instances => {
+      push({ kind: 'listed', state: instances.find(instance => instance.instanceId === identity.instanceId)?.state })
+    }
   })
   const tables = Tables.createTables(identity, node.held)
   const push = (input: Messages.Input): void => { loop?.push(input) }
--- a/src/agent/messages.ts
+++ b/src/agent/messages.ts
@@ -33,6 +33,7 @@
   | { readonly kind: 'fenceAsked', readonly askId: string, readonly question: Schemas.Calls.FenceQuestion }
   | { readonly kind: 'weightsProgress', readonly digest: string, readonly heldCount: number, readonly wantedCount: number, readonly whole: boolean }
   | { readonly kind: 'orderAnswered', readonly accepted: boolean, readonly reason?: string }
+  | { readonly kind: 'listed', readonly state: Schemas.Platform.Instance['state'] | undefined }
   | { readonly kind: 'stopping' }
 
 /** Why an attempt is refused before anything reached the endpoint. */
--- a/src/agent/systems/endpoint.ts
+++ b/src/agent/systems/endpoint.ts
@@ -15,7 +15,6 @@
   run: (tables, tick) => {
     for (const input of tick.inputs) {
       if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load)
-      if (input.kind === 'stopping') tables.stopping = true
     }
     const { endpoint } = tables
     if (endpoint.reachable && tick.nowMs - endpoint.lastSeenMs > UNREACHABLE_AFTER_MS) {
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import * as Control from '../control/index.ts'
+import type * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import type * as Messages from './messages.ts'
@@ -56,6 +56,9 @@
   readonly service: string
 }
 
+/** Why an endpoint takes no new work. */
+export type DrainReason = 'the agent is stopping' | 'an operator took it out of service' | 'the platform lists it as leaving'
+
 /** Everything that an agent's systems decide from. */
 export interface Tables {
   readonly identity: AgentIdentity
@@ -66,6 +69,10 @@
   readonly endpoint: EndpointRow
   /** The highest fencing number that the agent has acted on. */
   fencingNumber: number
+  /** Why the endpoint takes no new work; undefined while it does. */
+  drainReason: DrainReason | undefined
+  /** Whether the platform's list says that the instance is leaving. */
+  listedLeaving: boolean
   stopping: boolean
 }
 
@@ -103,6 +110,8 @@
       orderedAtMs: 0
     },
     fencingNumber: 0,
+    drainReason: undefined,
+    listedLeaving: false,
     stopping: false
   }
 }
@@ -146,8 +155,8 @@
  * @returns The endpoint's state as reported to gateways.
  */
 export function stateOf (tables: Tables): Schemas.Control.AgentReport['state'] {
-  const { identity, endpoint } = tables
-  if (tables.stopping || Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone)) return 'draining'
+  const { endpoint } = tables
+  if (tables.drainReason !== undefined) return 'draining'
   if (!endpoint.reachable) return 'unreachable'
   const assignment = assignmentOf(tables)
   const service = serviceOf(tables)
