--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -6,6 +6,7 @@
 export * as Commits from './commits.ts'
 export * as Documents from './documents.ts'
 export * as Lease from './lease.ts'
+export * as ManifestDiff from './manifestDiff.ts'
 export * as ManifestFile from './manifestFile.ts'
 export * as ManifestRules from './manifestRules.ts'
 export * as Node from './node.ts'
