Sign the requests of the system's own processes

Cause: the peer key crossed the network in each call, a call could be repeated by whoever saw it, and a key could not be changed without a stop. Change: requests carry an HMAC over method, path, body, envelope, time and nonce; a verifier takes each nonce once within its window. Keys may be several and are read again from a file at SIGHUP. Refused calls are logged and counted by reason. Operators sign with their token, or send it as a bearer token.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -15,7 +15,7 @@
 import * as Calls from './calls.ts'
 import type * as Messages from './messages.ts'
 import * as Procedures from './procedures.ts'
-import type * as Settings from './settings.ts'
+import * as Settings from './settings.ts'
 import * as Systems from './systems/index.ts'
 import * as Tables from './tables.ts'
 import * as Weights from './weights.ts'
@@ -67,7 +67,14 @@
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
-  const peerKey = (): string => settings.peerKey
+  const peerKeys = Settings.peerKeysOf(settings)._unsafeUnwrap()
+  const peerKey = peerKeys.current
+  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: () => [] })
+  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys }, log.keysRead)
+  const onRefused = (path: string, reason: string): void => {
+    metrics.count('peer_calls_refused_total', { reason })
+    log.warn('control', 'Procedure refused.', { path, reason })
+  }
   const asks = new Map<string, (answer: Schemas.Calls.FenceAnswer) => void>()
 
   const node = Control.Node.createNode({
@@ -84,7 +91,7 @@
   })
   const tables = Tables.createTables(identity, node.held)
   const push = (input: Messages.Input): void => { loop?.push(input) }
-  const relay = Calls.createRelay({ endpoint, maxBodyBytes: settings.maxBodyBytes, peerKey, tables, push, log })
+  const relay = Calls.createRelay({ endpoint, maxBodyBytes: settings.maxBodyBytes, guard, onRefused, tables, push, log })
   const collector = Weights.createCollector({
     instanceId: identity.instanceId,
     sources: [settings.weightStore, settings.origin].filter(address => address !== '').map(Edge.HttpClient.targetOf),
@@ -152,7 +159,7 @@
     routes: [
       relay.route,
       ...collector.routes,
-      Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken: () => '' }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
+      Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
       { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() ? 200 : 503, Tables.reportOf(tables)) } }
@@ -169,6 +176,7 @@
       await server.close(Math.max(0, deadlineMs - clock()))
       clearInterval(endpointTimer)
       collector.stop()
+      stopReloading()
       node.stop()
       loop.stop()
       log.info('agent', 'Agent stopped.')
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -21,7 +21,8 @@
 export interface RelayOptions {
   readonly endpoint: Edge.HttpClient.Target
   readonly maxBodyBytes: number
-  readonly peerKey: () => string
+  readonly guard: Edge.Auth.Guard
+  readonly onRefused: (path: string, reason: string) => void
   readonly tables: Tables.Tables
   readonly push: (input: Messages.Input) => void
   readonly log: Edge.Log.Log
@@ -58,15 +59,17 @@
   const exchanges = new Map<string, Exchange>()
 
   const take: Edge.HttpServer.Handler = async (request, response) => {
-    if (request.headers.authorization !== `Bearer ${options.peerKey()}`) {
-      options.log.warn('calls', 'Attempt refused.', { reason: 'wrong peer key' })
+    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
+    if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
+    const envelopeText = String(request.headers[ENVELOPE_HEADER] ?? '')
+    const caller = options.guard.identify(request, CALL_PATH, body.value, envelopeText)
+    if (caller.role !== 'peer') {
+      options.onRefused(CALL_PATH, caller.reason ?? 'wrongRole')
       Edge.HttpServer.sendCode(response, 'unauthorized')
       return
     }
-    const envelope = decodeEnvelope(String(request.headers[ENVELOPE_HEADER] ?? ''))
+    const envelope = decodeEnvelope(envelopeText)
     if (envelope.isErr()) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: Schemas.Decode.describe(envelope.error) }); return }
-    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
-    if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
     const { attemptId } = envelope.value
     if (exchanges.has(attemptId)) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: 'repeated attempt' }); return }
     exchanges.set(attemptId, { envelope: envelope.value, body: body.value, response, upstream: undefined, ended: false })
--- a/src/agent/settings.ts
+++ b/src/agent/settings.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Neverthrow from 'neverthrow'
 import * as Edge from '../edge/index.ts'
 
 /** Settings that all daemons share. */
@@ -15,7 +16,8 @@
   tableService: Edge.Settings.address('The platform\'s table service'),
   objectStore: Edge.Settings.address('The platform\'s object store'),
   instanceList: Edge.Settings.address('The platform\'s list of instances'),
-  peerKey: Edge.Settings.text('Key that the system\'s own processes prove to one another', undefined, true),
+  peerKey: Edge.Settings.optionalText('Keys that the system\'s own processes sign with, separated by commas; the first signs', true),
+  peerKeyFile: Edge.Settings.optionalText('File of peer keys in place of the flag, one a line, read again at SIGHUP'),
   pollMs: Edge.Settings.count('Time between reads of the store and the instance list, in milliseconds', 10, 60_000, 500),
   storeTimeoutMs: Edge.Settings.count('Time for one call of the table service, in milliseconds', 10, 60_000, 2_000),
   stopGraceMs: Edge.Settings.count('Time that requests in flight have at a stop, in milliseconds', 0, 3_600_000, 30_000),
@@ -33,5 +35,15 @@
   endpointPollMs: Edge.Settings.count('Time between load reports of the endpoint, in milliseconds', 10, 60_000, 200)
 }
 
+/**
+ * Creates the ring of peer keys that the settings name.
+ *
+ * @param settings - The settings that all daemons share.
+ * @returns The ring, or one line that names the setting.
+ */
+export function peerKeysOf (settings: { readonly peerKey: string, readonly peerKeyFile: string }): Neverthrow.Result<Edge.Keys.KeyRing, string> {
+  return Edge.Keys.createKeyRing({ value: settings.peerKey, file: settings.peerKeyFile }).mapErr(reason => `settings: --peer-key or --peer-key-file: ${reason}.`)
+}
+
 /** Values of an agent's settings. */
 export type AgentSettings = Edge.Settings.Values<typeof SPEC>
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -118,7 +118,22 @@
  * @throws TransportError when there is no whole answer in time.
  */
 export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  const body = value === undefined ? undefined : JSON.stringify(value)
+  return await sendText(target, method, path, value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers)
+}
+
+/**
+ * Sends JSON that has been written already and reads JSON.
+ *
+ * @param target - The server.
+ * @param method - The HTTP method.
+ * @param path - The path.
+ * @param body - The text to send, or undefined for none.
+ * @param timeoutMs - Time for the whole exchange in milliseconds.
+ * @param headers - Further headers.
+ * @returns The status and the parsed body.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function sendText (target: Target, method: string, path: string, body: string | undefined, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
   const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
   const text = answer.body.toString()
   try {
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -3,8 +3,10 @@
  *
  * @packageDocumentation
  */
+export * as Auth from './auth.ts'
 export * as HttpClient from './httpClient.ts'
 export * as HttpServer from './httpServer.ts'
+export * as Keys from './keys.ts'
 export * as Launch from './launch.ts'
 export * as Log from './log.ts'
 export * as Metrics from './metrics.ts'
--- a/src/edge/log.ts
+++ b/src/edge/log.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Neverthrow from 'neverthrow'
 import pino from 'pino'
 import type * as Core from '../core/index.ts'
 
@@ -10,6 +11,8 @@
 export interface Log {
   info: (prefix: string, sentence: string, fields?: object) => void
   warn: (prefix: string, sentence: string, fields?: object) => void
+  /** Writes that keys were read again, or why not. */
+  keysRead: (name: string, outcome: Neverthrow.Result<number, string>) => void
   /** Writes a decision of the loop. */
   decision: (decision: Core.Loop.Decision) => void
 }
@@ -32,6 +35,10 @@
   return {
     info: (prefix, sentence, fields = {}) => { logger.info(fields, `${prefix}: ${sentence}`) },
     warn: (prefix, sentence, fields = {}) => { logger.warn(fields, `${prefix}: ${sentence}`) },
+    keysRead: (name, outcome) => {
+      if (outcome.isOk()) logger.info({ name, keyCount: outcome.value }, 'control: Keys read again.')
+      else logger.warn({ name, reason: outcome.error }, 'control: Keys not read again.')
+    },
     decision: ({ prefix, sentence, fields }) => { logger.info(fields, `${prefix}: ${sentence}`) }
   }
 }
--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -3,10 +3,10 @@
  *
  * @packageDocumentation
  */
-import * as Crypto from 'node:crypto'
 import * as TrpcClient from '@trpc/client'
 import * as TrpcServer from '@trpc/server'
 import * as Observable from '@trpc/server/observable'
+import * as Auth from './auth.ts'
 import * as HttpClient from './httpClient.ts'
 import * as HttpServer from './httpServer.ts'
 
@@ -17,13 +17,7 @@
 
 /** Who calls a procedure. */
 export interface Context {
-  readonly role: 'peer' | 'operator' | 'none'
-}
-
-/** Keys that callers of procedures prove to hold; read at each use, so that they may change. */
-export interface Keys {
-  readonly peerKey: () => string
-  readonly operatorToken: () => string
+  readonly role: Auth.Role
 }
 
 const builder = TrpcServer.initTRPC.context<Context>().create()
@@ -48,11 +42,11 @@
  * Makes the HTTP route that serves a router.
  *
  * @param procedures - The router.
- * @param keys - The keys of callers.
+ * @param guard - Tells who calls.
  * @param onRefused - Told of each call without the right key.
  * @returns The route.
  */
-export function createRpcRoute (procedures: AnyRouter, keys: Keys, onRefused: (path: string) => void): HttpServer.Route {
+export function createRpcRoute (procedures: AnyRouter, guard: Auth.Guard, onRefused: (path: string, reason: string) => void): HttpServer.Route {
   return {
     method: 'POST',
     path: `${RPC_PATH}*`,
@@ -60,7 +54,8 @@
       const body = await HttpServer.readBody(request, MAX_INPUT_BYTES, INPUT_TIMEOUT_MS)
       if (body.isErr()) { HttpServer.sendCode(response, body.error); return }
       const name = path.slice(RPC_PATH.length)
-      const context: Context = { role: roleOf(request.headers.authorization, keys) }
+      const caller = guard.identify(request, path, body.value)
+      const context: Context = { role: caller.role }
       try {
         const input = body.value.length === 0 ? undefined : JSON.parse(body.value.toString())
         const result = await TrpcServer.callTRPCProcedure({
@@ -75,7 +70,7 @@
         HttpServer.sendJson(response, 200, { result: result ?? null })
       } catch (error) {
         const failure = TrpcServer.getTRPCErrorFromUnknown(error)
-        if (failure.code === 'UNAUTHORIZED') onRefused(name)
+        if (failure.code === 'UNAUTHORIZED') onRefused(name, caller.reason ?? 'wrongRole')
         HttpServer.sendJson(response, failure.code === 'UNAUTHORIZED' ? 401 : 400, { error: { code: failure.code, message: failure.message } })
       }
     }
@@ -86,13 +81,16 @@
  * Makes a typed client of a router.
  *
  * @param target - The server.
- * @param key - Returns the key or token to prove.
+ * @param key - Returns the key or token to sign with.
  * @param timeoutMs - Time for each call in milliseconds.
  * @returns The client. Its calls fail with a TRPCClientError.
  */
 export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number): TrpcClient.TRPCClient<Router> {
   const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
-    HttpClient.sendJson(target, 'POST', RPC_PATH + op.path, op.input, timeoutMs, { authorization: `Bearer ${key()}` }).then(
+    const path = RPC_PATH + op.path
+    const body = op.input === undefined ? '' : JSON.stringify(op.input)
+    const authorization = Auth.sign(key(), { method: 'POST', path, body })
+    HttpClient.sendText(target, 'POST', path, body, timeoutMs, { authorization }).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
@@ -104,15 +102,3 @@
   })
   return TrpcClient.createTRPCClient<Router>({ links: [link] })
 }
-
-function roleOf (authorization: string | undefined, keys: Keys): Context['role'] {
-  if (authorization === undefined || !authorization.startsWith('Bearer ')) return 'none'
-  const given = authorization.slice('Bearer '.length)
-  if (sameSecret(given, keys.peerKey())) return 'peer'
-  return sameSecret(given, keys.operatorToken()) ? 'operator' : 'none'
-}
-
-function sameSecret (given: string, expected: string): boolean {
-  const digest = (text: string): Buffer => Crypto.createHash('sha256').update(text).digest()
-  return expected !== '' && Crypto.timingSafeEqual(digest(given), digest(expected))
-}
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -7,6 +7,7 @@
 import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import type * as AgentProcedures from '../agent/procedures.ts'
+import * as AgentSettings from '../agent/settings.ts'
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
@@ -17,7 +18,7 @@
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
 import * as Operators from './operators.ts'
-import type * as Settings from './settings.ts'
+import * as Settings from './settings.ts'
 import * as Tables from './tables.ts'
 
 /** A running gateway. */
@@ -55,8 +56,15 @@
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
-  const peerKey = (): string => settings.peerKey
-  const operatorToken = (): string => settings.operatorToken
+  const peerKeys = AgentSettings.peerKeysOf(settings)._unsafeUnwrap()
+  const operatorTokens = Settings.operatorTokensOf(settings)._unsafeUnwrap()
+  const peerKey = peerKeys.current
+  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: operatorTokens.accepted })
+  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys, operatorTokens }, log.keysRead)
+  const onRefused = (path: string, reason: string): void => {
+    metrics.count('peer_calls_refused_total', { reason })
+    log.warn('control', 'Procedure refused.', { path, reason })
+  }
   const push = (input: Messages.Input): void => { loop?.push(input) }
 
   const node = Control.Node.createNode({
@@ -153,7 +161,7 @@
     port: settings.listenPort,
     headersTimeoutMs: settings.bodyTimeoutMs,
     routes: [
-      Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
+      Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
       { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() && !tables.stopping ? 200 : 503, report()) } }
@@ -170,6 +178,7 @@
       await server.close(settings.stopGraceMs)
       clearInterval(reportTimer)
       node.stop()
+      stopReloading()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
     }
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -87,6 +87,7 @@
     if (exchange === undefined) return
     const { envelope, target } = command
     const { attemptId } = envelope
+    const envelopeText = JSON.stringify(envelope)
     exchange.attemptId = attemptId
     exchange.answer = undefined
     let connected = false
@@ -97,8 +98,8 @@
       path: AgentCalls.CALL_PATH,
       agent: Edge.HttpClient.pool,
       headers: {
-        authorization: `Bearer ${options.peerKey()}`,
-        [AgentCalls.ENVELOPE_HEADER]: JSON.stringify(envelope),
+        authorization: Edge.Auth.sign(options.peerKey(), { method: 'POST', path: AgentCalls.CALL_PATH, body: exchange.body, covered: envelopeText }),
+        [AgentCalls.ENVELOPE_HEADER]: envelopeText,
         'content-length': exchange.body.length
       }
     })
