Settle a commit whose answer was lost

Cause: after a lost answer, the read-back told the operator acceptedUnknown as soon as another commit had followed, and a write that arrived later could still take effect. Change: a row names the last 32 commits, and the history names each manifest, so that an accepted commit is found behind later ones. A write that has not taken effect is made impossible by a rewrite under the same revision, then committed again. A small row per kind names the version in force, so that polling reads no documents.

--- a/src/control/commits.ts
+++ b/src/control/commits.ts
@@ -10,6 +10,8 @@
 
 /** The table that holds the newest document of each kind. */
 export const CONTROL_TABLE = 'control'
+/** The table that holds the newest version of each kind, to be polled cheaply. */
+export const VERSION_TABLE = 'controlVersions'
 /** The table that holds every accepted manifest by version. */
 export const HISTORY_TABLE = 'manifestHistory'
 
@@ -38,31 +40,74 @@
   readonly version: number
   readonly nonce: string
   readonly body: unknown
+  /** The commits before this one, the newest first. */
+  readonly recent?: readonly RecentCommit[]
+}
+
+interface RecentCommit {
+  readonly version: number
+  readonly nonce: string
+}
+
+/** A write whose answer was lost. */
+interface LostWrite {
+  readonly change: Change
+  readonly next: StoredDocument
+  /** The revision that the write needs the row to have. */
+  readonly revision: number
+}
+
+/** What became of a write whose answer was lost. */
+type Settlement = 'accepted' | 'rejected' | 'unknown'
+
+/** How a commit waits for the table service. */
+export interface CommitOptions {
+  /** Waits for a time in milliseconds. */
+  readonly wait?: (delayMs: number) => Promise<void>
 }
 
 const CONFLICT_RETRY_COUNT = 5
-const READ_BACK_COUNT = 5
+const RECENT_COMMIT_COUNT = 32
+const SETTLE_ATTEMPT_COUNT = 6
+const SETTLE_WAIT_MS = 150
 const decodeDocument = Schemas.Decode.lenient(Schemas.Control.Document)
+const sleep = async (delayMs: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, delayMs)) }
 
 /**
  * Reads the newest documents from the table service.
  *
  * @param tables - The client.
+ * @param kinds - The kinds to read.
  * @returns The documents, or why there are none.
  */
-export async function readDocuments (tables: Platform.TableClient.TableClient): Promise<Neverthrow.Result<Schemas.Control.Document[], string>> {
-  const rows = await tables.scan(CONTROL_TABLE, '', Schemas.Control.DOCUMENT_KINDS.length)
+export async function readDocuments (tables: Platform.TableClient.TableClient, kinds: readonly Schemas.Control.DocumentKind[] = Schemas.Control.DOCUMENT_KINDS): Promise<Neverthrow.Result<Schemas.Control.Document[], string>> {
+  const rows = await tables.read(kinds.map(kind => ({ table: CONTROL_TABLE, key: kind })))
   return rows.map(found => found.flatMap(documentOf)).mapErr(failure => failure.message)
 }
 
+/**
+ * Reads the versions in force, without the documents.
+ *
+ * @param tables - The client.
+ * @returns The versions, or why there are none.
+ */
+export async function readVersions (tables: Platform.TableClient.TableClient): Promise<Neverthrow.Result<Schemas.Control.Versions, string>> {
+  const rows = await tables.scan(VERSION_TABLE, '', Schemas.Control.DOCUMENT_KINDS.length)
+  return rows.mapErr(failure => failure.message).map(found => {
+    const versionOf = (kind: Schemas.Control.DocumentKind): number => (found.find(row => row.key === kind)?.value as { version?: number } | undefined)?.version ?? 0
+    return { manifest: versionOf('manifest'), placement: versionOf('placement'), drains: versionOf('drains'), quarantine: versionOf('quarantine') }
+  })
+}
+
 /**
  * Commits a change with a strictly rising version.
  *
  * @param tables - The client.
  * @param change - What to change.
- * @returns The document in force after the commit, or why there is none.
+ * @param options - How to wait.
+ * @returns The document as accepted, or why it was not.
  */
-export async function commit (tables: Platform.TableClient.TableClient, change: Change): Promise<Neverthrow.Result<Schemas.Control.Document, CommitFailure>> {
+export async function commit (tables: Platform.TableClient.TableClient, change: Change, options: CommitOptions = {}): Promise<Neverthrow.Result<Schemas.Control.Document, CommitFailure>> {
   for (let attempt = 0; attempt < CONFLICT_RETRY_COUNT; attempt++) {
     const read = await tables.read([{ table: CONTROL_TABLE, key: change.kind }])
     if (read.isErr()) return Neverthrow.err({ code: 'storeUnavailable', message: read.error.message })
@@ -70,13 +115,21 @@
     const stored = row?.value as StoredDocument | undefined
     const version = stored?.version ?? 0
     if (change.expectedVersion !== undefined && change.expectedVersion !== version) return Neverthrow.err(conflict(change, row))
-    const next: StoredDocument = { version: version + 1, nonce: change.nonce, body: change.change(stored?.body) }
+    const next: StoredDocument = { version: version + 1, nonce: change.nonce, body: change.change(stored?.body ?? undefined), recent: recentOf(stored) }
+    const revision = row?.revision ?? 0
     const answer = await tables.transact({
-      conditions: [{ table: CONTROL_TABLE, key: change.kind, revision: row?.revision ?? 0 }, ...(change.conditions ?? [])],
-      writes: [{ table: CONTROL_TABLE, key: change.kind, value: next }, ...historyOf(change, next)]
+      conditions: [{ table: CONTROL_TABLE, key: change.kind, revision }, ...(change.conditions ?? [])],
+      writes: [{ table: CONTROL_TABLE, key: change.kind, value: next }, { table: VERSION_TABLE, key: change.kind, value: { version: next.version } }, ...historyOf(change, next)]
     })
-    if (answer.isErr()) return answer.error.maybeApplied ? await settle(tables, change) : Neverthrow.err({ code: 'storeUnavailable', message: answer.error.message })
-    if (answer.value.committed) return Neverthrow.ok({ kind: change.kind, version: next.version, body: next.body } as Schemas.Control.Document)
+    const accepted = { kind: change.kind, version: next.version, body: next.body } as Schemas.Control.Document
+    if (answer.isErr()) {
+      if (!answer.error.maybeApplied) return Neverthrow.err({ code: 'storeUnavailable', message: answer.error.message })
+      const settlement = await settle(tables, { change, next, revision }, options.wait ?? sleep)
+      if (settlement === 'accepted') return Neverthrow.ok(accepted)
+      if (settlement === 'unknown') return Neverthrow.err({ code: 'acceptedUnknown', message: `the answer was lost; version ${next.version} may be in force: look at the history before committing again` })
+      continue
+    }
+    if (answer.value.committed) return Neverthrow.ok(accepted)
     const others = answer.value.conflicts.filter(found => found.table !== CONTROL_TABLE)
     if (others.length > 0) return Neverthrow.err({ code: 'staleFencing', message: 'a condition of the commit no longer holds' })
     if (change.expectedVersion !== undefined) return Neverthrow.err(conflict(change, answer.value.conflicts[0]))
@@ -84,22 +137,55 @@
   return Neverthrow.err({ code: 'versionConflict', message: 'too many commits at once' })
 }
 
-/** Settles a commit whose answer was lost, by reading its nonce back. */
-async function settle (tables: Platform.TableClient.TableClient, change: Change): Promise<Neverthrow.Result<Schemas.Control.Document, CommitFailure>> {
-  for (let attempt = 0; attempt < READ_BACK_COUNT; attempt++) {
-    const read = await tables.read([{ table: CONTROL_TABLE, key: change.kind }])
+/**
+ * Finds out what became of a write whose answer was lost.
+ *
+ * A write that has not taken effect may still do so later. Its condition names a revision, so a
+ * rewrite of the row under the same revision makes it impossible for good.
+ */
+async function settle (tables: Platform.TableClient.TableClient, lost: LostWrite, wait: (delayMs: number) => Promise<void>): Promise<Settlement> {
+  const { change, next, revision } = lost
+  for (let attempt = 0; attempt < SETTLE_ATTEMPT_COUNT; attempt++) {
+    if (attempt > 0) await wait(SETTLE_WAIT_MS * 2 ** (attempt - 1))
+    const read = await tables.read([{ table: CONTROL_TABLE, key: change.kind }, { table: HISTORY_TABLE, key: historyKey(next.version) }])
     if (read.isErr()) continue
-    const row = read.value[0]
+    const row = read.value.find(found => found.table === CONTROL_TABLE)
     const stored = row?.value as StoredDocument | undefined
-    if (stored?.nonce === change.nonce) return Neverthrow.ok({ kind: change.kind, version: stored.version, body: stored.body } as Schemas.Control.Document)
-    return Neverthrow.err({ code: 'acceptedUnknown', message: 'the answer was lost and another document is in force; look at the history before committing again' })
+    if (isCommitted(change, stored, read.value)) return 'accepted'
+    if ((row?.revision ?? 0) !== revision) return isForgotten(change, stored, next.version) ? 'unknown' : 'rejected'
+    const same: StoredDocument = stored ?? { version: 0, nonce: '', body: null }
+    await tables.transact({
+      conditions: [{ table: CONTROL_TABLE, key: change.kind, revision }],
+      writes: [{ table: CONTROL_TABLE, key: change.kind, value: same }]
+    })
   }
-  return Neverthrow.err({ code: 'acceptedUnknown', message: 'the answer was lost and the table service does not answer' })
+  return 'unknown'
+}
+
+function isCommitted (change: Change, stored: StoredDocument | undefined, rows: readonly Schemas.Platform.Row[]): boolean {
+  if (stored?.nonce === change.nonce) return true
+  if (stored?.recent?.some(commit => commit.nonce === change.nonce) === true) return true
+  const history = rows.find(row => row.table === HISTORY_TABLE)?.value as StoredDocument | undefined
+  return change.kind === 'manifest' && history?.nonce === change.nonce
+}
+
+/** Tells whether so many commits followed that the row no longer names the one asked about. */
+function isForgotten (change: Change, stored: StoredDocument | undefined, version: number): boolean {
+  return change.kind !== 'manifest' && stored !== undefined && stored.version - version > RECENT_COMMIT_COUNT
+}
+
+function recentOf (stored: StoredDocument | undefined): RecentCommit[] {
+  if (stored === undefined) return []
+  return [{ version: stored.version, nonce: stored.nonce }, ...(stored.recent ?? [])].slice(0, RECENT_COMMIT_COUNT)
+}
+
+function historyKey (version: number): string {
+  return String(version).padStart(10, '0')
 }
 
 function historyOf (change: Change, next: StoredDocument): Schemas.Platform.Write[] {
   if (change.kind !== 'manifest') return []
-  return [{ table: HISTORY_TABLE, key: String(next.version).padStart(10, '0'), value: next }]
+  return [{ table: HISTORY_TABLE, key: historyKey(next.version), value: { version: next.version, nonce: next.nonce, body: next.body } }]
 }
 
 function conflict (change: Change, row: Schemas.Platform.Row | undefined): CommitFailure {
