--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -5,6 +5,7 @@
  */
 export * as Caller from './caller.ts'
 export * as Deployment from './deployment.ts'
+export * as Load from './load.ts'
 export * as Manifests from './manifests.ts'
 export * as Processes from './processes.ts'
 export * as Shapes from './shapes.ts'
