--- a/tools/soak/worlds/control.ts
+++ b/tools/soak/worlds/control.ts
@@ -137,7 +137,7 @@
   const held = Control.Documents.createHeld()
   const client = store.clientOf(name)
   const holder = Control.PlacementHolder.createHolder({ tables: client, instanceId: name, leaseDurationMs: LEASE_MS, clock, held, instances, onPlan: document => { held.adopt(document) }, log: () => {} })
-  const contender = Control.Lease.createLease({ tables: client, name: 'watched', holder: name, durationMs: LEASE_MS, clock })
+  const contender = Control.Lease.createLease({ tables: client, name: 'watched', holder: name, durationMs: LEASE_MS, clock, makeNonce: harness.makeId })
   const repeat = async (work: () => Promise<void>): Promise<void> => {
     for (;;) {
       harness.countStep()
