--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -8,6 +8,7 @@
 import * as Edge from '../edge/index.ts'
 import * as Schemas from '../schema/index.ts'
 import type * as Messages from './messages.ts'
+import * as Fencing from './systems/fencing.ts'
 import * as Tables from './tables.ts'
 
 /** Where gateways send attempts. */
@@ -44,8 +45,8 @@
 }
 
 const BODY_TIMEOUT_MS = 10_000
-/** The largest answer that is kept for questions about its claim, in bytes. */
-const MAX_KEPT_ANSWER_BYTES = 64 * 1024
+/** The largest answer that is kept for questions about its attempt, in bytes. */
+const MAX_KEPT_ANSWER_BYTES = 1024 * 1024
 const decodeEnvelope = Schemas.Decode.json(Schemas.Calls.CallEnvelope)
 
 /**
@@ -113,14 +114,16 @@
     if (incoming.headers['content-length'] !== undefined) headers['content-length'] = incoming.headers['content-length']
     response.writeHead(incoming.statusCode ?? 502, headers)
     response.flushHeaders()
+    const covered = Fencing.isCovered(envelope)
     const kept: Buffer[] = []
     let keptBytes = 0
     incoming.on('data', (part: Buffer) => {
       keptBytes += part.length
-      if (envelope.claimKey !== undefined && keptBytes <= MAX_KEPT_ANSWER_BYTES) kept.push(part)
-      if (!response.write(part)) incoming.pause()
+      if (covered && keptBytes <= MAX_KEPT_ANSWER_BYTES) kept.push(part)
+      if (!response.destroyed && !response.write(part)) incoming.pause()
     })
     response.on('drain', () => { incoming.resume() })
+    response.on('close', () => { incoming.resume() })
     const fail = (): void => {
       response.destroy()
       end(exchange, 'failed')
@@ -128,7 +131,7 @@
     incoming.on('error', fail)
     incoming.on('end', () => {
       if (!incoming.complete) { fail(); return }
-      const outcome = envelope.claimKey === undefined || keptBytes > MAX_KEPT_ANSWER_BYTES
+      const outcome = !covered || keptBytes > MAX_KEPT_ANSWER_BYTES
         ? undefined
         : { httpStatus: incoming.statusCode ?? 502, contentType: String(headers['content-type']), bodyBase64: Buffer.concat(kept).toString('base64') }
       end(exchange, 'whole', outcome)
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -7,6 +7,7 @@
 import type * as Schemas from '../../schema/index.ts'
 import type * as Messages from '../messages.ts'
 import * as Tables from '../tables.ts'
+import * as Fencing from './fencing.ts'
 
 /** The longest queue as a multiple of the limit. */
 const QUEUE_PER_LIMIT = 2
@@ -60,6 +61,7 @@
     attempt.state = 'running'
     attempt.admittedAtMs = tick.nowMs
     runningCount++
+    tick.check('atMostOnce', !tables.finished.has(attempt.envelope.attemptId), () => ({ attemptId: attempt.envelope.attemptId, finished: tables.finished.get(attempt.envelope.attemptId)?.state }))
     tick.check('startLimit', runningCount <= tables.endpoint.limitCount, () => ({ attemptId: attempt.envelope.attemptId, runningCount, limitCount: tables.endpoint.limitCount }))
     tick.log('admission', 'Attempt admitted.', { attemptId: attempt.envelope.attemptId, workspace: attempt.envelope.workspace, runningCount, limitCount: tables.endpoint.limitCount, reason: 'below the limit' })
     tick.emit({ kind: 'admit', attemptId: attempt.envelope.attemptId })
@@ -83,7 +85,7 @@
   if (attempt === undefined) return
   tables.attempts.remove(attemptId)
   const state = ending === 'whole' ? 'done' : ending === 'neverSent' ? 'neverRun' : 'unknown'
-  tables.finished.set(attemptId, { attemptId, state, outcome, finishedAtMs: tick.nowMs })
+  Fencing.remember(tables, tick, attempt.envelope, state, outcome)
   const { endpoint } = tables
   if (ending === 'whole') endpoint.limitCount = Math.min(endpoint.warmLimitCount, endpoint.limitCount + 1)
   if (ending === 'failed') endpoint.limitCount = 1
@@ -92,16 +94,15 @@
 function leave (tables: Tables.Tables, tick: Tables.Tick, attemptId: string): void {
   const attempt = tables.attempts.get(attemptId)
   if (attempt === undefined) return
+  if (attempt.state === 'running' && Fencing.outlivesGateway(attempt.envelope)) return
   if (attempt.state === 'running') { tick.emit({ kind: 'cancel', attemptId }); return }
   tables.attempts.remove(attemptId)
-  tables.finished.set(attemptId, { attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
+  Fencing.remember(tables, tick, attempt.envelope, 'neverRun')
 }
 
 function refuseAttempt (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, refusal: Messages.Refusal): void {
   tables.attempts.remove(envelope.attemptId)
-  if (!tables.finished.has(envelope.attemptId)) {
-    tables.finished.set(envelope.attemptId, { attemptId: envelope.attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
-  }
+  if (!tables.finished.has(envelope.attemptId)) Fencing.remember(tables, tick, envelope, 'neverRun')
   tick.log('admission', 'Attempt refused.', { attemptId: envelope.attemptId, workspace: envelope.workspace, code: refusal.code, reason: refusal.reason })
   tick.emit({ kind: 'refuse', attemptId: envelope.attemptId, refusal })
 }
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -22,8 +22,27 @@
 export interface FinishedRow {
   readonly attemptId: string
   readonly state: 'done' | 'fenced' | 'unknown' | 'neverRun'
-  readonly outcome: Schemas.Calls.Outcome | undefined
+  /** The whole answer, while it is kept. */
+  outcome: Schemas.Calls.Outcome | undefined
   readonly finishedAtMs: number
+  /** When a late arrival is refused by its age alone, in milliseconds. */
+  readonly expiresAtMs: number
+}
+
+/** An answer that is kept for questions. */
+export interface KeptAnswerRow {
+  readonly attemptId: string
+  readonly sizeBytes: number
+}
+
+/** What the agent has kept and forgotten of finished attempts. */
+export interface Memory {
+  keptBytes: number
+  /** Nothing is known of attempts that expired by this time, in milliseconds. */
+  forgottenBeforeMs: number
+  sweepAtMs: number
+  /** The time of the latest tick, in milliseconds. */
+  nowMs: number
 }
 
 /** Weights that the agent collects. */
@@ -62,6 +81,9 @@
   readonly held: Control.Documents.Held
   readonly attempts: Core.Table.Table<AttemptRow>
   readonly finished: Core.Table.Table<FinishedRow>
+  /** Kept answers, the oldest first. */
+  readonly keptAnswers: Core.Table.Table<KeptAnswerRow>
+  readonly memory: Memory
   readonly weights: Core.Table.Table<WeightsRow>
   readonly endpoint: EndpointRow
   /** The highest fencing number that the agent has acted on. */
@@ -87,6 +109,8 @@
     held,
     attempts: Core.Table.createTable('attempts'),
     finished: Core.Table.createTable('finished'),
+    keptAnswers: Core.Table.createTable('keptAnswers'),
+    memory: { keptBytes: 0, forgottenBeforeMs: -Infinity, sweepAtMs: 0, nowMs: 0 },
     weights: Core.Table.createTable('weights'),
     endpoint: {
       incarnation: '',
@@ -186,6 +210,7 @@
     activeCount,
     queuedCount: tables.attempts.count() - activeCount,
     cold: endpoint.limitCount < endpoint.warmLimitCount,
+    clockMs: tables.memory.nowMs,
     versions: tables.held.versions()
   }
 }
--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -51,6 +51,9 @@
   inProgress: row(303, 409, 'unknown', true, 'A call with this key is being run.'),
   endpointFailed: row(304, 502, 'unknown', false, 'The endpoint failed while it ran the call.'),
   deadlineRunning: row(305, 504, 'unknown', false, 'The deadline passed while the call was being run.'),
+  agentUnreachable: row(306, 503, 'unknown', true, 'The agent that may have run the call does not answer now.'),
+  answerLost: row(307, 502, 'ran', false, 'The call was run to its end, and its answer is lost.'),
+  answerUnavailable: row(308, 503, 'ran', true, 'The call was run to its end, and its saved answer cannot be read now.'),
 
   manifestInvalid: row(401, 422, 'notRun', false, 'The manifest is not valid.'),
   versionConflict: row(402, 409, 'notRun', true, 'Another operator committed first.'),
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -20,6 +20,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Whether to open a connection of its own, past the pool. */
+  readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
 }
@@ -73,7 +75,7 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: pool
+      agent: request.fresh === true ? false : pool
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
@@ -114,12 +116,13 @@
  * @param value - The value to send, or undefined for none.
  * @param timeoutMs - Time for the whole exchange in milliseconds.
  * @param headers - Further headers.
+ * @param fresh - Whether to open a connection of its own, past the pool.
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}, fresh = false): Promise<{ status: number, value: unknown }> {
   const body = value === undefined ? undefined : JSON.stringify(value)
-  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
+  const answer = await send({ target, method, path, body, timeoutMs, fresh, headers: { 'content-type': 'application/json', ...headers } })
   const text = answer.body.toString()
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -88,11 +88,12 @@
  * @param target - The server.
  * @param key - Returns the key or token to prove.
  * @param timeoutMs - Time for each call in milliseconds.
+ * @param fresh - Whether each call opens a connection of its own.
  * @returns The client. Its calls fail with a TRPCClientError.
  */
-export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number): TrpcClient.TRPCClient<Router> {
+export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number, fresh = false): TrpcClient.TRPCClient<Router> {
   const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
-    HttpClient.sendJson(target, 'POST', RPC_PATH + op.path, op.input, timeoutMs, { authorization: `Bearer ${key()}` }).then(
+    HttpClient.sendJson(target, 'POST', RPC_PATH + op.path, op.input, timeoutMs, { authorization: `Bearer ${key()}` }, fresh).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -12,7 +12,9 @@
 import * as Edge from '../edge/index.ts'
 import * as Platform from '../platform/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Answers from './answers.ts'
 import * as Callers from './callers.ts'
+import * as ClaimCleaner from './claimCleaner.ts'
 import * as ClaimWriter from './claimWriter.ts'
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
@@ -29,8 +31,16 @@
 const BEAT_MS = 20
 const REPORT_POLL_MS = 250
 const PEER_TIMEOUT_MS = 1_000
-const FENCE_TIMEOUT_MS = 2_000
+const FENCE_TIMEOUT_MS = 1_000
 const CLAIM_GATHER_MS = 2
+const SAVE_GATHER_MS = 25
+/** Transactions of claims that all gateways together may make in a second. */
+const CLAIM_TRANSACTIONS_PER_SECOND = 200
+/** Time between rounds of deleting expired claims, for one gateway, in milliseconds. */
+const CLEAN_INTERVAL_MS = 60_000
+const REPLAY_RETRY_AFTER_MS = 1_000
+/** Time that a stop always leaves for saving outcomes, in milliseconds. */
+const CLAIM_FLUSH_MS = 2_000
 
 /**
  * Opens a gateway in a scope; closing the scope is its graceful shutdown.
@@ -76,10 +86,37 @@
   const claims = ClaimWriter.createClaimWriter({
     tables: store,
     gatherMs: CLAIM_GATHER_MS,
-    onResult: (callId, result) => { push({ kind: 'claimAnswered', callId, result }) }
+    saveGatherMs: SAVE_GATHER_MS,
+    intervalMs: () => gatewayCount() * 1_000 / CLAIM_TRANSACTIONS_PER_SECOND,
+    clock,
+    wait: async delayMs => { await new Promise(resolve => setTimeout(resolve, delayMs)) },
+    random,
+    makeId: Crypto.randomUUID,
+    onResult: (claimKey, callId, result) => { push({ kind: 'claimAnswered', claimKey, callId, result }) }
   })
+  const gatewayCount = (): number => Math.max(1, node.instances().filter(instance => instance.kind === 'gateway').length)
+  const answers = Answers.createAnswers(Platform.ObjectClient.createObjectClient(Edge.HttpClient.targetOf(settings.objectStore), settings.storeTimeoutMs))
+  const writeClaim = async (write: Messages.ClaimWrite): Promise<void> => {
+    const { record } = write
+    const outcome = record.outcome === undefined ? undefined : await answers.toSaved(record.outcome, record.attemptId)
+    claims.write({ ...write, record: { ...record, outcome } })
+  }
+  const replay = async (callId: string, saved: Schemas.Calls.SavedOutcome): Promise<void> => {
+    const outcome = await answers.toInline(saved)
+    metrics.count('calls_total', { code: outcome === undefined ? 'answerUnavailable' : 'replayed' })
+    if (outcome !== undefined) callers.replay(callId, outcome)
+    else callers.finish(callId, 'answerUnavailable', { callId, reason: 'The saved answer could not be read.', retryAfterMs: REPLAY_RETRY_AFTER_MS })
+  }
+  let cleaning = false
+  const cleanTimer = setInterval(() => {
+    if (cleaning || random.next() * gatewayCount() > 1) return
+    cleaning = true
+    void ClaimCleaner.clean({ tables: store, wallClock: Date.now })
+      .then(deletedCount => { if (deletedCount > 0) log.info('claims', 'Expired claims deleted.', { deletedCount }) })
+      .finally(() => { cleaning = false })
+  }, CLEAN_INTERVAL_MS)
   const askFence = async (command: Extract<Messages.Command, { kind: 'askFence' }>): Promise<void> => {
-    const client = Edge.Rpc.createClient<AgentProcedures.AgentRouter>(command.target, peerKey, FENCE_TIMEOUT_MS)
+    const client = Edge.Rpc.createClient<AgentProcedures.AgentRouter>(command.target, peerKey, FENCE_TIMEOUT_MS, true)
     const answer = await client.fence.mutate(command.question).catch(() => undefined)
     push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer })
   }
@@ -90,15 +127,13 @@
       metrics.count('calls_total', { code: 'ok' })
       callers.deliver(command.callId)
     },
-    replay: command => {
-      metrics.count('calls_total', { code: 'replayed' })
-      callers.replay(command.callId, command.outcome)
-    },
+    replay: command => { void replay(command.callId, command.outcome) },
     finish: command => {
       metrics.count('calls_total', { code: command.code })
       callers.finish(command.callId, command.code, command.details)
     },
-    writeClaim: command => { claims.write(command.write) },
+    writeClaim: command => { void writeClaim(command.write) },
+    abandonClaim: command => { claims.abandon(command.callId) },
     askFence: command => { void askFence(command) }
   }
   const loop = Core.Loop.createLoop({
@@ -167,8 +202,12 @@
       push({ kind: 'stopping' })
       clearInterval(holderTimer)
       await holder.close()
+      const untilMs = clock() + settings.stopGraceMs
       await server.close(settings.stopGraceMs)
+      while (tables.calls.count() > 0 && clock() < untilMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
+      await claims.flush(Math.max(CLAIM_FLUSH_MS, untilMs - clock()))
       clearInterval(reportTimer)
+      clearInterval(cleanTimer)
       node.stop()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -47,8 +47,8 @@
 }
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
-/** The largest answer that is saved with a claim, in bytes. */
-const MAX_SAVED_ANSWER_BYTES = 64 * 1024
+/** The largest answer that is saved for repeats, in bytes. */
+const MAX_SAVED_ANSWER_BYTES = 4 * 1024 * 1024
 /** An attempt that sends nothing for so long is given up, in milliseconds. */
 const SILENT_ATTEMPT_MS = 30_000
 const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/
--- a/src/gateway/claimWriter.ts
+++ b/src/gateway/claimWriter.ts
@@ -1,32 +1,94 @@
 /**
  * Writes claims to the table service, many in one transaction.
  *
+ * A transaction without an answer is settled by reading back the nonces of its claims. A claim that
+ * is not found is written again with the same nonce and the same condition: whichever of the two
+ * writes takes effect, the other one cannot.
+ *
  * @packageDocumentation
  */
+import * as Core from '../core/index.ts'
 import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as ClaimRecords from './claimRecords.ts'
 import type * as Messages from './messages.ts'
 
 /** The table that holds claims. */
 export const CLAIM_TABLE = 'claims'
+/** The table that names the claims of each transaction by the time when they expire. */
+export const EXPIRY_TABLE = 'claimExpiry'
 
 /** Batches writes of claims. */
 export interface ClaimWriter {
   write: (write: Messages.ClaimWrite) => void
+  /** Gives up a call's claim; what has taken effect, or still may, is released. */
+  abandon: (callId: string) => void
+  /** Waits until everything is written, at most for a time. */
+  flush: (limitMs: number) => Promise<void>
+  pendingCount: () => number
 }
 
 /** Settings of a writer. */
 export interface WriterOptions {
   readonly tables: Platform.TableClient.TableClient
-  readonly onResult: (callId: string, result: Messages.ClaimResult) => void
+  readonly onResult: (claimKey: string, callId: string, result: Messages.ClaimResult) => void
+  /** Returns monotonic time in milliseconds. */
+  readonly clock: () => number
+  readonly wait: (delayMs: number) => Promise<void>
+  readonly random: Core.Random.Random
+  readonly makeId: () => string
   /** How long claims are gathered for one transaction, in milliseconds. */
   readonly gatherMs: number
+  /** How long saves and releases wait for a transaction of claims, in milliseconds. */
+  readonly saveGatherMs: number
+  /** Returns the shortest time between transactions in milliseconds. */
+  readonly intervalMs: () => number
+}
+
+interface Job {
+  readonly write: Messages.ClaimWrite
+  record: Schemas.Calls.ClaimRecord
+  revision: number
+  readonly sizeBytes: number
+  readonly queuedAtMs: number
+  /** Nonces of this job that may have taken effect. */
+  readonly sentNonces: Set<string>
+  /** The last transaction with this job had no answer. */
+  uncertain: boolean
+  abandoned: boolean
+  busy: boolean
 }
 
-/** The most claims in one transaction. */
-const MAX_BATCH_COUNT = 64
+/** The most rows in one transaction. */
+const MAX_BATCH_COUNT = 128
+/** The most bytes of saved answers in one transaction. */
+const MAX_BATCH_BYTES = 256 * 1024
+/** The most claims that wait; further ones are refused at once. */
+const MAX_CLAIM_COUNT = 4_096
+/** The most bytes of saved answers that wait; the oldest saves are dropped beyond it. */
+const MAX_SAVE_BYTES = 8 * 1024 * 1024
+/** The most saves and releases that wait. */
+const MAX_SAVE_COUNT = 20_000
+/** A second transaction starts beside one that has had no answer for so long, in milliseconds. */
+const SECOND_LANE_AFTER_MS = 250
+const MAX_LANE_COUNT = 2
+const FIRST_BACK_OFF_MS = 50
+const MAX_BACK_OFF_MS = 1_000
+const IDLE_STEP_MS = 5
+const EXPIRY_BUCKET_MS = 3_600_000
+const RECORD_BYTES = 500
 const decodeRecord = Schemas.Decode.lenient(Schemas.Calls.ClaimRecord)
 
+/**
+ * Names the bucket of claims that expire at about a time.
+ *
+ * @param expiresAtMs - Wall-clock time in milliseconds since 1970.
+ * @returns The bucket; buckets sort by time.
+ */
+export function bucketOf (expiresAtMs: number): string {
+  return String(Math.ceil(expiresAtMs / EXPIRY_BUCKET_MS)).padStart(8, '0')
+}
+
 /**
  * Creates a writer of claims.
  *
@@ -34,69 +96,177 @@
  * @returns The writer.
  */
 export function createClaimWriter (options: WriterOptions): ClaimWriter {
-  let queue: Messages.ClaimWrite[] = []
-  let timer: NodeJS.Timeout | undefined
+  const jobs = new Set<Job>()
+  let saveBytes = 0
+  let saveCount = 0
+  let laneCount = 0
+  let laneStartedMs = 0
+  let nextStartMs = 0
+  let failureCount = 0
+  let watching = false
 
-  const flush = (): void => {
-    timer = undefined
-    const seen = new Set<string>()
-    const batch: Messages.ClaimWrite[] = []
-    const rest: Messages.ClaimWrite[] = []
-    for (const write of queue) {
-      const fits = batch.length < MAX_BATCH_COUNT && !seen.has(write.claimKey)
-      if (fits) { seen.add(write.claimKey); batch.push(write) } else rest.push(write)
+  const add = (job: Job): void => {
+    jobs.add(job)
+    if (job.write.kind === 'claim') return
+    saveBytes += job.sizeBytes
+    saveCount++
+  }
+  const remove = (job: Job): void => {
+    if (!jobs.delete(job) || job.write.kind === 'claim') return
+    saveBytes -= job.sizeBytes
+    saveCount--
+  }
+  const answer = (job: Job, result: Messages.ClaimResult): void => {
+    remove(job)
+    if (job.write.kind === 'claim' && !job.abandoned) options.onResult(job.write.claimKey, job.write.callId, result)
+  }
+  const giveUpOldest = (): void => {
+    for (const job of jobs) {
+      if (saveBytes <= MAX_SAVE_BYTES && saveCount <= MAX_SAVE_COUNT) return
+      if (job.write.kind !== 'claim' && !job.busy) remove(job)
     }
-    queue = rest
-    if (rest.length > 0) schedule()
-    void run(batch)
   }
-  const schedule = (): void => { timer ??= setTimeout(flush, options.gatherMs) }
-  const run = async (batch: readonly Messages.ClaimWrite[]): Promise<void> => {
-    if (batch.length === 0) return
-    const answer = await options.tables.transact({
-      conditions: batch.map(write => ({ table: CLAIM_TABLE, key: write.claimKey, revision: write.revision })),
-      writes: batch.map(write => ({ table: CLAIM_TABLE, key: write.claimKey, value: write.record ?? null }))
-    })
-    if (answer.isErr()) {
-      if (answer.error.maybeApplied) await readBack(batch)
-      else batch.forEach(write => { answerWith(write, { kind: 'unavailable' }) })
-      return
+
+  const committed = (job: Job, revision: number): void => {
+    const { record } = job
+    if (job.abandoned && record.state === 'claimed') {
+      job.revision = revision
+      toRelease(job)
+    } else {
+      answer(job, { kind: 'granted', revision, record })
     }
-    if (answer.value.committed) {
-      batch.forEach(write => { answerWith(write, { kind: 'granted', revision: answer.value.revision }) })
+  }
+  const toRelease = (job: Job): void => { job.record = ClaimRecords.releasedOf(job.record, options.makeId()) }
+
+  /** Settles a job whose row has another revision than its condition. */
+  const conflicted = (job: Job, row: Schemas.Platform.Row): void => {
+    if (row.revision === 0) {
+      if (job.write.kind === 'claim') job.revision = 0
+      else remove(job)
       return
     }
-    const conflicts = new Map(answer.value.conflicts.map(row => [row.key, row]))
-    const retry: Messages.ClaimWrite[] = []
-    for (const write of batch) {
-      const row = conflicts.get(write.claimKey)
-      if (row === undefined) retry.push(write)
-      else answerWith(write, resultOf(row))
+    const record = decodeRecord(row.value)
+    if (record.isErr()) { answer(job, { kind: 'unavailable' }); return }
+    if (record.value.nonce === job.record.nonce) { committed(job, row.revision); return }
+    const ownClaim = job.sentNonces.has(record.value.nonce)
+    const betterKnown = job.record.state === 'done' && record.value.state === 'unknown' && record.value.attemptId === job.record.attemptId
+    if (ownClaim || betterKnown) { job.revision = row.revision; return }
+    answer(job, { kind: 'held', revision: row.revision, record: record.value })
+  }
+  const readBack = async (batch: readonly Job[]): Promise<boolean> => {
+    const rows = await options.tables.read(batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey })))
+    if (rows.isErr()) return false
+    const found = new Map(rows.value.map(row => [row.key, row]))
+    for (const job of batch) {
+      job.uncertain = false
+      const row = found.get(job.write.claimKey)
+      if (row !== undefined && row.revision !== job.revision) conflicted(job, row)
     }
-    await run(retry)
+    return true
   }
-  const readBack = async (batch: readonly Messages.ClaimWrite[]): Promise<void> => {
-    const rows = await options.tables.read(batch.map(write => ({ table: CLAIM_TABLE, key: write.claimKey })))
-    for (const write of batch) {
-      const row = rows.isOk() ? rows.value.find(found => found.key === write.claimKey) : undefined
-      const result = row === undefined ? undefined : resultOf(row)
-      const own = result?.kind === 'held' && result.record.nonce === write.record?.nonce
-      if (own) answerWith(write, { kind: 'granted', revision: result.revision })
-      else answerWith(write, result ?? { kind: 'unavailable' })
+  const transact = async (batch: readonly Job[]): Promise<boolean> => {
+    for (const job of batch) {
+      if (job.abandoned && job.record.state === 'claimed') toRelease(job)
+      job.sentNonces.add(job.record.nonce)
+    }
+    const result = await options.tables.transact({
+      conditions: batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, revision: job.revision })),
+      writes: [...batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, value: job.record })), ...expiryOf(batch, options.makeId)]
+    })
+    if (result.isErr()) {
+      for (const job of batch) job.uncertain = result.error.maybeApplied
+      return false
     }
+    const conflicts = new Map(result.value.conflicts.filter(row => row.table === CLAIM_TABLE).map(row => [row.key, row]))
+    for (const job of batch) {
+      const row = conflicts.get(job.write.claimKey)
+      if (result.value.committed) committed(job, result.value.revision)
+      else if (row !== undefined) conflicted(job, row)
+    }
+    return true
   }
-  const answerWith = (write: Messages.ClaimWrite, result: Messages.ClaimResult): void => {
-    if (write.wanted) options.onResult(write.callId, result)
+
+  const pick = (uncertain: boolean): Job[] => {
+    const batch: Job[] = []
+    const keys = new Set([...jobs].filter(job => job.busy).map(job => job.write.claimKey))
+    let sizeBytes = 0
+    for (const job of jobs) {
+      if (batch.length >= MAX_BATCH_COUNT) break
+      const { claimKey } = job.write
+      const taken = keys.has(claimKey)
+      keys.add(claimKey)
+      if (taken || job.uncertain !== uncertain) continue
+      if (batch.length > 0 && sizeBytes + job.sizeBytes > MAX_BATCH_BYTES) continue
+      batch.push(job)
+      sizeBytes += job.sizeBytes
+    }
+    return batch
+  }
+  const runLane = async (): Promise<void> => {
+    const doubtful = pick(true)
+    const batch = doubtful.length > 0 ? doubtful : pick(false)
+    if (batch.length === 0) return
+    laneCount++
+    laneStartedMs = options.clock()
+    nextStartMs = laneStartedMs + Core.Random.jitter(options.random, options.intervalMs())
+    for (const job of batch) job.busy = true
+    const answered = doubtful.length > 0 ? await readBack(batch) : await transact(batch)
+    for (const job of batch) job.busy = false
+    failureCount = answered ? 0 : failureCount + 1
+    if (!answered) nextStartMs = Math.max(nextStartMs, options.clock() + Core.Random.jitter(options.random, Math.min(MAX_BACK_OFF_MS, FIRST_BACK_OFF_MS * 2 ** Math.min(10, failureCount - 1))))
+    laneCount--
+  }
+  const isDue = (): boolean => {
+    const nowMs = options.clock()
+    if (nowMs < nextStartMs) return false
+    if (laneCount > 0 && (laneCount >= MAX_LANE_COUNT || nowMs - laneStartedMs < SECOND_LANE_AFTER_MS)) return false
+    for (const job of jobs) {
+      if (job.busy) continue
+      const gatherMs = job.write.kind === 'claim' ? options.gatherMs : options.saveGatherMs
+      if (job.sentNonces.size > 0 || nowMs - job.queuedAtMs >= gatherMs) return true
+    }
+    return false
+  }
+  const watch = async (): Promise<void> => {
+    watching = true
+    await options.wait(options.gatherMs)
+    while (jobs.size > 0) {
+      if (isDue()) void runLane()
+      await options.wait(Math.min(IDLE_STEP_MS, Math.max(1, nextStartMs - options.clock())))
+    }
+    watching = false
+  }
+  const enqueue = (write: Messages.ClaimWrite): void => {
+    const sizeBytes = RECORD_BYTES + (write.record.outcome !== undefined && 'bodyBase64' in write.record.outcome ? write.record.outcome.bodyBase64.length : 0)
+    add({ write, record: write.record, revision: write.revision, sizeBytes, queuedAtMs: options.clock(), sentNonces: new Set(), uncertain: false, abandoned: false, busy: false })
+    giveUpOldest()
+    if (!watching) void watch()
   }
   return {
     write: write => {
-      queue.push(write)
-      schedule()
-    }
+      const full = write.kind === 'claim' && jobs.size - saveCount >= MAX_CLAIM_COUNT
+      if (full) options.onResult(write.claimKey, write.callId, { kind: 'unavailable' })
+      else enqueue(write)
+    },
+    abandon: callId => {
+      for (const job of jobs) {
+        if (job.write.kind !== 'claim' || job.write.callId !== callId) continue
+        job.abandoned = true
+        if (job.sentNonces.size === 0 && !job.write.reclaims) remove(job)
+      }
+    },
+    flush: async limitMs => {
+      const untilMs = options.clock() + limitMs
+      while (jobs.size > 0 && options.clock() < untilMs) await options.wait(IDLE_STEP_MS)
+    },
+    pendingCount: () => jobs.size
   }
 }
 
-function resultOf (row: Schemas.Platform.Row): Messages.ClaimResult {
-  const record = decodeRecord(row.value)
-  return record.isOk() ? { kind: 'held', revision: row.revision, record: record.value } : { kind: 'unavailable' }
+/** One row for a whole transaction, so that its claims are found again when they expire. */
+function expiryOf (batch: readonly Job[], makeId: () => string): Schemas.Platform.Write[] {
+  const claims = batch.filter(job => job.write.kind === 'claim')
+  if (claims.length === 0) return []
+  const expiresAtMs = Math.max(...claims.map(job => job.record.expiresAtMs))
+  return [{ table: EXPIRY_TABLE, key: `${bucketOf(expiresAtMs)}/${makeId()}`, value: { claimKeys: claims.map(job => job.write.claimKey) } }]
 }
--- a/src/gateway/finish.ts
+++ b/src/gateway/finish.ts
@@ -3,8 +3,9 @@
  *
  * @packageDocumentation
  */
-import type * as Core from '../core/index.ts'
+import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as ClaimRecords from './claimRecords.ts'
 import type * as Tables from './tables.ts'
 
 /** What the caller is told beside the code. */
@@ -15,6 +16,9 @@
   readonly shareCount?: number
 }
 
+/** How long a call is followed after its caller was answered, in milliseconds. */
+const LINGER_MS = 30_000
+
 /**
  * Ends a call with a result code.
  *
@@ -25,9 +29,35 @@
  * @param details - What else the caller is told.
  */
 export function finish (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
-  drop(tables, row)
-  tick.log('calls', 'Call ended.', { callId: row.call.callId, workspace: row.call.workspace, code, reason: details.reason })
-  tick.emit({ kind: 'finish', callId: row.call.callId, code, details: { callId: row.call.callId, workspace: row.call.workspace, ...details } })
+  drop(tables, tick, row)
+  if (row.detached) return
+  tell(tick, row, code, details)
+}
+
+/**
+ * Answers a caller while the call is still being run; the call's end is then only saved.
+ *
+ * @param tick - The current tick.
+ * @param row - The call.
+ * @param code - The result code.
+ * @param details - What else the caller is told.
+ */
+export function detach (tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
+  row.detached = true
+  row.deadlineMs = tick.nowMs + LINGER_MS
+  tell(tick, row, code, details)
+}
+
+/**
+ * Chooses what may be told of a call that is refused: an attempt that was sent and not proved
+ * never run makes its outcome unknown.
+ *
+ * @param row - The call.
+ * @param code - The code of the refusal.
+ * @returns The code to tell.
+ */
+export function refusalOf (row: Tables.CallRow, code: Core.Codes.CodeName): Core.Codes.CodeName {
+  return Core.Codes.CODES[code].run === 'notRun' && row.openAttempts.size > 0 ? 'outcomeUnknown' : code
 }
 
 /**
@@ -38,8 +68,8 @@
  * @param row - The call.
  */
 export function deliver (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
-  drop(tables, row)
-  tick.emit({ kind: 'deliver', callId: row.call.callId })
+  drop(tables, tick, row)
+  if (!row.detached) tick.emit({ kind: 'deliver', callId: row.call.callId })
 }
 
 /**
@@ -50,10 +80,10 @@
  * @param row - The call.
  * @param outcome - The saved answer.
  */
-export function replay (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, outcome: Schemas.Calls.Outcome): void {
-  drop(tables, row)
+export function replay (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, outcome: Schemas.Calls.SavedOutcome): void {
+  drop(tables, tick, row)
   tick.log('calls', 'Saved answer given.', { callId: row.call.callId, workspace: row.call.workspace, reason: 'the key was used before' })
-  tick.emit({ kind: 'replay', callId: row.call.callId, outcome })
+  if (!row.detached) tick.emit({ kind: 'replay', callId: row.call.callId, outcome })
 }
 
 /**
@@ -68,7 +98,16 @@
   row.current = undefined
 }
 
-function drop (tables: Tables.Tables, row: Tables.CallRow): void {
+function tell (tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
+  const { run } = Core.Codes.CODES[code]
+  tick.check('truthfulRefusal', run !== 'notRun' || row.openAttempts.size === 0, () => ({ callId: row.call.callId, code, openAttempts: [...row.openAttempts] }))
+  tick.log('calls', 'Call ended.', { callId: row.call.callId, workspace: row.call.workspace, code, reason: details.reason })
+  tick.emit({ kind: 'finish', callId: row.call.callId, code, details: { callId: row.call.callId, workspace: row.call.workspace, ...details } })
+}
+
+function drop (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
+  if (row.state === 'claiming') tick.emit({ kind: 'abandonClaim', callId: row.call.callId })
+  else if (row.openAttempts.size === 0) ClaimRecords.release(tables, tick, row)
   clearAttempt(tables, row)
   tables.calls.remove(row.call.callId)
 }
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -37,7 +37,7 @@
 
 /** What a claim led to. */
 export type ClaimResult =
-  | { readonly kind: 'granted', readonly revision: number }
+  | { readonly kind: 'granted', readonly revision: number, readonly record: Schemas.Calls.ClaimRecord }
   | { readonly kind: 'held', readonly revision: number, readonly record: Schemas.Calls.ClaimRecord }
   | { readonly kind: 'unavailable' }
 
@@ -51,7 +51,7 @@
   | { readonly kind: 'callLoad', readonly endpointId: string, readonly result: Schemas.Calls.CallResult }
   | { readonly kind: 'streamProgress', readonly callId: string, readonly attemptId: string, readonly nextIndex: number }
   | { readonly kind: 'attemptEnded', readonly callId: string, readonly attemptId: string, readonly end: AttemptEnd }
-  | { readonly kind: 'claimAnswered', readonly callId: string, readonly result: ClaimResult }
+  | { readonly kind: 'claimAnswered', readonly callId: string, readonly claimKey: string, readonly result: ClaimResult }
   | { readonly kind: 'fenceAnswered', readonly callId: string, readonly attemptId: string, readonly answer: Schemas.Calls.FenceAnswer | undefined }
   | { readonly kind: 'stopping' }
 
@@ -65,14 +65,15 @@
 
 /** A write of a claim. */
 export interface ClaimWrite {
+  /** A claim's result is handed back; a save or a release is written some time. */
+  readonly kind: 'claim' | 'save' | 'release'
   readonly callId: string
   readonly claimKey: string
   /** The revision that the row must have; 0 for absent. */
   readonly revision: number
-  /** The new record; undefined releases the claim. */
-  readonly record: Schemas.Calls.ClaimRecord | undefined
-  /** Whether the loop waits for the answer. */
-  readonly wanted: boolean
+  readonly record: Schemas.Calls.ClaimRecord
+  /** Whether the row holds an earlier claim of the same call. */
+  readonly reclaims: boolean
 }
 
 /** What a gateway's loop asks of the edge. */
@@ -80,7 +81,8 @@
   | { readonly kind: 'dispatch', readonly dispatch: Dispatch }
   | { readonly kind: 'cancelAttempt', readonly callId: string }
   | { readonly kind: 'deliver', readonly callId: string }
-  | { readonly kind: 'replay', readonly callId: string, readonly outcome: Schemas.Calls.Outcome }
+  | { readonly kind: 'replay', readonly callId: string, readonly outcome: Schemas.Calls.SavedOutcome }
   | { readonly kind: 'finish', readonly callId: string, readonly code: Core.Codes.CodeName, readonly details: Edge.HttpServer.RefusalDetails }
   | { readonly kind: 'writeClaim', readonly write: ClaimWrite }
+  | { readonly kind: 'abandonClaim', readonly callId: string }
   | { readonly kind: 'askFence', readonly callId: string, readonly target: Edge.HttpClient.Target, readonly question: Schemas.Calls.FenceQuestion }
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -3,10 +3,12 @@
  *
  * @packageDocumentation
  */
+import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
 import type * as Tables from '../tables.ts'
 import type * as Schemas from '../../schema/index.ts'
+import * as Asking from './asking.ts'
 
 const RETRY_AFTER_MS = 1_000
 const DEFAULT_PRIORITY = 1
@@ -40,12 +42,7 @@
 export const deadlineSystem: Tables.System = {
   name: 'deadline',
   run: (tables, tick) => {
-    for (const row of [...tables.calls.rows()]) {
-      if (tick.nowMs < row.deadlineMs) continue
-      const dispatched = row.state === 'running' || row.state === 'asking'
-      if (dispatched) tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
-      Finish.finish(tables, tick, row, dispatched ? 'deadlineRunning' : 'deadlinePassed', { reason: `The deadline passed while ${row.state}.` })
-    }
+    for (const row of [...tables.calls.rows()]) if (tick.nowMs >= row.deadlineMs) DEADLINE_HANDLERS[row.state](tables, tick, row)
   }
 }
 
@@ -101,7 +98,14 @@
     notBeforeMs: 0,
     nextIndex: 0,
     pinnedVersion: undefined,
-    claimRevision: 0
+    claimRevision: 0,
+    claimRecord: undefined,
+    claimedAttemptId: undefined,
+    openAttempts: new Set(),
+    ask: undefined,
+    silentAfterMs: 0,
+    silentAtMs: 0,
+    detached: false
   })
 }
 
@@ -113,45 +117,45 @@
 type Settler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd) => void
 
 const SETTLERS: Readonly<Record<Messages.AttemptEnd['run'], Settler>> = {
-  ran: (tables, tick, row) => { Finish.deliver(tables, tick, row) },
-  notRun: (tables, _tick, row) => { routeAgain(tables, row) },
-  unknown: (tables, tick, row, end) => {
-    if (row.idempotent && row.call.idempotencyKey === undefined) { routeAgain(tables, row); return }
-    ask(tables, tick, row, end)
+  ran: (tables, tick, row, end) => {
+    ClaimRecords.save(tables, tick, row, 'done', end.outcome)
+    Finish.deliver(tables, tick, row)
+  },
+  notRun: (tables, tick, row) => {
+    if (row.current !== undefined) row.openAttempts.delete(row.current.attemptId)
+    Asking.routeAgain(tables, tick, row)
+  },
+  unknown: (tables, tick, row) => {
+    if (row.idempotent) Asking.routeAgain(tables, tick, row)
+    else Asking.askOwn(tick, row)
   }
 }
 
-/**
- * Sends a call back to routing, away from the endpoint that it was at.
- *
- * @param tables - The gateway's tables.
- * @param row - The call.
- */
-export function routeAgain (tables: Tables.Tables, row: Tables.CallRow): void {
-  if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
-  Finish.clearAttempt(tables, row)
-  row.state = 'routing'
-}
+type DeadlineHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow) => void
 
-/** Asks the agent what became of an attempt; the agent fences it unless it was run. */
-function ask (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
-  const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
-  if (row.current === undefined || endpoint === undefined) {
-    Finish.finish(tables, tick, row, 'outcomeUnknown', { reason: end.reason ?? 'The agent is gone.' })
-    return
+const DEADLINE_HANDLERS: Readonly<Record<Tables.CallRow['state'], DeadlineHandler>> = {
+  routing: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'deadlinePassed'), { reason: 'The deadline passed while no endpoint took the call.' }) },
+  claiming: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'storeUnavailable'), { reason: 'The table service did not grant the claim by the deadline.', retryAfterMs: RETRY_AFTER_MS }) },
+  running: (tables, tick, row) => {
+    if (outlivesCaller(row) && !row.detached) { Finish.detach(tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.', retryAfterMs: RETRY_AFTER_MS }); return }
+    tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
+    Finish.finish(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.' })
+  },
+  asking: (tables, tick, row) => {
+    const code = row.ask?.held?.record.state === 'done' ? 'answerUnavailable' : 'agentUnreachable'
+    Finish.finish(tables, tick, row, code, { reason: 'The agent did not tell the outcome by the deadline.', retryAfterMs: RETRY_AFTER_MS })
   }
-  row.state = 'asking'
-  tick.emit({
-    kind: 'askFence',
-    callId: row.call.callId,
-    target: endpoint,
-    question: { attemptId: row.current.attemptId, agentIncarnation: row.current.agentIncarnation }
-  })
+}
+
+/** A keyed call that must not run twice is followed to its end, so that a repeat finds its answer. */
+function outlivesCaller (row: Tables.CallRow): boolean {
+  return row.call.idempotencyKey !== undefined && !row.idempotent && row.openAttempts.size > 0
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick, callId: string): void {
   const row = tables.calls.get(callId)
   if (row === undefined) return
+  if (outlivesCaller(row)) { if (!row.detached) Finish.detach(tick, row, 'callerGone', { reason: 'The caller closed the connection.' }); return }
   tick.emit({ kind: 'cancelAttempt', callId })
   Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller closed the connection.' })
 }
--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -4,9 +4,11 @@
  * @packageDocumentation
  */
 import * as Control from '../../control/index.ts'
+import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Tables from '../tables.ts'
-import * as Claims from './claims.ts'
+import * as Asking from './asking.ts'
+import * as Clocks from './clocks.ts'
 
 /** A report older than this is not trusted, in milliseconds. */
 const REPORT_FRESH_MS = 3_000
@@ -35,7 +37,12 @@
   const { call, current } = row
   const endpoint = current === undefined ? undefined : tables.endpoints.get(current.endpointId)
   if (current === undefined || endpoint === undefined) { row.state = 'routing'; row.current = undefined; return }
+  tick.check('atMostOnce', row.idempotent || row.openAttempts.size === 0, () => ({ callId: call.callId, attemptId: current.attemptId, openAttempts: [...row.openAttempts] }))
+  tick.check('atMostOnce', call.idempotencyKey === undefined || row.claimedAttemptId === current.attemptId, () => ({ callId: call.callId, attemptId: current.attemptId, claimedAttemptId: row.claimedAttemptId }))
+  current.expiresAtMs ??= Clocks.expiryOf(tables, tick, row, current)
   row.state = 'running'
+  row.openAttempts.add(current.attemptId)
+  Asking.expectAnswer(tick, row)
   endpoint.outstandingCount++
   tick.emit({
     kind: 'dispatch',
@@ -60,9 +67,10 @@
         stream: call.stream,
         resumeFromIndex: row.nextIndex,
         digest: call.digest,
-        claimKey: call.idempotencyKey === undefined ? undefined : Claims.claimKeyOf(call.workspace, call.idempotencyKey),
+        claimKey: call.idempotencyKey === undefined ? undefined : ClaimRecords.claimKeyOf(call.workspace, call.idempotencyKey),
         idempotencyKey: call.idempotencyKey,
-        agentIncarnation: current.agentIncarnation
+        agentIncarnation: current.agentIncarnation,
+        expiresAtMs: current.expiresAtMs
       }
     }
   })
@@ -86,7 +94,8 @@
     modelVersion: endpoint.report?.modelVersion
   }
   tick.log('routing', 'Endpoint chosen.', { callId: row.call.callId, endpointId: endpoint.endpointId, zone: endpoint.zone, spareCount: spareOf(endpoint), candidateCount: candidates.length, reason: local.length > 0 ? 'least loaded of two in the zone' : 'least loaded of two' })
-  if (row.call.idempotencyKey !== undefined) Claims.claim(tables, tick, row)
+  row.current.expiresAtMs = Clocks.expiryOf(tables, tick, row, row.current)
+  if (row.call.idempotencyKey !== undefined) ClaimRecords.claim(tables, tick, row)
   else send(tables, tick, row)
 }
 
@@ -107,7 +116,7 @@
 function refuse (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
   const end = row.lastEnd
   const begun = row.nextIndex > 0
-  const code = begun ? 'streamCut' : end?.run === 'unknown' ? 'outcomeUnknown' : end?.code ?? 'noEndpoint'
+  const code = begun ? 'streamCut' : end?.run === 'unknown' ? 'outcomeUnknown' : Finish.refusalOf(row, end?.code ?? 'noEndpoint')
   Finish.finish(tables, tick, row, code, {
     reason: end?.reason ?? 'No endpoint is live.',
     retryAfterMs: end?.retryAfterMs ?? RETRY_AFTER_MS,
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -31,6 +31,37 @@
   readonly endpointId: string
   readonly agentIncarnation: string
   readonly modelVersion: string | undefined
+  /** The agent's own clock reading, in milliseconds, from which on it does not admit the attempt. */
+  expiresAtMs?: number
+}
+
+/** A claim as found in the table service. */
+export interface HeldClaim {
+  readonly revision: number
+  readonly record: Schemas.Calls.ClaimRecord
+}
+
+/** A question to an agent that is under way. */
+export interface AskState {
+  /** The answer was lost, the connection is silent, or another call has claimed the key. */
+  readonly purpose: 'answerLost' | 'silent' | 'repeat'
+  readonly attempt: CurrentAttempt
+  /** The other call's claim, for a repeat. */
+  readonly held: HeldClaim | undefined
+  /** Whether the agent is to promise never to run an attempt that it has not seen. */
+  fence: boolean
+  askCount: number
+  nextAtMs: number
+  pending: boolean
+  /** The agent has said that the attempt is done. */
+  doneSeen: boolean
+}
+
+/** An agent's clock relative to the gateway's. */
+export interface ClockRow {
+  readonly endpointId: string
+  readonly incarnation: string
+  readonly offsetMs: number
 }
 
 /** A caller's call that has no final answer yet. */
@@ -40,7 +71,7 @@
   readonly idempotent: boolean
   readonly priority: number
   readonly arrivedAtMs: number
-  readonly deadlineMs: number
+  deadlineMs: number
   state: 'routing' | 'claiming' | 'running' | 'asking'
   current: CurrentAttempt | undefined
   attemptCount: number
@@ -53,8 +84,20 @@
   nextIndex: number
   /** The version that a begun stream must go on with. */
   pinnedVersion: string | undefined
-  /** The revision of the call's claim; 0 for none. */
+  /** The revision that the row of the key must have for the call's next claim; 0 for absent. */
   claimRevision: number
+  /** The claim as granted. */
+  claimRecord: Schemas.Calls.ClaimRecord | undefined
+  /** The attempt that the call's own claim names, while there is one. */
+  claimedAttemptId: string | undefined
+  /** Attempts that were sent and are not proved never run. */
+  readonly openAttempts: Set<string>
+  ask: AskState | undefined
+  /** How long the current attempt may be silent before its agent is asked, in milliseconds. */
+  silentAfterMs: number
+  silentAtMs: number
+  /** Whether the caller was answered or is gone, and the call is followed only to save its end. */
+  detached: boolean
 }
 
 /** Who a gateway is. */
@@ -66,6 +109,9 @@
   readonly held: Control.Documents.Held
   readonly endpoints: Core.Table.Table<EndpointRow>
   readonly calls: Core.Table.Table<CallRow>
+  readonly clocks: Core.Table.Table<ClockRow>
+  /** When the instance list was first read, in milliseconds. */
+  firstListedAtMs: number | undefined
   /** Returns wall-clock time in milliseconds since 1970. */
   readonly wallClock: () => number
   /** Makes an identifier that no other process makes. */
@@ -93,6 +139,8 @@
     held,
     endpoints: Core.Table.createTable('endpoints'),
     calls: Core.Table.createTable('calls'),
+    clocks: Core.Table.createTable('clocks'),
+    firstListedAtMs: undefined,
     wallClock,
     makeId,
     stopping: false
--- a/src/schema/calls.ts
+++ b/src/schema/calls.ts
@@ -34,7 +34,9 @@
   /** The idempotency key handed on to the endpoint. */
   idempotencyKey: Schema.optional(Schema.String),
   /** The incarnation of the agent that the attempt is meant for. */
-  agentIncarnation: Schema.String
+  agentIncarnation: Schema.String,
+  /** The agent's own clock reading, in milliseconds, from which on it must not admit the attempt. */
+  expiresAtMs: Schema.optional(Schema.Number)
 })
 /** What a gateway tells an agent about a call. */
 export type CallEnvelope = typeof CallEnvelope.Type
@@ -58,16 +60,32 @@
 /** What an agent tells a gateway about an attempt. */
 export type CallResult = typeof CallResult.Type
 
-/** A finished call's answer, as saved. */
+/** A finished call's answer, its body carried inline. */
 export const Outcome = Schema.Struct({
   httpStatus: Schema.Int,
   contentType: Schema.String,
   /** The body in base64. */
   bodyBase64: Schema.String
 })
-/** A finished call's answer, as saved. */
+/** A finished call's answer, its body carried inline. */
 export type Outcome = typeof Outcome.Type
 
+/** A finished call's answer whose body is in the object store. */
+export const StoredOutcome = Schema.Struct({
+  httpStatus: Schema.Int,
+  contentType: Schema.String,
+  objectName: Schema.String,
+  sizeBytes: Manifest.Count,
+  bodyDigest: Manifest.Digest
+})
+/** A finished call's answer whose body is in the object store. */
+export type StoredOutcome = typeof StoredOutcome.Type
+
+/** A finished call's answer, as saved with its claim. */
+export const SavedOutcome = Schema.Union([Outcome, StoredOutcome])
+/** A finished call's answer, as saved with its claim. */
+export type SavedOutcome = typeof SavedOutcome.Type
+
 /** A claim of an idempotency key, as stored. */
 export const ClaimRecord = Schema.Struct({
   /** Written by the claimant, so that a lost answer can be settled by reading back. */
@@ -78,25 +96,43 @@
   attemptId: Schema.String,
   agentId: Schema.String,
   agentIncarnation: Schema.String,
-  state: Schema.Literals(['claimed', 'done', 'unknown']),
+  /** The agent's own clock reading, in milliseconds, from which on it does not admit the attempt. */
+  attemptExpiresAtMs: Schema.optional(Schema.Number),
+  /**
+   * `claimed`: may be under way. `released`: proved not run, the key is free.
+   * `done`: run to its end. `unknown`: may have been run, and nobody can tell.
+   */
+  state: Schema.Literals(['claimed', 'released', 'done', 'unknown']),
   /** Wall-clock time in milliseconds since 1970. */
   claimedAtMs: Schema.Number,
   /** Wall-clock time in milliseconds since 1970 after which the row may be deleted. */
   expiresAtMs: Schema.Number,
-  outcome: Schema.optional(Outcome)
+  /** The answer of a call that is done, where it could be saved. */
+  outcome: Schema.optional(SavedOutcome)
 })
 /** A claim of an idempotency key, as stored. */
 export type ClaimRecord = typeof ClaimRecord.Type
 
-/** A question about an unfinished claim: fences the attempt unless it was run. */
-export const FenceQuestion = Schema.Struct({ attemptId: Schema.String, agentIncarnation: Schema.String })
-/** A question about an unfinished claim. */
+/** A question about an attempt whose outcome is not known to the asker. */
+export const FenceQuestion = Schema.Struct({
+  attemptId: Schema.String,
+  agentIncarnation: Schema.String,
+  /** The agent's own clock reading, in milliseconds, from which on it does not admit the attempt. */
+  expiresAtMs: Schema.optional(Schema.Number),
+  /** Whether the agent is to promise never to run an attempt that it has not seen. */
+  fence: Schema.Boolean
+})
+/** A question about an attempt whose outcome is not known to the asker. */
 export type FenceQuestion = typeof FenceQuestion.Type
 
-/** What the agent knows of the attempt; with `neverRun` it promises never to run it. */
+/**
+ * What the agent knows of an attempt. `neverRun` is a promise never to run it; `unseen` promises
+ * nothing; `unknown` means that the agent can never tell; `running` includes waiting in its queue.
+ */
 export const FenceAnswer = Schema.Struct({
-  state: Schema.Literals(['done', 'running', 'neverRun', 'unknown']),
+  state: Schema.Literals(['done', 'running', 'neverRun', 'unseen', 'unknown']),
+  /** The answer of an attempt that is done, while the agent still keeps it. */
   outcome: Schema.optional(Outcome)
 })
-/** What the agent knows of the attempt. */
+/** What the agent knows of an attempt. */
 export type FenceAnswer = typeof FenceAnswer.Type
--- a/src/schema/control.ts
+++ b/src/schema/control.ts
@@ -106,6 +106,8 @@
   activeCount: Manifest.Count,
   queuedCount: Manifest.Count,
   cold: Schema.Boolean,
+  /** The agent's monotonic clock, in milliseconds. */
+  clockMs: Schema.optional(Schema.Number),
   versions: Versions
 })
 /** What an agent reports of itself and its endpoint. */
