--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -20,6 +20,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Whether to open a connection of its own, past the pool. */
+  readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
 }
@@ -72,7 +74,7 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: pool
+      agent: request.fresh === true ? false : pool
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
@@ -128,24 +130,27 @@
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  return await sendText(target, method, path, value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers)
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<JsonAnswer> {
+  return await sendText({ target, method, path, body: value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers })
+}
+
+/** An answer whose body is JSON. */
+export interface JsonAnswer {
+  readonly status: number
+  /** The parsed body; undefined when it is empty. */
+  readonly value: unknown
 }
 
 /**
  * Sends JSON that has been written already and reads JSON.
  *
- * @param target - The server.
- * @param method - The HTTP method.
- * @param path - The path.
- * @param body - The text to send, or undefined for none.
- * @param timeoutMs - Time for the whole exchange in milliseconds.
- * @param headers - Further headers.
+ * @param request - The request.
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendText (target: Target, method: string, path: string, body: string | undefined, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
+export async function sendText (request: Request): Promise<JsonAnswer> {
+  const { method, path } = request
+  const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
   const text = answer.body.toString()
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -5,7 +5,6 @@
  */
 export * as Caller from './caller.ts'
 export * as Deployment from './deployment.ts'
-export * as FakeTable from './fakeTable.ts'
 export * as Load from './load.ts'
 export * as Manifests from './manifests.ts'
 export * as Processes from './processes.ts'
