--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -83,14 +83,15 @@
  * @param target - The server.
  * @param key - Returns the key or token to sign with.
  * @param timeoutMs - Time for each call in milliseconds.
+ * @param fresh - Whether each call opens a connection of its own.
  * @returns The client. Its calls fail with a TRPCClientError.
  */
-export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number): TrpcClient.TRPCClient<Router> {
+export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number, fresh = false): TrpcClient.TRPCClient<Router> {
   const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
     const path = RPC_PATH + op.path
     const body = op.input === undefined ? '' : JSON.stringify(op.input)
     const authorization = Auth.sign(key(), { method: 'POST', path, body })
-    HttpClient.sendText(target, 'POST', path, body, timeoutMs, { authorization }).then(
+    HttpClient.sendText({ target, method: 'POST', path, body, timeoutMs, fresh, headers: { authorization } }).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -8,11 +8,11 @@
 
 /** Contenders for one lease over one table, each with a clock that can be read and moved. */
 function createContenders (count: number) {
-  const table = TestKit.FakeTable.createFakeTable()
+  const table = TestKit.Tables.createMemoryTables()
   let nowMs = 0
   let nonceCount = 0
   const leases = Array.from({ length: count }, (_, index) => Control.Lease.createLease({
-    tables: table.client,
+    tables: table,
     name: 'placement',
     holder: `holder-${index}`,
     durationMs: DURATION_MS,
@@ -55,7 +55,7 @@
 
     it('takes up a grant whose answer was lost', async () => {
       const { lease, table } = createContenders(1)
-      table.setMishap(() => 'lostAfter')
+      table.nextWrites(['answerLost'])
       await lease(0).poll()
       expect(lease(0).current()?.fencingNumber).toEqual(1)
     })
@@ -63,7 +63,8 @@
     it('holds nothing while the store is down for longer than the lease', async () => {
       const { lease, table, advance } = createContenders(1)
       await lease(0).poll()
-      table.setMishap(() => 'unavailable')
+      table.setReadsDown(true)
+      table.nextWrites(['refused'])
       advance(DURATION_MS)
       await lease(0).poll()
       expect(lease(0).current()).toEqual(undefined)
@@ -86,13 +87,17 @@
     const step = FastCheck.record({
       who: FastCheck.nat(2),
       advanceMs: FastCheck.nat(DURATION_MS),
-      mishap: FastCheck.constantFrom<TestKit.FakeTable.Mishap>('none', 'none', 'none', 'unavailable', 'lostBefore', 'lostAfter')
+      fate: FastCheck.constantFrom<TestKit.Tables.WriteFate>('answered', 'answered', 'answered', 'refused', 'lost', 'answerLost', 'late'),
+      readsDown: FastCheck.integer({ min: 0, max: 4 }).map(number => number === 0),
+      deliverLate: FastCheck.boolean()
     })
     await FastCheck.assert(FastCheck.asyncProperty(FastCheck.array(step, { minLength: 10, maxLength: 60 }), async steps => {
       const { table, lease, leases, advance } = createContenders(3)
       let highest = 0
-      for (const { who, advanceMs, mishap } of steps) {
-        table.setMishap(() => mishap)
+      for (const { who, advanceMs, fate, readsDown, deliverLate } of steps) {
+        table.nextWrites([fate])
+        table.setReadsDown(readsDown)
+        if (deliverLate) table.deliverLate()
         await lease(who).poll()
         const holders = leases.flatMap(each => each.current() ?? [])
         expect(holders.length <= 1).toEqual(true)
@@ -101,19 +106,19 @@
         highest = fencingNumber
         advance(advanceMs)
       }
-    }), { seed: 7, numRuns: 300 })
+    }), { seed: 7, numRuns: 500 })
   })
 })
 
 describe('createHolder', () => {
   it('cannot commit a plan after another holder has taken over', async () => {
-    const table = TestKit.FakeTable.createFakeTable()
+    const table = TestKit.Tables.createMemoryTables()
     let nowMs = 0
     const held = Control.Documents.createHeld()
     const manifest = TestKit.Manifests.makeManifest(TestKit.Shapes.CONSORTIUM, { version: 'v1', digest: 'a'.repeat(64), sizeBytes: 1 })
     held.adopt({ kind: 'manifest', version: 1, body: manifest })
     const refusals: string[] = []
-    const makeHolder = (instanceId: string, tables = table.client) => Control.PlacementHolder.createHolder({
+    const makeHolder = (instanceId: string, tables = table) => Control.PlacementHolder.createHolder({
       tables,
       instanceId,
       leaseDurationMs: DURATION_MS,
@@ -127,7 +132,7 @@
     const second = makeHolder('second')
     let paused = true
     const first = makeHolder('first', {
-      ...table.client,
+      ...table,
       read: async rows => {
         if (paused && rows[0]?.table === 'control') {
           paused = false
@@ -135,12 +140,12 @@
           nowMs += DURATION_MS
           await second.poll()
         }
-        return await table.client.read(rows)
+        return await table.read(rows)
       }
     })
     await first.poll()
     expect(refusals.filter(code => code === 'staleFencing').length).toEqual(1)
-    const stored = table.rows('control')[0]?.value as { version: number, body: { fencingNumber: number } }
+    const stored = table.peek('control', 'placement')?.value as { version: number, body: { fencingNumber: number } }
     expect([stored.version, stored.body.fencingNumber]).toEqual([1, 2])
   })
 })
