--- /dev/null
+++ b/src/agent/answers.ts
@@ -0,0 +1,90 @@
+/**
+ * Relays an endpoint's answer to the gateway, part by part.
+ *
+ * @packageDocumentation
+ */
+import type * as Http from 'node:http'
+import type * as Schemas from '../schema/index.ts'
+import type * as Pace from './pace.ts'
+
+/** An attempt's answer on its way. */
+export interface AnswerOptions {
+  readonly incoming: Http.IncomingMessage
+  readonly response: Http.ServerResponse
+  readonly meter: Pace.StreamMeter
+  /** The largest answer that is kept, in bytes; 0 for none. */
+  readonly keepBytes: number
+  readonly clock: () => number
+  /** Told once, when the endpoint's part is over. */
+  readonly onEnd: (whole: boolean, outcome: Schemas.Calls.Outcome | undefined) => void
+}
+
+/** A relayed answer. */
+export interface RelayedAnswer {
+  /** Whether an event stream stands between two events, where a comment may be written. */
+  atBoundary: () => boolean
+}
+
+const CONTENT_TYPE = 'application/octet-stream'
+const LINE_FEED = 10
+
+/**
+ * Checks that an answer belongs to the attempt and comes from the wanted model version.
+ *
+ * @param envelope - The attempt.
+ * @param headers - The answer's headers.
+ * @returns What is wrong, or undefined.
+ */
+export function findMismatch (envelope: Schemas.Calls.CallEnvelope, headers: Http.IncomingHttpHeaders): string | undefined {
+  const callId = headers['x-fescue-call-id']
+  if (callId !== undefined && callId !== envelope.callId) return 'The endpoint answered another call.'
+  const version = headers['x-model-version']
+  if (version !== undefined && envelope.modelVersion !== undefined && version !== envelope.modelVersion) return `The endpoint answered with version ${String(version)}.`
+  return undefined
+}
+
+/**
+ * Relays the body of an answer whose head has been written.
+ *
+ * @param options - Both ends and the meter.
+ * @returns The relayed answer.
+ */
+export function relayBody (options: AnswerOptions): RelayedAnswer {
+  const { incoming, response, meter } = options
+  const kept: Buffer[] = []
+  let sizeBytes = 0
+  let boundary = true
+  incoming.on('data', (part: Buffer) => {
+    meter.part(options.clock())
+    sizeBytes += part.length
+    boundary = part.length > 1 && part[part.length - 1] === LINE_FEED && part[part.length - 2] === LINE_FEED
+    if (sizeBytes <= options.keepBytes) kept.push(part)
+    if (response.write(part)) return
+    incoming.pause()
+    meter.block()
+  })
+  response.on('drain', () => {
+    meter.unblock(options.clock())
+    incoming.resume()
+  })
+  incoming.on('error', () => { options.onEnd(false, undefined) })
+  incoming.on('end', () => {
+    const outcome = sizeBytes > options.keepBytes
+      ? undefined
+      : { httpStatus: incoming.statusCode ?? 502, contentType: incoming.headers['content-type'] ?? CONTENT_TYPE, bodyBase64: Buffer.concat(kept).toString('base64') }
+    options.onEnd(incoming.complete, outcome)
+  })
+  return { atBoundary: () => boundary }
+}
+
+/**
+ * Makes the head of a relayed answer.
+ *
+ * @param incoming - The endpoint's answer.
+ * @returns The headers that are handed on.
+ */
+export function headersOf (incoming: Http.IncomingMessage): Http.OutgoingHttpHeaders {
+  const headers: Http.OutgoingHttpHeaders = { 'content-type': incoming.headers['content-type'] ?? CONTENT_TYPE }
+  if (incoming.headers['content-length'] !== undefined) headers['content-length'] = incoming.headers['content-length']
+  return headers
+}
--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -13,6 +13,8 @@
 import * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
 import * as Calls from './calls.ts'
+import * as CacheEvents from './cacheEvents.ts'
+import * as Explain from './explain.ts'
 import type * as Messages from './messages.ts'
 import * as Procedures from './procedures.ts'
 import type * as Settings from './settings.ts'
@@ -41,6 +43,8 @@
   capacityCount: Schema.Int,
   cold: Schema.Boolean
 })
+/** What is taken of an endpoint that answers but does not report its load. */
+const SILENT_LOAD: Messages.EndpointLoad = { incarnation: '', activeCount: 0, queuedCount: 0, capacityCount: 0, cold: false }
 const decodeLoad = Schemas.Decode.lenient(EndpointLoad)
 
 /**
@@ -95,9 +99,13 @@
   })
 
   const perform: Core.Loop.Handlers<Messages.Command> = {
-    admit: command => { relay.admit(command.attemptId) },
+    admit: command => {
+      metrics.count('attempts_admitted_total', { workspace: command.workspace })
+      metrics.observeSeconds('queue_seconds', command.queuedMs / 1_000)
+      relay.admit(command.attemptId)
+    },
     refuse: command => {
-      metrics.count('attempts_refused_total', { code: command.refusal.code })
+      metrics.count('attempts_refused_total', { code: command.refusal.code, workspace: command.workspace ?? '' })
       relay.refuse(command.attemptId, command.refusal)
     },
     cancel: command => { relay.cancel(command.attemptId) },
@@ -132,13 +140,23 @@
   const seeEndpoint = async (): Promise<void> => {
     const answer = await Edge.HttpClient.sendJson(endpoint, 'GET', '/load', undefined, ENDPOINT_TIMEOUT_MS).catch(() => undefined)
     const load = answer?.status === 200 ? decodeLoad(answer.value) : undefined
-    push({ kind: 'endpointSeen', load: load?.isOk() === true ? load.value : undefined })
+    if (load?.isOk() === true) push({ kind: 'endpointSeen', load: load.value })
+    else push({ kind: 'endpointSeen', load: answer !== undefined && Tables.serviceOf(tables)?.reportsLoad === false ? SILENT_LOAD : undefined })
   }
-  const endpointTimer = setInterval(() => { void seeEndpoint() }, settings.endpointPollMs)
+  const cacheEvents = CacheEvents.createReader(endpoint, () => tables.endpoint.incarnation, events => { push({ kind: 'cacheEvents', events }) })
+  const endpointTimer = setInterval(() => {
+    void seeEndpoint()
+    if (Tables.serviceOf(tables)?.kind === 'engine') void cacheEvents.poll()
+  }, settings.endpointPollMs)
+  const paceTimer = setInterval(() => {
+    const pace = relay.takePace()
+    if (pace !== undefined) push({ kind: 'paceSeen', pace })
+  }, BEAT_MS)
 
   const procedures = Procedures.createProcedures({
     node,
     report: () => Tables.reportOf(tables),
+    explain: () => Explain.explain(tables, clock()),
     fence: async question => await new Promise(resolve => {
       const askId = Crypto.randomUUID()
       asks.set(askId, resolve)
@@ -168,6 +186,8 @@
       while (tables.attempts.count() > 0 && clock() < deadlineMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
       await server.close(Math.max(0, deadlineMs - clock()))
       clearInterval(endpointTimer)
+      clearInterval(paceTimer)
+      relay.stop()
       collector.stop()
       node.stop()
       loop.stop()
--- /dev/null
+++ b/src/agent/attempts.ts
@@ -0,0 +1,122 @@
+/**
+ * The table of attempts with counts and queues kept for each workspace.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+import type * as Schemas from '../schema/index.ts'
+
+/** An attempt that was offered to this agent and is not finished. */
+export interface AttemptRow {
+  readonly envelope: Schemas.Calls.CallEnvelope
+  state: 'queued' | 'running'
+  readonly offeredAtMs: number
+  readonly deadlineMs: number
+  admittedAtMs: number
+  answeringAtMs: number
+  /** Service time that the workspace was charged at admission, in milliseconds. */
+  chargedMs?: number
+}
+
+/** What a workspace has at this agent. */
+export interface WorkspaceRow {
+  readonly workspace: string
+  runningCount: number
+  /** Its queued attempts in the order of their offers. */
+  readonly queue: Map<string, AttemptRow>
+  /** Service time used, divided by the workspace's weight, in milliseconds. */
+  virtualMs: number
+  admittedCount: number
+  readonly refusedCounts: Record<string, number>
+  lastRefusal: LastRefusal | undefined
+}
+
+/** The newest refusal of a workspace. */
+export interface LastRefusal {
+  readonly code: Core.Codes.CodeName
+  readonly reason: string
+  readonly atMs: number
+}
+
+/** Attempts by identifier, with counts that are kept up to date at each change. */
+export interface AttemptTable extends Core.Table.Table<AttemptRow> {
+  /** Marks a queued attempt as running. */
+  start: (attemptId: string, nowMs: number) => void
+  runningCount: () => number
+  queuedCount: () => number
+  /** Whether a call that is suspected of crashing endpoints runs. */
+  suspectRuns: () => boolean
+  workspace: (name: string) => WorkspaceRow
+  workspaces: () => IterableIterator<WorkspaceRow>
+}
+
+/** The most workspaces that are remembered. */
+const MAX_WORKSPACE_COUNT = 1_024
+
+/**
+ * Creates an empty table of attempts.
+ *
+ * @returns The table.
+ */
+export function createAttemptTable (): AttemptTable {
+  const table = Core.Table.createTable<AttemptRow>('attempts')
+  const workspaces = new Map<string, WorkspaceRow>()
+  let runningCount = 0
+  let suspectCount = 0
+
+  const workspace = (name: string): WorkspaceRow => {
+    const known = workspaces.get(name)
+    if (known !== undefined) return known
+    if (workspaces.size >= MAX_WORKSPACE_COUNT) forgetIdle(workspaces)
+    const row: WorkspaceRow = { workspace: name, runningCount: 0, queue: new Map(), virtualMs: 0, admittedCount: 0, refusedCounts: {}, lastRefusal: undefined }
+    workspaces.set(name, row)
+    return row
+  }
+  const countRunning = (row: AttemptRow, step: 1 | -1): void => {
+    runningCount += step
+    workspace(row.envelope.workspace).runningCount += step
+    if (row.envelope.suspect === true) suspectCount += step
+  }
+  const enter = (key: string, row: AttemptRow): void => {
+    if (row.state === 'running') countRunning(row, 1)
+    else workspace(row.envelope.workspace).queue.set(key, row)
+  }
+  const leave = (key: string): void => {
+    const row = table.get(key)
+    if (row === undefined) return
+    if (row.state === 'running') countRunning(row, -1)
+    else workspace(row.envelope.workspace).queue.delete(key)
+  }
+  return {
+    ...table,
+    set: (key, row) => {
+      leave(key)
+      table.set(key, row)
+      enter(key, row)
+    },
+    remove: key => {
+      leave(key)
+      return table.remove(key)
+    },
+    clear: () => { for (const key of [...table.keys()]) { leave(key); table.remove(key) } },
+    start: (attemptId, nowMs) => {
+      const row = table.get(attemptId)
+      if (row === undefined || row.state === 'running') return
+      leave(attemptId)
+      row.state = 'running'
+      row.admittedAtMs = nowMs
+      enter(attemptId, row)
+    },
+    runningCount: () => runningCount,
+    queuedCount: () => table.count() - runningCount,
+    suspectRuns: () => suspectCount > 0,
+    workspace,
+    workspaces: () => workspaces.values()
+  }
+}
+
+function forgetIdle (workspaces: Map<string, WorkspaceRow>): void {
+  for (const row of workspaces.values()) {
+    if (row.runningCount === 0 && row.queue.size === 0) workspaces.delete(row.workspace)
+  }
+}
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -7,7 +7,9 @@
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as Answers from './answers.ts'
 import type * as Messages from './messages.ts'
+import * as Pace from './pace.ts'
 import * as Tables from './tables.ts'
 
 /** Where gateways send attempts. */
@@ -16,6 +18,8 @@
 export const ENVELOPE_HEADER = 'x-fescue-envelope'
 /** The header that carries the agent's result. */
 export const RESULT_HEADER = 'x-fescue-result'
+/** An attempt under way shows a sign of life this often, in milliseconds. */
+export const HEARTBEAT_MS = 500
 
 /** Settings of the byte path. */
 export interface RelayOptions {
@@ -33,19 +37,32 @@
   admit: (attemptId: string) => void
   refuse: (attemptId: string, refusal: Messages.Refusal) => void
   cancel: (attemptId: string) => void
+  /** Takes the pace of the running streams since the last time. */
+  takePace: () => Messages.StreamPace | undefined
+  stop: () => void
 }
 
 interface Exchange {
   readonly envelope: Schemas.Calls.CallEnvelope
   readonly body: Buffer
   readonly response: Http.ServerResponse
+  readonly deadlineMs: number
   upstream: Http.ClientRequest | undefined
+  meter: Pace.StreamMeter | undefined
+  answer: Answers.RelayedAnswer | undefined
+  cancelled: boolean
   ended: boolean
 }
 
 const BODY_TIMEOUT_MS = 10_000
 /** The largest answer that is kept for questions about its claim, in bytes. */
 const MAX_KEPT_ANSWER_BYTES = 64 * 1024
+/** A stream for which the endpoint sends nothing for so long is given up, in milliseconds. */
+const QUIET_STREAM_MS = 15_000
+/** An attempt is cancelled so long after its deadline, when its gateway has not done so, in milliseconds. */
+const DEADLINE_GRACE_MS = 1_000
+/** Time that an endpoint has to notice a cancelled attempt, in milliseconds. */
+const CANCEL_SETTLE_MS = 20
 const decodeEnvelope = Schemas.Decode.json(Schemas.Calls.CallEnvelope)
 
 /**
@@ -56,6 +73,8 @@
  */
 export function createRelay (options: RelayOptions): Relay {
   const exchanges = new Map<string, Exchange>()
+  const paceMeter = Pace.createPaceMeter()
+  const clock = (): number => performance.now()
 
   const take: Edge.HttpServer.Handler = async (request, response) => {
     if (request.headers.authorization !== `Bearer ${options.peerKey()}`) {
@@ -67,72 +86,62 @@
     if (envelope.isErr()) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: Schemas.Decode.describe(envelope.error) }); return }
     const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
     if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
-    const { attemptId } = envelope.value
+    const { attemptId, timeLeftMs } = envelope.value
     if (exchanges.has(attemptId)) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: 'repeated attempt' }); return }
-    exchanges.set(attemptId, { envelope: envelope.value, body: body.value, response, upstream: undefined, ended: false })
+    exchanges.set(attemptId, { envelope: envelope.value, body: body.value, response, deadlineMs: clock() + timeLeftMs, upstream: undefined, meter: undefined, answer: undefined, cancelled: false, ended: false })
     response.once('close', () => {
       if (exchanges.has(attemptId)) options.push({ kind: 'callerGone', attemptId })
     })
     options.push({ kind: 'callOffered', envelope: envelope.value })
   }
-  const end = (exchange: Exchange, ending: Messages.Ending, outcome?: Schemas.Calls.Outcome): void => {
+  const end = (exchange: Exchange, ending: Messages.Ending, outcome?: Schemas.Calls.Outcome, httpStatus?: number): void => {
     if (exchange.ended) return
     exchange.ended = true
+    exchange.meter?.close()
     exchanges.delete(exchange.envelope.attemptId)
-    options.push({ kind: 'callEnded', attemptId: exchange.envelope.attemptId, ending, outcome })
+    options.push({ kind: 'callEnded', attemptId: exchange.envelope.attemptId, ending, outcome, httpStatus })
   }
-  const resultOf = (envelope: Schemas.Calls.CallEnvelope, code: Core.Codes.CodeName, refusal?: Messages.Refusal): Schemas.Calls.CallResult => {
-    const { limitCount, activeCount, queuedCount, modelVersion } = Tables.reportOf(options.tables)
-    return {
-      callId: envelope.callId,
-      attemptId: envelope.attemptId,
-      code: Core.Codes.CODES[code].code,
-      run: Core.Codes.CODES[code].run,
-      agentIncarnation: options.tables.identity.incarnation,
-      limitCount,
-      activeCount,
-      queuedCount,
-      modelVersion,
-      shareCount: refusal?.shareCount,
-      retryAfterMs: refusal?.retryAfterMs,
-      reason: refusal?.reason
-    }
-  }
-  const sendResult = (exchange: Exchange, code: Core.Codes.CodeName, refusal?: Messages.Refusal): void => {
-    const result = resultOf(exchange.envelope, code, refusal)
+  const sendResult = (exchange: Exchange, code: Core.Codes.CodeName, refusal?: Partial<Messages.Refusal>): void => {
+    const result = resultOf(options.tables, exchange.envelope, code, refusal)
     Edge.HttpServer.sendJson(exchange.response, Core.Codes.CODES[code].httpStatus, result, { [RESULT_HEADER]: JSON.stringify(result) })
   }
-
+  /** Stops the endpoint's work and frees its place once the endpoint had time to notice. */
+  const cancel = (exchange: Exchange): void => {
+    if (exchange.cancelled || exchange.ended) return
+    exchange.cancelled = true
+    exchange.meter?.close()
+    exchange.upstream?.destroy()
+    setTimeout(() => { end(exchange, 'cancelled') }, CANCEL_SETTLE_MS)
+  }
+  const discard = (exchange: Exchange, reason: string): void => {
+    options.log.warn('calls', 'Answer discarded.', { attemptId: exchange.envelope.attemptId, reason })
+    sendResult(exchange, 'endpointFailed', { reason })
+    cancel(exchange)
+  }
+  const fail = (exchange: Exchange): void => {
+    if (exchange.cancelled || exchange.ended) return
+    exchange.response.destroy()
+    end(exchange, 'failed')
+  }
   const relayAnswer = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     const { response, envelope } = exchange
+    const mismatch = Answers.findMismatch(envelope, incoming.headers)
+    if (mismatch !== undefined) { discard(exchange, mismatch); return }
     options.push({ kind: 'callAnswering', attemptId: envelope.attemptId })
-    const headers: Http.OutgoingHttpHeaders = {
-      'content-type': incoming.headers['content-type'] ?? 'application/octet-stream',
-      [RESULT_HEADER]: JSON.stringify(resultOf(envelope, 'ok'))
-    }
-    if (incoming.headers['content-length'] !== undefined) headers['content-length'] = incoming.headers['content-length']
-    response.writeHead(incoming.statusCode ?? 502, headers)
-    response.flushHeaders()
-    const kept: Buffer[] = []
-    let keptBytes = 0
-    incoming.on('data', (part: Buffer) => {
-      keptBytes += part.length
-      if (envelope.claimKey !== undefined && keptBytes <= MAX_KEPT_ANSWER_BYTES) kept.push(part)
-      if (!response.write(part)) incoming.pause()
-    })
-    response.on('drain', () => { incoming.resume() })
-    const fail = (): void => {
-      response.destroy()
-      end(exchange, 'failed')
-    }
-    incoming.on('error', fail)
-    incoming.on('end', () => {
-      if (!incoming.complete) { fail(); return }
-      const outcome = envelope.claimKey === undefined || keptBytes > MAX_KEPT_ANSWER_BYTES
-        ? undefined
-        : { httpStatus: incoming.statusCode ?? 502, contentType: String(headers['content-type']), bodyBase64: Buffer.concat(kept).toString('base64') }
-      end(exchange, 'whole', outcome)
-      response.end()
+    response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
+    if (envelope.stream) response.flushHeaders()
+    exchange.meter = paceMeter.open(clock())
+    exchange.answer = Answers.relayBody({
+      incoming,
+      response,
+      meter: exchange.meter,
+      keepBytes: envelope.claimKey === undefined ? 0 : MAX_KEPT_ANSWER_BYTES,
+      clock,
+      onEnd: (whole, outcome) => {
+        if (!whole) { fail(exchange); return }
+        end(exchange, 'whole', envelope.claimKey === undefined ? undefined : outcome, incoming.statusCode)
+        response.end()
+      }
     })
   }
   const admit = (attemptId: string): void => {
@@ -151,6 +160,8 @@
         'content-length': body.length,
         'x-fescue-call-id': envelope.callId,
         'x-resume-from-index': String(envelope.resumeFromIndex),
+        'x-fescue-priority': String(envelope.priority),
+        ...(envelope.prefixKey === undefined ? {} : { 'x-fescue-prefix-key': envelope.prefixKey }),
         ...(envelope.idempotencyKey === undefined ? {} : { 'idempotency-key': envelope.idempotencyKey })
       }
     })
@@ -161,14 +172,21 @@
     })
     upstream.on('response', incoming => { relayAnswer(exchange, incoming) })
     upstream.on('error', () => {
-      if (exchange.ended) return
-      const code = connected ? 'endpointFailed' : 'endpointUnreachable'
+      if (exchange.ended || exchange.cancelled) return
       if (exchange.response.headersSent) exchange.response.destroy()
-      else sendResult(exchange, code)
+      else sendResult(exchange, connected ? 'endpointFailed' : 'endpointUnreachable')
       end(exchange, connected ? 'failed' : 'neverSent')
     })
     upstream.end(body)
   }
+  const sweep = (): void => {
+    const nowMs = clock()
+    for (const exchange of exchanges.values()) {
+      if (nowMs > exchange.deadlineMs + DEADLINE_GRACE_MS && exchange.upstream !== undefined) cancel(exchange)
+      else if (exchange.envelope.stream && exchange.meter !== undefined && exchange.meter.quietMs(nowMs) > QUIET_STREAM_MS) { exchange.upstream?.destroy(); fail(exchange) } else beat(exchange, nowMs)
+    }
+  }
+  const sweepTimer = setInterval(sweep, HEARTBEAT_MS)
   return {
     route: { method: 'POST', path: CALL_PATH, handle: take },
     admit,
@@ -181,9 +199,36 @@
     },
     cancel: attemptId => {
       const exchange = exchanges.get(attemptId)
-      if (exchange === undefined) return
-      end(exchange, 'cancelled')
-      exchange.upstream?.destroy()
-    }
+      if (exchange !== undefined) cancel(exchange)
+    },
+    takePace: () => paceMeter.take(clock()),
+    stop: () => { clearInterval(sweepTimer) }
+  }
+}
+
+/** Tells the gateway that the connection and the attempt live, where HTTP leaves room for it. */
+function beat (exchange: Exchange, nowMs: number): void {
+  const { response, envelope, meter, answer } = exchange
+  if (response.destroyed || exchange.cancelled) return
+  if (!response.headersSent) response.writeProcessing()
+  else if (envelope.stream && answer?.atBoundary() === true && (meter?.quietMs(nowMs) ?? 0) >= HEARTBEAT_MS) response.write(':\n\n')
+}
+
+function resultOf (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope, code: Core.Codes.CodeName, refusal?: Partial<Messages.Refusal>): Schemas.Calls.CallResult {
+  const { endpoint, attempts, identity } = tables
+  return {
+    callId: envelope.callId,
+    attemptId: envelope.attemptId,
+    code: Core.Codes.CODES[code].code,
+    run: Core.Codes.CODES[code].run,
+    agentIncarnation: identity.incarnation,
+    endpointIncarnation: endpoint.incarnation,
+    limitCount: endpoint.limitCount,
+    activeCount: Tables.runningCount(tables),
+    queuedCount: attempts.queuedCount(),
+    modelVersion: endpoint.modelVersion,
+    shareCount: refusal?.shareCount,
+    retryAfterMs: refusal?.retryAfterMs,
+    reason: refusal?.reason
   }
 }
--- a/src/agent/messages.ts
+++ b/src/agent/messages.ts
@@ -22,13 +22,31 @@
 /** How the endpoint's part of an attempt ended. */
 export type Ending = 'whole' | 'failed' | 'cancelled' | 'neverSent'
 
+/** The pace of the streams that the endpoint runs, since it was asked last. */
+export interface StreamPace {
+  /** Time between parts, summed over all streams, in milliseconds. */
+  readonly gapSumMs: number
+  readonly gapCount: number
+  /** The longest time for which a stream has been quiet now, in milliseconds. */
+  readonly quietMs: number
+}
+
+/** A change of the endpoint's prefix cache. */
+export interface CacheEvent {
+  readonly sequence: number
+  readonly kind: 'stored' | 'evicted'
+  readonly prefixKey: string
+}
+
 /** What arrives at an agent's loop. */
 export type Input =
   | { readonly kind: 'document', readonly document: Schemas.Control.Document }
   | { readonly kind: 'endpointSeen', readonly load: EndpointLoad | undefined }
   | { readonly kind: 'callOffered', readonly envelope: Schemas.Calls.CallEnvelope }
   | { readonly kind: 'callAnswering', readonly attemptId: string }
-  | { readonly kind: 'callEnded', readonly attemptId: string, readonly ending: Ending, readonly outcome?: Schemas.Calls.Outcome }
+  | { readonly kind: 'callEnded', readonly attemptId: string, readonly ending: Ending, readonly outcome?: Schemas.Calls.Outcome, readonly httpStatus?: number }
+  | { readonly kind: 'paceSeen', readonly pace: StreamPace }
+  | { readonly kind: 'cacheEvents', readonly events: readonly CacheEvent[] }
   | { readonly kind: 'callerGone', readonly attemptId: string }
   | { readonly kind: 'fenceAsked', readonly askId: string, readonly question: Schemas.Calls.FenceQuestion }
   | { readonly kind: 'weightsProgress', readonly digest: string, readonly heldCount: number, readonly wantedCount: number, readonly whole: boolean }
@@ -46,8 +64,8 @@
 
 /** What an agent's loop asks of the edge. */
 export type Command =
-  | { readonly kind: 'admit', readonly attemptId: string }
-  | { readonly kind: 'refuse', readonly attemptId: string, readonly refusal: Refusal }
+  | { readonly kind: 'admit', readonly attemptId: string, readonly workspace: string, readonly queuedMs: number }
+  | { readonly kind: 'refuse', readonly attemptId: string, readonly refusal: Refusal, readonly workspace?: string }
   | { readonly kind: 'cancel', readonly attemptId: string }
   | { readonly kind: 'answerFence', readonly askId: string, readonly answer: Schemas.Calls.FenceAnswer }
   | { readonly kind: 'fetchWeights', readonly digests: readonly string[] }
--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -11,6 +11,7 @@
 export interface ProcedureOptions {
   readonly node: Control.Node.ControlNode
   readonly report: () => Schemas.Control.AgentReport
+  readonly explain: () => Schemas.Explain.EndpointExplanation
   readonly fence: (question: Schemas.Calls.FenceQuestion) => Promise<Schemas.Calls.FenceAnswer>
 }
 
@@ -23,6 +24,7 @@
 export function createProcedures (options: ProcedureOptions) {
   return Edge.Rpc.router({
     report: Edge.Rpc.peerProcedure.mutation(() => options.report()),
+    explain: Edge.Rpc.peerProcedure.mutation(() => options.explain()),
     exchange: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
       .mutation(({ input }) => options.node.exchange(input)),
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -3,45 +3,53 @@
  *
  * @packageDocumentation
  */
+import * as Control from '../../control/index.ts'
 import type * as Core from '../../core/index.ts'
 import type * as Schemas from '../../schema/index.ts'
+import * as Limiter from '../limiter.ts'
 import type * as Messages from '../messages.ts'
+import * as Shares from '../shares.ts'
 import * as Tables from '../tables.ts'
 
 /** The longest queue as a multiple of the limit. */
 const QUEUE_PER_LIMIT = 2
-const RETRY_AFTER_MS = 1_000
+/** The longest queue of an endpoint whose limit is small. */
+const MIN_QUEUE_COUNT = 4
+/** The longest time that an attempt is queued for, in milliseconds. */
+const MAX_WAIT_MS = 2_000
+const MIN_RETRY_AFTER_MS = 1_000
+const MAX_RETRY_AFTER_MS = 30_000
 
 /** Takes offered attempts into the queue, admits what the endpoint bears, and follows endings. */
 export const admissionSystem: Tables.System = {
   name: 'admission',
   run: (tables, tick) => {
-    const service = Tables.serviceOf(tables)
-    tables.endpoint.warmLimitCount = service?.maxConcurrentCount ?? 1
     for (const input of tick.inputs) {
       if (input.kind === 'callOffered') offer(tables, tick, input.envelope)
       if (input.kind === 'callAnswering') answering(tables, tick, input.attemptId)
       if (input.kind === 'callEnded') end(tables, tick, input.attemptId, input.ending, input.outcome)
       if (input.kind === 'callerGone') leave(tables, tick, input.attemptId)
     }
-    expire(tables, tick)
+    shed(tables, tick)
     admit(tables, tick)
   }
 }
 
-function offer (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope): void {
-  const refuse = (code: Core.Codes.CodeName, reason: string): void => {
-    refuseAttempt(tables, tick, envelope, { code, reason, limitCount: tables.endpoint.limitCount, retryAfterMs: RETRY_AFTER_MS })
-  }
+type Refuse = (code: Core.Codes.CodeName, reason: string) => void
+
+function offer (tables: Tables.Tables, tick: Tables.Tick, offered: Schemas.Calls.CallEnvelope): void {
+  const entry = Control.Quarantines.entryOf(tables.held.quarantine(), offered.digest)
+  const envelope = entry?.suspect === true ? { ...offered, suspect: true } : offered
+  const refuse: Refuse = (code, reason) => { refuseAttempt(tables, tick, envelope, code, reason) }
   const state = Tables.stateOf(tables)
   if (envelope.agentIncarnation !== tables.identity.incarnation) { refuse('staleIncarnation', 'The agent has restarted.'); return }
   if (tables.finished.has(envelope.attemptId)) { refuse('fenced', 'The attempt was fenced.'); return }
   if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }
   if (state !== 'live') { refuse('noEndpoint', `The endpoint is ${state}.`); return }
+  if (entry !== undefined && entry.suspect !== true) { refuse('quarantined', 'Calls with this digest have crashed endpoints.'); return }
   if (envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion) { refuse('modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`); return }
   if (envelope.timeLeftMs <= 0) { refuse('deadlinePassed', 'The deadline has passed.'); return }
-  const queuedCount = tables.attempts.count() - Tables.runningCount(tables)
-  if (queuedCount >= tables.endpoint.limitCount * QUEUE_PER_LIMIT) { refuse('overCapacity', 'The queue is full.'); return }
+  if (!makeRoom(tables, tick, envelope, refuse)) return
   tables.attempts.set(envelope.attemptId, {
     envelope,
     state: 'queued',
@@ -52,24 +60,58 @@
   })
 }
 
+/** Finds a place in the queue, if need be from the workspace that is furthest over its share. */
+function makeRoom (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, refuse: Refuse): boolean {
+  const waitMs = Shares.waitMsOf(tables, envelope.workspace)
+  if (waitMs > Math.min(MAX_WAIT_MS, envelope.timeLeftMs)) {
+    refuse(codeOf(tables, envelope.workspace), `The wait would be ${Math.round(waitMs)} ms.`)
+    return false
+  }
+  const queueLimit = Math.max(MIN_QUEUE_COUNT, tables.endpoint.limitCount * QUEUE_PER_LIMIT)
+  if (tables.attempts.queuedCount() < queueLimit) return true
+  const evicted = Shares.pickEvicted(tables, envelope.workspace)
+  if (evicted === undefined) { refuse(codeOf(tables, envelope.workspace), 'The queue is full.'); return false }
+  refuseAttempt(tables, tick, evicted.envelope, 'overShare', `The place in the queue went to workspace ${envelope.workspace}, which is below its share.`)
+  return true
+}
+
 function admit (tables: Tables.Tables, tick: Tables.Tick): void {
-  let runningCount = Tables.runningCount(tables)
-  for (const attempt of tables.attempts.rows()) {
-    if (runningCount >= tables.endpoint.limitCount) return
-    if (attempt.state !== 'queued') continue
-    attempt.state = 'running'
-    attempt.admittedAtMs = tick.nowMs
-    runningCount++
-    tick.check('startLimit', runningCount <= tables.endpoint.limitCount, () => ({ attemptId: attempt.envelope.attemptId, runningCount, limitCount: tables.endpoint.limitCount }))
-    tick.log('admission', 'Attempt admitted.', { attemptId: attempt.envelope.attemptId, workspace: attempt.envelope.workspace, runningCount, limitCount: tables.endpoint.limitCount, reason: 'below the limit' })
-    tick.emit({ kind: 'admit', attemptId: attempt.envelope.attemptId })
+  const { attempts, endpoint, limiter } = tables
+  if (Tables.stateOf(tables) !== 'live') return
+  while (attempts.queuedCount() > 0 && attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)) {
+    const attempt = Shares.pickNext(tables)
+    if (attempt === undefined) return
+    const { attemptId, workspace } = attempt.envelope
+    Shares.charge(tables, attempt)
+    attempts.start(attemptId, tick.nowMs)
+    const runningCount = attempts.runningCount()
+    const queuedMs = tick.nowMs - attempt.offeredAtMs
+    checkAdmission(tables, tick, attempt)
+    tick.log('admission', 'Attempt admitted.', { attemptId, workspace, runningCount, limitCount: endpoint.limitCount, queuedMs: Math.round(queuedMs), reason: 'below the limit' })
+    tick.emit({ kind: 'admit', attemptId, workspace, queuedMs })
   }
 }
 
-function expire (tables: Tables.Tables, tick: Tables.Tick): void {
-  for (const attempt of [...tables.attempts.rows()]) {
-    if (attempt.state !== 'queued' || tick.nowMs < attempt.deadlineMs) continue
-    refuseAttempt(tables, tick, attempt.envelope, { code: 'deadlinePassed', reason: 'The deadline passed in the queue.' })
+function checkAdmission (tables: Tables.Tables, tick: Tables.Tick, attempt: Tables.AttemptRow): void {
+  const { identity, endpoint, attempts } = tables
+  const { attemptId } = attempt.envelope
+  const runningCount = attempts.runningCount()
+  const bearableCount = endpoint.coldReported ? 1 : endpoint.limitCount
+  tick.check('startLimit', runningCount <= bearableCount, () => ({ attemptId, runningCount, bearableCount }))
+  tick.check('drainedZone', !Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone), () => ({ attemptId, zone: identity.zone }))
+  tick.check('leavingEndpoint', !tables.stopping, () => ({ attemptId, instanceId: identity.instanceId }))
+}
+
+/** Refuses at once what waits at an endpoint that takes no more work, and what waited past its deadline. */
+function shed (tables: Tables.Tables, tick: Tables.Tick): void {
+  if (tables.attempts.queuedCount() === 0) return
+  const state = Tables.stateOf(tables)
+  for (const row of tables.attempts.workspaces()) {
+    for (const { envelope, deadlineMs } of [...row.queue.values()]) {
+      if (state === 'draining') refuseAttempt(tables, tick, envelope, 'draining', 'The endpoint is leaving.')
+      else if (state !== 'live') refuseAttempt(tables, tick, envelope, 'noEndpoint', `The endpoint is ${state}.`)
+      else if (tick.nowMs >= deadlineMs) refuseAttempt(tables, tick, envelope, 'deadlinePassed', 'The deadline passed in the queue.')
+    }
   }
 }
 
@@ -81,12 +123,10 @@
 function end (tables: Tables.Tables, tick: Tables.Tick, attemptId: string, ending: Messages.Ending, outcome: Schemas.Calls.Outcome | undefined): void {
   const attempt = tables.attempts.get(attemptId)
   if (attempt === undefined) return
+  Shares.settle(tables, attempt, tick.nowMs)
   tables.attempts.remove(attemptId)
   const state = ending === 'whole' ? 'done' : ending === 'neverSent' ? 'neverRun' : 'unknown'
   tables.finished.set(attemptId, { attemptId, state, outcome, finishedAtMs: tick.nowMs })
-  const { endpoint } = tables
-  if (ending === 'whole') endpoint.limitCount = Math.min(endpoint.warmLimitCount, endpoint.limitCount + 1)
-  if (ending === 'failed') endpoint.limitCount = 1
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick, attemptId: string): void {
@@ -97,11 +137,29 @@
   tables.finished.set(attemptId, { attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
 }
 
-function refuseAttempt (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, refusal: Messages.Refusal): void {
-  tables.attempts.remove(envelope.attemptId)
-  if (!tables.finished.has(envelope.attemptId)) {
-    tables.finished.set(envelope.attemptId, { attemptId: envelope.attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
+/** A workspace at or above its share is refused for that; another is refused for the endpoint's limit. */
+function codeOf (tables: Tables.Tables, workspace: string): Core.Codes.CodeName {
+  const used = Shares.usedCount(tables.attempts.workspace(workspace))
+  return used >= Shares.shareOf(tables, workspace) ? 'overShare' : 'overCapacity'
+}
+
+function refuseAttempt (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, code: Core.Codes.CodeName, reason: string): void {
+  const { attemptId, workspace } = envelope
+  const row = tables.attempts.workspace(workspace)
+  const attempt = tables.attempts.get(attemptId)
+  tick.check('truthfulRefusal', attempt?.state !== 'running', () => ({ attemptId, code }))
+  tables.attempts.remove(attemptId)
+  if (!tables.finished.has(attemptId)) {
+    tables.finished.set(attemptId, { attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
   }
-  tick.log('admission', 'Attempt refused.', { attemptId: envelope.attemptId, workspace: envelope.workspace, code: refusal.code, reason: refusal.reason })
-  tick.emit({ kind: 'refuse', attemptId: envelope.attemptId, refusal })
+  row.refusedCounts[code] = (row.refusedCounts[code] ?? 0) + 1
+  row.lastRefusal = { code, reason, atMs: tick.nowMs }
+  const shareCount = Shares.shareOf(tables, workspace)
+  const { limitCount } = tables.endpoint
+  tick.log('admission', 'Attempt refused.', { attemptId, workspace, code, reason, limitCount, shareCount: Math.round(shareCount * 10) / 10 })
+  tick.emit({ kind: 'refuse', attemptId, workspace, refusal: { code, reason, limitCount, shareCount, retryAfterMs: retryAfterMsOf(tables, workspace) } })
+}
+
+function retryAfterMsOf (tables: Tables.Tables, workspace: string): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Shares.waitMsOf(tables, workspace)))
 }
--- a/src/agent/systems/endpoint.ts
+++ b/src/agent/systems/endpoint.ts
@@ -30,13 +30,11 @@
   if (endpoint.incarnation !== load.incarnation) {
     tick.log('endpoint', 'Endpoint has a new incarnation.', { incarnation: load.incarnation })
     endpoint.orderPending = false
-    endpoint.limitCount = 1
   }
   endpoint.incarnation = load.incarnation
   endpoint.reachable = true
   endpoint.modelName = load.modelName
   endpoint.modelVersion = load.modelVersion
   endpoint.modelDigest = load.modelDigest
-  endpoint.coldReported = load.cold
   endpoint.lastSeenMs = tick.nowMs
 }
--- a/src/agent/systems/index.ts
+++ b/src/agent/systems/index.ts
@@ -5,13 +5,19 @@
  */
 import type * as Tables from '../tables.ts'
 import * as Admission from './admission.ts'
+import * as Crashes from './crashes.ts'
 import * as Endpoint from './endpoint.ts'
 import * as Fencing from './fencing.ts'
+import * as Limits from './limits.ts'
 import * as Placement from './placement.ts'
+import * as PrefixCache from './prefixCache.ts'
 
 /** The systems of an agent in the order in which they run. */
 export const SYSTEMS: readonly Tables.System[] = [
+  Crashes.crashesSystem,
+  PrefixCache.prefixCacheSystem,
   Endpoint.endpointSystem,
+  Limits.limitsSystem,
   Placement.placementSystem,
   Fencing.fencingSystem,
   Admission.admissionSystem
--- /dev/null
+++ b/src/agent/systems/prefixCache.ts
@@ -0,0 +1,36 @@
+/**
+ * Follows the endpoint's prefix cache from events that arrive late and with gaps.
+ *
+ * @packageDocumentation
+ */
+import type * as Messages from '../messages.ts'
+import type * as Tables from '../tables.ts'
+
+/** The most prefixes remembered and reported. */
+const MAX_KEY_COUNT = 32
+
+/** Takes cache events; a gap or a new incarnation forgets what was known. */
+export const prefixCacheSystem: Tables.System = {
+  name: 'prefixCache',
+  run: (tables, tick) => {
+    for (const input of tick.inputs) {
+      if (input.kind === 'cacheEvents') input.events.forEach(event => { take(tables, event) })
+      if (input.kind === 'endpointSeen' && input.load !== undefined && input.load.incarnation !== tables.endpoint.incarnation) {
+        tables.prefixCache.keys.clear()
+        tables.prefixCache.sequence = -1
+      }
+    }
+  }
+}
+
+function take (tables: Tables.Tables, event: Messages.CacheEvent): void {
+  const { prefixCache } = tables
+  if (event.sequence <= prefixCache.sequence) return
+  if (event.sequence !== prefixCache.sequence + 1) prefixCache.keys.clear()
+  prefixCache.sequence = event.sequence
+  prefixCache.keys.delete(event.prefixKey)
+  if (event.kind === 'evicted') return
+  prefixCache.keys.add(event.prefixKey)
+  const oldest = prefixCache.keys.values().next()
+  if (prefixCache.keys.size > MAX_KEY_COUNT && oldest.done !== true) prefixCache.keys.delete(oldest.value)
+}
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -6,17 +6,13 @@
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Attempts from './attempts.ts'
+import * as Limiter from './limiter.ts'
 import type * as Messages from './messages.ts'
+import type * as Shares from './shares.ts'
 
 /** An attempt that was offered to this agent and is not finished. */
-export interface AttemptRow {
-  readonly envelope: Schemas.Calls.CallEnvelope
-  state: 'queued' | 'running'
-  readonly offeredAtMs: number
-  readonly deadlineMs: number
-  admittedAtMs: number
-  answeringAtMs: number
-}
+export type AttemptRow = Attempts.AttemptRow
 
 /** An attempt that is finished or fenced, kept for questions about its claim. */
 export interface FinishedRow {
@@ -51,6 +47,24 @@
   orderedAtMs: number
 }
 
+/** A crash of the endpoint and the calls that it ran. */
+export interface CrashRow extends Schemas.Control.Crash {
+  readonly atMs: number
+}
+
+/** An attempt that the endpoint failed, kept until it is known whether the endpoint crashed. */
+export interface FailureRow {
+  readonly digest: string
+  readonly atMs: number
+}
+
+/** The prefixes that the endpoint holds in its cache, as its late and gapped events tell. */
+export interface PrefixCacheRow {
+  readonly keys: Set<string>
+  /** The sequence number of the newest event that was taken; -1 for none. */
+  sequence: number
+}
+
 /** Who the agent is and what it was set to. */
 export interface AgentIdentity extends Control.Node.Identity {
   readonly service: string
@@ -60,10 +74,19 @@
 export interface Tables {
   readonly identity: AgentIdentity
   readonly held: Control.Documents.Held
-  readonly attempts: Core.Table.Table<AttemptRow>
+  readonly attempts: Attempts.AttemptTable
   readonly finished: Core.Table.Table<FinishedRow>
   readonly weights: Core.Table.Table<WeightsRow>
   readonly endpoint: EndpointRow
+  readonly limiter: Limiter.LimiterRow
+  readonly fairness: Shares.FairnessRow
+  /** What the endpoint reported last. */
+  reported: Messages.EndpointLoad | undefined
+  /** The newest crashes of the endpoint. */
+  readonly crashes: CrashRow[]
+  /** The newest failures of the endpoint. */
+  readonly failures: FailureRow[]
+  readonly prefixCache: PrefixCacheRow
   /** The highest fencing number that the agent has acted on. */
   fencingNumber: number
   stopping: boolean
@@ -74,6 +97,9 @@
 /** A tick of an agent. */
 export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
 
+const serviceIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) => new Map(manifest.services.map(service => [service.name, service])))
+const assignmentIndex = Core.Memo.byIdentity((plan: Schemas.Control.PlacementPlan) => new Map(plan.assignments.map(assignment => [assignment.instanceId, assignment])))
+
 /**
  * Creates the tables of an agent that has just started.
  *
@@ -85,7 +111,7 @@
   return {
     identity,
     held,
-    attempts: Core.Table.createTable('attempts'),
+    attempts: Attempts.createAttemptTable(),
     finished: Core.Table.createTable('finished'),
     weights: Core.Table.createTable('weights'),
     endpoint: {
@@ -102,6 +128,12 @@
       orderPending: false,
       orderedAtMs: 0
     },
+    limiter: Limiter.createLimiter(),
+    fairness: { virtualMs: 0, meanServiceMs: 0 },
+    reported: undefined,
+    crashes: [],
+    failures: [],
+    prefixCache: { keys: new Set(), sequence: -1 },
     fencingNumber: 0,
     stopping: false
   }
@@ -114,7 +146,8 @@
  * @returns The service, once a manifest names it.
  */
 export function serviceOf (tables: Tables): Schemas.Manifest.Service | undefined {
-  return tables.held.manifest()?.services.find(service => service.name === tables.identity.service)
+  const manifest = tables.held.manifest()
+  return manifest === undefined ? undefined : serviceIndex(manifest).get(tables.identity.service)
 }
 
 /**
@@ -124,7 +157,8 @@
  * @returns The assignment, if there is one.
  */
 export function assignmentOf (tables: Tables): Schemas.Control.Assignment | undefined {
-  return tables.held.placement()?.assignments.find(assignment => assignment.instanceId === tables.identity.instanceId)
+  const plan = tables.held.placement()
+  return plan === undefined ? undefined : assignmentIndex(plan).get(tables.identity.instanceId)
 }
 
 /**
@@ -134,9 +168,7 @@
  * @returns The count.
  */
 export function runningCount (tables: Tables): number {
-  let count = 0
-  for (const attempt of tables.attempts.rows()) if (attempt.state === 'running') count++
-  return count
+  return tables.attempts.runningCount()
 }
 
 /**
@@ -184,8 +216,10 @@
     wantedChunkCount,
     limitCount: endpoint.limitCount,
     activeCount,
-    queuedCount: tables.attempts.count() - activeCount,
+    queuedCount: tables.attempts.queuedCount(),
     cold: endpoint.limitCount < endpoint.warmLimitCount,
-    versions: tables.held.versions()
+    versions: tables.held.versions(),
+    ...(tables.crashes.length === 0 ? {} : { crashes: tables.crashes.map(({ crashId, digests }) => ({ crashId, digests })) }),
+    ...(tables.prefixCache.keys.size === 0 ? {} : { prefixKeys: [...tables.prefixCache.keys] })
   }
 }
--- /dev/null
+++ b/src/control/quarantines.ts
@@ -0,0 +1,57 @@
+/**
+ * The quarantine document: digests of calls that crash endpoints, bounded and expiring.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+import type * as Schemas from '../schema/index.ts'
+
+/** The most entries that a document holds. */
+export const MAX_ENTRY_COUNT = 256
+/** The most crashes remembered with one entry. */
+export const MAX_CRASH_ID_COUNT = 8
+
+/** Changes to a quarantine document. */
+export interface QuarantineChange {
+  readonly put: readonly Schemas.Control.QuarantineEntry[]
+  readonly lift: readonly string[]
+}
+
+const index = Core.Memo.byIdentity((quarantine: Schemas.Control.Quarantine) => new Map(quarantine.entries.map(entry => [entry.digest, entry])))
+
+/**
+ * Finds the entry of a digest, expired or not.
+ *
+ * @param quarantine - The document.
+ * @param digest - The call's digest.
+ * @returns The entry, if there is one.
+ */
+export function entryOf (quarantine: Schemas.Control.Quarantine, digest: string): Schemas.Control.QuarantineEntry | undefined {
+  return index(quarantine).get(digest)
+}
+
+/**
+ * Applies changes: crashes of one digest add up, expired entries go, and suspects give way first.
+ *
+ * @param quarantine - The document in force, if there is one.
+ * @param change - What to put and lift.
+ * @param nowMs - Wall-clock time in milliseconds since 1970.
+ * @returns The new document.
+ */
+export function merge (quarantine: Schemas.Control.Quarantine | undefined, change: QuarantineChange, nowMs: number): Schemas.Control.Quarantine {
+  const entries = new Map(quarantine?.entries.filter(entry => entry.expiresAtMs > nowMs).map(entry => [entry.digest, entry]))
+  change.lift.forEach(digest => { entries.delete(digest) })
+  for (const entry of change.put) {
+    const known = entries.get(entry.digest)
+    const crashIds = [...new Set([...(known?.crashIds ?? []), ...(entry.crashIds ?? [])])].slice(-MAX_CRASH_ID_COUNT)
+    entries.set(entry.digest, {
+      ...entry,
+      crashIds,
+      crashCount: Math.max(crashIds.length, entry.crashCount, known?.crashCount ?? 0),
+      suspect: entry.suspect === true && (known === undefined || known.suspect === true) ? true : undefined,
+      expiresAtMs: Math.max(entry.expiresAtMs, known?.expiresAtMs ?? 0)
+    })
+  }
+  const ordered = [...entries.values()].sort((a, b) => Number(a.suspect === true) - Number(b.suspect === true) || b.expiresAtMs - a.expiresAtMs)
+  return { entries: ordered.slice(0, MAX_ENTRY_COUNT) }
+}
--- /dev/null
+++ b/src/core/deadlines.ts
@@ -0,0 +1,60 @@
+/**
+ * Deadlines of many entities: setting, removing and expiring cost the same however many there are.
+ *
+ * @packageDocumentation
+ */
+
+/** Keys with the time at which each is due. */
+export interface Deadlines {
+  /** Sets or moves a deadline. */
+  set: (key: string, dueMs: number) => void
+  remove: (key: string) => void
+  /** Removes and returns the keys that are due, at most one step late. */
+  expire: (nowMs: number) => string[]
+  count: () => number
+}
+
+/**
+ * Creates an empty set of deadlines.
+ *
+ * @param stepMs - The precision in milliseconds.
+ * @returns The deadlines.
+ */
+export function createDeadlines (stepMs: number): Deadlines {
+  const buckets = new Map<number, Set<string>>()
+  const bucketOf = new Map<string, number>()
+  let firstBucket = Infinity
+
+  const remove = (key: string): void => {
+    const bucket = bucketOf.get(key)
+    if (bucket === undefined) return
+    bucketOf.delete(key)
+    const keys = buckets.get(bucket)
+    keys?.delete(key)
+    if (keys?.size === 0) buckets.delete(bucket)
+  }
+  return {
+    set: (key, dueMs) => {
+      remove(key)
+      const bucket = Math.ceil(dueMs / stepMs)
+      const keys = buckets.get(bucket) ?? new Set<string>()
+      keys.add(key)
+      buckets.set(bucket, keys)
+      bucketOf.set(key, bucket)
+      firstBucket = Math.min(firstBucket, bucket)
+    },
+    remove,
+    expire: nowMs => {
+      const nowBucket = Math.floor(nowMs / stepMs)
+      if (nowBucket < firstBucket) return []
+      const due = nowBucket - firstBucket < buckets.size
+        ? Array.from({ length: nowBucket - firstBucket + 1 }, (_, offset) => firstBucket + offset)
+        : [...buckets.keys()].filter(bucket => bucket <= nowBucket).sort((a, b) => a - b)
+      const keys = due.flatMap(bucket => [...buckets.get(bucket) ?? []])
+      keys.forEach(remove)
+      firstBucket = buckets.size === 0 ? Infinity : nowBucket + 1
+      return keys
+    },
+    count: () => bucketOf.size
+  }
+}
--- a/src/schema/calls.ts
+++ b/src/schema/calls.ts
@@ -34,7 +34,11 @@
   /** The idempotency key handed on to the endpoint. */
   idempotencyKey: Schema.optional(Schema.String),
   /** The incarnation of the agent that the attempt is meant for. */
-  agentIncarnation: Schema.String
+  agentIncarnation: Schema.String,
+  /** Whether the call was in flight when an endpoint crashed; an agent runs one such call at a time. */
+  suspect: Schema.optional(Schema.Boolean),
+  /** Names the start of the body, under which an engine caches it. */
+  prefixKey: Schema.optional(Schema.String)
 })
 /** What a gateway tells an agent about a call. */
 export type CallEnvelope = typeof CallEnvelope.Type
@@ -46,6 +50,8 @@
   code: Schema.Int,
   run: Schema.Literals(['notRun', 'ran', 'unknown']),
   agentIncarnation: Schema.String,
+  /** The incarnation of the endpoint that the attempt was given to. */
+  endpointIncarnation: Schema.optional(Schema.String),
   limitCount: Manifest.Count,
   activeCount: Manifest.Count,
   queuedCount: Manifest.Count,
--- a/src/schema/control.ts
+++ b/src/schema/control.ts
@@ -40,6 +40,10 @@
   digest: Manifest.Digest,
   service: Manifest.Name,
   crashCount: Manifest.Count,
+  /** The incarnations of endpoints that crashed while they ran such a call, the newest last. */
+  crashIds: Schema.optional(Schema.Array(Schema.String)),
+  /** Whether the call is only suspected: it is run alone instead of refused. */
+  suspect: Schema.optional(Schema.Boolean),
   /** Wall-clock time in milliseconds since 1970 at which the entry ends. */
   expiresAtMs: Schema.Number
 })
@@ -88,6 +92,15 @@
 /** A lease as stored. */
 export type LeaseRecord = typeof LeaseRecord.Type
 
+/** A crash of an endpoint and the calls that it ran. */
+export const Crash = Schema.Struct({
+  /** The incarnation of the endpoint that ended. */
+  crashId: Schema.String,
+  digests: Schema.Array(Manifest.Digest)
+})
+/** A crash of an endpoint and the calls that it ran. */
+export type Crash = typeof Crash.Type
+
 /** What an agent reports of itself and its endpoint. */
 export const AgentReport = Schema.Struct({
   instanceId: Schema.String,
@@ -106,7 +119,11 @@
   activeCount: Manifest.Count,
   queuedCount: Manifest.Count,
   cold: Schema.Boolean,
-  versions: Versions
+  versions: Versions,
+  /** Crashes of the endpoint within the last minute. */
+  crashes: Schema.optional(Schema.Array(Crash)),
+  /** The prefixes that the endpoint holds in its cache, the newest last. */
+  prefixKeys: Schema.optional(Schema.Array(Schema.String))
 })
 /** What an agent reports of itself and its endpoint. */
 export type AgentReport = typeof AgentReport.Type
--- a/src/schema/index.ts
+++ b/src/schema/index.ts
@@ -6,6 +6,7 @@
 export * as Calls from './calls.ts'
 export * as Control from './control.ts'
 export * as Decode from './decode.ts'
+export * as Explain from './explain.ts'
 export * as Manifest from './manifest.ts'
 export * as Platform from './platform.ts'
 export * as Weights from './weights.ts'
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -13,6 +13,7 @@
 import * as HttpServer from '../src/edge/httpServer.ts'
 import * as Decode from '../src/schema/decode.ts'
 import * as Faults from './faults.ts'
+import * as PrefixCache from './prefixCache.ts'
 
 /** Settings of an engine. */
 export interface EngineOptions {
@@ -30,6 +31,14 @@
   readonly fencing?: boolean
   /** How long it is away after a crash, in milliseconds. */
   readonly restartMs?: number
+  /** Time until the first token of a prompt whose prefix is not cached, in milliseconds. */
+  readonly prefillMs?: number
+  /** Prefixes that its cache holds. */
+  readonly cachedPrefixCount?: number
+  /** How late its cache events can be read, in milliseconds. */
+  readonly cacheEventLagMs?: number
+  /** Share of cache events, from 0 to 1, that are lost. */
+  readonly loseCacheEventShare?: number
   /** A prompt with this text crashes it. */
   readonly poison?: string
 }
@@ -45,6 +54,12 @@
   maxActiveCount: number
   /** Times that more sequences ran than it bears. */
   overloadCount: number
+  /** Of these, the ones while it was cold. */
+  coldOverloadCount: number
+  /** Of these, the ones so late after it turned cold that its pace had shown it. */
+  lateColdOverloadCount: number
+  /** Calls whose prefix was in its cache. */
+  prefixHitCount: number
   crashCount: number
   fencingNumber: number
   cancelledCount: number
@@ -59,6 +74,11 @@
   turnCold: () => void
 }
 
+/** How much slower a token is while cold. */
+const COLD_SLOWDOWN = 3
+/** Cold tokens after which its pace has shown that it turned cold. */
+const COLD_SIGN_TOKENS = 2
+
 const Generate = Schema.Struct({
   prompt: Schema.String,
   maxTokens: Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 100_000 })),
@@ -82,6 +102,8 @@
   readonly tokenCount: number
   readonly tokens: string[]
   nextIndex: number
+  /** Time at which its prompt is processed. */
+  readyAtMs: number
 }
 
 /**
@@ -105,9 +127,17 @@
 export async function createEngine (options: EngineOptions = {}): Promise<Engine> {
   const capacityCount = options.capacityCount ?? 8
   const coldCapacityCount = options.coldCapacityCount ?? capacityCount
+  const tokenMs = options.tokenMs ?? 2
   const sequences = new Set<Sequence>()
   const received = new Map<string, Map<number, string>>()
+  const prefixCache = PrefixCache.createPrefixCache({
+    maxCount: options.cachedPrefixCount ?? 16,
+    lagMs: options.cacheEventLagMs ?? 0,
+    loseShare: options.loseCacheEventShare ?? 0,
+    random: Core.Random.createRandom(options.seed ?? 1)
+  })
   let coldUntilMs = 0
+  let turnedColdMs = 0
   let awayUntilMs = 0
   const state: EngineState = {
     incarnation: Crypto.randomUUID(),
@@ -118,17 +148,25 @@
     activeCount: 0,
     maxActiveCount: 0,
     overloadCount: 0,
+    coldOverloadCount: 0,
+    lateColdOverloadCount: 0,
+    prefixHitCount: 0,
     crashCount: 0,
     fencingNumber: 0,
     cancelledCount: 0,
     refusedLoadCount: 0
   }
   const cold = (): boolean => performance.now() < coldUntilMs
+  const turnCold = (): void => {
+    turnedColdMs = performance.now()
+    coldUntilMs = turnedColdMs + (options.coldMs ?? 0)
+  }
 
   const crash = (): void => {
     for (const sequence of sequences) sequence.response.socket?.destroy()
     sequences.clear()
     received.clear()
+    prefixCache.clear()
     Object.assign(state, { incarnation: Crypto.randomUUID(), modelName: undefined, modelVersion: undefined, modelDigest: undefined, activeCount: 0, crashCount: state.crashCount + 1, fencingNumber: 0 })
     awayUntilMs = performance.now() + (options.restartMs ?? 100)
   }
@@ -147,6 +185,7 @@
   const advance = (): void => {
     state.activeCount = sequences.size
     for (const sequence of sequences) {
+      if (performance.now() < sequence.readyAtMs) continue
       const text = tokenOf(sequence.version, sequence.prompt, sequence.nextIndex)
       if (sequence.stream) sequence.response.write(`event: token\ndata: ${JSON.stringify({ index: sequence.nextIndex, text })}\n\n`)
       else sequence.tokens.push(text)
@@ -159,17 +198,22 @@
   const runBatch = (): void => {
     advance()
     if (sequences.size === 0) { timer = undefined; return }
-    const slowdown = Math.max(1, sequences.size / capacityCount) * (cold() ? 3 : 1)
-    timer = setTimeout(runBatch, (options.tokenMs ?? 2) * slowdown)
+    const slowdown = Math.max(1, sequences.size / capacityCount) * (cold() ? COLD_SLOWDOWN : 1)
+    timer = setTimeout(runBatch, tokenMs * slowdown)
   }
-  const start = (sequence: Sequence): void => {
+  const start = (sequence: Sequence, prefillMs: number): void => {
+    sequence.readyAtMs = performance.now() + prefillMs
     sequences.add(sequence)
     state.activeCount = sequences.size
     state.maxActiveCount = Math.max(state.maxActiveCount, sequences.size)
     const bearableCount = cold() ? coldCapacityCount : capacityCount
-    if (sequences.size > bearableCount) state.overloadCount++
+    if (sequences.size > bearableCount) {
+      state.overloadCount++
+      if (cold()) state.coldOverloadCount++
+      if (cold() && performance.now() - turnedColdMs > COLD_SIGN_TOKENS * COLD_SLOWDOWN * tokenMs) state.lateColdOverloadCount++
+    }
     if (sequences.size > (cold() ? coldCapacityCount : capacityCount * 2)) { crash(); return }
-    timer ??= setTimeout(runBatch, options.tokenMs ?? 2)
+    timer ??= setTimeout(runBatch, tokenMs)
   }
   const decodeGenerate = Decode.json(Generate)
   const generate: HttpServer.Handler = async (request, response) => {
@@ -186,12 +230,14 @@
       response.flushHeaders()
     }
     const resumeFrom = Number(request.headers['x-resume-from-index'] ?? 0)
-    const sequence: Sequence = { response, prompt, version: state.modelVersion, stream, tokenCount: maxTokens, tokens: [], nextIndex: stream ? resumeFrom : 0 }
+    const sequence: Sequence = { response, prompt, version: state.modelVersion, stream, tokenCount: maxTokens, tokens: [], nextIndex: stream ? resumeFrom : 0, readyAtMs: 0 }
     response.once('close', () => {
       if (sequences.delete(sequence)) { state.cancelledCount++; state.activeCount = sequences.size }
     })
     if (sequence.nextIndex >= maxTokens) { finish(sequence); return }
-    start(sequence)
+    const cached = prefixCache.use(String(request.headers['x-fescue-prefix-key'] ?? ''))
+    if (cached) state.prefixHitCount++
+    start(sequence, cached ? 0 : options.prefillMs ?? 0)
   }
 
   const decodeOrder = Decode.json(Order)
@@ -209,7 +255,7 @@
       if (!whole) { state.refusedLoadCount++; HttpServer.sendJson(response, 422, { error: 'weights are not whole' }); return }
       Object.assign(state, { modelName: wanted.modelName, modelVersion: wanted.modelVersion, modelDigest: wanted.digest })
       received.delete(wanted.digest ?? '')
-      coldUntilMs = performance.now() + (options.coldMs ?? 0)
+      turnCold()
     }
     HttpServer.sendJson(response, 200, {})
   }
@@ -223,9 +269,12 @@
   const load: HttpServer.Handler = (_request, response) => {
     HttpServer.sendJson(response, 200, { ...state, queuedCount: 0, capacityCount, cold: cold() })
   }
+  const readCacheEvents: HttpServer.Handler = (_request, response, path) => {
+    HttpServer.sendJson(response, 200, { events: prefixCache.eventsAfter(Number(path.slice(path.lastIndexOf('/') + 1))) })
+  }
   const control: HttpServer.Handler = (_request, response, path) => {
     if (path.endsWith('crash')) crash()
-    if (path.endsWith('cold')) coldUntilMs = performance.now() + (options.coldMs ?? 0)
+    if (path.endsWith('cold')) turnCold()
     HttpServer.sendJson(response, 200, {})
   }
   const standIn = await Faults.createStandIn({
@@ -234,6 +283,7 @@
     routes: [
       { method: 'POST', path: '/control/*', handle: control },
       { method: 'GET', path: '/load', handle: whenHere(load) },
+      { method: 'GET', path: '/cache-events/*', handle: whenHere(readCacheEvents) },
       { method: 'POST', path: '/orders', handle: whenHere(order) },
       { method: 'PUT', path: '/weights/*', handle: whenHere(takeChunk) }
     ],
@@ -243,7 +293,7 @@
     ...standIn,
     state: () => state,
     crash,
-    turnCold: () => { coldUntilMs = performance.now() + (options.coldMs ?? 0) },
+    turnCold,
     close: async () => { clearTimeout(timer); await standIn.close() }
   }
 }
