Route over bounded subsets with budgets, hedging, ejection and quarantine

Cause: every call scanned all calls and endpoints each tick, each gateway polled every agent four times a second, a silent connection was found after 30 s, an attempt was left running when its caller went away, and a refusal could say notRun after an attempt whose outcome was unknown. Change: waiting calls, deadlines and hedge times are indexed; rendezvous subsets; polls of what was not heard; less loaded of two with prefix affinity and zone preference; retry budgets for each workspace; hedges of idempotent calls; ejection with a cap; heartbeats and silent connections; end marks checked against tokens and version; suspects and quarantine of calls that crash endpoints.

--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -38,6 +38,7 @@
 type Refuse = (code: Core.Codes.CodeName, reason: string) => void
 
 function offer (tables: Tables.Tables, tick: Tables.Tick, offered: Schemas.Calls.CallEnvelope): void {
+  if (offered.supersedes !== undefined) leave(tables, tick, offered.supersedes)
   const entry = Control.Quarantines.entryOf(tables.held.quarantine(), offered.digest)
   const envelope = entry?.suspect === true ? { ...offered, suspect: true } : offered
   const refuse: Refuse = (code, reason) => { refuseAttempt(tables, tick, envelope, code, reason) }
--- a/src/control/quarantines.ts
+++ b/src/control/quarantines.ts
@@ -3,8 +3,12 @@
  *
  * @packageDocumentation
  */
+import * as Crypto from 'node:crypto'
+import type * as Neverthrow from 'neverthrow'
 import * as Core from '../core/index.ts'
+import type * as Platform from '../platform/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Commits from './commits.ts'
 
 /** The most entries that a document holds. */
 export const MAX_ENTRY_COUNT = 256
@@ -30,6 +34,21 @@
   return index(quarantine).get(digest)
 }
 
+/**
+ * Commits changes to the document.
+ *
+ * @param tables - The client of the table service.
+ * @param change - What to put and lift.
+ * @returns The document in force after the commit, or why there is none.
+ */
+export async function commit (tables: Platform.TableClient.TableClient, change: QuarantineChange): Promise<Neverthrow.Result<Schemas.Control.Document, Commits.CommitFailure>> {
+  return await Commits.commit(tables, {
+    kind: 'quarantine',
+    nonce: Crypto.randomUUID(),
+    change: body => merge(body as Schemas.Control.Quarantine | undefined, change, Date.now())
+  })
+}
+
 /**
  * Applies changes: crashes of one digest add up, expired entries go, and suspects give way first.
  *
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
+import type * as Net from 'node:net'
 
 /** A server to talk to. */
 export interface Target {
@@ -41,9 +42,21 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 const CONNECTION_IDLE_MS = 15_000
+/** A connection is not used again after this time, in milliseconds. */
+const CONNECTION_MAX_AGE_MS = 120_000
 
 /** The process's pool of connections. */
-export const pool = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+export const pool = createPool()
+
+/**
+ * Closes the idle connections to a server, because one to it has gone silent.
+ *
+ * @param target - The server.
+ */
+export function dropIdle (target: Target): void {
+  const name = pool.getName({ host: target.host, port: target.port })
+  for (const socket of pool.freeSockets[name] ?? []) socket.destroy()
+}
 
 /**
  * Parses `host:port`.
@@ -127,3 +140,16 @@
     throw new TransportError(`${method} ${path}: answer is not JSON`, true)
   }
 }
+
+function createPool (): Http.Agent {
+  const agent = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+  const openedMs = new WeakMap<object, number>()
+  const keep = agent as unknown as { keepSocketAlive: (socket: Net.Socket) => boolean }
+  const keepSocketAlive = keep.keepSocketAlive.bind(agent)
+  keep.keepSocketAlive = socket => {
+    const sinceMs = openedMs.get(socket) ?? performance.now()
+    openedMs.set(socket, sinceMs)
+    return performance.now() - sinceMs < CONNECTION_MAX_AGE_MS && keepSocketAlive(socket)
+  }
+  return agent
+}
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -14,6 +14,7 @@
 import type * as Schemas from '../schema/index.ts'
 import * as Callers from './callers.ts'
 import * as ClaimWriter from './claimWriter.ts'
+import * as Endpoints from './systems/endpoints.ts'
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
 import * as Operators from './operators.ts'
@@ -27,7 +28,7 @@
 }
 
 const BEAT_MS = 20
-const REPORT_POLL_MS = 250
+const REPORT_POLL_MS = 100
 const PEER_TIMEOUT_MS = 1_000
 const FENCE_TIMEOUT_MS = 2_000
 const CLAIM_GATHER_MS = 2
@@ -83,6 +84,11 @@
     const answer = await client.fence.mutate(command.question).catch(() => undefined)
     push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer })
   }
+  const commitQuarantine = async (change: Control.Quarantines.QuarantineChange): Promise<void> => {
+    const committed = await Control.Quarantines.commit(store, change)
+    if (committed.isOk()) node.adopt(committed.value)
+    else push({ kind: 'quarantineFailed', change })
+  }
   const perform: Core.Loop.Handlers<Messages.Command> = {
     dispatch: command => { callers.dispatch(command.dispatch) },
     cancelAttempt: command => { callers.cancelAttempt(command.callId) },
@@ -99,6 +105,7 @@
       callers.finish(command.callId, command.code, command.details)
     },
     writeClaim: command => { claims.write(command.write) },
+    commitQuarantine: command => { void commitQuarantine(command.change) },
     askFence: command => { void askFence(command) }
   }
   const loop = Core.Loop.createLoop({
@@ -115,7 +122,7 @@
     const report = await client.report.mutate().catch(() => undefined)
     push({ kind: 'report', endpointId: endpoint.endpointId, report: report as Schemas.Control.AgentReport | undefined })
   }
-  const reportTimer = setInterval(() => { for (const endpoint of tables.endpoints.rows()) void pollReport(endpoint) }, REPORT_POLL_MS)
+  const reportTimer = setInterval(() => { for (const endpoint of Endpoints.takePolls(tables, clock())) void pollReport(endpoint) }, REPORT_POLL_MS)
 
   const holder = Control.PlacementHolder.createHolder({
     tables: store,
@@ -169,6 +176,7 @@
       await holder.close()
       await server.close(settings.stopGraceMs)
       clearInterval(reportTimer)
+      callers.stop()
       node.stop()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -3,12 +3,12 @@
  *
  * @packageDocumentation
  */
-import * as Http from 'node:http'
-import * as EventsourceParser from 'eventsource-parser'
-import * as AgentCalls from '../agent/calls.ts'
+import type * as Http from 'node:http'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
-import * as Schemas from '../schema/index.ts'
+import type * as Schemas from '../schema/index.ts'
+import * as Attempts from './attempts.ts'
+import * as Exchange from './exchange.ts'
 import type * as Messages from './messages.ts'
 
 /** Settings of the byte path. */
@@ -31,28 +31,16 @@
   replay: (callId: string, outcome: Schemas.Calls.Outcome) => void
   finish: (callId: string, code: Core.Codes.CodeName, details: Edge.HttpServer.RefusalDetails) => void
   activeCount: () => number
+  stop: () => void
 }
 
-interface Exchange {
-  readonly callId: string
-  readonly body: Buffer
-  readonly response: Http.ServerResponse
-  readonly stream: boolean
-  attempt: Http.ClientRequest | undefined
-  attemptId: string
-  /** The whole answer of the attempt that ended last. */
-  answer: { status: number, contentType: string, body: Buffer } | undefined
-  /** The next token that the caller is to get. */
-  nextIndex: number
-}
-
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024
-/** The largest answer that is saved with a claim, in bytes. */
-const MAX_SAVED_ANSWER_BYTES = 64 * 1024
-/** An attempt that sends nothing for so long is given up, in milliseconds. */
-const SILENT_ATTEMPT_MS = 30_000
 const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/
-const decodeResult = Schemas.Decode.json(Schemas.Calls.CallResult)
+const SWEEP_MS = 250
+/** A begun stream that is quiet for so long gets a comment, so that callers see that it lives, in milliseconds. */
+const COMMENT_AFTER_MS = 5_000
+/** The start of a body that names its prefix, in bytes. */
+const PREFIX_BYTES = 256
+const MIN_PREFIX_BYTES = 64
 
 /**
  * Creates the byte path.
@@ -61,7 +49,9 @@
  * @returns The handler of requests and the handlers of commands.
  */
 export function createCallers (options: CallersOptions): Callers {
-  const exchanges = new Map<string, Exchange>()
+  const exchanges = new Map<string, Exchange.Exchange>()
+  const clock = (): number => performance.now()
+  const attempts = Attempts.createAttempts({ peerKey: options.peerKey, push: options.push, clock })
 
   const handle: Edge.HttpServer.Handler = async (request, response, path) => {
     const callId = options.makeId()
@@ -69,141 +59,38 @@
     if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error, { callId }); return }
     const call = arrivedCall(options, callId, request, path, body.value)
     if (typeof call === 'string') { Edge.HttpServer.sendCode(response, 'badRequest', { callId, reason: call }); return }
-    exchanges.set(callId, { callId, body: body.value, response, stream: call.stream, attempt: undefined, attemptId: '', answer: undefined, nextIndex: 0 })
+    exchanges.set(callId, Exchange.createExchange(callId, body.value, response, call.stream, call.idempotencyKey !== undefined))
     response.once('close', () => {
-      if (exchanges.delete(callId)) options.push({ kind: 'callerGone', callId })
+      if (exchanges.has(callId)) options.push({ kind: 'callerGone', callId })
     })
     options.push({ kind: 'callArrived', call })
   }
-  const endAttempt = (exchange: Exchange, attemptId: string, end: Messages.AttemptEnd): void => {
-    if (exchange.attemptId !== attemptId) return
-    exchange.attemptId = ''
-    exchange.attempt = undefined
-    options.push({ kind: 'attemptEnded', callId: exchange.callId, attemptId, end })
-  }
-
-  const dispatch = (command: Messages.Dispatch): void => {
-    const exchange = exchanges.get(command.callId)
-    if (exchange === undefined) return
-    const { envelope, target } = command
-    const { attemptId } = envelope
-    exchange.attemptId = attemptId
-    exchange.answer = undefined
-    let connected = false
-    const attempt = Http.request({
-      host: target.host,
-      port: target.port,
-      method: 'POST',
-      path: AgentCalls.CALL_PATH,
-      agent: Edge.HttpClient.pool,
-      headers: {
-        authorization: `Bearer ${options.peerKey()}`,
-        [AgentCalls.ENVELOPE_HEADER]: JSON.stringify(envelope),
-        'content-length': exchange.body.length
-      }
-    })
-    exchange.attempt = attempt
-    attempt.setTimeout(SILENT_ATTEMPT_MS, () => { attempt.destroy(new Error('silent connection')) })
-    attempt.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
-    attempt.on('error', error => {
-      endAttempt(exchange, attemptId, connected
-        ? { run: 'unknown', code: 'outcomeUnknown', reason: error.message }
-        : { run: 'notRun', code: 'endpointUnreachable', reason: error.message })
-    })
-    attempt.on('response', incoming => { takeAnswer(exchange, command, incoming) })
-    attempt.end(exchange.body)
-  }
-  const takeAnswer = (exchange: Exchange, command: Messages.Dispatch, incoming: Http.IncomingMessage): void => {
-    const { attemptId, callId } = command.envelope
-    const result = decodeResult(String(incoming.headers[AgentCalls.RESULT_HEADER] ?? ''))
-    if (result.isErr() || result.value.callId !== callId || result.value.attemptId !== attemptId) {
-      incoming.destroy()
-      endAttempt(exchange, attemptId, { run: 'unknown', code: 'outcomeUnknown', reason: 'The answer does not belong to the attempt.' })
-      return
-    }
-    options.push({ kind: 'callLoad', endpointId: command.endpointId, result: result.value })
-    if (result.value.code !== Core.Codes.CODES.ok.code) {
-      incoming.resume()
-      const { run, code, reason, retryAfterMs, shareCount, limitCount } = result.value
-      endAttempt(exchange, attemptId, { run, code: Core.Codes.nameOf(code) ?? 'outcomeUnknown', reason, retryAfterMs, shareCount, limitCount })
-      return
-    }
-    const isStream = String(incoming.headers['content-type']).startsWith('text/event-stream')
-    if (exchange.stream && isStream) relayStream(exchange, attemptId, incoming)
-    else collectAnswer(exchange, attemptId, incoming)
-  }
-  const cut = (exchange: Exchange, attemptId: string, reason: string): void => {
-    endAttempt(exchange, attemptId, { run: 'unknown', code: 'streamCut', reason })
-  }
-  const collectAnswer = (exchange: Exchange, attemptId: string, incoming: Http.IncomingMessage): void => {
-    const parts: Buffer[] = []
-    let sizeBytes = 0
-    incoming.on('data', (part: Buffer) => {
-      sizeBytes += part.length
-      if (sizeBytes > MAX_ANSWER_BYTES) { incoming.destroy(new Error('answer too large')); return }
-      parts.push(part)
-    })
-    incoming.on('error', error => { cut(exchange, attemptId, error.message) })
-    incoming.on('end', () => {
-      if (!incoming.complete) { cut(exchange, attemptId, 'The answer was cut short.'); return }
-      const answer = { status: incoming.statusCode ?? 502, contentType: String(incoming.headers['content-type'] ?? 'application/octet-stream'), body: Buffer.concat(parts) }
-      exchange.answer = answer
-      const outcome = answer.body.length > MAX_SAVED_ANSWER_BYTES
-        ? undefined
-        : { httpStatus: answer.status, contentType: answer.contentType, bodyBase64: answer.body.toString('base64') }
-      endAttempt(exchange, attemptId, { run: 'ran', code: 'ok', outcome })
-    })
-  }
-  const relayStream = (exchange: Exchange, attemptId: string, incoming: Http.IncomingMessage): void => {
-    const { response } = exchange
-    if (!response.headersSent) {
-      response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-fescue-call-id': exchange.callId })
-      response.flushHeaders()
+  const sweep = (): void => {
+    const nowMs = clock()
+    for (const exchange of exchanges.values()) {
+      attempts.sweep(exchange, nowMs)
+      const { response } = exchange
+      if (!response.headersSent || response.destroyed || nowMs - exchange.wroteAtMs < COMMENT_AFTER_MS) continue
+      response.write(':\n\n')
+      exchange.wroteAtMs = nowMs
     }
-    let ended = false
-    const parser = EventsourceParser.createParser({
-      onEvent: event => {
-        if (event.event === 'end') { ended = true; response.write(`event: end\ndata: ${event.data}\n\n`); return }
-        if (event.event !== 'token') return
-        const index = Number((JSON.parse(event.data) as { index?: unknown }).index)
-        if (index < exchange.nextIndex) return
-        if (index !== exchange.nextIndex) { incoming.destroy(new Error('a token is missing')); return }
-        exchange.nextIndex = index + 1
-        response.write(`event: token\ndata: ${event.data}\n\n`)
-        options.push({ kind: 'streamProgress', callId: exchange.callId, attemptId, nextIndex: exchange.nextIndex })
-      }
-    })
-    incoming.setEncoding('utf8')
-    incoming.on('data', (text: string) => {
-      if (exchange.attemptId !== attemptId) return
-      parser.feed(text)
-      if (response.writableNeedDrain) {
-        incoming.pause()
-        response.once('drain', () => { incoming.resume() })
-      }
-    })
-    incoming.on('error', error => { cut(exchange, attemptId, error.message) })
-    incoming.on('end', () => {
-      if (!ended || !incoming.complete) { cut(exchange, attemptId, 'The stream ended without its end mark.'); return }
-      endAttempt(exchange, attemptId, { run: 'ran', code: 'ok' })
-    })
   }
-  const close = (callId: string): Exchange | undefined => {
+  const sweepTimer = setInterval(sweep, SWEEP_MS)
+  const close = (callId: string): Exchange.Exchange | undefined => {
     const exchange = exchanges.get(callId)
     exchanges.delete(callId)
+    if (exchange !== undefined) attempts.cancel(exchange)
     return exchange
   }
   return {
     handle,
-    dispatch,
+    dispatch: command => {
+      const exchange = exchanges.get(command.callId)
+      if (exchange !== undefined) attempts.dispatch(exchange, command)
+    },
     cancelAttempt: callId => {
       const exchange = exchanges.get(callId)
-      if (exchange === undefined) return
-      exchange.attemptId = ''
-      exchange.attempt?.destroy()
+      if (exchange !== undefined) attempts.cancel(exchange)
     },
     deliver: callId => {
       const exchange = close(callId)
@@ -223,11 +110,12 @@
       const row = Core.Codes.CODES[code]
       exchange.response.end(`event: error\ndata: ${JSON.stringify({ code: row.code, name: code, run: row.run, message: row.text, ...details })}\n\n`)
     },
-    activeCount: () => exchanges.size
+    activeCount: () => exchanges.size,
+    stop: () => { clearInterval(sweepTimer) }
   }
 }
 
-function sendAnswer (exchange: Exchange, answer: { status: number, contentType: string, body: Buffer }, replayed = false): void {
+function sendAnswer (exchange: Exchange.Exchange, answer: Exchange.WholeAnswer, replayed = false): void {
   const { response } = exchange
   if (response.destroyed) return
   response.writeHead(answer.status, {
@@ -260,11 +148,12 @@
     method,
     path,
     contentType: header('content-type'),
-    digest: Core.Hash.sha256(`${method} ${path}\n${body.toString('latin1')}`),
+    digest: Core.Hash.sha256(Buffer.concat([Buffer.from(`${method} ${path}\n`), body])),
     idempotencyKey,
     stream: header('accept')?.includes('text/event-stream') === true,
     adapter: header('x-fescue-adapter'),
     priority: priority === undefined ? undefined : Number(priority),
+    prefixKey: body.length < MIN_PREFIX_BYTES ? undefined : Core.Hash.rankOf(body.toString('latin1', 0, PREFIX_BYTES)).toString(36),
     timeLeftMs: Math.min(deadlineMs, options.maxDeadlineMs)
   }
 }
--- a/src/gateway/finish.ts
+++ b/src/gateway/finish.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type * as Core from '../core/index.ts'
+import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import type * as Tables from './tables.ts'
 
@@ -25,6 +25,8 @@
  * @param details - What else the caller is told.
  */
 export function finish (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
+  const mayHaveRun = row.maybeRun || row.nextIndex > 0
+  tick.check('truthfulRefusal', !mayHaveRun || Core.Codes.CODES[code].run !== 'notRun', () => ({ callId: row.call.callId, code, maybeRun: row.maybeRun, nextIndex: row.nextIndex }))
   drop(tables, row)
   tick.log('calls', 'Call ended.', { callId: row.call.callId, workspace: row.call.workspace, code, reason: details.reason })
   tick.emit({ kind: 'finish', callId: row.call.callId, code, details: { callId: row.call.callId, workspace: row.call.workspace, ...details } })
@@ -63,12 +65,28 @@
  * @param row - The call.
  */
 export function clearAttempt (tables: Tables.Tables, row: Tables.CallRow): void {
-  const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
-  if (endpoint !== undefined && row.state !== 'claiming') endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+  if (row.current !== undefined && row.state !== 'claiming') release(tables, row.current)
   row.current = undefined
 }
 
+/**
+ * Counts an attempt as finished at its endpoint.
+ *
+ * @param tables - The gateway's tables.
+ * @param attempt - The attempt.
+ */
+export function release (tables: Tables.Tables, attempt: Tables.CurrentAttempt): void {
+  const endpoint = tables.endpoints.get(attempt.endpointId)
+  if (endpoint !== undefined) endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+}
+
 function drop (tables: Tables.Tables, row: Tables.CallRow): void {
+  const { callId } = row.call
+  if (row.hedge !== undefined) release(tables, row.hedge)
+  row.hedge = undefined
   clearAttempt(tables, row)
-  tables.calls.remove(row.call.callId)
+  tables.calls.remove(callId)
+  tables.waiting.delete(callId)
+  tables.deadlines.remove(callId)
+  tables.hedgeTimes.remove(callId)
 }
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Control from '../control/index.ts'
 import type * as Core from '../core/index.ts'
 import type * as Edge from '../edge/index.ts'
 import type * as Schemas from '../schema/index.ts'
@@ -19,6 +20,8 @@
   readonly stream: boolean
   readonly adapter: string | undefined
   readonly priority: number | undefined
+  /** Names the start of the body, under which an engine caches it. */
+  readonly prefixKey?: string
   /** Time until the caller's deadline in milliseconds. */
   readonly timeLeftMs: number
 }
@@ -31,6 +34,8 @@
   readonly retryAfterMs?: number
   readonly shareCount?: number
   readonly limitCount?: number
+  /** Whether the connection went silent, so that the endpoint is not to blame yet. */
+  readonly silent?: boolean
   /** The answer of a call that was run, when it was read whole and is small enough to save. */
   readonly outcome?: Schemas.Calls.Outcome
 }
@@ -50,6 +55,8 @@
   | { readonly kind: 'callerGone', readonly callId: string }
   | { readonly kind: 'callLoad', readonly endpointId: string, readonly result: Schemas.Calls.CallResult }
   | { readonly kind: 'streamProgress', readonly callId: string, readonly attemptId: string, readonly nextIndex: number }
+  | { readonly kind: 'attemptWon', readonly callId: string, readonly attemptId: string }
+  | { readonly kind: 'quarantineFailed', readonly change: Control.Quarantines.QuarantineChange }
   | { readonly kind: 'attemptEnded', readonly callId: string, readonly attemptId: string, readonly end: AttemptEnd }
   | { readonly kind: 'claimAnswered', readonly callId: string, readonly result: ClaimResult }
   | { readonly kind: 'fenceAnswered', readonly callId: string, readonly attemptId: string, readonly answer: Schemas.Calls.FenceAnswer | undefined }
@@ -79,6 +86,7 @@
 export type Command =
   | { readonly kind: 'dispatch', readonly dispatch: Dispatch }
   | { readonly kind: 'cancelAttempt', readonly callId: string }
+  | { readonly kind: 'commitQuarantine', readonly change: Control.Quarantines.QuarantineChange }
   | { readonly kind: 'deliver', readonly callId: string }
   | { readonly kind: 'replay', readonly callId: string, readonly outcome: Schemas.Calls.Outcome }
   | { readonly kind: 'finish', readonly callId: string, readonly code: Core.Codes.CodeName, readonly details: Edge.HttpServer.RefusalDetails }
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -6,7 +6,11 @@
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
 import type * as Tables from '../tables.ts'
+import * as Core from '../../core/index.ts'
 import type * as Schemas from '../../schema/index.ts'
+import * as Outliers from '../outliers.ts'
+import * as Suspicion from '../suspicion.ts'
+import * as Routing from './routing.ts'
 
 const RETRY_AFTER_MS = 1_000
 const DEFAULT_PRIORITY = 1
@@ -30,7 +34,9 @@
     for (const input of tick.inputs) {
       if (input.kind !== 'attemptEnded') continue
       const row = tables.calls.get(input.callId)
+      if (row?.hedge?.attemptId === input.attemptId) { settleHedge(tables, tick, row, row.hedge, input.end); continue }
       if (row?.current?.attemptId !== input.attemptId) continue
+      Outliers.note(tables, tick, row.current.endpointId, input.end)
       settle(tables, tick, row, input.end)
     }
   }
@@ -40,15 +46,20 @@
 export const deadlineSystem: Tables.System = {
   name: 'deadline',
   run: (tables, tick) => {
-    for (const row of [...tables.calls.rows()]) {
-      if (tick.nowMs < row.deadlineMs) continue
+    for (const callId of tables.deadlines.expire(tick.nowMs)) {
+      const row = tables.calls.get(callId)
+      if (row === undefined) continue
       const dispatched = row.state === 'running' || row.state === 'asking'
       if (dispatched) tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
-      Finish.finish(tables, tick, row, dispatched ? 'deadlineRunning' : 'deadlinePassed', { reason: `The deadline passed while ${row.state}.` })
+      Finish.finish(tables, tick, row, dispatched || row.maybeRun || row.nextIndex > 0 ? 'deadlineRunning' : 'deadlinePassed', { reason: `The deadline passed while ${row.state}.` })
     }
   }
 }
 
+const workspaceIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) => new Map(manifest.workspaces.map(workspace => [workspace.name, workspace])))
+const routeIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) =>
+  new Map(manifest.services.flatMap(service => service.routes.map((route): [string, FoundRoute] => [`${route.method} ${route.path}`, { service, route }]))))
+
 /** A service and the route of it that a call takes. */
 export interface FoundRoute {
   readonly service: Schemas.Manifest.Service
@@ -64,11 +75,7 @@
  * @returns The service and route, if the manifest has them.
  */
 export function findRoute (manifest: Schemas.Manifest.Manifest, method: string, path: string): FoundRoute | undefined {
-  for (const service of manifest.services) {
-    const route = service.routes.find(candidate => candidate.method === method && candidate.path === path)
-    if (route !== undefined) return { service, route }
-  }
-  return undefined
+  return routeIndex(manifest).get(`${method} ${path}`)
 }
 
 function accept (tables: Tables.Tables, tick: Tables.Tick, call: Messages.ArrivedCall): void {
@@ -78,15 +85,13 @@
   }
   const manifest = tables.held.manifest()
   if (manifest === undefined) { refuse('notReady', 'No manifest is in force here.', RETRY_AFTER_MS); return }
-  const workspace = manifest.workspaces.find(candidate => candidate.name === call.workspace)
+  const workspace = workspaceIndex(manifest).get(call.workspace)
   if (workspace === undefined) { refuse('workspaceUnknown', `No workspace "${call.workspace}".`); return }
   const found = findRoute(manifest, call.method, call.path)
   if (found === undefined) { refuse('routeUnknown', `No route ${call.method} ${call.path}.`); return }
-  if (tables.held.quarantine().entries.some(entry => entry.digest === call.digest && entry.expiresAtMs > tables.wallClock())) {
-    refuse('quarantined', 'Calls with this digest have crashed endpoints.')
-    return
-  }
-  tables.calls.set(call.callId, {
+  if (Suspicion.isQuarantined(tables, call.digest)) { refuse('quarantined', 'Calls with this digest have crashed endpoints.'); return }
+  tables.budgets.deposit(call.workspace)
+  const row: Tables.CallRow = {
     call,
     service: found.service.name,
     idempotent: found.route.idempotent,
@@ -101,8 +106,20 @@
     notBeforeMs: 0,
     nextIndex: 0,
     pinnedVersion: undefined,
-    claimRevision: 0
-  })
+    claimRevision: 0,
+    hedge: undefined,
+    answering: false,
+    sentAtMs: 0,
+    maybeRun: false,
+    failureCount: 0,
+    suspect: Suspicion.isSuspect(tables, call.digest),
+    reconnected: false,
+    again: undefined,
+    backOffCount: 0
+  }
+  tables.calls.set(call.callId, row)
+  tables.deadlines.set(call.callId, row.deadlineMs)
+  Routing.wait(tables, row)
 }
 
 function settle (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
@@ -113,14 +130,63 @@
 type Settler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd) => void
 
 const SETTLERS: Readonly<Record<Messages.AttemptEnd['run'], Settler>> = {
-  ran: (tables, tick, row) => { Finish.deliver(tables, tick, row) },
-  notRun: (tables, _tick, row) => { routeAgain(tables, row) },
+  ran: (tables, tick, row) => {
+    Suspicion.clear(tables, tick, row.call.digest)
+    Finish.deliver(tables, tick, row)
+  },
+  notRun: (tables, _tick, row) => { followOn(tables, row) },
   unknown: (tables, tick, row, end) => {
-    if (row.idempotent && row.call.idempotencyKey === undefined) { routeAgain(tables, row); return }
+    blame(tables, tick, row, end)
+    if (row.idempotent && row.call.idempotencyKey === undefined) {
+      row.maybeRun = true
+      reconnect(row, end)
+      followOn(tables, row)
+      return
+    }
     ask(tables, tick, row, end)
   }
 }
 
+/** Codes of ends that the endpoint itself caused. */
+const FAILURE_CODES: ReadonlySet<Core.Codes.CodeName> = new Set(['endpointFailed', 'streamCut'])
+/** Time for evidence of a crash to arrive before a call that failed endpoints is tried again, in milliseconds. */
+const EVIDENCE_WAIT_MS = 1_000
+
+/** Suspects a call whose endpoint failed. */
+function blame (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
+  if (!FAILURE_CODES.has(end.code) || end.silent === true) return
+  row.failureCount++
+  row.suspect = true
+  const crashId = row.current?.endpointIncarnation
+  if (end.code === 'endpointFailed' && crashId !== undefined && crashId !== '') Suspicion.addFailure(tables, tick, row, crashId)
+  if (row.failureCount > 1) row.notBeforeMs = tick.nowMs + EVIDENCE_WAIT_MS
+}
+
+/** After a silent connection, the same endpoint is asked once more over a new one. */
+function reconnect (row: Tables.CallRow, end: Messages.AttemptEnd): void {
+  if (end.silent !== true || row.reconnected || row.current === undefined) return
+  row.reconnected = true
+  row.again = { endpointId: row.current.endpointId, attemptId: row.current.attemptId }
+}
+
+/** Goes on with the other attempt of a hedged call, or sends the call back to routing. */
+function followOn (tables: Tables.Tables, row: Tables.CallRow): void {
+  const { hedge } = row
+  if (hedge === undefined) { routeAgain(tables, row); return }
+  row.hedge = undefined
+  if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
+  Finish.clearAttempt(tables, row)
+  row.current = hedge
+}
+
+function settleHedge (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, hedge: Tables.CurrentAttempt, end: Messages.AttemptEnd): void {
+  Outliers.note(tables, tick, hedge.endpointId, end)
+  if (end.run === 'unknown') row.maybeRun = true
+  row.refusedBy.add(hedge.endpointId)
+  row.hedge = undefined
+  Finish.release(tables, hedge)
+}
+
 /**
  * Sends a call back to routing, away from the endpoint that it was at.
  *
@@ -130,7 +196,8 @@
 export function routeAgain (tables: Tables.Tables, row: Tables.CallRow): void {
   if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
   Finish.clearAttempt(tables, row)
-  row.state = 'routing'
+  row.answering = false
+  Routing.wait(tables, row)
 }
 
 /** Asks the agent what became of an attempt; the agent fences it unless it was run. */
--- a/src/gateway/systems/index.ts
+++ b/src/gateway/systems/index.ts
@@ -7,12 +7,16 @@
 import * as Calls from './calls.ts'
 import * as Claims from './claims.ts'
 import * as Endpoints from './endpoints.ts'
+import * as Hedging from './hedging.ts'
+import * as Quarantine from './quarantine.ts'
 import * as Routing from './routing.ts'
 
 /** The systems of a gateway in the order in which they run. */
 export const SYSTEMS: readonly Tables.System[] = [
   Endpoints.endpointsSystem,
+  Quarantine.quarantineSystem,
   Calls.acceptSystem,
+  Hedging.hedgingSystem,
   Calls.settleSystem,
   Claims.claimsSystem,
   Routing.routingSystem,
--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -3,27 +3,54 @@
  *
  * @packageDocumentation
  */
-import * as Control from '../../control/index.ts'
+import * as Core from '../../core/index.ts'
+import * as Choice from '../choice.ts'
 import * as Finish from '../finish.ts'
+import * as Suspicion from '../suspicion.ts'
 import type * as Tables from '../tables.ts'
 import * as Claims from './claims.ts'
+import * as Hedging from './hedging.ts'
 
-/** A report older than this is not trusted, in milliseconds. */
-const REPORT_FRESH_MS = 3_000
 /** The most attempts of one call. */
 const MAX_ATTEMPT_COUNT = 4
+/** The most endpoints that may fail under one call. */
+const MAX_FAILURE_COUNT = 2
+/** The same for a begun stream, which more failures only cut. */
+const MAX_STREAM_FAILURE_COUNT = 3
 const RETRY_AFTER_MS = 1_000
+const BACK_OFF_MS = 50
+const MAX_BACK_OFF_COUNT = 2
+/** The most waits for an endpoint that can go on with a begun stream. */
+const MAX_RESUME_BACK_OFF_COUNT = 6
+/** Ends that say nothing of load: a repeat elsewhere takes nothing out of the retry budget. */
+const FREE_CODES: ReadonlySet<Core.Codes.CodeName> = new Set(['draining', 'staleIncarnation', 'modelNotLoaded'])
 
 /** Routes calls that wait. */
 export const routingSystem: Tables.System = {
   name: 'routing',
   run: (tables, tick) => {
-    for (const row of [...tables.calls.rows()]) {
-      if (row.state === 'routing' && tick.nowMs >= row.notBeforeMs) route(tables, tick, row)
+    if (tables.waiting.size === 0) return
+    for (const callId of [...tables.waiting]) {
+      const row = tables.calls.get(callId)
+      if (row?.state !== 'routing') { tables.waiting.delete(callId); continue }
+      if (tick.nowMs < row.notBeforeMs) continue
+      tables.waiting.delete(callId)
+      route(tables, tick, row)
     }
   }
 }
 
+/**
+ * Puts a call among those that wait for an endpoint.
+ *
+ * @param tables - The gateway's tables.
+ * @param row - The call.
+ */
+export function wait (tables: Tables.Tables, row: Tables.CallRow): void {
+  row.state = 'routing'
+  tables.waiting.add(row.call.callId)
+}
+
 /**
  * Sends a call's chosen attempt to its agent.
  *
@@ -32,27 +59,68 @@
  * @param row - The call, its attempt chosen and claimed where it has a key.
  */
 export function send (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
-  const { call, current } = row
+  const { current } = row
   const endpoint = current === undefined ? undefined : tables.endpoints.get(current.endpointId)
-  if (current === undefined || endpoint === undefined) { row.state = 'routing'; row.current = undefined; return }
+  if (current === undefined || endpoint === undefined || !Choice.takesNewWork(tables, endpoint)) {
+    row.current = undefined
+    wait(tables, row)
+    return
+  }
   row.state = 'running'
+  row.sentAtMs = tick.nowMs
+  dispatch(tables, tick, row, current, endpoint)
+  Hedging.plan(tables, row)
+}
+
+/**
+ * Chooses an attempt at an endpoint.
+ *
+ * @param tables - The gateway's tables.
+ * @param endpoint - The endpoint.
+ * @returns The attempt, not sent yet.
+ */
+export function attemptAt (tables: Tables.Tables, endpoint: Tables.EndpointRow): Tables.CurrentAttempt {
+  return {
+    attemptId: tables.makeId(),
+    endpointId: endpoint.endpointId,
+    agentIncarnation: endpoint.report?.incarnation ?? '',
+    modelVersion: endpoint.report?.modelVersion,
+    endpointIncarnation: endpoint.report?.endpointIncarnation
+  }
+}
+
+/**
+ * Sends an attempt to the agent of an endpoint.
+ *
+ * @param tables - The gateway's tables.
+ * @param tick - The current tick.
+ * @param row - The call.
+ * @param attempt - The attempt.
+ * @param endpoint - The endpoint.
+ */
+export function dispatch (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, attempt: Tables.CurrentAttempt, endpoint: Tables.EndpointRow): void {
+  const { call } = row
+  const { endpointId } = endpoint
   endpoint.outstandingCount++
+  const drained = !Choice.takesNewWork(tables, endpoint)
+  tick.check('drainedZone', !drained, () => ({ callId: call.callId, endpointId, zone: endpoint.zone }))
+  tick.check('leavingEndpoint', endpoint.listedState !== 'leaving', () => ({ callId: call.callId, endpointId }))
   tick.emit({
     kind: 'dispatch',
     dispatch: {
       callId: call.callId,
-      endpointId: current.endpointId,
+      endpointId,
       target: { host: endpoint.host, port: endpoint.port },
       envelope: {
         callId: call.callId,
-        attemptId: current.attemptId,
+        attemptId: attempt.attemptId,
         gatewayId: tables.identity.instanceId,
         workspace: call.workspace,
         service: row.service,
         method: call.method,
         path: call.path,
         contentType: call.contentType,
-        modelVersion: current.modelVersion,
+        modelVersion: attempt.modelVersion,
         adapter: call.adapter,
         timeLeftMs: row.deadlineMs - tick.nowMs,
         priority: row.priority,
@@ -62,55 +130,63 @@
         digest: call.digest,
         claimKey: call.idempotencyKey === undefined ? undefined : Claims.claimKeyOf(call.workspace, call.idempotencyKey),
         idempotencyKey: call.idempotencyKey,
-        agentIncarnation: current.agentIncarnation
+        agentIncarnation: attempt.agentIncarnation,
+        prefixKey: call.prefixKey,
+        supersedes: row.again?.endpointId === endpointId ? row.again.attemptId : undefined,
+        suspect: row.suspect ? true : undefined
       }
     }
   })
 }
 
 function route (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
-  const usable = [...tables.endpoints.rows()].filter(endpoint => isUsable(tables, tick, row, endpoint))
-  const fresh = usable.filter(endpoint => !row.refusedBy.has(endpoint.endpointId))
-  if (fresh.length === 0 || row.attemptCount >= MAX_ATTEMPT_COUNT) { refuse(tables, tick, row); return }
-  const local = fresh.filter(endpoint => endpoint.zone === tables.identity.zone && spareOf(endpoint) > 0)
-  const candidates = local.length > 0 ? local : fresh
-  const first = candidates[tick.random.below(candidates.length)]
-  const second = candidates[tick.random.below(candidates.length)]
-  if (first === undefined || second === undefined) return
-  const endpoint = spareOf(second) > spareOf(first) ? second : first
+  if (Suspicion.isQuarantined(tables, row.call.digest)) { refuse(tables, tick, row, 'quarantined'); return }
+  if (row.attemptCount >= MAX_ATTEMPT_COUNT || row.failureCount >= (row.nextIndex > 0 ? MAX_STREAM_FAILURE_COUNT : MAX_FAILURE_COUNT)) { refuse(tables, tick, row); return }
+  const usable = Choice.usableFor(tables, tick.nowMs, row)
+  const again = usable.find(endpoint => endpoint.endpointId === row.again?.endpointId)
+  const fresh = again === undefined ? usable.filter(endpoint => !row.refusedBy.has(endpoint.endpointId)) : [again]
+  const choice = Choice.choose(tables, tick.random, row, fresh)
+  if (choice === undefined) { backOff(tables, tick, row); return }
+  if (!mayRepeat(tables, tick, row, choice.endpoint)) { refuse(tables, tick, row); return }
+  const { endpoint, candidateCount, reason } = choice
   row.attemptCount++
-  row.current = {
-    attemptId: tables.makeId(),
-    endpointId: endpoint.endpointId,
-    agentIncarnation: endpoint.report?.incarnation ?? '',
-    modelVersion: endpoint.report?.modelVersion
-  }
-  tick.log('routing', 'Endpoint chosen.', { callId: row.call.callId, endpointId: endpoint.endpointId, zone: endpoint.zone, spareCount: spareOf(endpoint), candidateCount: candidates.length, reason: local.length > 0 ? 'least loaded of two in the zone' : 'least loaded of two' })
+  row.current = attemptAt(tables, endpoint)
+  Choice.rememberPrefix(tables, row.call.prefixKey, endpoint.endpointId)
+  tick.log('routing', 'Endpoint chosen.', { callId: row.call.callId, endpointId: endpoint.endpointId, zone: endpoint.zone, spareCount: Choice.spareOf(endpoint), candidateCount, reason: again === undefined ? reason : 'asked again over a new connection' })
   if (row.call.idempotencyKey !== undefined) Claims.claim(tables, tick, row)
   else send(tables, tick, row)
+  row.again = undefined
 }
 
-function isUsable (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, endpoint: Tables.EndpointRow): boolean {
-  const { report } = endpoint
-  if (endpoint.service !== row.service || report?.state !== 'live') return false
-  if (endpoint.listedState === 'leaving' || tick.nowMs - endpoint.reportedAtMs > REPORT_FRESH_MS || tick.nowMs < endpoint.avoidUntilMs) return false
-  if (Control.Documents.isDrained(tables.held.drains(), endpoint.endpointId, endpoint.zone)) return false
-  return row.pinnedVersion === undefined || report.modelVersion === row.pinnedVersion
+/** The first attempt is free; a repeat needs an endpoint that seems to have room, and the budget. */
+function mayRepeat (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, endpoint: Tables.EndpointRow): boolean {
+  const end = row.lastEnd
+  if (row.attemptCount === 0 || end === undefined || FREE_CODES.has(end.code)) return true
+  if (end.code === 'overShare' && Choice.spareOf(endpoint) <= 0) return false
+  return tables.budgets.withdraw(row.call.workspace, tick.nowMs)
 }
 
-function spareOf (endpoint: Tables.EndpointRow): number {
-  const report = endpoint.report
-  if (report === undefined) return -Infinity
-  return report.limitCount - Math.max(report.activeCount + report.queuedCount, endpoint.outstandingCount)
+/** Waits a little for an endpoint when there was one, or when a begun stream has to go on. */
+function backOff (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
+  const begun = row.nextIndex > 0
+  const waited = row.backOffCount >= (begun ? MAX_RESUME_BACK_OFF_COUNT : MAX_BACK_OFF_COUNT)
+  const unavailable = begun || (row.attemptCount > 0 && row.lastEnd?.code !== 'overShare' && row.lastEnd?.code !== 'overCapacity')
+  const delayMs = Core.Random.jitter(tick.random, BACK_OFF_MS * 2 ** row.backOffCount)
+  if (waited || !unavailable || tick.nowMs + delayMs >= row.deadlineMs) { refuse(tables, tick, row); return }
+  row.backOffCount++
+  row.refusedBy.clear()
+  row.notBeforeMs = tick.nowMs + delayMs
+  wait(tables, row)
 }
 
-function refuse (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
+function refuse (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, notRunCode?: Core.Codes.CodeName): void {
   const end = row.lastEnd
-  const begun = row.nextIndex > 0
-  const code = begun ? 'streamCut' : end?.run === 'unknown' ? 'outcomeUnknown' : end?.code ?? 'noEndpoint'
+  const unknownCode = row.nextIndex > 0 ? 'streamCut' : row.failureCount > 0 ? 'endpointFailed' : 'outcomeUnknown'
+  const toldCode = notRunCode ?? (end === undefined || end.run !== 'notRun' ? 'noEndpoint' : end.code)
+  const code = row.maybeRun || row.nextIndex > 0 ? unknownCode : toldCode
   Finish.finish(tables, tick, row, code, {
-    reason: end?.reason ?? 'No endpoint is live.',
-    retryAfterMs: end?.retryAfterMs ?? RETRY_AFTER_MS,
+    reason: notRunCode === 'quarantined' ? 'Calls with this digest have crashed endpoints.' : end?.reason ?? 'No endpoint is live.',
+    retryAfterMs: Core.Codes.CODES[code].retryable ? Core.Random.jitter(tick.random, end?.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
     limitCount: end?.limitCount,
     shareCount: end?.shareCount
   })
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -6,6 +6,7 @@
 import type * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Budgets from './budgets.ts'
 import type * as Messages from './messages.ts'
 
 /** An endpoint as this gateway sees it. */
@@ -19,6 +20,18 @@
   listedState: 'live' | 'leaving'
   report: Schemas.Control.AgentReport | undefined
   reportedAtMs: number
+  /** When a report or an answer of the agent came last. */
+  heardAtMs: number
+  /** When the agent was asked last for its report. */
+  polledAtMs: number
+  /** Whether the endpoint is in this gateway's subset. */
+  member: boolean
+  /** The prefixes that the endpoint's cache held at its last report. */
+  prefixKeys: ReadonlySet<string>
+  /** Failures in a row. */
+  failureCount: number
+  /** Ejections in a row. */
+  ejectionCount: number
   /** Attempts of this gateway that are not finished. */
   outstandingCount: number
   /** Time until which the endpoint is not chosen, in milliseconds. */
@@ -31,6 +44,8 @@
   readonly endpointId: string
   readonly agentIncarnation: string
   readonly modelVersion: string | undefined
+  /** The incarnation of the endpoint, as last reported. */
+  readonly endpointIncarnation?: string
 }
 
 /** A caller's call that has no final answer yet. */
@@ -47,6 +62,22 @@
   /** Endpoints that refused this call. */
   readonly refusedBy: Set<string>
   lastEnd: Messages.AttemptEnd | undefined
+  /** A second attempt of an idempotent call whose first one is slow. */
+  hedge: CurrentAttempt | undefined
+  /** Whether the answer has begun. */
+  answering: boolean
+  sentAtMs: number
+  /** Whether an attempt may have been run without an answer. */
+  maybeRun: boolean
+  /** Attempts that ended because the endpoint failed. */
+  failureCount: number
+  /** Whether the call was in flight when an endpoint failed. */
+  suspect: boolean
+  /** Whether a silent connection to an endpoint was replaced already. */
+  reconnected: boolean
+  /** The endpoint to be asked again over a new connection, and the attempt left behind there. */
+  again: { readonly endpointId: string, readonly attemptId: string } | undefined
+  backOffCount: number
   /** Time before which the call is not routed again, in milliseconds. */
   notBeforeMs: number
   /** The first token that the caller has not got. */
@@ -57,6 +88,33 @@
   claimRevision: number
 }
 
+/** A call that was in flight when endpoints crashed. */
+export interface SuspectRow {
+  readonly digest: string
+  readonly service: string
+  /** The incarnations of endpoints that crashed with it. */
+  readonly crashIds: Set<string>
+  quarantined: boolean
+}
+
+/** What the gateway has yet to commit to the quarantine. */
+export interface QuarantineRow {
+  readonly put: Map<string, Schemas.Control.QuarantineEntry>
+  readonly lift: Set<string>
+  notBeforeMs: number
+  /** Crashes that were counted, the oldest first. */
+  readonly seenCrashIds: Set<string>
+  /** Digests of the document in force. */
+  documented: ReadonlySet<string>
+}
+
+/** How long a service's endpoints take until an answer begins. */
+export interface LatencyRow {
+  meanMs: number
+  deviationMs: number
+  sampleCount: number
+}
+
 /** Who a gateway is. */
 export type GatewayIdentity = Control.Node.Identity
 
@@ -66,6 +124,26 @@
   readonly held: Control.Documents.Held
   readonly endpoints: Core.Table.Table<EndpointRow>
   readonly calls: Core.Table.Table<CallRow>
+  /** The endpoints of each service that this gateway may choose. */
+  readonly members: Map<string, EndpointRow[]>
+  /** Every gateway in the platform's list. */
+  gateways: ReadonlyArray<{ readonly instanceId: string, readonly zone: string }>
+  /** Identifies the lists from which the members were chosen. */
+  membersOf: string
+  /** Calls that wait for an endpoint. */
+  readonly waiting: Set<string>
+  /** Deadlines of calls. */
+  readonly deadlines: Core.Deadlines.Deadlines
+  /** Times at which running calls may be hedged. */
+  readonly hedgeTimes: Core.Deadlines.Deadlines
+  readonly budgets: Budgets.Budgets
+  readonly latencies: Core.Table.Table<LatencyRow>
+  /** The endpoint that last ran a prefix. */
+  readonly affinity: Core.Table.Table<string>
+  readonly suspects: Core.Table.Table<SuspectRow>
+  /** Times at which suspects are forgotten. */
+  readonly suspectTimes: Core.Deadlines.Deadlines
+  readonly quarantine: QuarantineRow
   /** Returns wall-clock time in milliseconds since 1970. */
   readonly wallClock: () => number
   /** Makes an identifier that no other process makes. */
@@ -78,6 +156,9 @@
 /** A tick of a gateway. */
 export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
 
+const DEADLINE_STEP_MS = 5
+const SUSPECT_STEP_MS = 1_000
+
 /**
  * Creates the tables of a gateway that has just started.
  *
@@ -93,6 +174,18 @@
     held,
     endpoints: Core.Table.createTable('endpoints'),
     calls: Core.Table.createTable('calls'),
+    members: new Map(),
+    gateways: [],
+    membersOf: '',
+    waiting: new Set(),
+    deadlines: Core.Deadlines.createDeadlines(DEADLINE_STEP_MS),
+    hedgeTimes: Core.Deadlines.createDeadlines(DEADLINE_STEP_MS),
+    budgets: Budgets.createBudgets(),
+    latencies: Core.Table.createTable('latencies'),
+    affinity: Core.Table.createTable('affinity'),
+    suspects: Core.Table.createTable('suspects'),
+    suspectTimes: Core.Deadlines.createDeadlines(SUSPECT_STEP_MS),
+    quarantine: { put: new Map(), lift: new Set(), notBeforeMs: 0, seenCrashIds: new Set(), documented: new Set() },
     wallClock,
     makeId,
     stopping: false
--- a/src/schema/calls.ts
+++ b/src/schema/calls.ts
@@ -37,6 +37,8 @@
   agentIncarnation: Schema.String,
   /** Whether the call was in flight when an endpoint crashed; an agent runs one such call at a time. */
   suspect: Schema.optional(Schema.Boolean),
+  /** The attempt of the same call that this one takes the place of. */
+  supersedes: Schema.optional(Schema.String),
   /** Names the start of the body, under which an engine caches it. */
   prefixKey: Schema.optional(Schema.String)
 })
