--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -59,7 +59,7 @@
     sizeBytes += part.length
     boundary = part.length > 1 && part[part.length - 1] === LINE_FEED && part[part.length - 2] === LINE_FEED
     if (sizeBytes <= options.keepBytes) kept.push(part)
-    if (response.write(part)) return
+    if (response.destroyed || response.write(part)) return
     incoming.pause()
     meter.block()
   })
@@ -67,6 +67,7 @@
     meter.unblock(options.clock())
     incoming.resume()
   })
+  response.on('close', () => { incoming.resume() })
   incoming.on('error', () => { options.onEnd(false, undefined) })
   incoming.on('end', () => {
     const outcome = sizeBytes > options.keepBytes
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -10,6 +10,7 @@
 import * as Answers from './answers.ts'
 import type * as Messages from './messages.ts'
 import * as Pace from './pace.ts'
+import * as Fencing from './systems/fencing.ts'
 import * as Tables from './tables.ts'
 
 /** Where gateways send attempts. */
@@ -25,7 +26,8 @@
 export interface RelayOptions {
   readonly endpoint: Edge.HttpClient.Target
   readonly maxBodyBytes: number
-  readonly peerKey: () => string
+  readonly guard: Edge.Auth.Guard
+  readonly onRefused: (path: string, reason: string) => void
   readonly tables: Tables.Tables
   readonly push: (input: Messages.Input) => void
   readonly log: Edge.Log.Log
@@ -56,7 +58,7 @@
 
 const BODY_TIMEOUT_MS = 10_000
 /** The largest answer that is kept for questions about its claim, in bytes. */
-const MAX_KEPT_ANSWER_BYTES = 64 * 1024
+const MAX_KEPT_ANSWER_BYTES = 1024 * 1024
 /** A stream for which the endpoint sends nothing for so long is given up, in milliseconds. */
 const QUIET_STREAM_MS = 15_000
 /** An attempt is cancelled so long after its deadline, when its gateway has not done so, in milliseconds. */
@@ -77,15 +79,17 @@
   const clock = (): number => performance.now()
 
   const take: Edge.HttpServer.Handler = async (request, response) => {
-    if (request.headers.authorization !== `Bearer ${options.peerKey()}`) {
-      options.log.warn('calls', 'Attempt refused.', { reason: 'wrong peer key' })
+    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
+    if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
+    const envelopeText = String(request.headers[ENVELOPE_HEADER] ?? '')
+    const caller = options.guard.identify(request, CALL_PATH, body.value, envelopeText)
+    if (caller.role !== 'peer') {
+      options.onRefused(CALL_PATH, caller.reason ?? 'wrongRole')
       Edge.HttpServer.sendCode(response, 'unauthorized')
       return
     }
-    const envelope = decodeEnvelope(String(request.headers[ENVELOPE_HEADER] ?? ''))
+    const envelope = decodeEnvelope(envelopeText)
     if (envelope.isErr()) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: Schemas.Decode.describe(envelope.error) }); return }
-    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
-    if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
     const { attemptId, timeLeftMs } = envelope.value
     if (exchanges.has(attemptId)) { Edge.HttpServer.sendCode(response, 'badRequest', { reason: 'repeated attempt' }); return }
     exchanges.set(attemptId, { envelope: envelope.value, body: body.value, response, deadlineMs: clock() + timeLeftMs, upstream: undefined, meter: undefined, answer: undefined, cancelled: false, ended: false })
@@ -135,11 +139,11 @@
       incoming,
       response,
       meter: exchange.meter,
-      keepBytes: envelope.claimKey === undefined ? 0 : MAX_KEPT_ANSWER_BYTES,
+      keepBytes: Fencing.isCovered(envelope) ? MAX_KEPT_ANSWER_BYTES : 0,
       clock,
       onEnd: (whole, outcome) => {
         if (!whole) { fail(exchange); return }
-        end(exchange, 'whole', envelope.claimKey === undefined ? undefined : outcome, incoming.statusCode)
+        end(exchange, 'whole', Fencing.isCovered(envelope) ? outcome : undefined, incoming.statusCode)
         response.end()
       }
     })
@@ -148,7 +152,6 @@
     const exchange = exchanges.get(attemptId)
     if (exchange === undefined) { options.push({ kind: 'callEnded', attemptId, ending: 'neverSent' }); return }
     const { envelope, body } = exchange
-    let connected = false
     const upstream = Http.request({
       host: options.endpoint.host,
       port: options.endpoint.port,
@@ -166,23 +169,20 @@
       }
     })
     exchange.upstream = upstream
-    upstream.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = Edge.HttpClient.trackConnect(upstream)
     upstream.on('response', incoming => { relayAnswer(exchange, incoming) })
     upstream.on('error', () => {
       if (exchange.ended || exchange.cancelled) return
       if (exchange.response.headersSent) exchange.response.destroy()
-      else sendResult(exchange, connected ? 'endpointFailed' : 'endpointUnreachable')
-      end(exchange, connected ? 'failed' : 'neverSent')
+      else sendResult(exchange, connected() ? 'endpointFailed' : 'endpointUnreachable')
+      end(exchange, connected() ? 'failed' : 'neverSent')
     })
     upstream.end(body)
   }
   const sweep = (): void => {
     const nowMs = clock()
     for (const exchange of exchanges.values()) {
-      if (nowMs > exchange.deadlineMs + DEADLINE_GRACE_MS && exchange.upstream !== undefined) cancel(exchange)
+      if (nowMs > exchange.deadlineMs + DEADLINE_GRACE_MS && exchange.upstream !== undefined && !Fencing.outlivesGateway(exchange.envelope)) cancel(exchange)
       else if (exchange.envelope.stream && exchange.meter !== undefined && exchange.meter.quietMs(nowMs) > QUIET_STREAM_MS) { exchange.upstream?.destroy(); fail(exchange) } else beat(exchange, nowMs)
     }
   }
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -10,6 +10,7 @@
 import type * as Messages from '../messages.ts'
 import * as Shares from '../shares.ts'
 import * as Tables from '../tables.ts'
+import * as Fencing from './fencing.ts'
 
 /** The longest queue as a multiple of the limit. */
 const QUEUE_PER_LIMIT = 2
@@ -98,9 +99,10 @@
   const { attemptId } = attempt.envelope
   const runningCount = attempts.runningCount()
   const bearableCount = endpoint.coldReported ? 1 : endpoint.limitCount
+  tick.check('atMostOnce', !tables.finished.has(attemptId), () => ({ attemptId, finished: tables.finished.get(attemptId)?.state }))
   tick.check('startLimit', runningCount <= bearableCount, () => ({ attemptId, runningCount, bearableCount }))
   tick.check('drainedZone', !Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone), () => ({ attemptId, zone: identity.zone }))
-  tick.check('leavingEndpoint', !tables.stopping, () => ({ attemptId, instanceId: identity.instanceId }))
+  tick.check('leavingEndpoint', !tables.stopping && !tables.listedLeaving, () => ({ attemptId, instanceId: identity.instanceId }))
 }
 
 /** Refuses at once what waits at an endpoint that takes no more work, and what waited past its deadline. */
@@ -127,15 +129,16 @@
   Shares.settle(tables, attempt, tick.nowMs)
   tables.attempts.remove(attemptId)
   const state = ending === 'whole' ? 'done' : ending === 'neverSent' ? 'neverRun' : 'unknown'
-  tables.finished.set(attemptId, { attemptId, state, outcome, finishedAtMs: tick.nowMs })
+  Fencing.remember(tables, tick, attempt.envelope, state, outcome)
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick, attemptId: string): void {
   const attempt = tables.attempts.get(attemptId)
   if (attempt === undefined) return
+  if (attempt.state === 'running' && Fencing.outlivesGateway(attempt.envelope)) return
   if (attempt.state === 'running') { tick.emit({ kind: 'cancel', attemptId }); return }
   tables.attempts.remove(attemptId)
-  tables.finished.set(attemptId, { attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
+  Fencing.remember(tables, tick, attempt.envelope, 'neverRun')
 }
 
 /** A workspace at or above its share is refused for that; another is refused for the endpoint's limit. */
@@ -150,9 +153,7 @@
   const attempt = tables.attempts.get(attemptId)
   tick.check('truthfulRefusal', attempt?.state !== 'running', () => ({ attemptId, code }))
   tables.attempts.remove(attemptId)
-  if (!tables.finished.has(attemptId)) {
-    tables.finished.set(attemptId, { attemptId, state: 'neverRun', outcome: undefined, finishedAtMs: tick.nowMs })
-  }
+  if (!tables.finished.has(attemptId)) Fencing.remember(tables, tick, envelope, 'neverRun')
   row.refusedCounts[code] = (row.refusedCounts[code] ?? 0) + 1
   row.lastRefusal = { code, reason, atMs: tick.nowMs }
   const shareCount = Shares.shareOf(tables, workspace)
--- a/src/agent/systems/index.ts
+++ b/src/agent/systems/index.ts
@@ -6,6 +6,7 @@
 import type * as Tables from '../tables.ts'
 import * as Admission from './admission.ts'
 import * as Crashes from './crashes.ts'
+import * as Drain from './drain.ts'
 import * as Endpoint from './endpoint.ts'
 import * as Fencing from './fencing.ts'
 import * as Limits from './limits.ts'
@@ -16,6 +17,7 @@
 export const SYSTEMS: readonly Tables.System[] = [
   Crashes.crashesSystem,
   PrefixCache.prefixCacheSystem,
+  Drain.drainSystem,
   Endpoint.endpointSystem,
   Limits.limitsSystem,
   Placement.placementSystem,
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import * as Control from '../control/index.ts'
+import type * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import * as Attempts from './attempts.ts'
@@ -18,8 +18,27 @@
 export interface FinishedRow {
   readonly attemptId: string
   readonly state: 'done' | 'fenced' | 'unknown' | 'neverRun'
-  readonly outcome: Schemas.Calls.Outcome | undefined
+  /** The whole answer, while it is kept. */
+  outcome: Schemas.Calls.Outcome | undefined
   readonly finishedAtMs: number
+  /** When a late arrival is refused by its age alone, in milliseconds. */
+  readonly expiresAtMs: number
+}
+
+/** An answer that is kept for questions. */
+export interface KeptAnswerRow {
+  readonly attemptId: string
+  readonly sizeBytes: number
+}
+
+/** What the agent has kept and forgotten of finished attempts. */
+export interface Memory {
+  keptBytes: number
+  /** Nothing is known of attempts that expired by this time, in milliseconds. */
+  forgottenBeforeMs: number
+  sweepAtMs: number
+  /** The time of the latest tick, in milliseconds. */
+  nowMs: number
 }
 
 /** Weights that the agent collects. */
@@ -70,12 +89,18 @@
   readonly service: string
 }
 
+/** Why an endpoint takes no new work. */
+export type DrainReason = 'the agent is stopping' | 'an operator took it out of service' | 'the platform lists it as leaving'
+
 /** Everything that an agent's systems decide from. */
 export interface Tables {
   readonly identity: AgentIdentity
   readonly held: Control.Documents.Held
   readonly attempts: Attempts.AttemptTable
   readonly finished: Core.Table.Table<FinishedRow>
+  /** Kept answers, the oldest first. */
+  readonly keptAnswers: Core.Table.Table<KeptAnswerRow>
+  readonly memory: Memory
   readonly weights: Core.Table.Table<WeightsRow>
   readonly endpoint: EndpointRow
   readonly limiter: Limiter.LimiterRow
@@ -89,6 +114,10 @@
   readonly prefixCache: PrefixCacheRow
   /** The highest fencing number that the agent has acted on. */
   fencingNumber: number
+  /** Why the endpoint takes no new work; undefined while it does. */
+  drainReason: DrainReason | undefined
+  /** Whether the platform's list says that the instance is leaving. */
+  listedLeaving: boolean
   stopping: boolean
 }
 
@@ -113,6 +142,8 @@
     held,
     attempts: Attempts.createAttemptTable(),
     finished: Core.Table.createTable('finished'),
+    keptAnswers: Core.Table.createTable('keptAnswers'),
+    memory: { keptBytes: 0, forgottenBeforeMs: -Infinity, sweepAtMs: 0, nowMs: 0 },
     weights: Core.Table.createTable('weights'),
     endpoint: {
       incarnation: '',
@@ -135,6 +166,8 @@
     failures: [],
     prefixCache: { keys: new Set(), sequence: -1 },
     fencingNumber: 0,
+    drainReason: undefined,
+    listedLeaving: false,
     stopping: false
   }
 }
@@ -178,8 +211,8 @@
  * @returns The endpoint's state as reported to gateways.
  */
 export function stateOf (tables: Tables): Schemas.Control.AgentReport['state'] {
-  const { identity, endpoint } = tables
-  if (tables.stopping || Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone)) return 'draining'
+  const { endpoint } = tables
+  if (tables.drainReason !== undefined) return 'draining'
   if (!endpoint.reachable) return 'unreachable'
   const assignment = assignmentOf(tables)
   const service = serviceOf(tables)
@@ -218,6 +251,7 @@
     activeCount,
     queuedCount: tables.attempts.queuedCount(),
     cold: endpoint.limitCount < endpoint.warmLimitCount,
+    clockMs: tables.memory.nowMs,
     versions: tables.held.versions(),
     ...(tables.crashes.length === 0 ? {} : { crashes: tables.crashes.map(({ crashId, digests }) => ({ crashId, digests })) }),
     ...(tables.prefixCache.keys.size === 0 ? {} : { prefixKeys: [...tables.prefixCache.keys] })
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -21,6 +21,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Whether to open a connection of its own, past the pool. */
+  readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
 }
@@ -78,7 +80,6 @@
  */
 export async function send (request: Request): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    let connected = false
     const maxAnswerBytes = request.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
     const outgoing = Http.request({
       host: request.target.host,
@@ -86,18 +87,15 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: pool
+      agent: request.fresh === true ? false : pool
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
       outgoing.destroy()
-      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected))
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
     }
     const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
-    outgoing.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
@@ -118,6 +116,21 @@
   })
 }
 
+/**
+ * Follows whether a request has a connection, so that its bytes may have reached the server.
+ *
+ * @param outgoing - The request, just made.
+ * @returns A function that tells whether it was ever connected.
+ */
+export function trackConnect (outgoing: Http.ClientRequest): () => boolean {
+  let connected = false
+  outgoing.on('socket', socket => {
+    connected = !socket.connecting
+    if (!connected) socket.once('connect', () => { connected = true })
+  })
+  return () => connected
+}
+
 /**
  * Sends JSON and reads JSON.
  *
@@ -130,9 +143,27 @@
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  const body = value === undefined ? undefined : JSON.stringify(value)
-  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<JsonAnswer> {
+  return await sendText({ target, method, path, body: value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers })
+}
+
+/** An answer whose body is JSON. */
+export interface JsonAnswer {
+  readonly status: number
+  /** The parsed body; undefined when it is empty. */
+  readonly value: unknown
+}
+
+/**
+ * Sends JSON that has been written already and reads JSON.
+ *
+ * @param request - The request.
+ * @returns The status and the parsed body.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function sendText (request: Request): Promise<JsonAnswer> {
+  const { method, path } = request
+  const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
   const text = answer.body.toString()
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -7,18 +7,21 @@
 import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import type * as AgentProcedures from '../agent/procedures.ts'
+import * as AgentSettings from '../agent/settings.ts'
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
 import * as Platform from '../platform/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Answers from './answers.ts'
 import * as Callers from './callers.ts'
+import * as ClaimCleaner from './claimCleaner.ts'
 import * as ClaimWriter from './claimWriter.ts'
 import * as Endpoints from './systems/endpoints.ts'
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
 import * as Operators from './operators.ts'
-import type * as Settings from './settings.ts'
+import * as Settings from './settings.ts'
 import * as Tables from './tables.ts'
 
 /** A running gateway. */
@@ -30,8 +33,16 @@
 const BEAT_MS = 20
 const REPORT_POLL_MS = 100
 const PEER_TIMEOUT_MS = 1_000
-const FENCE_TIMEOUT_MS = 2_000
+const FENCE_TIMEOUT_MS = 1_000
 const CLAIM_GATHER_MS = 2
+const SAVE_GATHER_MS = 25
+/** Transactions of claims that all gateways together may make in a second. */
+const CLAIM_TRANSACTIONS_PER_SECOND = 200
+/** Time between rounds of deleting expired claims, for one gateway, in milliseconds. */
+const CLEAN_INTERVAL_MS = 60_000
+const REPLAY_RETRY_AFTER_MS = 1_000
+/** Time that a stop always leaves for saving outcomes, in milliseconds. */
+const CLAIM_FLUSH_MS = 2_000
 
 /**
  * Opens a gateway in a scope; closing the scope is its graceful shutdown.
@@ -56,8 +67,15 @@
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
-  const peerKey = (): string => settings.peerKey
-  const operatorToken = (): string => settings.operatorToken
+  const peerKeys = AgentSettings.peerKeysOf(settings)._unsafeUnwrap()
+  const operatorTokens = Settings.operatorTokensOf(settings)._unsafeUnwrap()
+  const peerKey = peerKeys.current
+  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: operatorTokens.accepted })
+  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys, operatorTokens }, log.keysRead)
+  const onRefused = (path: string, reason: string): void => {
+    metrics.count('peer_calls_refused_total', { reason })
+    log.warn('control', 'Procedure refused.', { path, reason })
+  }
   const push = (input: Messages.Input): void => { loop?.push(input) }
 
   const node = Control.Node.createNode({
@@ -77,10 +95,37 @@
   const claims = ClaimWriter.createClaimWriter({
     tables: store,
     gatherMs: CLAIM_GATHER_MS,
-    onResult: (callId, result) => { push({ kind: 'claimAnswered', callId, result }) }
+    saveGatherMs: SAVE_GATHER_MS,
+    intervalMs: () => gatewayCount() * 1_000 / CLAIM_TRANSACTIONS_PER_SECOND,
+    clock,
+    wait: async delayMs => { await new Promise(resolve => setTimeout(resolve, delayMs)) },
+    random,
+    makeId: Crypto.randomUUID,
+    onResult: (claimKey, callId, result) => { push({ kind: 'claimAnswered', claimKey, callId, result }) }
   })
+  const gatewayCount = (): number => Math.max(1, node.instances().filter(instance => instance.kind === 'gateway').length)
+  const answers = Answers.createAnswers(Platform.ObjectClient.createObjectClient(Edge.HttpClient.targetOf(settings.objectStore), settings.storeTimeoutMs))
+  const writeClaim = async (write: Messages.ClaimWrite): Promise<void> => {
+    const { record } = write
+    const outcome = record.outcome === undefined ? undefined : await answers.toSaved(record.outcome, record.attemptId)
+    claims.write({ ...write, record: { ...record, outcome } })
+  }
+  const replay = async (callId: string, saved: Schemas.Calls.SavedOutcome): Promise<void> => {
+    const outcome = await answers.toInline(saved)
+    metrics.count('calls_total', { code: outcome === undefined ? 'answerUnavailable' : 'replayed' })
+    if (outcome !== undefined) callers.replay(callId, outcome)
+    else callers.finish(callId, 'answerUnavailable', { callId, reason: 'The saved answer could not be read.', retryAfterMs: REPLAY_RETRY_AFTER_MS })
+  }
+  let cleaning = false
+  const cleanTimer = setInterval(() => {
+    if (cleaning || random.next() * gatewayCount() > 1) return
+    cleaning = true
+    void ClaimCleaner.clean({ tables: store, wallClock: Date.now })
+      .then(deletedCount => { if (deletedCount > 0) log.info('claims', 'Expired claims deleted.', { deletedCount }) })
+      .finally(() => { cleaning = false })
+  }, CLEAN_INTERVAL_MS)
   const askFence = async (command: Extract<Messages.Command, { kind: 'askFence' }>): Promise<void> => {
-    const client = Edge.Rpc.createClient<AgentProcedures.AgentRouter>(command.target, peerKey, FENCE_TIMEOUT_MS)
+    const client = Edge.Rpc.createClient<AgentProcedures.AgentRouter>(command.target, peerKey, FENCE_TIMEOUT_MS, true)
     const answer = await client.fence.mutate(command.question).catch(() => undefined)
     push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer })
   }
@@ -96,15 +141,13 @@
       metrics.count('calls_total', { code: 'ok' })
       callers.deliver(command.callId)
     },
-    replay: command => {
-      metrics.count('calls_total', { code: 'replayed' })
-      callers.replay(command.callId, command.outcome)
-    },
+    replay: command => { void replay(command.callId, command.outcome) },
     finish: command => {
       metrics.count('calls_total', { code: command.code })
       callers.finish(command.callId, command.code, command.details)
     },
-    writeClaim: command => { claims.write(command.write) },
+    writeClaim: command => { void writeClaim(command.write) },
+    abandonClaim: command => { claims.abandon(command.callId) },
     commitQuarantine: command => { void commitQuarantine(command.change) },
     askFence: command => { void askFence(command) }
   }
@@ -148,11 +191,13 @@
     activeCount: tables.calls.count(),
     versions: node.held.versions()
   })
+  /** A gateway in a drained zone tells the balancer to send callers elsewhere; calls that still come are served. */
+  const isReady = (): boolean => node.ready() && !tables.stopping && !Control.Documents.isDrained(node.held.drains(), identity.instanceId, identity.zone)
   const procedures = Operators.createProcedures({
     node,
     tables: store,
     report,
-    endpointReports: () => [...tables.endpoints.rows()].flatMap(row => row.report ?? []),
+    peerKey,
     log
   })
   const server = await Edge.HttpServer.listen({
@@ -160,10 +205,10 @@
     port: settings.listenPort,
     headersTimeoutMs: settings.bodyTimeoutMs,
     routes: [
-      Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
+      Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
-      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() && !tables.stopping ? 200 : 503, report()) } }
+      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, isReady() ? 200 : 503, report()) } }
     ],
     fallback: callers.handle
   })
@@ -174,10 +219,15 @@
       push({ kind: 'stopping' })
       clearInterval(holderTimer)
       await holder.close()
+      const untilMs = clock() + settings.stopGraceMs
       await server.close(settings.stopGraceMs)
+      while (tables.calls.count() > 0 && clock() < untilMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
+      await claims.flush(Math.max(CLAIM_FLUSH_MS, untilMs - clock()))
       clearInterval(reportTimer)
       callers.stop()
+      clearInterval(cleanTimer)
       node.stop()
+      stopReloading()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
     }
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -29,8 +29,8 @@
 }
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
-/** The largest answer that is saved with a claim, in bytes. */
-const MAX_SAVED_ANSWER_BYTES = 64 * 1024
+/** The largest answer that is saved for repeats, in bytes. */
+const MAX_SAVED_ANSWER_BYTES = 4 * 1024 * 1024
 /** A connection over which no sign of life came for so long is given up, in milliseconds. */
 const SILENT_MS = 4 * AgentCalls.HEARTBEAT_MS
 /** The same while a whole answer is being read, in milliseconds. */
@@ -56,7 +56,7 @@
   }
   const dispatch = (exchange: Exchange.Exchange, command: Messages.Dispatch): void => {
     const { envelope, target } = command
-    let connected = false
+    const envelopeText = JSON.stringify(envelope)
     const request = Http.request({
       host: target.host,
       port: target.port,
@@ -64,20 +64,17 @@
       path: AgentCalls.CALL_PATH,
       agent: Edge.HttpClient.pool,
       headers: {
-        authorization: `Bearer ${options.peerKey()}`,
-        [AgentCalls.ENVELOPE_HEADER]: JSON.stringify(envelope),
+        authorization: Edge.Auth.sign(options.peerKey(), { method: 'POST', path: AgentCalls.CALL_PATH, body: exchange.body, covered: envelopeText }),
+        [AgentCalls.ENVELOPE_HEADER]: envelopeText,
         'content-length': exchange.body.length
       }
     })
     const attempt: Exchange.Attempt = { attemptId: envelope.attemptId, target, request, heardAtMs: options.clock(), paused: false, readsBody: false }
     exchange.attempts.set(attempt.attemptId, attempt)
-    request.on('socket', socket => {
-      connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
-    })
+    const connected = Edge.HttpClient.trackConnect(request)
     request.on('information', () => { attempt.heardAtMs = options.clock() })
     request.on('error', error => {
-      end(exchange, attempt, connected
+      end(exchange, attempt, connected()
         ? { run: 'unknown', code: 'outcomeUnknown', reason: error.message }
         : { run: 'notRun', code: 'endpointUnreachable', reason: error.message })
     })
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
 import type * as Tables from '../tables.ts'
@@ -11,6 +12,7 @@
 import * as Outliers from '../outliers.ts'
 import * as Suspicion from '../suspicion.ts'
 import * as Routing from './routing.ts'
+import * as Asking from './asking.ts'
 
 const RETRY_AFTER_MS = 1_000
 const DEFAULT_PRIORITY = 1
@@ -48,10 +50,7 @@
   run: (tables, tick) => {
     for (const callId of tables.deadlines.expire(tick.nowMs)) {
       const row = tables.calls.get(callId)
-      if (row === undefined) continue
-      const dispatched = row.state === 'running' || row.state === 'asking'
-      if (dispatched) tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
-      Finish.finish(tables, tick, row, dispatched || row.maybeRun || row.nextIndex > 0 ? 'deadlineRunning' : 'deadlinePassed', { reason: `The deadline passed while ${row.state}.` })
+      if (row !== undefined) DEADLINE_HANDLERS[row.state](tables, tick, row)
     }
   }
 }
@@ -110,15 +109,22 @@
     hedge: undefined,
     answering: false,
     sentAtMs: 0,
-    maybeRun: false,
     failureCount: 0,
     suspect: Suspicion.isSuspect(tables, call.digest),
     reconnected: false,
     again: undefined,
-    backOffCount: 0
+    backOffCount: 0,
+    claimRecord: undefined,
+    claimedAttemptId: undefined,
+    openAttempts: new Set(),
+    ask: undefined,
+    silentAfterMs: 0,
+    silentAtMs: 0,
+    detached: false
   }
   tables.calls.set(call.callId, row)
   tables.deadlines.set(call.callId, row.deadlineMs)
+  if (call.idempotencyKey !== undefined || !row.idempotent) tables.covered.add(call.callId)
   Routing.wait(tables, row)
 }
 
@@ -130,20 +136,20 @@
 type Settler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd) => void
 
 const SETTLERS: Readonly<Record<Messages.AttemptEnd['run'], Settler>> = {
-  ran: (tables, tick, row) => {
+  ran: (tables, tick, row, end) => {
     Suspicion.clear(tables, tick, row.call.digest)
+    ClaimRecords.save(tables, tick, row, 'done', end.outcome)
     Finish.deliver(tables, tick, row)
   },
-  notRun: (tables, _tick, row) => { followOn(tables, row) },
+  notRun: (tables, tick, row) => {
+    if (row.current !== undefined) row.openAttempts.delete(row.current.attemptId)
+    followOn(tables, tick, row)
+  },
   unknown: (tables, tick, row, end) => {
     blame(tables, tick, row, end)
-    if (row.idempotent && row.call.idempotencyKey === undefined) {
-      row.maybeRun = true
-      reconnect(row, end)
-      followOn(tables, row)
-      return
-    }
-    ask(tables, tick, row, end)
+    reconnect(row, end)
+    if (row.idempotent) followOn(tables, tick, row)
+    else Asking.askOwn(tick, row)
   }
 }
 
@@ -170,9 +176,9 @@
 }
 
 /** Goes on with the other attempt of a hedged call, or sends the call back to routing. */
-function followOn (tables: Tables.Tables, row: Tables.CallRow): void {
+function followOn (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
   const { hedge } = row
-  if (hedge === undefined) { routeAgain(tables, row); return }
+  if (hedge === undefined) { Asking.routeAgain(tables, tick, row); return }
   row.hedge = undefined
   if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
   Finish.clearAttempt(tables, row)
@@ -181,44 +187,37 @@
 
 function settleHedge (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, hedge: Tables.CurrentAttempt, end: Messages.AttemptEnd): void {
   Outliers.note(tables, tick, hedge.endpointId, end)
-  if (end.run === 'unknown') row.maybeRun = true
+  if (end.run === 'notRun') row.openAttempts.delete(hedge.attemptId)
   row.refusedBy.add(hedge.endpointId)
   row.hedge = undefined
   Finish.release(tables, hedge)
 }
 
-/**
- * Sends a call back to routing, away from the endpoint that it was at.
- *
- * @param tables - The gateway's tables.
- * @param row - The call.
- */
-export function routeAgain (tables: Tables.Tables, row: Tables.CallRow): void {
-  if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
-  Finish.clearAttempt(tables, row)
-  row.answering = false
-  Routing.wait(tables, row)
-}
+type DeadlineHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow) => void
 
-/** Asks the agent what became of an attempt; the agent fences it unless it was run. */
-function ask (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
-  const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
-  if (row.current === undefined || endpoint === undefined) {
-    Finish.finish(tables, tick, row, 'outcomeUnknown', { reason: end.reason ?? 'The agent is gone.' })
-    return
+const DEADLINE_HANDLERS: Readonly<Record<Tables.CallRow['state'], DeadlineHandler>> = {
+  routing: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'deadlinePassed'), { reason: 'The deadline passed while no endpoint took the call.' }) },
+  claiming: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'storeUnavailable'), { reason: 'The table service did not grant the claim by the deadline.', retryAfterMs: RETRY_AFTER_MS }) },
+  running: (tables, tick, row) => {
+    if (outlivesCaller(row) && !row.detached) { Finish.detach(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.', retryAfterMs: RETRY_AFTER_MS }); return }
+    tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
+    Finish.finish(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.' })
+  },
+  asking: (tables, tick, row) => {
+    const code = row.ask?.held?.record.state === 'done' ? 'answerUnavailable' : 'agentUnreachable'
+    Finish.finish(tables, tick, row, code, { reason: 'The agent did not tell the outcome by the deadline.', retryAfterMs: RETRY_AFTER_MS })
   }
-  row.state = 'asking'
-  tick.emit({
-    kind: 'askFence',
-    callId: row.call.callId,
-    target: endpoint,
-    question: { attemptId: row.current.attemptId, agentIncarnation: row.current.agentIncarnation }
-  })
+}
+
+/** A keyed call that must not run twice is followed to its end, so that a repeat finds its answer. */
+function outlivesCaller (row: Tables.CallRow): boolean {
+  return row.call.idempotencyKey !== undefined && !row.idempotent && row.openAttempts.size > 0
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick, callId: string): void {
   const row = tables.calls.get(callId)
   if (row === undefined) return
+  if (outlivesCaller(row)) { if (!row.detached) Finish.detach(tables, tick, row, 'callerGone', { reason: 'The caller closed the connection.' }); return }
   tick.emit({ kind: 'cancelAttempt', callId })
   Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller closed the connection.' })
 }
--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -5,10 +5,12 @@
  */
 import * as Core from '../../core/index.ts'
 import * as Choice from '../choice.ts'
+import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import * as Suspicion from '../suspicion.ts'
 import type * as Tables from '../tables.ts'
-import * as Claims from './claims.ts'
+import * as Asking from './asking.ts'
+import * as Clocks from './clocks.ts'
 import * as Hedging from './hedging.ts'
 
 /** The most attempts of one call. */
@@ -66,8 +68,12 @@
     wait(tables, row)
     return
   }
+  const { call } = row
+  tick.check('atMostOnce', row.idempotent || row.openAttempts.size === 0, () => ({ callId: call.callId, attemptId: current.attemptId, openAttempts: [...row.openAttempts] }))
+  tick.check('atMostOnce', call.idempotencyKey === undefined || row.claimedAttemptId === current.attemptId, () => ({ callId: call.callId, attemptId: current.attemptId, claimedAttemptId: row.claimedAttemptId }))
   row.state = 'running'
   row.sentAtMs = tick.nowMs
+  Asking.expectAnswer(tick, row)
   dispatch(tables, tick, row, current, endpoint)
   Hedging.plan(tables, row)
 }
@@ -101,6 +107,8 @@
 export function dispatch (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, attempt: Tables.CurrentAttempt, endpoint: Tables.EndpointRow): void {
   const { call } = row
   const { endpointId } = endpoint
+  attempt.expiresAtMs ??= Clocks.expiryOf(tables, tick, row, attempt)
+  row.openAttempts.add(attempt.attemptId)
   endpoint.outstandingCount++
   const drained = !Choice.takesNewWork(tables, endpoint)
   tick.check('drainedZone', !drained, () => ({ callId: call.callId, endpointId, zone: endpoint.zone }))
@@ -128,12 +136,13 @@
         stream: call.stream,
         resumeFromIndex: row.nextIndex,
         digest: call.digest,
-        claimKey: call.idempotencyKey === undefined ? undefined : Claims.claimKeyOf(call.workspace, call.idempotencyKey),
+        claimKey: call.idempotencyKey === undefined ? undefined : ClaimRecords.claimKeyOf(call.workspace, call.idempotencyKey),
         idempotencyKey: call.idempotencyKey,
         agentIncarnation: attempt.agentIncarnation,
         prefixKey: call.prefixKey,
         supersedes: row.again?.endpointId === endpointId ? row.again.attemptId : undefined,
-        suspect: row.suspect ? true : undefined
+        suspect: row.suspect ? true : undefined,
+        expiresAtMs: attempt.expiresAtMs
       }
     }
   })
@@ -153,7 +162,8 @@
   row.current = attemptAt(tables, endpoint)
   Choice.rememberPrefix(tables, row.call.prefixKey, endpoint.endpointId)
   tick.log('routing', 'Endpoint chosen.', { callId: row.call.callId, endpointId: endpoint.endpointId, zone: endpoint.zone, spareCount: Choice.spareOf(endpoint), candidateCount, reason: again === undefined ? reason : 'asked again over a new connection' })
-  if (row.call.idempotencyKey !== undefined) Claims.claim(tables, tick, row)
+  row.current.expiresAtMs = Clocks.expiryOf(tables, tick, row, row.current)
+  if (row.call.idempotencyKey !== undefined) ClaimRecords.claim(tables, tick, row)
   else send(tables, tick, row)
   row.again = undefined
 }
@@ -183,7 +193,7 @@
   const end = row.lastEnd
   const unknownCode = row.nextIndex > 0 ? 'streamCut' : row.failureCount > 0 ? 'endpointFailed' : 'outcomeUnknown'
   const toldCode = notRunCode ?? (end === undefined || end.run !== 'notRun' ? 'noEndpoint' : end.code)
-  const code = row.maybeRun || row.nextIndex > 0 ? unknownCode : toldCode
+  const code = row.openAttempts.size > 0 || row.nextIndex > 0 ? unknownCode : toldCode
   Finish.finish(tables, tick, row, code, {
     reason: notRunCode === 'quarantined' ? 'Calls with this digest have crashed endpoints.' : end?.reason ?? 'No endpoint is live.',
     retryAfterMs: Core.Codes.CODES[code].retryable ? Core.Random.jitter(tick.random, end?.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -46,6 +46,37 @@
   readonly modelVersion: string | undefined
   /** The incarnation of the endpoint, as last reported. */
   readonly endpointIncarnation?: string
+  /** The agent's own clock reading, in milliseconds, from which on it does not admit the attempt. */
+  expiresAtMs?: number
+}
+
+/** A claim as found in the table service. */
+export interface HeldClaim {
+  readonly revision: number
+  readonly record: Schemas.Calls.ClaimRecord
+}
+
+/** A question to an agent that is under way. */
+export interface AskState {
+  /** The answer was lost, the connection is silent, or another call has claimed the key. */
+  readonly purpose: 'answerLost' | 'silent' | 'repeat'
+  readonly attempt: CurrentAttempt
+  /** The other call's claim, for a repeat. */
+  readonly held: HeldClaim | undefined
+  /** Whether the agent is to promise never to run an attempt that it has not seen. */
+  fence: boolean
+  askCount: number
+  nextAtMs: number
+  pending: boolean
+  /** The agent has said that the attempt is done. */
+  doneSeen: boolean
+}
+
+/** An agent's clock relative to the gateway's. */
+export interface ClockRow {
+  readonly endpointId: string
+  readonly incarnation: string
+  readonly offsetMs: number
 }
 
 /** A caller's call that has no final answer yet. */
@@ -55,7 +86,7 @@
   readonly idempotent: boolean
   readonly priority: number
   readonly arrivedAtMs: number
-  readonly deadlineMs: number
+  deadlineMs: number
   state: 'routing' | 'claiming' | 'running' | 'asking'
   current: CurrentAttempt | undefined
   attemptCount: number
@@ -67,8 +98,6 @@
   /** Whether the answer has begun. */
   answering: boolean
   sentAtMs: number
-  /** Whether an attempt may have been run without an answer. */
-  maybeRun: boolean
   /** Attempts that ended because the endpoint failed. */
   failureCount: number
   /** Whether the call was in flight when an endpoint failed. */
@@ -84,8 +113,20 @@
   nextIndex: number
   /** The version that a begun stream must go on with. */
   pinnedVersion: string | undefined
-  /** The revision of the call's claim; 0 for none. */
+  /** The revision that the row of the key must have for the call's next claim; 0 for absent. */
   claimRevision: number
+  /** The claim as granted. */
+  claimRecord: Schemas.Calls.ClaimRecord | undefined
+  /** The attempt that the call's own claim names, while there is one. */
+  claimedAttemptId: string | undefined
+  /** Attempts that were sent and are not proved never run. */
+  readonly openAttempts: Set<string>
+  ask: AskState | undefined
+  /** How long the current attempt may be silent before its agent is asked, in milliseconds. */
+  silentAfterMs: number
+  silentAtMs: number
+  /** Whether the caller was answered or is gone, and the call is followed only to save its end. */
+  detached: boolean
 }
 
 /** A call that was in flight when endpoints crashed. */
@@ -136,6 +177,8 @@
   readonly deadlines: Core.Deadlines.Deadlines
   /** Times at which running calls may be hedged. */
   readonly hedgeTimes: Core.Deadlines.Deadlines
+  /** Calls that have a key or must not run twice. */
+  readonly covered: Set<string>
   readonly budgets: Budgets.Budgets
   readonly latencies: Core.Table.Table<LatencyRow>
   /** The endpoint that last ran a prefix. */
@@ -144,6 +187,9 @@
   /** Times at which suspects are forgotten. */
   readonly suspectTimes: Core.Deadlines.Deadlines
   readonly quarantine: QuarantineRow
+  readonly clocks: Core.Table.Table<ClockRow>
+  /** When the instance list was first read, in milliseconds. */
+  firstListedAtMs: number | undefined
   /** Returns wall-clock time in milliseconds since 1970. */
   readonly wallClock: () => number
   /** Makes an identifier that no other process makes. */
@@ -180,12 +226,15 @@
     waiting: new Set(),
     deadlines: Core.Deadlines.createDeadlines(DEADLINE_STEP_MS),
     hedgeTimes: Core.Deadlines.createDeadlines(DEADLINE_STEP_MS),
+    covered: new Set(),
     budgets: Budgets.createBudgets(),
     latencies: Core.Table.createTable('latencies'),
     affinity: Core.Table.createTable('affinity'),
     suspects: Core.Table.createTable('suspects'),
     suspectTimes: Core.Deadlines.createDeadlines(SUSPECT_STEP_MS),
     quarantine: { put: new Map(), lift: new Set(), notBeforeMs: 0, seenCrashIds: new Set(), documented: new Set() },
+    clocks: Core.Table.createTable('clocks'),
+    firstListedAtMs: undefined,
     wallClock,
     makeId,
     stopping: false
--- a/src/schema/control.ts
+++ b/src/schema/control.ts
@@ -119,6 +119,8 @@
   activeCount: Manifest.Count,
   queuedCount: Manifest.Count,
   cold: Schema.Boolean,
+  /** The agent's monotonic clock, in milliseconds. */
+  clockMs: Schema.optional(Schema.Number),
   versions: Versions,
   /** Crashes of the endpoint within the last minute. */
   crashes: Schema.optional(Schema.Array(Crash)),
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -52,6 +52,8 @@
   role: string
   activeCount: number
   maxActiveCount: number
+  /** Sequences that were ever started. */
+  startedCount: number
   /** Times that more sequences ran than it bears. */
   overloadCount: number
   /** Of these, the ones while it was cold. */
@@ -147,6 +149,7 @@
     role: 'mixed',
     activeCount: 0,
     maxActiveCount: 0,
+    startedCount: 0,
     overloadCount: 0,
     coldOverloadCount: 0,
     lateColdOverloadCount: 0,
@@ -204,6 +207,7 @@
   const start = (sequence: Sequence, prefillMs: number): void => {
     sequence.readyAtMs = performance.now() + prefillMs
     sequences.add(sequence)
+    state.startedCount++
     state.activeCount = sequences.size
     state.maxActiveCount = Math.max(state.maxActiveCount, sequences.size)
     const bearableCount = cold() ? coldCapacityCount : capacityCount
