--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -10,6 +10,7 @@
 import type * as Operators from '../gateway/operators.ts'
 import type * as Schemas from '../schema/index.ts'
 import * as Client from './client.ts'
+import * as Limits from './limits.ts'
 
 type Options = Client.CommonOptions
 
@@ -146,6 +147,13 @@
       .demandCommand(1))
     .command('zone', 'Take availability zones out of service and back', named('zone'))
     .command('instance', 'Take instances out of service and back', named('instance'))
+    .command('explain', 'Show limits, shares and why calls are refused', sub => sub
+      .option('service', { type: 'string', describe: 'Only this service' })
+      .option('workspace', { type: 'string', describe: 'Only this workspace' }), argv => { run(async () => await Limits.explain(argv)) })
+    .command('quarantine', 'Work with calls that crash endpoints', sub => sub
+      .command('list', 'List suspects and quarantined calls', inner => inner, argv => { run(async () => await Limits.listQuarantine(argv)) })
+      .command('lift <digest>', 'Let calls with a digest run again', inner => inner.positional('digest', { type: 'string', demandOption: true, describe: 'The start of a digest, or all' }), argv => { run(async () => conclude(argv, await Limits.liftQuarantine(argv), 'lifted')) })
+      .demandCommand(1))
     .command('status', 'Show endpoints, versions, drains and who lags', sub => sub.option('watch', { type: 'boolean', default: false, describe: 'Print again every second' }), argv => { run(async () => await status(argv)) })
 }
 
--- a/src/gateway/operators.ts
+++ b/src/gateway/operators.ts
@@ -36,6 +36,8 @@
 
 const CommitInput = Schema.Struct({ manifest: Schema.Unknown, expectedVersion: Schema.optional(Schema.Int) })
 const DrainInput = Schema.Struct({ what: Schema.Literals(['zone', 'instance']), name: Schema.String, drained: Schema.Boolean, force: Schema.Boolean })
+const ExplainInput = Schema.Struct({ service: Schema.optional(Schema.String) })
+const LiftInput = Schema.Struct({ digest: Schema.String })
 const HistoryInput = Schema.Struct({ limitCount: Schema.Int })
 const decodeManifest = Schemas.Decode.strict(Schemas.Manifest.Manifest)
 const HISTORY_SCAN_COUNT = 10_000
@@ -63,6 +65,13 @@
     drain: operatorProcedure
       .input(Schemas.Decode.parser(DrainInput))
       .mutation(async ({ input }) => await changeDrain(options, input)),
+    explain: operatorProcedure
+      .input(Schemas.Decode.parser(ExplainInput))
+      .mutation(async ({ input }) => await Survey.explain(options.node.instances(), input.service, options.peerKey)),
+    quarantine: operatorProcedure.mutation(() => ({ version: options.node.held.versions().quarantine, entries: options.node.held.quarantine().entries })),
+    liftQuarantine: operatorProcedure
+      .input(Schemas.Decode.parser(LiftInput))
+      .mutation(async ({ input }) => await liftQuarantine(options, input.digest)),
     status: operatorProcedure.mutation(async () => await readStatus(options))
   })
 }
@@ -101,6 +110,14 @@
   return { ...conclude(options, committed), shortfalls }
 }
 
+/** Lifts one entry, or all of them, of the quarantine. */
+async function liftQuarantine (options: OperatorOptions, digest: string): Promise<ChangeAnswer> {
+  const known = options.node.held.quarantine().entries.map(entry => entry.digest)
+  const lift = digest === 'all' ? known : known.filter(entry => entry.startsWith(digest))
+  if (lift.length === 0 || digest === '') return refused('notFound', `no entry starts with "${digest}"`)
+  return conclude(options, await Control.Quarantines.commit(options.tables, { put: [], lift }))
+}
+
 function isKnown (options: OperatorOptions, manifest: Schemas.Manifest.Manifest, input: typeof DrainInput.Type): boolean {
   const names = input.what === 'zone' ? manifest.zones.map(zone => zone.name) : options.node.instances().map(instance => instance.instanceId)
   return !input.drained || names.includes(input.name)
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -6,18 +6,19 @@
 import yargs from 'yargs'
 import * as StandIns from './index.ts'
 
-const STARTERS: Readonly<Record<string, (options: any) => Promise<StandIns.Faults.StandIn>>> = {
+const STARTERS: Readonly<Record<string, (options: any) => Promise<{ readonly port: number }>>> = {
   table: StandIns.TableService.createTableService,
   objects: StandIns.ObjectStore.createObjectStore,
   weights: StandIns.WeightSource.createWeightSource,
   instances: StandIns.InstanceList.createInstanceList,
   engine: StandIns.Engine.createEngine,
-  plain: StandIns.PlainService.createPlainService
+  plain: StandIns.PlainService.createPlainService,
+  passthrough: StandIns.PassThrough.createPassThrough
 }
 
 const argv = yargs(process.argv.slice(2))
   .scriptName('standin')
-  .usage('$0 KIND [options]\n\nKinds: table, objects, weights, instances, engine, plain')
+  .usage('$0 KIND [options]\n\nKinds: table, objects, weights, instances, engine, plain, passthrough')
   .option('port', { type: 'number', default: 0, describe: 'Port to listen on; 0 for any' })
   .option('seed', { type: 'number', default: 1, describe: 'Seed of its faults' })
   .option('rate-bytes-per-second', { type: 'number', describe: 'weights: rate of the link' })
@@ -34,6 +35,7 @@
   .option('lose-cache-event-share', { type: 'number', describe: 'engine: share of cache events lost' })
   .option('restart-ms', { type: 'number', describe: 'engine: time away after a crash' })
   .option('poison', { type: 'string', describe: 'engine: prompt text that crashes it' })
+  .option('target-port', { type: 'number', describe: 'passthrough: port of the server behind it' })
   .option('work-ms', { type: 'number', describe: 'plain: time for an execution' })
   .demandCommand(1)
   .strictOptions()
--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Caller from './caller.ts'
+export * as Cpu from './cpu.ts'
 export * as Deployment from './deployment.ts'
 export * as Load from './load.ts'
 export * as Manifests from './manifests.ts'
--- a/testkit/load.ts
+++ b/testkit/load.ts
@@ -94,7 +94,7 @@
   const ending: Array<Promise<void>> = []
   for (const [index, { load, dueAtMs, number }] of due.entries()) {
     const waitMs = startedMs + dueAtMs - performance.now()
-    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs))
+    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, Math.ceil(waitMs)))
     const port = options.ports[index % options.ports.length] ?? 0
     ending.push(sendOne(agent, port, load, load.makeCall(number), { dueAtMs, startedMs, graceMs: options.graceMs ?? DEFAULT_GRACE_MS })
       .then(record => { records.push(record) }))
@@ -166,7 +166,7 @@
 async function sendOne (agent: Http.Agent, port: number, load: WorkspaceLoad, call: LoadCall, timing: Timing): Promise<LoadRecord> {
   const deadlineMs = call.deadlineMs ?? DEFAULT_DEADLINE_MS
   const body = call.body === undefined ? '' : JSON.stringify(call.body)
-  const elapsed = (): number => performance.now() - timing.startedMs - timing.dueAtMs
+  const elapsed = (): number => Math.max(0, performance.now() - timing.startedMs - timing.dueAtMs)
   return await new Promise(resolve => {
     let firstByteMs: number | undefined
     const finish = (verdict: Verdict, code: number): void => {
