--- a/src/gateway/systems/asking.ts
+++ b/src/gateway/systems/asking.ts
@@ -8,6 +8,7 @@
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Tables from '../tables.ts'
+import * as Routing from './routing.ts'
 
 /** An attempt without an answer for so long is asked about, in milliseconds. */
 const SILENT_AFTER_MS = 1_500
@@ -35,7 +36,9 @@
       row.ask.pending = false
       take(tables, tick, row, row.ask, input.answer)
     }
-    for (const row of [...tables.calls.rows()]) {
+    for (const callId of tables.covered) {
+      const row = tables.calls.get(callId)
+      if (row === undefined) continue
       if (isSilent(tick, row) && row.current !== undefined) start(tick, row, 'silent', row.current, undefined)
       if (row.ask !== undefined && !row.ask.pending && tick.nowMs >= row.ask.nextAtMs) ask(tables, tick, row, row.ask)
     }
@@ -91,7 +94,8 @@
   if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
   Finish.clearAttempt(tables, row)
   row.ask = undefined
-  row.state = 'routing'
+  row.answering = false
+  Routing.wait(tables, row)
   if (row.detached) Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller was answered before the call was run.' })
 }
 
--- a/src/gateway/systems/claims.ts
+++ b/src/gateway/systems/claims.ts
@@ -35,7 +35,7 @@
     row.claimRecord = result.record
     row.claimedAttemptId = result.record.attemptId
     if (tick.nowMs >= row.deadlineMs) { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'deadlinePassed'), { reason: 'The deadline passed while the key was claimed.' }); return }
-    if (!isCurrent(tables, row)) { row.current = undefined; row.state = 'routing'; return }
+    if (!isCurrent(tables, row)) { row.current = undefined; Routing.wait(tables, row); return }
     Routing.send(tables, tick, row)
   },
   held: (tables, tick, row, result) => { resolveHeld(tables, tick, row, result) },
--- a/src/schema/calls.ts
+++ b/src/schema/calls.ts
@@ -35,6 +35,12 @@
   idempotencyKey: Schema.optional(Schema.String),
   /** The incarnation of the agent that the attempt is meant for. */
   agentIncarnation: Schema.String,
+  /** Whether the call was in flight when an endpoint crashed; an agent runs one such call at a time. */
+  suspect: Schema.optional(Schema.Boolean),
+  /** The attempt of the same call that this one takes the place of. */
+  supersedes: Schema.optional(Schema.String),
+  /** Names the start of the body, under which an engine caches it. */
+  prefixKey: Schema.optional(Schema.String),
   /** The agent's own clock reading, in milliseconds, from which on it must not admit the attempt. */
   expiresAtMs: Schema.optional(Schema.Number)
 })
@@ -48,6 +54,8 @@
   code: Schema.Int,
   run: Schema.Literals(['notRun', 'ran', 'unknown']),
   agentIncarnation: Schema.String,
+  /** The incarnation of the endpoint that the attempt was given to. */
+  endpointIncarnation: Schema.optional(Schema.String),
   limitCount: Manifest.Count,
   activeCount: Manifest.Count,
   queuedCount: Manifest.Count,
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -46,7 +46,7 @@
   it('refuses new work as draining and lets work in flight finish', () => {
     const agent = createAgent()
     agent.run()
-    expect(agent.run(offer('a')).commands).toEqual([{ kind: 'admit', attemptId: 'a' }])
+    expect(agent.run(offer('a')).commands).toEqual([{ kind: 'admit', attemptId: 'a', workspace: 'operator-1', queuedMs: 0 }])
     agent.drain(1, ['kartli'])
     const refused = agent.run(offer('b')).commands
     expect(refused.map(command => command.kind === 'refuse' && command.refusal.code)).toEqual(['draining'])
@@ -57,7 +57,7 @@
   it('comes back through the ramp', () => {
     const agent = createAgent()
     agent.run()
-    agent.tables.endpoint.limitCount = 16
+    agent.tables.limiter.limitCount = 16
     agent.drain(1, ['kartli'])
     agent.run()
     agent.drain(2, [])
