--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -160,7 +160,7 @@
     exchange.upstream = upstream
     upstream.on('socket', socket => {
       connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
+      if (socket.connecting) socket.once('connect', () => { connected = true })
     })
     upstream.on('response', incoming => { relayAnswer(exchange, incoming) })
     upstream.on('error', () => {
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -106,7 +106,7 @@
     attempt.setTimeout(SILENT_ATTEMPT_MS, () => { attempt.destroy(new Error('silent connection')) })
     attempt.on('socket', socket => {
       connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
+      if (socket.connecting) socket.once('connect', () => { connected = true })
     })
     attempt.on('error', error => {
       endAttempt(exchange, attemptId, connected
--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -20,6 +20,8 @@
 /** A running plain service. */
 export interface PlainService extends Faults.StandIn {
   executions: () => ReadonlyMap<string, number>
+  /** The calls that were executed, by their call ids. */
+  executedCalls: () => ReadonlySet<string>
   maxActiveCount: () => number
 }
 
@@ -31,6 +33,7 @@
  */
 export async function createPlainService (options: PlainOptions = {}): Promise<PlainService> {
   const executions = new Map<string, number>()
+  const executedCalls = new Set<string>()
   const incarnation = `${process.pid}-${Date.now()}`
   let activeCount = 0
   let maxActiveCount = 0
@@ -39,11 +42,13 @@
     activeCount++
     maxActiveCount = Math.max(maxActiveCount, activeCount)
     const key = String(request.headers['idempotency-key'] ?? body)
+    const callId = String(request.headers['x-fescue-call-id'] ?? '')
     executions.set(key, (executions.get(key) ?? 0) + 1)
+    executedCalls.add(callId)
     if (options.workMs !== undefined) await new Promise(resolve => setTimeout(resolve, options.workMs))
     activeCount--
-    const callId = String(request.headers['x-fescue-call-id'] ?? '')
-    HttpServer.sendJson(response, 200, { path, key, executionCount: executions.get(key), echo: body.slice(0, 200), callId }, { 'x-fescue-call-id': callId })
+    const padding = '.'.repeat(padBytesOf(body))
+    HttpServer.sendJson(response, 200, { path, key, executionCount: executions.get(key), echo: body.slice(0, 200), callId, padding }, { 'x-fescue-call-id': callId })
   }
   const standIn = await Faults.createStandIn({
     ...options,
@@ -59,5 +64,10 @@
     ],
     fallback: execute
   })
-  return { ...standIn, executions: () => executions, maxActiveCount: () => maxActiveCount }
+  return { ...standIn, executions: () => executions, executedCalls: () => executedCalls, maxActiveCount: () => maxActiveCount }
+}
+
+/** A body may ask for a larger answer. */
+function padBytesOf (body: string): number {
+  return Number(/"padBytes":(\d{1,7})/.exec(body)?.[1] ?? 0)
 }
--- a/standins/tableService.ts
+++ b/standins/tableService.ts
@@ -14,7 +14,7 @@
   /** Reads a row directly, past all faults. */
   peek: (table: string, key: string) => Platform.Row | undefined
   rowsOf: (table: string) => Platform.Row[]
-  counts: () => { readCount: number, writeCount: number, scanCount: number }
+  counts: () => { readCount: number, writeCount: number, rowWriteCount: number, scanCount: number }
 }
 
 const ReadRequest = Schema.Struct({ rows: Schema.Array(Schema.Struct({ table: Schema.String, key: Schema.String })) })
@@ -28,7 +28,7 @@
  */
 export async function createTableService (options: { port?: number, seed?: number } = {}): Promise<TableService> {
   const tables = new Map<string, Map<string, Platform.Row>>()
-  const counts = { readCount: 0, writeCount: 0, scanCount: 0 }
+  const counts = { readCount: 0, writeCount: 0, rowWriteCount: 0, scanCount: 0 }
   let revision = 0
   const find = (table: string, key: string): Platform.Row | undefined => tables.get(table)?.get(key)
 
@@ -39,6 +39,7 @@
       .map(condition => find(condition.table, condition.key) ?? { table: condition.table, key: condition.key, revision: 0, value: null })
     if (conflicts.length > 0) return { committed: false, revision, conflicts }
     revision++
+    counts.rowWriteCount += transaction.writes.length
     for (const write of transaction.writes) {
       const rows = tables.get(write.table) ?? new Map<string, Platform.Row>()
       tables.set(write.table, rows)
