--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -67,7 +67,6 @@
  */
 export async function send (request: Request): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    let connected = false
     const maxAnswerBytes = request.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
     const outgoing = Http.request({
       host: request.target.host,
@@ -80,13 +79,10 @@
     const fail = (message: string): void => {
       clearTimeout(timer)
       outgoing.destroy()
-      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected))
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
     }
     const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
-    outgoing.on('socket', socket => {
-      connected = !socket.connecting
-      if (socket.connecting) socket.once('connect', () => { connected = true })
-    })
+    const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
@@ -107,6 +103,21 @@
   })
 }
 
+/**
+ * Follows whether a request has a connection, so that its bytes may have reached the server.
+ *
+ * @param outgoing - The request, just made.
+ * @returns A function that tells whether it was ever connected.
+ */
+export function trackConnect (outgoing: Http.ClientRequest): () => boolean {
+  let connected = false
+  outgoing.on('socket', socket => {
+    connected = !socket.connecting
+    if (!connected) socket.once('connect', () => { connected = true })
+  })
+  return () => connected
+}
+
 /**
  * Sends JSON and reads JSON.
  *
@@ -116,13 +127,30 @@
  * @param value - The value to send, or undefined for none.
  * @param timeoutMs - Time for the whole exchange in milliseconds.
  * @param headers - Further headers.
- * @param fresh - Whether to open a connection of its own, past the pool.
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}, fresh = false): Promise<{ status: number, value: unknown }> {
-  const body = value === undefined ? undefined : JSON.stringify(value)
-  const answer = await send({ target, method, path, body, timeoutMs, fresh, headers: { 'content-type': 'application/json', ...headers } })
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<JsonAnswer> {
+  return await sendText({ target, method, path, body: value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers })
+}
+
+/** An answer whose body is JSON. */
+export interface JsonAnswer {
+  readonly status: number
+  /** The parsed body; undefined when it is empty. */
+  readonly value: unknown
+}
+
+/**
+ * Sends JSON that has been written already and reads JSON.
+ *
+ * @param request - The request.
+ * @returns The status and the parsed body.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function sendText (request: Request): Promise<JsonAnswer> {
+  const { method, path } = request
+  const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
   const text = answer.body.toString()
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -7,6 +7,7 @@
 import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import type * as AgentProcedures from '../agent/procedures.ts'
+import * as AgentSettings from '../agent/settings.ts'
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
@@ -19,7 +20,7 @@
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
 import * as Operators from './operators.ts'
-import type * as Settings from './settings.ts'
+import * as Settings from './settings.ts'
 import * as Tables from './tables.ts'
 
 /** A running gateway. */
@@ -65,8 +66,15 @@
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
-  const peerKey = (): string => settings.peerKey
-  const operatorToken = (): string => settings.operatorToken
+  const peerKeys = AgentSettings.peerKeysOf(settings)._unsafeUnwrap()
+  const operatorTokens = Settings.operatorTokensOf(settings)._unsafeUnwrap()
+  const peerKey = peerKeys.current
+  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: operatorTokens.accepted })
+  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys, operatorTokens }, log.keysRead)
+  const onRefused = (path: string, reason: string): void => {
+    metrics.count('peer_calls_refused_total', { reason })
+    log.warn('control', 'Procedure refused.', { path, reason })
+  }
   const push = (input: Messages.Input): void => { loop?.push(input) }
 
   const node = Control.Node.createNode({
@@ -176,11 +184,13 @@
     activeCount: tables.calls.count(),
     versions: node.held.versions()
   })
+  /** A gateway in a drained zone tells the balancer to send callers elsewhere; calls that still come are served. */
+  const isReady = (): boolean => node.ready() && !tables.stopping && !Control.Documents.isDrained(node.held.drains(), identity.instanceId, identity.zone)
   const procedures = Operators.createProcedures({
     node,
     tables: store,
     report,
-    endpointReports: () => [...tables.endpoints.rows()].flatMap(row => row.report ?? []),
+    peerKey,
     log
   })
   const server = await Edge.HttpServer.listen({
@@ -188,10 +198,10 @@
     port: settings.listenPort,
     headersTimeoutMs: settings.bodyTimeoutMs,
     routes: [
-      Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
+      Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
-      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() && !tables.stopping ? 200 : 503, report()) } }
+      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, isReady() ? 200 : 503, report()) } }
     ],
     fallback: callers.handle
   })
@@ -209,6 +219,7 @@
       clearInterval(reportTimer)
       clearInterval(cleanTimer)
       node.stop()
+      stopReloading()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
     }
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -87,9 +87,9 @@
     if (exchange === undefined) return
     const { envelope, target } = command
     const { attemptId } = envelope
+    const envelopeText = JSON.stringify(envelope)
     exchange.attemptId = attemptId
     exchange.answer = undefined
-    let connected = false
     const attempt = Http.request({
       host: target.host,
       port: target.port,
@@ -97,19 +97,16 @@
       path: AgentCalls.CALL_PATH,
       agent: Edge.HttpClient.pool,
       headers: {
-        authorization: `Bearer ${options.peerKey()}`,
-        [AgentCalls.ENVELOPE_HEADER]: JSON.stringify(envelope),
+        authorization: Edge.Auth.sign(options.peerKey(), { method: 'POST', path: AgentCalls.CALL_PATH, body: exchange.body, covered: envelopeText }),
+        [AgentCalls.ENVELOPE_HEADER]: envelopeText,
         'content-length': exchange.body.length
       }
     })
     exchange.attempt = attempt
     attempt.setTimeout(SILENT_ATTEMPT_MS, () => { attempt.destroy(new Error('silent connection')) })
-    attempt.on('socket', socket => {
-      connected = !socket.connecting
-      if (socket.connecting) socket.once('connect', () => { connected = true })
-    })
+    const connected = Edge.HttpClient.trackConnect(attempt)
     attempt.on('error', error => {
-      endAttempt(exchange, attemptId, connected
+      endAttempt(exchange, attemptId, connected()
         ? { run: 'unknown', code: 'outcomeUnknown', reason: error.message }
         : { run: 'notRun', code: 'endpointUnreachable', reason: error.message })
     })
--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -5,8 +5,10 @@
  */
 export * as Caller from './caller.ts'
 export * as Deployment from './deployment.ts'
+export * as Load from './load.ts'
 export * as Manifests from './manifests.ts'
 export * as Processes from './processes.ts'
 export * as Shapes from './shapes.ts'
 export * as SilentProxy from './silentProxy.ts'
+export * as Tables from './tables.ts'
 export * as Wait from './wait.ts'
