--- a/testkit/tables.ts
+++ b/testkit/tables.ts
@@ -41,7 +41,10 @@
       .map(condition => rows.get(keyOf(condition.table, condition.key)) ?? { table: condition.table, key: condition.key, revision: 0, value: null })
     if (conflicts.length > 0) return { committed: false, revision, conflicts }
     revision++
-    for (const write of transaction.writes) rows.set(keyOf(write.table, write.key), JSON.parse(JSON.stringify({ ...write, revision })) as Schemas.Platform.Row)
+    for (const write of transaction.writes) {
+      if (write.value === null) rows.delete(keyOf(write.table, write.key))
+      else rows.set(keyOf(write.table, write.key), JSON.parse(JSON.stringify({ ...write, revision })) as Schemas.Platform.Row)
+    }
     return { committed: true, revision, conflicts: [] }
   }
   const outcomes: Readonly<Record<WriteFate, (transaction: Schemas.Platform.Transaction) => Neverthrow.Result<Schemas.Platform.TransactionAnswer, Platform.TableClient.StoreFailure>>> = {
@@ -58,7 +61,7 @@
       : Neverthrow.ok(wanted.flatMap(row => rows.get(keyOf(row.table, row.key)) ?? [])),
     scan: async (table, prefix, limitCount) => readsDown
       ? Neverthrow.err(failure(false))
-      : Neverthrow.ok([...rows.values()].filter(row => row.table === table && row.key.startsWith(prefix)).slice(0, limitCount)),
+      : Neverthrow.ok([...rows.values()].filter(row => row.table === table && row.key.startsWith(prefix)).sort((a, b) => a.key < b.key ? -1 : 1).slice(0, limitCount)),
     nextWrites: next => { fates = [...next] },
     deliverLate: () => {
       const applied = late.filter(transaction => apply(transaction).committed).length
