--- a/src/gateway/systems/claims.ts
+++ b/src/gateway/systems/claims.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Core from '../../core/index.ts'
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
@@ -34,16 +35,27 @@
     row.claimRevision = result.revision
     row.claimRecord = result.record
     row.claimedAttemptId = result.record.attemptId
-    if (tick.nowMs >= row.deadlineMs) { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'deadlinePassed'), { reason: 'The deadline passed while the key was claimed.' }); return }
+    if (tick.nowMs >= row.deadlineMs) { refuse(tables, tick, row, 'deadlinePassed', { reason: 'The deadline passed while the key was claimed.' }); return }
     if (!isCurrent(tables, row)) { row.current = undefined; row.state = 'routing'; return }
     Routing.send(tables, tick, row)
   },
   held: (tables, tick, row, result) => { resolveHeld(tables, tick, row, result) },
   unavailable: (tables, tick, row) => {
-    Finish.finish(tables, tick, row, Finish.refusalOf(row, 'storeUnavailable'), { reason: 'The claim could not be written.', retryAfterMs: RETRY_AFTER_MS })
+    refuse(tables, tick, row, 'storeUnavailable', { reason: 'The claim could not be written.', retryAfterMs: RETRY_AFTER_MS })
   }
 }
 
+/** The claim is answered and the attempt that it was for is not sent. */
+function settleClaim (row: Tables.CallRow): void {
+  row.state = 'routing'
+  row.current = undefined
+}
+
+function refuse (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: Finish.FinishDetails): void {
+  settleClaim(row)
+  Finish.finish(tables, tick, row, Finish.refusalOf(row, code), details)
+}
+
 /** A pause may have passed between choosing the agent and the claim's answer. */
 function isCurrent (tables: Tables.Tables, row: Tables.CallRow): boolean {
   const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
@@ -59,9 +71,9 @@
     return
   }
   row.claimedAttemptId = undefined
-  if (record.digest !== row.call.digest) { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'keyConflict'), { reason: 'The key belongs to another request.' }); return }
-  if (record.state === 'done' && record.outcome !== undefined) { Finish.replay(tables, tick, row, record.outcome); return }
-  if (record.state === 'unknown' && !row.idempotent) { Finish.finish(tables, tick, row, 'outcomeUnknown', { reason: 'The outcome of the first call is lost.' }); return }
+  if (record.digest !== row.call.digest) { refuse(tables, tick, row, 'keyConflict', { reason: 'The key belongs to another request.' }); return }
+  if (record.state === 'done' && record.outcome !== undefined) { settleClaim(row); Finish.replay(tables, tick, row, record.outcome); return }
+  if (record.state === 'unknown' && !row.idempotent) { refuse(tables, tick, row, 'outcomeUnknown', { reason: 'The outcome of the first call is lost.' }); return }
   Asking.askHeld(tick, row, held)
 }
 
--- /dev/null
+++ b/test/fencing.test.ts
@@ -0,0 +1,144 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import type * as Messages from '../src/agent/messages.ts'
+import * as Fencing from '../src/agent/systems/fencing.ts'
+import * as AgentTables from '../src/agent/tables.ts'
+import * as Control from '../src/control/index.ts'
+import * as Core from '../src/core/index.ts'
+import type * as Schemas from '../src/schema/index.ts'
+
+const MINUTE_MS = 60_000
+
+function envelopeOf (attemptId: string, fields: Partial<Schemas.Calls.CallEnvelope> = {}): Schemas.Calls.CallEnvelope {
+  return {
+    callId: `call-${attemptId}`,
+    attemptId,
+    gatewayId: 'gateway-1',
+    workspace: 'operator-1',
+    service: 'filing-api',
+    method: 'POST',
+    path: '/filings',
+    timeLeftMs: 5_000,
+    priority: 1,
+    idempotent: false,
+    stream: false,
+    resumeFromIndex: 0,
+    digest: 'd'.repeat(64),
+    claimKey: 'operator-1/k',
+    agentIncarnation: 'i1',
+    expiresAtMs: 5_000,
+    ...fields
+  }
+}
+
+function createFixture () {
+  const tables = AgentTables.createTables({ instanceId: 'agent-1', kind: 'agent', zone: 'kartli', region: 'kartli', service: 'filing-api', incarnation: 'i1' }, Control.Documents.createHeld())
+  const step = Core.Loop.createStepper<AgentTables.Tables, Messages.Input, Messages.Command>(tables, [Fencing.fencingSystem], Core.Random.createRandom(1))
+  const ask = (nowMs: number, attemptId: string, fields: Partial<Schemas.Calls.FenceQuestion> = {}): Schemas.Calls.FenceAnswer | undefined => {
+    const question = { attemptId, agentIncarnation: 'i1', expiresAtMs: 5_000, fence: true, ...fields }
+    const command = step([{ kind: 'fenceAsked', askId: 'ask', question }], nowMs).commands.find(found => found.kind === 'answerFence')
+    return command?.kind === 'answerFence' ? command.answer : undefined
+  }
+  const remember = (nowMs: number, envelope: Schemas.Calls.CallEnvelope, state: AgentTables.FinishedRow['state'], outcome?: Schemas.Calls.Outcome): void => {
+    const system: AgentTables.System = { name: 'remember', run: (_tables, tick) => { Fencing.remember(tables, tick, envelope, state, outcome) } }
+    Core.Loop.createStepper<AgentTables.Tables, Messages.Input, Messages.Command>(tables, [system], Core.Random.createRandom(1))([], nowMs)
+  }
+  /** Whether an attempt that arrives now is refused before admission sees it. */
+  const refuses = (nowMs: number, envelope: Schemas.Calls.CallEnvelope): boolean => {
+    step([{ kind: 'callOffered', envelope }], nowMs)
+    return tables.finished.get(envelope.attemptId)?.state === 'fenced'
+  }
+  return { tables, step, ask, remember, refuses }
+}
+
+const ANSWER: Schemas.Calls.Outcome = { httpStatus: 200, contentType: 'text/plain', bodyBase64: 'b2s=' }
+
+describe('fencingSystem', () => {
+  describe('an attempt that was not seen', () => {
+    it('is only looked up at first, and still admitted when it arrives', () => {
+      const { ask, refuses } = createFixture()
+      expect(ask(0, 'a1', { fence: false })?.state).toEqual('unseen')
+      expect(refuses(1, envelopeOf('a1'))).toEqual(false)
+    })
+
+    it('is refused for as long as it can arrive once its promise is given', () => {
+      const { ask, refuses, tables } = createFixture()
+      expect(ask(0, 'a1')?.state).toEqual('neverRun')
+      expect(refuses(4_999, envelopeOf('a1'))).toEqual(true)
+      expect(refuses(20 * MINUTE_MS, envelopeOf('a1'))).toEqual(true)
+      expect(ask(20 * MINUTE_MS, 'a1')?.state).toEqual('neverRun')
+      expect(tables.finished.count()).toEqual(1)
+    })
+
+    it('is never promised without the time when it expires', () => {
+      const { ask } = createFixture()
+      expect(ask(0, 'a1', { expiresAtMs: undefined })?.state).toEqual('unseen')
+    })
+  })
+
+  describe('an attempt that arrives after it has expired', () => {
+    it('is refused by its age alone', () => {
+      const { refuses } = createFixture()
+      expect(refuses(5_000, envelopeOf('a1'))).toEqual(true)
+    })
+  })
+
+  describe('a question from before a restart', () => {
+    it('is answered as unknown', () => {
+      const { ask } = createFixture()
+      expect(ask(0, 'a1', { agentIncarnation: 'i0' })?.state).toEqual('unknown')
+    })
+  })
+
+  describe('a finished attempt', () => {
+    it('is answered with its outcome', () => {
+      const { ask, remember } = createFixture()
+      remember(10, envelopeOf('a1'), 'done', ANSWER)
+      expect(ask(20, 'a1')).toEqual({ state: 'done', outcome: ANSWER })
+    })
+
+    it('is unknown, never promised, once it was forgotten', () => {
+      const { ask, remember, step, tables } = createFixture()
+      remember(10, envelopeOf('a1'), 'done', ANSWER)
+      step([], 5_000 + 15 * MINUTE_MS)
+      expect([tables.finished.count(), tables.memory.keptBytes]).toEqual([0, 0])
+      expect(ask(5_001 + 15 * MINUTE_MS, 'a1')?.state).toEqual('unknown')
+      expect(ask(5_001 + 15 * MINUTE_MS, 'a2', { expiresAtMs: 5_001 + 16 * MINUTE_MS })?.state).toEqual('neverRun')
+    })
+
+    it('that was refused may be asked about, and does not come back', () => {
+      const { ask, remember, refuses } = createFixture()
+      remember(10, envelopeOf('a1'), 'neverRun')
+      expect(ask(20, 'a1')?.state).toEqual('neverRun')
+      expect(refuses(6_000, envelopeOf('a1'))).toEqual(true)
+    })
+
+    it('is not remembered when nobody can ask about it', () => {
+      const { remember, tables } = createFixture()
+      remember(10, envelopeOf('a1', { idempotent: true, claimKey: undefined }), 'done', ANSWER)
+      expect(tables.finished.count()).toEqual(0)
+    })
+  })
+
+  describe('too many answers', () => {
+    it('lose the oldest bodies and keep what became of the attempts', () => {
+      const { ask, remember, tables } = createFixture()
+      const body = 'x'.repeat(1024 * 1024)
+      for (let index = 0; index < 10; index++) remember(10, envelopeOf(`a${index}`), 'done', { ...ANSWER, bodyBase64: body })
+      expect(tables.memory.keptBytes <= 8 * 1024 * 1024).toEqual(true)
+      expect(ask(20, 'a0')).toEqual({ state: 'done', outcome: undefined })
+      expect(ask(20, 'a9')?.outcome?.bodyBase64.length).toEqual(body.length)
+    })
+  })
+
+  describe('too many attempts', () => {
+    it('are forgotten so that late arrivals are refused and questions are answered as unknown', () => {
+      const { ask, remember, refuses, tables } = createFixture()
+      for (let index = 0; index <= 100_000; index++) remember(10, envelopeOf(`a${index}`), 'unknown')
+      expect(ask(20, 'b1')?.state).toEqual('unknown')
+      expect(tables.finished.count() <= 100_000).toEqual(true)
+      expect(refuses(30, envelopeOf('b2'))).toEqual(true)
+      expect(refuses(30, envelopeOf('b3', { expiresAtMs: 5_001 }))).toEqual(false)
+    })
+  })
+})
