--- a/bench/atmostonce.ts
+++ b/bench/atmostonce.ts
@@ -102,7 +102,7 @@
     const at = args.indexOf(`--${name}`)
     return at === -1 ? fallback : Number(args[at + 1])
   }
-  return { callCount: valueOf('calls', 100_000), seed: valueOf('seed', 5), callerCount: valueOf('callers', 96) }
+  return { callCount: valueOf('calls', 100_000), seed: valueOf('seed', 5), callerCount: valueOf('callers', 256) }
 }
 
 async function sendAll (deployment: TestKit.Deployment.Deployment, options: Options, random: Core.Random.Random, tally: Tally, progress: (share: number) => void): Promise<KeyRecord[]> {
--- a/src/gateway/systems/asking.ts
+++ b/src/gateway/systems/asking.ts
@@ -101,7 +101,7 @@
 }
 
 function start (tick: Tables.Tick, row: Tables.CallRow, purpose: Tables.AskState['purpose'], attempt: Tables.CurrentAttempt, held: Tables.HeldClaim | undefined): void {
-  row.ask = { purpose, attempt, held, fence: purpose === 'answerLost', askCount: 0, nextAtMs: tick.nowMs, pending: false, doneSeen: false }
+  row.ask = { purpose, attempt, held, fence: purpose === 'answerLost', askCount: 0, nextAtMs: tick.nowMs, pending: false, lastState: undefined }
 }
 
 function ask (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState): void {
@@ -132,15 +132,16 @@
 
 function take (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState, answer: Schemas.Calls.FenceAnswer | undefined): void {
   tick.log('claims', 'Agent asked.', { callId: row.call.callId, attemptId: state.attempt.attemptId, endpointId: state.attempt.endpointId, purpose: state.purpose, answer: answer?.state ?? 'none' })
-  if (answer === undefined) unreachable(tables, tick, row, state)
-  else ANSWERS[answer.state](tables, tick, row, state, answer)
+  if (answer === undefined) { unreachable(tables, tick, row, state); return }
+  ANSWERS[answer.state](tables, tick, row, state, answer)
+  state.lastState = answer.state
 }
 
 type AnswerHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState, answer: Schemas.Calls.FenceAnswer) => void
 
 const ANSWERS: Readonly<Record<Schemas.Calls.FenceAnswer['state'], AnswerHandler>> = {
   done: (tables, tick, row, state, answer) => {
-    if (state.purpose === 'silent' && !state.doneSeen) { state.doneSeen = true; later(tick, state, ANSWER_GRACE_MS); return }
+    if (state.purpose === 'silent' && state.lastState !== 'done') { later(tick, state, ANSWER_GRACE_MS); return }
     if (state.purpose === 'silent' && answer.outcome === undefined) { waitOn(tick, row); return }
     if (answer.outcome === undefined) { lost(tables, tick, row, state); return }
     stopAttempt(tick, row, state)
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Core from '../../core/index.ts'
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
@@ -142,11 +143,17 @@
     Finish.finish(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.' })
   },
   asking: (tables, tick, row) => {
-    const code = row.ask?.held?.record.state === 'done' ? 'answerUnavailable' : 'agentUnreachable'
-    Finish.finish(tables, tick, row, code, { reason: 'The agent did not tell the outcome by the deadline.', retryAfterMs: RETRY_AFTER_MS })
+    Finish.finish(tables, tick, row, askingCode(row), { reason: 'The agent did not tell the outcome by the deadline.', retryAfterMs: RETRY_AFTER_MS })
   }
 }
 
+/** Only a call with a key may be told to come back: without one, a repeat could run it twice. */
+function askingCode (row: Tables.CallRow): Core.Codes.CodeName {
+  if (row.ask?.held?.record.state === 'done') return 'answerUnavailable'
+  if (row.ask?.lastState === 'running') return 'deadlineRunning'
+  return row.call.idempotencyKey === undefined ? 'outcomeUnknown' : 'agentUnreachable'
+}
+
 /** A keyed call that must not run twice is followed to its end, so that a repeat finds its answer. */
 function outlivesCaller (row: Tables.CallRow): boolean {
   return row.call.idempotencyKey !== undefined && !row.idempotent && row.openAttempts.size > 0
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -53,8 +53,8 @@
   askCount: number
   nextAtMs: number
   pending: boolean
-  /** The agent has said that the attempt is done. */
-  doneSeen: boolean
+  /** What the agent answered last. */
+  lastState: Schemas.Calls.FenceAnswer['state'] | undefined
 }
 
 /** An agent's clock relative to the gateway's. */
