Spread control documents along trees and keep membership by probes

Cause: every process read all documents and the whole instance list twice a second, so that store reads and bytes rose with the number of processes; a process that started while the store was down held nothing. Change: three watchers in each availability zone, by rendezvous hashing, poll a small row of versions; news goes along two trees in each zone and between roots, and each probe compares versions. Bodies are fetched only when needed, compressed. Processes probe one another directly and through three others, suspect before they remove, and refute with incarnation numbers. A process is ready when the store or three ready processes have answered and nothing newer is known of. The decisions are systems over tables. Conclusion: store reads depend on zones, not on processes.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -64,6 +64,7 @@
   }
   const log = Edge.Log.createLog('agent', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
+  const violate = Edge.Violations.createReporter(log, metrics)
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
@@ -86,6 +87,7 @@
     clock,
     pollMs: settings.pollMs,
     log,
+    violate,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
     onInstances: () => {}
   })
@@ -132,7 +134,7 @@
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
     perform: command => { Core.Loop.dispatch(perform, command) },
     record: log.decision,
-    violate: Edge.Violations.createReporter(log, metrics),
+    violate,
     clock,
     beatMs: BEAT_MS
   })
@@ -165,12 +167,14 @@
       { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() ? 200 : 503, Tables.reportOf(tables)) } }
     ]
   })
+  node.announce({ host: settings.listenHost, port: server.port, service: settings.service })
   log.info('agent', 'Agent listens.', { port: server.port })
   return {
     port: server.port,
     report: () => Tables.reportOf(tables),
     stop: async () => {
       push({ kind: 'stopping' })
+      node.leave()
       const deadlineMs = clock() + settings.stopGraceMs
       while (tables.attempts.count() > 0 && clock() < deadlineMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
       await server.close(Math.max(0, deadlineMs - clock()))
--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -23,9 +23,7 @@
 export function createProcedures (options: ProcedureOptions) {
   return Edge.Rpc.router({
     report: Edge.Rpc.peerProcedure.mutation(() => options.report()),
-    exchange: Edge.Rpc.peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    ...Control.Peers.createProcedures(options.node),
     fence: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Schemas.Calls.FenceQuestion))
       .mutation(async ({ input }) => await options.fence(input))
--- /dev/null
+++ b/src/control/messages.ts
@@ -0,0 +1,33 @@
+/**
+ * Inputs and commands of a process's part in control.
+ *
+ * @packageDocumentation
+ */
+import type * as Schemas from '../schema/index.ts'
+import type * as Layout from './layout.ts'
+
+/** What happened since the last tick. */
+export type Input =
+  | { readonly kind: 'announced', readonly place: Schemas.Platform.Instance }
+  | { readonly kind: 'leaving' }
+  | { readonly kind: 'listRead', readonly instances: readonly Schemas.Platform.Instance[], readonly sizeBytes: number }
+  | { readonly kind: 'listFailed' }
+  | { readonly kind: 'storeRead', readonly versions: Schemas.Control.Versions }
+  | { readonly kind: 'storeFailed' }
+  | { readonly kind: 'gossipHeard', readonly gossip: Schemas.Membership.Gossip }
+  | { readonly kind: 'gossipEnded', readonly memberId: string, readonly purpose: Purpose, readonly answered: boolean }
+  | { readonly kind: 'relayEnded', readonly memberId: string, readonly relayAnswered: boolean, readonly targetAnswered: boolean }
+  | { readonly kind: 'adopted', readonly document: Schemas.Control.Document, readonly origin: Layout.Origin }
+  | { readonly kind: 'pullEnded', readonly memberId: string }
+
+/** Why a message is sent. */
+export type Purpose = 'probe' | 'notify' | 'ask'
+
+/** What the edge is to do. */
+export type Command =
+  | { readonly kind: 'gossip', readonly memberId: string, readonly target: Schemas.Platform.Instance, readonly purpose: Purpose, readonly message: Schemas.Membership.Gossip }
+  | { readonly kind: 'relay', readonly memberId: string, readonly via: Schemas.Platform.Instance, readonly target: Schemas.Platform.Instance, readonly message: Schemas.Membership.Gossip }
+  | { readonly kind: 'pull', readonly memberId: string, readonly target: Schemas.Platform.Instance, readonly versions: Schemas.Control.Versions }
+  | { readonly kind: 'readStore' }
+  | { readonly kind: 'readList' }
+  | { readonly kind: 'tellInstances' }
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -1,23 +1,24 @@
 /**
- * A process's part in control: learns documents and instances, and tells its peers.
+ * A process's part in control: carries out what its systems decide.
  *
  * @packageDocumentation
  */
-import * as Edge from '../edge/index.ts'
+import * as Core from '../core/index.ts'
+import type * as Edge from '../edge/index.ts'
 import * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
-import type * as Core from '../core/index.ts'
 import * as Commits from './commits.ts'
-import * as Documents from './documents.ts'
+import type * as Documents from './documents.ts'
+import * as Gossip from './gossip.ts'
+import type * as Layout from './layout.ts'
+import type * as Messages from './messages.ts'
+import * as Peers from './peers.ts'
+import * as Systems from './systems/index.ts'
+import * as Polls from './systems/polls.ts'
+import * as Tables from './tables.ts'
 
 /** Who a process is. */
-export interface Identity {
-  readonly instanceId: string
-  readonly kind: 'gateway' | 'agent'
-  readonly zone: string
-  readonly region: string
-  readonly incarnation: string
-}
+export type Identity = Tables.Identity
 
 /** How a node meets the world. */
 export interface NodeOptions {
@@ -30,20 +31,35 @@
   readonly onDocument: (document: Schemas.Control.Document) => void
   readonly onInstances: (instances: readonly Schemas.Platform.Instance[]) => void
   readonly log: Edge.Log.Log
+  /** Takes invariants that did not hold. */
+  readonly violate: (violation: Core.Invariants.Violation) => void
   /** How often the store and the instance list are read, in milliseconds. */
   readonly pollMs: number
 }
 
 /** A process's part in control. */
 export interface ControlNode {
+  /** The documents held; no manifest until the process has learnt the newest one. */
   readonly held: Documents.Held
   instances: () => readonly Schemas.Platform.Instance[]
-  /** Takes a document from anywhere; tells whether it was news. */
+  /** Every other process as this one knows it. */
+  members: () => readonly Schemas.Membership.MemberReport[]
+  /** Whether this process reads the store on behalf of its availability zone. */
+  watches: () => boolean
+  /** Takes a document that was committed here; tells whether it was news. */
   adopt: (document: Schemas.Control.Document) => boolean
   /** Whether the process has learnt the newest manifest that it can learn. */
   ready: () => boolean
+  /** Tells the other processes where this one listens. */
+  announce: (address: { readonly host: string, readonly port: number, readonly service?: string }) => void
+  /** Tells the other processes that this one is leaving. */
+  leave: () => void
   /** Answers a peer: what it holds that the peer does not, and the versions held. */
   exchange: (request: ExchangeRequest) => ExchangeAnswer
+  /** Takes a peer's message and answers it. */
+  gossip: (message: Schemas.Membership.Gossip) => Promise<Schemas.Membership.Gossip>
+  /** Probes another process for a peer. */
+  probe: (request: Schemas.Membership.ProbeRequest) => Promise<Schemas.Membership.ProbeAnswer>
   stop: () => void
 }
 
@@ -59,6 +75,7 @@
 }
 
 const LIST_TIMEOUT_MS = 2_000
+const BEAT_MS = 100
 
 /**
  * Starts a node.
@@ -67,38 +84,114 @@
  * @returns The node.
  */
 export function createNode (options: NodeOptions): ControlNode {
-  const held = Documents.createHeld()
+  const { identity, log } = options
+  const tables = Tables.createTables(identity, options.pollMs, Date.now())
+  const peers = Peers.createClient(options.peerKey)
+  const check = Core.Invariants.createCheck(options.violate)
   let instances: readonly Schemas.Platform.Instance[] = []
   let stopped = false
+  const push = (input: Messages.Input): void => { loop.push(input) }
 
-  const adopt = (document: Schemas.Control.Document): boolean => {
-    if (!held.adopt(document)) return false
-    options.log.info('control', 'Document in force.', { kind: document.kind, version: document.version })
+  const take = (document: Schemas.Control.Document, origin: Layout.Origin): boolean => {
+    const before = tables.held.versions()[document.kind]
+    if (!tables.held.adopt(document)) return false
+    const after = tables.held.versions()[document.kind]
+    check('manifestRises', after > before, () => ({ kind: document.kind, before, after }))
+    log.info('control', 'Document in force.', { kind: document.kind, version: document.version, origin })
     options.onDocument(document)
+    push({ kind: 'adopted', document, origin })
     return true
   }
   const readStore = async (): Promise<void> => {
-    const documents = await Commits.readDocuments(options.tables)
-    if (documents.isOk()) documents.value.forEach(adopt)
+    const versions = await Commits.readVersions(options.tables)
+    if (versions.isErr()) { push({ kind: 'storeFailed' }); return }
+    const held = tables.held.versions()
+    const newer = Schemas.Control.DOCUMENT_KINDS.filter(kind => versions.value[kind] > held[kind])
+    if (newer.length > 0) {
+      const documents = await Commits.readDocuments(options.tables, newer)
+      if (documents.isErr()) { push({ kind: 'storeFailed' }); return }
+      for (const document of documents.value) take(document, 'store')
+    }
+    push({ kind: 'storeRead', versions: versions.value })
   }
-  const readInstances = async (): Promise<void> => {
+  const readList = async (): Promise<void> => {
     const list = await Platform.InstanceClient.listInstances(options.instanceList, LIST_TIMEOUT_MS)
-    if (list.isErr()) return
-    instances = list.value
+    push(list.isErr() ? { kind: 'listFailed' } : { kind: 'listRead', ...list.value })
+  }
+  const sendGossip = async (command: Extract<Messages.Command, { kind: 'gossip' }>): Promise<void> => {
+    const gossip = await peers.gossip(command.target, command.message)
+    if (gossip !== undefined) push({ kind: 'gossipHeard', gossip })
+    const answered = gossip?.sender.instanceId === command.memberId
+    push({ kind: 'gossipEnded', memberId: command.memberId, purpose: command.purpose, answered })
+  }
+  const sendRelay = async (command: Extract<Messages.Command, { kind: 'relay' }>): Promise<void> => {
+    const relayed = await peers.relay(command.via, { gossip: command.message, target: command.target })
+    const gossip = relayed?.answer
+    if (gossip !== undefined) push({ kind: 'gossipHeard', gossip })
+    push({ kind: 'relayEnded', memberId: command.memberId, relayAnswered: relayed !== undefined, targetAnswered: gossip?.sender.instanceId === command.memberId })
+  }
+  const pull = async (command: Extract<Messages.Command, { kind: 'pull' }>): Promise<void> => {
+    const answer = await peers.pull(command.target, command.versions)
+    for (const document of answer?.documents ?? []) take(document, 'peer')
+    push({ kind: 'pullEnded', memberId: command.memberId })
+  }
+  const tellInstances = (): void => {
+    instances = Tables.instancesOf(tables)
     options.onInstances(instances)
   }
-  const repeat = (work: () => Promise<void>): void => {
-    if (stopped) return
-    void work().finally(() => { setTimeout(() => { repeat(work) }, options.pollMs).unref() })
+  const perform: Core.Loop.Handlers<Messages.Command> = {
+    gossip: command => { void sendGossip(command) },
+    relay: command => { void sendRelay(command) },
+    pull: command => { void pull(command) },
+    readStore: () => { void readStore() },
+    readList: () => { void readList() },
+    tellInstances
   }
-  repeat(readStore)
-  repeat(readInstances)
+  const loop = Core.Loop.createLoop({
+    step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, options.random),
+    perform: command => { if (!stopped || command.kind === 'gossip') Core.Loop.dispatch(perform, command) },
+    record: log.decision,
+    violate: options.violate,
+    clock: options.clock,
+    beatMs: BEAT_MS
+  })
   return {
-    held,
+    held: { ...tables.held, manifest: () => tables.learning.everLearnt ? tables.held.manifest() : undefined },
     instances: () => instances,
-    adopt,
-    ready: () => held.manifest() !== undefined,
-    exchange: versions => ({ versions: held.versions(), documents: held.newerThan(versions) }),
-    stop: () => { stopped = true }
+    members: () => [...tables.members.rows()].map(row => reportOf(row, options.clock())),
+    watches: () => Polls.isWatcher(tables, options.clock()),
+    adopt: document => take(document, 'operator'),
+    ready: () => Tables.isReady(tables),
+    announce: address => {
+      const { instanceId, kind, zone, region } = identity
+      push({ kind: 'announced', place: { instanceId, kind, zone, region, state: 'live', ...address } })
+    },
+    leave: () => { push({ kind: 'leaving' }) },
+    exchange: versions => ({ versions: tables.held.versions(), documents: tables.held.newerThan(versions) }),
+    gossip: async message => {
+      push({ kind: 'gossipHeard', gossip: message })
+      await new Promise(resolve => setImmediate(resolve))
+      const answer = Gossip.compose(tables, message.sender.instanceId)
+      return { ...answer, sender: { ...answer.sender, place: undefined } }
+    },
+    probe: async request => ({ answer: await peers.gossip(request.target, request.gossip) }),
+    stop: () => {
+      stopped = true
+      loop.stop()
+    }
+  }
+}
+
+function reportOf (row: Tables.MemberRow, nowMs: number): Schemas.Membership.MemberReport {
+  return {
+    instanceId: row.instanceId,
+    kind: row.place.kind,
+    zone: row.place.zone,
+    state: row.state,
+    leaving: row.listedState === 'leaving' || row.place.state === 'leaving',
+    listed: row.listed,
+    incarnation: row.incarnation,
+    heardAgoMs: row.heardAtMs > -Infinity ? Math.round(nowMs - row.heardAtMs) : undefined,
+    versions: row.versions
   }
 }
--- /dev/null
+++ b/src/control/systems/index.ts
@@ -0,0 +1,20 @@
+/**
+ * The systems of control in the order in which they run.
+ *
+ * @packageDocumentation
+ */
+import type * as Tables from '../tables.ts'
+import * as Learning from './learning.ts'
+import * as Membership from './membership.ts'
+import * as Polls from './polls.ts'
+import * as Probes from './probes.ts'
+import * as Spread from './spread.ts'
+
+/** Members first, then what is decided about them. */
+export const SYSTEMS: readonly Tables.System[] = [
+  Membership.membershipSystem,
+  Probes.probesSystem,
+  Spread.spreadSystem,
+  Polls.pollsSystem,
+  Learning.learningSystem
+]
--- /dev/null
+++ b/src/control/systems/membership.ts
@@ -0,0 +1,212 @@
+/**
+ * Follows the other processes: the instance list, messages, rumours, suspicion and removal.
+ *
+ * @packageDocumentation
+ */
+import type * as Schemas from '../../schema/index.ts'
+import * as Gossip from '../gossip.ts'
+import * as Tables from '../tables.ts'
+
+/** A suspected member that several processes accuse is removed after so long, in milliseconds. */
+export const CONFIRMED_SUSPICION_MS = 4_000
+/** A suspected member that one process accuses is removed after so long, in milliseconds. */
+export const SUSPICION_MS = 12_000
+/** A dead member that is not listed is forgotten after so long, in milliseconds. */
+export const FORGET_MS = 60_000
+const CONFIRMING_COUNT = 2
+/** Members that a leaving process tells at once. */
+const FAREWELL_COUNT = 4
+
+/** Keeps the table of members. */
+export const membershipSystem: Tables.System = {
+  name: 'membership',
+  run: (tables, tick) => {
+    for (const input of tick.inputs) {
+      if (input.kind === 'announced') announce(tables, tick, input.place)
+      if (input.kind === 'leaving') leave(tables, tick)
+      if (input.kind === 'listRead') mergeList(tables, tick, input.instances)
+      if (input.kind === 'gossipHeard') hear(tables, tick, input.gossip)
+    }
+    endSuspicions(tables, tick)
+  }
+}
+
+/**
+ * Suspects a member that did not answer, and passes the suspicion on.
+ *
+ * @param tables - The tables.
+ * @param tick - The tick.
+ * @param row - The member.
+ */
+export function suspect (tables: Tables.Tables, tick: Tables.Tick, row: Tables.MemberRow): void {
+  if (row.state === 'dead') return
+  take(tables, tick, { ...Gossip.rumourOf(row), state: 'suspect', accuserId: tables.identity.instanceId })
+}
+
+function announce (tables: Tables.Tables, tick: Tables.Tick, place: Schemas.Platform.Instance): void {
+  tables.self.place = place
+  Gossip.passOn(tables, { instanceId: place.instanceId, incarnation: tables.self.incarnation, state: 'alive', place })
+  changed(tables, tick)
+}
+
+function leave (tables: Tables.Tables, tick: Tables.Tick): void {
+  if (tables.self.place === undefined) return
+  tables.self.incarnation++
+  announce(tables, tick, { ...tables.self.place, state: 'leaving' })
+  const alive = [...tables.members.rows()].filter(row => row.state === 'alive')
+  const first = alive.length === 0 ? 0 : tick.random.below(alive.length)
+  for (const row of [...alive.slice(first), ...alive.slice(0, first)].slice(0, FAREWELL_COUNT)) {
+    tick.emit({ kind: 'gossip', memberId: row.instanceId, target: row.place, purpose: 'notify', message: Gossip.compose(tables, row.instanceId) })
+  }
+}
+
+function mergeList (tables: Tables.Tables, tick: Tables.Tick, instances: readonly Schemas.Platform.Instance[]): void {
+  const isFirst = tables.polls.listReadCount++ === 0
+  const listed = new Set<string>()
+  for (const place of instances) {
+    listed.add(place.instanceId)
+    if (place.instanceId === tables.identity.instanceId) continue
+    const row = tables.members.get(place.instanceId)
+    if (row === undefined) {
+      const added = addMember(tables, tick, { instanceId: place.instanceId, incarnation: 0, state: 'alive', place }, place)
+      if (!isFirst) Gossip.passOn(tables, Gossip.rumourOf(added))
+      added.listed = true
+      continue
+    }
+    if (!row.listed || row.listedState !== place.state) changed(tables, tick)
+    row.listed = true
+    row.listedState = place.state
+    if (!samePlace(row.place, place) && (row.incarnation === 0 || row.state !== 'alive')) move(tables, tick, row, place)
+  }
+  for (const row of [...tables.members.rows()]) {
+    if (listed.has(row.instanceId)) continue
+    if (row.listed) changed(tables, tick)
+    row.listed = false
+    if (row.state === 'dead' && tick.nowMs - row.diedAtMs > FORGET_MS) remove(tables, row)
+  }
+}
+
+function hear (tables: Tables.Tables, tick: Tables.Tick, gossip: Schemas.Membership.Gossip): void {
+  const { sender } = gossip
+  if (sender.instanceId === tables.identity.instanceId) return
+  tables.self.peerHeardAtMs = tick.nowMs
+  tables.heard = Tables.highest(tables.heard, gossip.versions)
+  take(tables, tick, sender)
+  const row = tables.members.get(sender.instanceId)
+  if (row !== undefined) {
+    row.heardAtMs = tick.nowMs
+    row.ready = gossip.ready
+    row.versions = gossip.versions
+  }
+  for (const rumour of gossip.rumours) take(tables, tick, rumour)
+}
+
+/** Takes a rumour if it stands against what is known, and passes it on. */
+function take (tables: Tables.Tables, tick: Tables.Tick, rumour: Schemas.Membership.Rumour): void {
+  if (rumour.instanceId === tables.identity.instanceId) { refute(tables, tick, rumour); return }
+  const row = tables.members.get(rumour.instanceId)
+  if (row === undefined) {
+    if (rumour.place === undefined || rumour.state === 'dead') return
+    addMember(tables, tick, rumour, rumour.place)
+    Gossip.passOn(tables, rumour)
+    return
+  }
+  if (row.state === 'suspect' && rumour.state === 'suspect' && rumour.incarnation === row.incarnation) accuse(tables, row, rumour)
+  if (!Gossip.overrides(rumour, row)) return
+  row.incarnation = rumour.incarnation
+  if (rumour.place !== undefined && rumour.state === 'alive') move(tables, tick, row, rumour.place)
+  setState(tables, tick, row, rumour)
+  Gossip.passOn(tables, rumour)
+}
+
+/** Raises the own incarnation above that of a claim which is not true of this process. */
+function refute (tables: Tables.Tables, tick: Tables.Tick, rumour: Schemas.Membership.Rumour): void {
+  const { self } = tables
+  const isTrue = rumour.state === 'alive' && rumour.incarnation <= self.incarnation
+  if (isTrue || rumour.incarnation < self.incarnation) return
+  self.incarnation = rumour.incarnation + 1
+  tick.log('members', 'Accusation refuted.', { state: rumour.state, accuserId: rumour.accuserId, incarnation: self.incarnation })
+  if (self.place !== undefined) announce(tables, tick, self.place)
+}
+
+function setState (tables: Tables.Tables, tick: Tables.Tick, row: Tables.MemberRow, rumour: Schemas.Membership.Rumour): void {
+  const was = row.state
+  row.state = rumour.state
+  if (rumour.state === 'suspect') {
+    if (was !== 'suspect') row.suspectedAtMs = tick.nowMs
+    row.accuserIds = new Set()
+    tables.suspects.add(row.instanceId)
+    accuse(tables, row, rumour)
+  } else {
+    tables.suspects.delete(row.instanceId)
+    row.accuserIds.clear()
+  }
+  if (rumour.state === 'dead') row.diedAtMs = tick.nowMs
+  if (was === rumour.state) return
+  tick.log('members', SENTENCES[rumour.state], { memberId: row.instanceId, zone: row.place.zone, incarnation: row.incarnation, accuserId: rumour.accuserId })
+  if (was === 'dead' || rumour.state === 'dead') changed(tables, tick)
+}
+
+function accuse (tables: Tables.Tables, row: Tables.MemberRow, rumour: Schemas.Membership.Rumour): void {
+  if (rumour.accuserId === undefined || row.accuserIds.has(rumour.accuserId)) return
+  row.accuserIds.add(rumour.accuserId)
+  if (row.accuserIds.size <= CONFIRMING_COUNT) Gossip.passOn(tables, rumour)
+}
+
+function endSuspicions (tables: Tables.Tables, tick: Tables.Tick): void {
+  for (const id of [...tables.suspects]) {
+    const row = tables.members.get(id)
+    if (row === undefined) { tables.suspects.delete(id); continue }
+    const limitMs = row.accuserIds.size >= CONFIRMING_COUNT ? CONFIRMED_SUSPICION_MS : SUSPICION_MS
+    if (tick.nowMs - row.suspectedAtMs < limitMs) continue
+    take(tables, tick, { ...Gossip.rumourOf(row), state: 'dead', accuserId: tables.identity.instanceId })
+  }
+}
+
+function addMember (tables: Tables.Tables, tick: Tables.Tick, rumour: Schemas.Membership.Rumour, place: Schemas.Platform.Instance): Tables.MemberRow {
+  const row: Tables.MemberRow = {
+    instanceId: rumour.instanceId,
+    place,
+    incarnation: rumour.incarnation,
+    state: 'alive',
+    listed: false,
+    listedState: place.state,
+    heardAtMs: -Infinity,
+    suspectedAtMs: 0,
+    diedAtMs: 0,
+    accuserIds: new Set(),
+    ready: false,
+    versions: undefined
+  }
+  tables.members.set(row.instanceId, row)
+  changed(tables, tick)
+  if (rumour.state === 'suspect') setState(tables, tick, row, rumour)
+  return row
+}
+
+function move (tables: Tables.Tables, tick: Tables.Tick, row: Tables.MemberRow, place: Schemas.Platform.Instance): void {
+  if (samePlace(row.place, place) && row.place.state === place.state) return
+  row.place = place
+  changed(tables, tick)
+}
+
+function remove (tables: Tables.Tables, row: Tables.MemberRow): void {
+  tables.members.remove(row.instanceId)
+  tables.sources.delete(row.instanceId)
+  tables.rumours.remove(row.instanceId)
+}
+
+function samePlace (a: Schemas.Platform.Instance, b: Schemas.Platform.Instance): boolean {
+  return a.host === b.host && a.port === b.port && a.zone === b.zone && a.service === b.service
+}
+
+function changed (tables: Tables.Tables, tick: Tables.Tick): void {
+  tables.layoutStale = true
+  tick.emit({ kind: 'tellInstances' })
+}
+
+const SENTENCES: Readonly<Record<Schemas.Membership.MemberState, string>> = {
+  alive: 'Member is alive again.',
+  suspect: 'Member is suspected.',
+  dead: 'Member is dead.'
+}
--- /dev/null
+++ b/src/control/systems/spread.ts
@@ -0,0 +1,63 @@
+/**
+ * Passes news of documents on, and fetches documents that others hold.
+ *
+ * @packageDocumentation
+ */
+import * as Gossip from '../gossip.ts'
+import type * as Layout from '../layout.ts'
+import * as Tables from '../tables.ts'
+
+/** A second source is asked when the first has not answered for so long, in milliseconds. */
+export const PULL_PATIENCE_MS = 300
+const MAX_PULL_COUNT = 2
+
+/** Tells the tree about news and keeps fetching until nothing newer is known of. */
+export const spreadSystem: Tables.System = {
+  name: 'spread',
+  run: (tables, tick) => {
+    const origins = new Set<Layout.Origin>()
+    for (const input of tick.inputs) {
+      if (input.kind === 'adopted') {
+        tables.heard = Tables.highest(tables.heard, { ...tables.heard, [input.document.kind]: input.document.version })
+        origins.add(input.origin)
+      }
+      if (input.kind === 'storeRead') tables.heard = Tables.highest(tables.heard, input.versions)
+      if (input.kind === 'gossipHeard') tables.sources.set(input.gossip.sender.instanceId, input.gossip.versions)
+      if (input.kind === 'gossipEnded' && input.purpose === 'notify' && !input.answered) notify(tables, tick, Tables.layoutOf(tables, tick.nowMs).targetsOf(input.memberId, 'peer'))
+      if (input.kind === 'pullEnded') endPull(tables, input.memberId)
+    }
+    if (origins.size > 0) {
+      const origin = origins.has('operator') || origins.has('store') ? 'operator' : 'peer'
+      notify(tables, tick, Tables.layoutOf(tables, tick.nowMs).targetsOf(tables.identity.instanceId, origin))
+    }
+    pull(tables, tick)
+  }
+}
+
+function notify (tables: Tables.Tables, tick: Tables.Tick, memberIds: readonly string[]): void {
+  const versions = tables.held.versions()
+  for (const memberId of memberIds) {
+    const row = tables.members.get(memberId)
+    if (row === undefined || (row.versions !== undefined && !Tables.isAhead(versions, row.versions))) continue
+    tick.emit({ kind: 'gossip', memberId, target: row.place, purpose: 'notify', message: Gossip.compose(tables, memberId) })
+  }
+}
+
+function pull (tables: Tables.Tables, tick: Tables.Tick): void {
+  const versions = tables.held.versions()
+  for (const [memberId, offered] of tables.sources) {
+    if (!Tables.isAhead(offered, versions)) { tables.sources.delete(memberId); continue }
+    const row = tables.members.get(memberId)
+    if (row === undefined || tables.pulls.has(memberId)) continue
+    const waiting = [...tables.pulls.rows()].some(pull => tick.nowMs - pull.startedAtMs < PULL_PATIENCE_MS)
+    if (waiting || tables.pulls.count() >= MAX_PULL_COUNT) continue
+    tables.pulls.set(memberId, { memberId, startedAtMs: tick.nowMs })
+    tick.emit({ kind: 'pull', memberId, target: row.place, versions })
+  }
+}
+
+/** Forgets a source after each attempt; its next message offers it again. */
+function endPull (tables: Tables.Tables, memberId: string): void {
+  tables.pulls.remove(memberId)
+  tables.sources.delete(memberId)
+}
--- /dev/null
+++ b/src/control/tables.ts
@@ -0,0 +1,226 @@
+/**
+ * What a process knows of the other processes and of the documents in force.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+import * as Schemas from '../schema/index.ts'
+import * as Documents from './documents.ts'
+import * as Layout from './layout.ts'
+import type * as Messages from './messages.ts'
+
+/** Who a process is. */
+export interface Identity {
+  readonly instanceId: string
+  readonly kind: 'gateway' | 'agent'
+  readonly zone: string
+  readonly region: string
+  readonly incarnation: string
+}
+
+/** Another process. */
+export interface MemberRow {
+  readonly instanceId: string
+  place: Schemas.Platform.Instance
+  /** Zero until it has been heard of by more than the instance list. */
+  incarnation: number
+  state: Schemas.Membership.MemberState
+  /** Whether the instance list has it. */
+  listed: boolean
+  listedState: Schemas.Platform.Instance['state']
+  /** When it last answered or asked, in milliseconds. */
+  heardAtMs: number
+  suspectedAtMs: number
+  diedAtMs: number
+  /** Who found that it does not answer. */
+  accuserIds: Set<string>
+  ready: boolean
+  versions: Schemas.Control.Versions | undefined
+}
+
+/** A rumour that is being passed on. */
+export interface RumourRow {
+  readonly rumour: Schemas.Membership.Rumour
+  sentCount: number
+}
+
+/** A probe that has not ended. */
+export interface ProbeRow {
+  readonly memberId: string
+  /** Relays that have not answered. */
+  pendingCount: number
+  /** Relays that answered that the target did not. */
+  confirmedCount: number
+}
+
+/** A request for documents that has not ended. */
+export interface PullRow {
+  readonly memberId: string
+  readonly startedAtMs: number
+}
+
+/** How a process learns what is in force before it serves. */
+export interface Learning {
+  learnt: boolean
+  startedAtMs: number
+  askAtMs: number
+  /** How often each process was asked. */
+  readonly askedCounts: Map<string, number>
+  /** Ready processes that have answered. */
+  readonly answeredIds: Set<string>
+  storeAnswered: boolean
+  /** How long a process that is no watcher asks the others alone, in milliseconds. */
+  othersFirstMs: number
+  /** Answers of the store that were asked for before a pause. */
+  staleStoreCount: number
+  /** Whether the process has ever learnt what is in force. */
+  everLearnt: boolean
+}
+
+/** When the store and the instance list are read. */
+export interface Polls {
+  storeAtMs: number
+  storePending: boolean
+  storeFailureCount: number
+  listAtMs: number
+  listPending: boolean
+  listFailureCount: number
+  listReadCount: number
+  listSizeBytes: number
+}
+
+/** All state that decisions of control use. */
+export interface Tables {
+  readonly identity: Identity
+  readonly pollMs: number
+  readonly held: Documents.Held
+  /** The highest versions that any process or the store has named. */
+  heard: Schemas.Control.Versions
+  readonly self: { incarnation: number, place: Schemas.Platform.Instance | undefined, peerHeardAtMs: number }
+  readonly members: Core.Table.Table<MemberRow>
+  /** The identifiers of suspected members. */
+  readonly suspects: Set<string>
+  readonly rumours: Core.Table.Table<RumourRow>
+  readonly probes: Core.Table.Table<ProbeRow>
+  /** The members to be probed in this round, in random order. */
+  probeOrder: string[]
+  probeAtMs: number
+  probeCount: number
+  readonly pulls: Core.Table.Table<PullRow>
+  /** Members that hold newer documents. */
+  readonly sources: Map<string, Schemas.Control.Versions>
+  readonly learning: Learning
+  readonly polls: Polls
+  layout: Layout.Layout
+  layoutAtMs: number
+  layoutStale: boolean
+  tickAtMs: number
+}
+
+/** A system of control. */
+export type System = Core.Loop.System<Tables, Messages.Input, Messages.Command>
+/** A tick of control. */
+export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
+
+const LAYOUT_MS = 1_000
+
+/**
+ * Creates the tables of a process that knows nothing.
+ *
+ * @param identity - Who the process is.
+ * @param pollMs - How often the store is read, in milliseconds.
+ * @param incarnation - A number above that of each earlier start, such as the wall clock.
+ * @returns The tables.
+ */
+export function createTables (identity: Identity, pollMs: number, incarnation: number): Tables {
+  return {
+    identity,
+    pollMs,
+    held: Documents.createHeld(),
+    heard: Documents.NO_VERSIONS,
+    self: { incarnation, place: undefined, peerHeardAtMs: -Infinity },
+    members: Core.Table.createTable('members'),
+    suspects: new Set(),
+    rumours: Core.Table.createTable('rumours'),
+    probes: Core.Table.createTable('probes'),
+    probeOrder: [],
+    probeAtMs: 0,
+    probeCount: 0,
+    pulls: Core.Table.createTable('pulls'),
+    sources: new Map(),
+    learning: { learnt: false, startedAtMs: -Infinity, askAtMs: 0, askedCounts: new Map(), answeredIds: new Set(), storeAnswered: false, othersFirstMs: 0, staleStoreCount: 0, everLearnt: false },
+    polls: { storeAtMs: 0, storePending: false, storeFailureCount: 0, listAtMs: 0, listPending: false, listFailureCount: 0, listReadCount: 0, listSizeBytes: 0 },
+    layout: Layout.createLayout([identity]),
+    layoutAtMs: -Infinity,
+    layoutStale: true,
+    tickAtMs: -Infinity
+  }
+}
+
+/**
+ * Computes the layout again when members have changed, at most once in a while.
+ *
+ * @param tables - The tables.
+ * @param nowMs - The time of the tick in milliseconds.
+ * @returns The layout.
+ */
+export function layoutOf (tables: Tables, nowMs: number): Layout.Layout {
+  if (!tables.layoutStale || nowMs - tables.layoutAtMs < LAYOUT_MS) return tables.layout
+  const others = [...tables.members.rows()].filter(row => row.state !== 'dead').map(row => row.place)
+  tables.layout = Layout.createLayout([tables.identity, ...others])
+  tables.layoutAtMs = nowMs
+  tables.layoutStale = false
+  return tables.layout
+}
+
+/**
+ * Lists the instances as the rest of the process is to see them.
+ *
+ * An instance that the list no longer has stays for as long as it answers.
+ *
+ * @param tables - The tables.
+ * @returns The instances.
+ */
+export function instancesOf (tables: Tables): Schemas.Platform.Instance[] {
+  const others = [...tables.members.rows()]
+    .filter(row => row.listed || row.state !== 'dead')
+    .map(row => row.listedState === 'leaving' && row.place.state === 'live' ? { ...row.place, state: row.listedState } : row.place)
+  return tables.self.place === undefined ? others : [...others, tables.self.place]
+}
+
+/**
+ * Tells whether some versions are ahead of others in any kind.
+ *
+ * @param versions - The versions that may be ahead.
+ * @param than - The versions compared with.
+ * @returns Whether one kind is newer.
+ */
+export function isAhead (versions: Schemas.Control.Versions, than: Schemas.Control.Versions): boolean {
+  return Schemas.Control.DOCUMENT_KINDS.some(kind => versions[kind] > than[kind])
+}
+
+/**
+ * Takes the higher version of each kind.
+ *
+ * @param a - Some versions.
+ * @param b - Other versions.
+ * @returns The highest.
+ */
+export function highest (a: Schemas.Control.Versions, b: Schemas.Control.Versions): Schemas.Control.Versions {
+  return {
+    manifest: Math.max(a.manifest, b.manifest),
+    placement: Math.max(a.placement, b.placement),
+    drains: Math.max(a.drains, b.drains),
+    quarantine: Math.max(a.quarantine, b.quarantine)
+  }
+}
+
+/**
+ * Tells whether the process may serve: it has learnt what is in force and holds a manifest.
+ *
+ * @param tables - The tables.
+ * @returns Whether it is ready.
+ */
+export function isReady (tables: Tables): boolean {
+  return tables.learning.learnt && tables.held.manifest() !== undefined
+}
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
+import * as Zlib from 'node:zlib'
 
 /** A server to talk to. */
 export interface Target {
@@ -20,6 +21,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Opens a connection for this request alone, so that a silent one in the pool does no harm. */
+  readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
 }
@@ -73,7 +76,7 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: pool
+      agent: request.fresh === true ? false : pool
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
@@ -130,15 +133,21 @@
  * @param body - The text to send, or undefined for none.
  * @param timeoutMs - Time for the whole exchange in milliseconds.
  * @param headers - Further headers.
+ * @param fresh - Whether to open a connection for this request alone.
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendText (target: Target, method: string, path: string, body: string | undefined, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
-  const text = answer.body.toString()
+export async function sendText (target: Target, method: string, path: string, body: string | undefined, timeoutMs: number, headers: Readonly<Record<string, string>> = {}, fresh = false): Promise<{ status: number, value: unknown }> {
+  const answer = await send({ target, method, path, body, timeoutMs, fresh, headers: { 'content-type': 'application/json', ...headers } })
+  const text = textOf(answer)
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
   } catch {
     throw new TransportError(`${method} ${path}: answer is not JSON`, true)
   }
 }
+
+function textOf (answer: Answer): string {
+  if (answer.headers['content-encoding'] !== 'gzip') return answer.body.toString()
+  return Zlib.gunzipSync(answer.body, { maxOutputLength: DEFAULT_MAX_ANSWER_BYTES }).toString()
+}
--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+import type * as Http from 'node:http'
+import * as Zlib from 'node:zlib'
 import * as TrpcClient from '@trpc/client'
 import * as TrpcServer from '@trpc/server'
 import * as Observable from '@trpc/server/observable'
@@ -14,6 +16,7 @@
 export const RPC_PATH = '/rpc/'
 const MAX_INPUT_BYTES = 4 * 1024 * 1024
 const INPUT_TIMEOUT_MS = 5_000
+const COMPRESS_FROM_BYTES = 2_048
 
 /** Who calls a procedure. */
 export interface Context {
@@ -67,7 +70,7 @@
           signal: undefined,
           batchIndex: 0
         })
-        HttpServer.sendJson(response, 200, { result: result ?? null })
+        sendResult(request, response, result ?? null)
       } catch (error) {
         const failure = TrpcServer.getTRPCErrorFromUnknown(error)
         if (failure.code === 'UNAUTHORIZED') onRefused(name, caller.reason ?? 'wrongRole')
@@ -83,14 +86,15 @@
  * @param target - The server.
  * @param key - Returns the key or token to sign with.
  * @param timeoutMs - Time for each call in milliseconds.
+ * @param fresh - Whether each call opens a connection of its own.
  * @returns The client. Its calls fail with a TRPCClientError.
  */
-export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number): TrpcClient.TRPCClient<Router> {
+export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number, fresh = false): TrpcClient.TRPCClient<Router> {
   const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
     const path = RPC_PATH + op.path
     const body = op.input === undefined ? '' : JSON.stringify(op.input)
     const authorization = Auth.sign(key(), { method: 'POST', path, body })
-    HttpClient.sendText(target, 'POST', path, body, timeoutMs, { authorization }).then(
+    HttpClient.sendText(target, 'POST', path, body, timeoutMs, { authorization, 'accept-encoding': 'gzip' }, fresh).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
@@ -102,3 +106,12 @@
   })
   return TrpcClient.createTRPCClient<Router>({ links: [link] })
 }
+
+function sendResult (request: Http.IncomingMessage, response: Http.ServerResponse, result: unknown): void {
+  const body = Buffer.from(JSON.stringify({ result }))
+  const compressed = body.length >= COMPRESS_FROM_BYTES && request.headers['accept-encoding'] === 'gzip'
+  const sent = compressed ? Zlib.gzipSync(body) : body
+  if (response.headersSent || response.destroyed) return
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': sent.length, ...(compressed ? { 'content-encoding': 'gzip' } : {}) })
+  response.end(sent)
+}
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -53,6 +53,7 @@
   }
   const log = Edge.Log.createLog('gateway', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
+  const violate = Edge.Violations.createReporter(log, metrics)
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
@@ -76,6 +77,7 @@
     clock,
     pollMs: settings.pollMs,
     log,
+    violate,
     onDocument: document => { push({ kind: 'document', document }) },
     onInstances: instances => { push({ kind: 'instances', instances }) }
   })
@@ -113,7 +115,7 @@
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
     perform: command => { Core.Loop.dispatch(perform, command) },
     record: log.decision,
-    violate: Edge.Violations.createReporter(log, metrics),
+    violate,
     clock,
     beatMs: BEAT_MS
   })
@@ -168,11 +170,13 @@
     ],
     fallback: callers.handle
   })
+  node.announce({ host: settings.listenHost, port: server.port })
   log.info('gateway', 'Gateway listens.', { port: server.port })
   return {
     port: server.port,
     stop: async () => {
       push({ kind: 'stopping' })
+      node.leave()
       clearInterval(holderTimer)
       await holder.close()
       await server.close(settings.stopGraceMs)
--- a/src/gateway/operators.ts
+++ b/src/gateway/operators.ts
@@ -47,9 +47,7 @@
   const { operatorProcedure, peerProcedure } = Edge.Rpc
   return Edge.Rpc.router({
     report: peerProcedure.mutation(() => options.report()),
-    exchange: peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    ...Control.Peers.createProcedures(options.node),
     commit: operatorProcedure
       .input(Schemas.Decode.parser(CommitInput))
       .mutation(async ({ input }) => await commitManifest(options, input.manifest, input.expectedVersion)),
@@ -64,7 +62,8 @@
       gateway: options.report(),
       endpoints: options.endpointReports(),
       drains: options.node.held.drains(),
-      instanceCount: options.node.instances().length
+      instanceCount: options.node.instances().length,
+      members: options.node.members()
     }))
   })
 }
--- a/src/platform/instanceClient.ts
+++ b/src/platform/instanceClient.ts
@@ -7,7 +7,13 @@
 import * as HttpClient from '../edge/httpClient.ts'
 import * as Schemas from '../schema/index.ts'
 
-const decode = Schemas.Decode.lenient(Schemas.Platform.InstanceList)
+const decode = Schemas.Decode.json(Schemas.Platform.InstanceList)
+
+/** The instance list as read. */
+export interface ListAnswer {
+  readonly instances: readonly Schemas.Platform.Instance[]
+  readonly sizeBytes: number
+}
 
 /**
  * Reads the instance list.
@@ -16,11 +22,12 @@
  * @param timeoutMs - Time for the exchange in milliseconds.
  * @returns The instances, or why there is no list.
  */
-export async function listInstances (target: HttpClient.Target, timeoutMs: number): Promise<Neverthrow.Result<readonly Schemas.Platform.Instance[], string>> {
+export async function listInstances (target: HttpClient.Target, timeoutMs: number): Promise<Neverthrow.Result<ListAnswer, string>> {
   try {
-    const answer = await HttpClient.sendJson(target, 'GET', '/instances', undefined, timeoutMs)
+    const answer = await HttpClient.send({ target, method: 'GET', path: '/instances', timeoutMs })
     if (answer.status !== 200) return Neverthrow.err(`instance list answered ${answer.status}`)
-    return decode(answer.value).map(list => list.instances).mapErr(Schemas.Decode.describe)
+    const sizeBytes = answer.body.length
+    return decode(answer.body.toString()).map(list => ({ instances: list.instances, sizeBytes })).mapErr(Schemas.Decode.describe)
   } catch (error) {
     return Neverthrow.err((error as Error).message)
   }
