--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -25,9 +25,7 @@
   return Edge.Rpc.router({
     report: Edge.Rpc.peerProcedure.mutation(() => options.report()),
     explain: Edge.Rpc.peerProcedure.mutation(() => options.explain()),
-    exchange: Edge.Rpc.peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    ...Control.Peers.createProcedures(options.node),
     fence: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Schemas.Calls.FenceQuestion))
       .mutation(async ({ input }) => await options.fence(input))
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -5,6 +5,7 @@
  */
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
+import * as Zlib from 'node:zlib'
 
 /** A server to talk to. */
 export interface Target {
@@ -164,7 +165,7 @@
 export async function sendText (request: Request): Promise<JsonAnswer> {
   const { method, path } = request
   const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
-  const text = answer.body.toString()
+  const text = textOf(answer)
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
   } catch {
@@ -184,3 +185,8 @@
   }
   return agent
 }
+
+function textOf (answer: Answer): string {
+  if (answer.headers['content-encoding'] !== 'gzip') return answer.body.toString()
+  return Zlib.gunzipSync(answer.body, { maxOutputLength: DEFAULT_MAX_ANSWER_BYTES }).toString()
+}
--- a/src/gateway/operators.ts
+++ b/src/gateway/operators.ts
@@ -52,9 +52,7 @@
   const { operatorProcedure, peerProcedure } = Edge.Rpc
   return Edge.Rpc.router({
     report: peerProcedure.mutation(() => options.report()),
-    exchange: peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    ...Control.Peers.createProcedures(options.node),
     commit: operatorProcedure
       .input(Schemas.Decode.parser(CommitInput))
       .mutation(async ({ input }) => await commitManifest(options, input.manifest, input.expectedVersion)),
@@ -136,7 +134,8 @@
     endpoints: agents,
     silentInstanceIds,
     laggingInstanceIds: [...agents, ...gateways].filter(report => report.versions.manifest < newest).map(report => report.instanceId),
-    drains: options.node.held.drains()
+    drains: options.node.held.drains(),
+    members: options.node.members()
   }
 }
 
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -3,12 +3,11 @@
  *
  * @packageDocumentation
  */
-import type * as Core from '../../core/index.ts'
+import * as Core from '../../core/index.ts'
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
 import type * as Tables from '../tables.ts'
-import * as Core from '../../core/index.ts'
 import type * as Schemas from '../../schema/index.ts'
 import * as Outliers from '../outliers.ts'
 import * as Suspicion from '../suspicion.ts'
