--- a/src/gateway/systems/asking.ts
+++ b/src/gateway/systems/asking.ts
@@ -8,6 +8,7 @@
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Tables from '../tables.ts'
+import * as Routing from './routing.ts'
 
 /** An attempt without an answer for so long is asked about, in milliseconds. */
 const SILENT_AFTER_MS = 1_500
@@ -35,7 +36,9 @@
       row.ask.pending = false
       take(tables, tick, row, row.ask, input.answer)
     }
-    for (const row of [...tables.calls.rows()]) {
+    for (const callId of tables.covered) {
+      const row = tables.calls.get(callId)
+      if (row === undefined) continue
       if (isSilent(tick, row) && row.current !== undefined) start(tick, row, 'silent', row.current, undefined)
       if (row.ask !== undefined && !row.ask.pending && tick.nowMs >= row.ask.nextAtMs) ask(tables, tick, row, row.ask)
     }
@@ -91,7 +94,8 @@
   if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
   Finish.clearAttempt(tables, row)
   row.ask = undefined
-  row.state = 'routing'
+  row.answering = false
+  Routing.wait(tables, row)
   if (row.detached) Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller was answered before the call was run.' })
 }
 
@@ -101,7 +105,7 @@
 }
 
 function start (tick: Tables.Tick, row: Tables.CallRow, purpose: Tables.AskState['purpose'], attempt: Tables.CurrentAttempt, held: Tables.HeldClaim | undefined): void {
-  row.ask = { purpose, attempt, held, fence: purpose === 'answerLost', askCount: 0, nextAtMs: tick.nowMs, pending: false, doneSeen: false }
+  row.ask = { purpose, attempt, held, fence: purpose === 'answerLost', askCount: 0, nextAtMs: tick.nowMs, pending: false, lastState: undefined }
 }
 
 function ask (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState): void {
@@ -132,15 +136,16 @@
 
 function take (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState, answer: Schemas.Calls.FenceAnswer | undefined): void {
   tick.log('claims', 'Agent asked.', { callId: row.call.callId, attemptId: state.attempt.attemptId, endpointId: state.attempt.endpointId, purpose: state.purpose, answer: answer?.state ?? 'none' })
-  if (answer === undefined) unreachable(tables, tick, row, state)
-  else ANSWERS[answer.state](tables, tick, row, state, answer)
+  if (answer === undefined) { unreachable(tables, tick, row, state); return }
+  ANSWERS[answer.state](tables, tick, row, state, answer)
+  state.lastState = answer.state
 }
 
 type AnswerHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, state: Tables.AskState, answer: Schemas.Calls.FenceAnswer) => void
 
 const ANSWERS: Readonly<Record<Schemas.Calls.FenceAnswer['state'], AnswerHandler>> = {
   done: (tables, tick, row, state, answer) => {
-    if (state.purpose === 'silent' && !state.doneSeen) { state.doneSeen = true; later(tick, state, ANSWER_GRACE_MS); return }
+    if (state.purpose === 'silent' && state.lastState !== 'done') { later(tick, state, ANSWER_GRACE_MS); return }
     if (state.purpose === 'silent' && answer.outcome === undefined) { waitOn(tick, row); return }
     if (answer.outcome === undefined) { lost(tables, tick, row, state); return }
     stopAttempt(tick, row, state)
