Refuse queued attempts when the endpoint changes its version; test the soak and the scenarios

Change: the queue is shed of attempts for another version, with modelNotLoaded and at once; admission checks wholeWeights.

--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -49,7 +49,7 @@
   if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }
   if (state !== 'live') { refuse('noEndpoint', `The endpoint is ${state}.`); return }
   if (entry !== undefined && entry.suspect !== true) { refuse('quarantined', 'Calls with this digest have crashed endpoints.'); return }
-  if (envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion) { refuse('modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`); return }
+  if (isOtherVersion(tables, envelope)) { refuse('modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`); return }
   if (envelope.timeLeftMs <= 0) { refuse('deadlinePassed', 'The deadline has passed.'); return }
   if (!makeRoom(tables, tick, envelope, refuse)) return
   tables.attempts.set(envelope.attemptId, {
@@ -100,12 +100,18 @@
   const runningCount = attempts.runningCount()
   const bearableCount = endpoint.coldReported ? 1 : endpoint.limitCount
   tick.check('atMostOnce', !tables.finished.has(attemptId), () => ({ attemptId, finished: tables.finished.get(attemptId)?.state }))
+  tick.check('wholeWeights', !isOtherVersion(tables, attempt.envelope), () => ({ attemptId, wantedVersion: attempt.envelope.modelVersion, modelVersion: endpoint.modelVersion }))
   tick.check('startLimit', runningCount <= bearableCount, () => ({ attemptId, runningCount, bearableCount }))
   tick.check('drainedZone', !Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone), () => ({ attemptId, zone: identity.zone }))
   tick.check('leavingEndpoint', !tables.stopping && !tables.listedLeaving, () => ({ attemptId, instanceId: identity.instanceId }))
 }
 
-/** Refuses at once what waits at an endpoint that takes no more work, and what waited past its deadline. */
+/** The endpoint may change its version while an attempt waits in the queue. */
+function isOtherVersion (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope): boolean {
+  return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
+}
+
+/** Refuses at once what waits at an endpoint that can no longer run it, and what waited past its deadline. */
 function shed (tables: Tables.Tables, tick: Tables.Tick): void {
   if (tables.attempts.queuedCount() === 0) return
   const state = Tables.stateOf(tables)
@@ -113,6 +119,7 @@
     for (const { envelope, deadlineMs } of [...row.queue.values()]) {
       if (state === 'draining') refuseAttempt(tables, tick, envelope, 'draining', 'The endpoint is leaving.')
       else if (state !== 'live') refuseAttempt(tables, tick, envelope, 'noEndpoint', `The endpoint is ${state}.`)
+      else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'} now.`)
       else if (tick.nowMs >= deadlineMs) refuseAttempt(tables, tick, envelope, 'deadlinePassed', 'The deadline passed in the queue.')
     }
   }
--- a/tools/scenarios/traffic.ts
+++ b/tools/scenarios/traffic.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import * as Edge from '../../src/edge/index.ts'
 import * as StandIns from '../../standins/index.ts'
 import * as TestKit from '../../testkit/index.ts'
 import type * as Statements from './statements.ts'
@@ -46,6 +47,7 @@
 const LONG_TOKEN_COUNT = 150
 const MAX_SEND_COUNT = 10
 const REPEAT_AFTER_MS = 300
+const MAX_GATEWAY_COUNT = 3
 
 /**
  * Starts traffic.
@@ -87,8 +89,7 @@
   const body = kind === 'engine' ? { prompt, maxTokens: tokenCount, ...(has('streaming') ? { stream: true } : {}) } : { item: prompt }
   const hasBody = statement.method !== 'GET'
   try {
-    const reply = await TestKit.Caller.send({
-      port: options.nextPort(),
+    const reply = await sendToAny(options, {
       method: statement.method,
       path: statement.path,
       workspace: statement.workspace,
@@ -108,6 +109,18 @@
   }
 }
 
+/** The balancer passes over an entry instance that takes no connection. */
+async function sendToAny (options: TrafficOptions, call: Omit<TestKit.Caller.Call, 'port'>): Promise<TestKit.Caller.Reply> {
+  for (let tried = 1; ; tried++) {
+    try {
+      return await TestKit.Caller.send({ ...call, port: options.nextPort() })
+    } catch (error) {
+      const refused = error instanceof Edge.HttpClient.TransportError && !error.reachedServer
+      if (!refused || tried >= MAX_GATEWAY_COUNT) throw error
+    }
+  }
+}
+
 function endingOf (reply: TestKit.Caller.Reply): Ending {
   if (reply.code === 0 && reply.status === 200) return 'answered'
   const run = reply.error?.run ?? reply.run
--- a/tools/soak/worlds/agent.ts
+++ b/tools/soak/worlds/agent.ts
@@ -169,6 +169,7 @@
       offer,
       offerMany: amount => { for (let index = 0; index < 3 + amount % 12; index++) offer(amount + index) },
       offerStale: amount => { offer(amount, { agentIncarnation: 'agent/0' }) },
+      offerKeyed: amount => { offer(amount, { idempotent: false, claimKey: harness.makeId() }) },
       offerResumed: amount => { offer(amount, { stream: true, resumeFromIndex: 1 + amount }) },
       callerLeaves: amount => {
         const attemptId = [...offers.keys()][amount % Math.max(1, offers.size)]
@@ -178,7 +179,8 @@
         agent.push({ kind: 'callerGone', attemptId })
       },
       fence: amount => {
-        const attemptId = [...offers.keys()].at(-1 - amount % 6)
+        const covered = [...offers.values()].filter(offered => offered.envelope.claimKey !== undefined)
+        const attemptId = covered.at(-1 - amount % 6)?.envelope.attemptId
         if (attemptId !== undefined) agent.push({ kind: 'fenceAsked', askId: attemptId, question: { attemptId, agentIncarnation: identity.incarnation, expiresAtMs: offers.get(attemptId)?.envelope.expiresAtMs, fence: amount % 2 === 0 } })
       },
       drain: amount => {
--- a/tools/soak/worlds/gateway.ts
+++ b/tools/soak/worlds/gateway.ts
@@ -20,6 +20,7 @@
 const REPORT_POLL_MS = 250
 const SILENT_MS = 2_000
 const LATE_MS = 100
+const COMMIT_MS = 20
 const DEADLINE_MS = 8_000
 const ANSWER_SLACK_MS = 500
 
@@ -196,6 +197,10 @@
     finish: command => { conclude(command.callId, command.code) },
     writeClaim: () => {},
     abandonClaim: () => {},
+    commitQuarantine: ({ change }) => {
+      const document = { kind: 'quarantine' as const, version: held.versions().quarantine + 1, body: Control.Quarantines.merge(held.quarantine(), change, time.nowMs()) }
+      time.after(COMMIT_MS, () => { if (held.adopt(document)) gateway.push({ kind: 'document', document }) })
+    },
     askFence: command => { gateway.push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer: undefined }) }
   }
   const gateway = Harness.startProcess<Gateway.Tables.Tables, Gateway.Messages.Input, Gateway.Messages.Command>({ harness, tables, systems: Gateway.Systems.SYSTEMS, perform: command => { Core.Loop.dispatch(perform, command) } })
