--- a/tools/soak/worlds/gateway.ts
+++ b/tools/soak/worlds/gateway.ts
@@ -196,6 +196,7 @@
     finish: command => { conclude(command.callId, command.code) },
     writeClaim: () => {},
     abandonClaim: () => {},
+    commitQuarantine: () => {},
     askFence: command => { gateway.push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer: undefined }) }
   }
   const gateway = Harness.startProcess<Gateway.Tables.Tables, Gateway.Messages.Input, Gateway.Messages.Command>({ harness, tables, systems: Gateway.Systems.SYSTEMS, perform: command => { Core.Loop.dispatch(perform, command) } })
