--- a/src/control/commits.ts
+++ b/src/control/commits.ts
@@ -147,7 +147,7 @@
   const { change, next, revision } = lost
   for (let attempt = 0; attempt < SETTLE_ATTEMPT_COUNT; attempt++) {
     if (attempt > 0) await wait(SETTLE_WAIT_MS * 2 ** (attempt - 1))
-    const read = await tables.read([{ table: CONTROL_TABLE, key: change.kind }, { table: HISTORY_TABLE, key: historyKey(next.version) }])
+    const read = await tables.read([{ table: CONTROL_TABLE, key: change.kind }, { table: HISTORY_TABLE, key: historyKeyOf(next.version) }])
     if (read.isErr()) continue
     const row = read.value.find(found => found.table === CONTROL_TABLE)
     const stored = row?.value as StoredDocument | undefined
@@ -179,13 +179,19 @@
   return [{ version: stored.version, nonce: stored.nonce }, ...(stored.recent ?? [])].slice(0, RECENT_COMMIT_COUNT)
 }
 
-function historyKey (version: number): string {
+/**
+ * Names the row of an accepted manifest.
+ *
+ * @param version - The manifest's version.
+ * @returns The row's key in the history table.
+ */
+export function historyKeyOf (version: number): string {
   return String(version).padStart(10, '0')
 }
 
 function historyOf (change: Change, next: StoredDocument): Schemas.Platform.Write[] {
   if (change.kind !== 'manifest') return []
-  return [{ table: HISTORY_TABLE, key: historyKey(next.version), value: { version: next.version, nonce: next.nonce, body: next.body } }]
+  return [{ table: HISTORY_TABLE, key: historyKeyOf(next.version), value: { version: next.version, nonce: next.nonce, body: next.body } }]
 }
 
 function conflict (change: Change, row: Schemas.Platform.Row | undefined): CommitFailure {
--- a/src/ctl/client.ts
+++ b/src/ctl/client.ts
@@ -5,6 +5,7 @@
  */
 import type * as TrpcClient from '@trpc/client'
 import * as Edge from '../edge/index.ts'
+import type * as Changes from '../gateway/changes.ts'
 import type * as Operators from '../gateway/operators.ts'
 
 /** Options that every command takes. */
@@ -41,3 +42,17 @@
 export function print (options: CommonOptions, value: unknown, lines: readonly string[]): void {
   process.stdout.write(options.json ? `${JSON.stringify(value)}\n` : `${lines.join('\n')}\n`)
 }
+
+/**
+ * Prints the answer to a change.
+ *
+ * @param options - The options.
+ * @param answer - The answer.
+ * @param sentence - What to print when the change was accepted.
+ * @returns The exit code.
+ */
+export function conclude (options: CommonOptions, answer: Changes.ChangeAnswer, sentence: string): number {
+  print(options, answer, [answer.accepted ? sentence : `refused (${answer.code}): ${answer.message}`])
+  if (answer.accepted) return EXIT.ok
+  return answer.current === undefined ? EXIT.failed : EXIT.conflict
+}
--- a/src/ctl/limits.ts
+++ b/src/ctl/limits.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type * as Operators from '../gateway/operators.ts'
+import type * as Changes from '../gateway/changes.ts'
 import type * as Schemas from '../schema/index.ts'
 import * as Client from './client.ts'
 
@@ -45,7 +45,7 @@
  * @param options - Common options and the start of a digest, or `all`.
  * @returns The gateway's answer.
  */
-export async function liftQuarantine (options: Options & { digest: string }): Promise<Operators.ChangeAnswer> {
+export async function liftQuarantine (options: Options & { digest: string }): Promise<Changes.ChangeAnswer> {
   return await Client.connect(options).liftQuarantine.mutate({ digest: options.digest })
 }
 
