--- a/bench/support/callFaults.ts
+++ b/bench/support/callFaults.ts
@@ -130,10 +130,11 @@
       name: 'agentKilled',
       weight: 3,
       run: async () => await alone(pick(deployment.runners), async runner => {
+        const proxy = proxies.get(runner)
+        proxy?.refuse()
         await deployment.restartAgent(runner)
         onStart(runner.agent)
-        const proxy = proxies.get(runner)
-        proxy?.retarget(runner.agent.port)
+        await proxy?.retarget(runner.agent.port)
         register(runner, proxy?.port ?? runner.agent.port)
       })
     },
--- a/testkit/silentProxy.ts
+++ b/testkit/silentProxy.ts
@@ -8,8 +8,10 @@
 /** A running proxy. */
 export interface SilentProxy {
   readonly port: number
-  /** Directs new connections to another port. */
-  retarget: (port: number) => void
+  /** Refuses new connections, as a port does when nothing listens on it. */
+  refuse: () => void
+  /** Takes connections, from now on to another port. */
+  retarget: (port: number) => Promise<void>
   /** Stops all bytes on the connections that are open now, without closing them. */
   silence: () => number
   close: () => Promise<void>
@@ -36,11 +38,17 @@
       })
     }
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const listen = async (port: number): Promise<void> => { await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) }) }
+  await listen(0)
+  const { port } = server.address() as Net.AddressInfo
   const silent = new Set<Net.Socket>()
   return {
-    port: (server.address() as Net.AddressInfo).port,
-    retarget: port => { target = port },
+    port,
+    refuse: () => { server.close() },
+    retarget: async next => {
+      target = next
+      if (!server.listening) await listen(port)
+    },
     silence: () => {
       const count = open.size / 2
       for (const socket of open) {
