--- a/src/agent/systems/drain.ts
+++ b/src/agent/systems/drain.ts
@@ -6,6 +6,7 @@
  * @packageDocumentation
  */
 import * as Control from '../../control/index.ts'
+import * as Limiter from '../limiter.ts'
 import * as Tables from '../tables.ts'
 
 /** Follows drains, the platform's list and the agent's own stop. */
@@ -25,8 +26,8 @@
       return
     }
     if (wasDrained) {
-      tables.endpoint.limitCount = Math.min(tables.endpoint.limitCount, 1)
-      tick.log('drain', 'Endpoint takes work again.', { reason: 'it is back in service', limitCount: tables.endpoint.limitCount })
+      Limiter.collapse(tables.limiter, 'The endpoint is back in service.', tick.nowMs)
+      tick.log('drain', 'Endpoint takes work again.', { reason: 'it is back in service', limitCount: tables.limiter.limitCount })
     }
   }
 }
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
+import type * as Net from 'node:net'
+import * as Zlib from 'node:zlib'
 
 /** A server to talk to. */
 export interface Target {
@@ -43,9 +45,21 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 const CONNECTION_IDLE_MS = 15_000
+/** A connection is not used again after this time, in milliseconds. */
+const CONNECTION_MAX_AGE_MS = 120_000
 
 /** The process's pool of connections. */
-export const pool = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+export const pool = createPool()
+
+/**
+ * Closes the idle connections to a server, because one to it has gone silent.
+ *
+ * @param target - The server.
+ */
+export function dropIdle (target: Target): void {
+  const name = pool.getName({ host: target.host, port: target.port })
+  for (const socket of pool.freeSockets[name] ?? []) socket.destroy()
+}
 
 /**
  * Parses `host:port`.
@@ -151,10 +165,28 @@
 export async function sendText (request: Request): Promise<JsonAnswer> {
   const { method, path } = request
   const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
-  const text = answer.body.toString()
+  const text = textOf(answer)
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
   } catch {
     throw new TransportError(`${method} ${path}: answer is not JSON`, true)
   }
 }
+
+function createPool (): Http.Agent {
+  const agent = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+  const openedMs = new WeakMap<object, number>()
+  const keep = agent as unknown as { keepSocketAlive: (socket: Net.Socket) => boolean }
+  const keepSocketAlive = keep.keepSocketAlive.bind(agent)
+  keep.keepSocketAlive = socket => {
+    const sinceMs = openedMs.get(socket) ?? performance.now()
+    openedMs.set(socket, sinceMs)
+    return performance.now() - sinceMs < CONNECTION_MAX_AGE_MS && keepSocketAlive(socket)
+  }
+  return agent
+}
+
+function textOf (answer: Answer): string {
+  if (answer.headers['content-encoding'] !== 'gzip') return answer.body.toString()
+  return Zlib.gunzipSync(answer.body, { maxOutputLength: DEFAULT_MAX_ANSWER_BYTES }).toString()
+}
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -17,6 +17,7 @@
 import * as Callers from './callers.ts'
 import * as ClaimCleaner from './claimCleaner.ts'
 import * as ClaimWriter from './claimWriter.ts'
+import * as Endpoints from './systems/endpoints.ts'
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
 import * as Operators from './operators.ts'
@@ -30,7 +31,7 @@
 }
 
 const BEAT_MS = 20
-const REPORT_POLL_MS = 250
+const REPORT_POLL_MS = 100
 const PEER_TIMEOUT_MS = 1_000
 const FENCE_TIMEOUT_MS = 1_000
 const CLAIM_GATHER_MS = 2
@@ -63,6 +64,7 @@
   }
   const log = Edge.Log.createLog('gateway', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
+  const violate = Edge.Violations.createReporter(log, metrics)
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
@@ -86,6 +88,7 @@
     clock,
     pollMs: settings.pollMs,
     log,
+    violate,
     onDocument: document => { push({ kind: 'document', document }) },
     onInstances: instances => { push({ kind: 'instances', instances }) }
   })
@@ -128,6 +131,11 @@
     const answer = await client.fence.mutate(command.question).catch(() => undefined)
     push({ kind: 'fenceAnswered', callId: command.callId, attemptId: command.question.attemptId, answer })
   }
+  const commitQuarantine = async (change: Control.Quarantines.QuarantineChange): Promise<void> => {
+    const committed = await Control.Quarantines.commit(store, change)
+    if (committed.isOk()) node.adopt(committed.value)
+    else push({ kind: 'quarantineFailed', change })
+  }
   const perform: Core.Loop.Handlers<Messages.Command> = {
     dispatch: command => { callers.dispatch(command.dispatch) },
     cancelAttempt: command => { callers.cancelAttempt(command.callId) },
@@ -142,13 +150,14 @@
     },
     writeClaim: command => { void writeClaim(command.write) },
     abandonClaim: command => { claims.abandon(command.callId) },
+    commitQuarantine: command => { void commitQuarantine(command.change) },
     askFence: command => { void askFence(command) }
   }
   const loop = Core.Loop.createLoop({
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
     perform: command => { Core.Loop.dispatch(perform, command) },
     record: log.decision,
-    violate: Edge.Violations.createReporter(log, metrics),
+    violate,
     clock,
     beatMs: BEAT_MS
   })
@@ -158,7 +167,7 @@
     const report = await client.report.mutate().catch(() => undefined)
     push({ kind: 'report', endpointId: endpoint.endpointId, report: report as Schemas.Control.AgentReport | undefined })
   }
-  const reportTimer = setInterval(() => { for (const endpoint of tables.endpoints.rows()) void pollReport(endpoint) }, REPORT_POLL_MS)
+  const reportTimer = setInterval(() => { for (const endpoint of Endpoints.takePolls(tables, clock())) void pollReport(endpoint) }, REPORT_POLL_MS)
 
   const holder = Control.PlacementHolder.createHolder({
     tables: store,
@@ -205,11 +214,13 @@
     ],
     fallback: callers.handle
   })
+  node.announce({ host: settings.listenHost, port: server.port })
   log.info('gateway', 'Gateway listens.', { port: server.port })
   return {
     port: server.port,
     stop: async () => {
       push({ kind: 'stopping' })
+      node.leave()
       clearInterval(holderTimer)
       await holder.close()
       const untilMs = clock() + settings.stopGraceMs
@@ -217,6 +228,7 @@
       while (tables.calls.count() > 0 && clock() < untilMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
       await claims.flush(Math.max(CLAIM_FLUSH_MS, untilMs - clock()))
       clearInterval(reportTimer)
+      callers.stop()
       clearInterval(cleanTimer)
       node.stop()
       stopReloading()
--- a/src/gateway/finish.ts
+++ b/src/gateway/finish.ts
@@ -37,14 +37,16 @@
 /**
  * Answers a caller while the call is still being run; the call's end is then only saved.
  *
+ * @param tables - The gateway's tables.
  * @param tick - The current tick.
  * @param row - The call.
  * @param code - The result code.
  * @param details - What else the caller is told.
  */
-export function detach (tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
+export function detach (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
   row.detached = true
   row.deadlineMs = tick.nowMs + LINGER_MS
+  tables.deadlines.set(row.call.callId, row.deadlineMs)
   tell(tick, row, code, details)
 }
 
@@ -93,11 +95,21 @@
  * @param row - The call.
  */
 export function clearAttempt (tables: Tables.Tables, row: Tables.CallRow): void {
-  const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
-  if (endpoint !== undefined && row.state !== 'claiming') endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+  if (row.current !== undefined && row.state !== 'claiming') release(tables, row.current)
   row.current = undefined
 }
 
+/**
+ * Counts an attempt as finished at its endpoint.
+ *
+ * @param tables - The gateway's tables.
+ * @param attempt - The attempt.
+ */
+export function release (tables: Tables.Tables, attempt: Tables.CurrentAttempt): void {
+  const endpoint = tables.endpoints.get(attempt.endpointId)
+  if (endpoint !== undefined) endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+}
+
 function tell (tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
   const { run } = Core.Codes.CODES[code]
   tick.check('truthfulRefusal', run !== 'notRun' || row.openAttempts.size === 0, () => ({ callId: row.call.callId, code, openAttempts: [...row.openAttempts] }))
@@ -108,6 +120,13 @@
 function drop (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
   if (row.state === 'claiming') tick.emit({ kind: 'abandonClaim', callId: row.call.callId })
   else if (row.openAttempts.size === 0) ClaimRecords.release(tables, tick, row)
+  const { callId } = row.call
+  if (row.hedge !== undefined) release(tables, row.hedge)
+  row.hedge = undefined
   clearAttempt(tables, row)
-  tables.calls.remove(row.call.callId)
+  tables.calls.remove(callId)
+  tables.waiting.delete(callId)
+  tables.covered.delete(callId)
+  tables.deadlines.remove(callId)
+  tables.hedgeTimes.remove(callId)
 }
