--- a/src/gateway/claimCleaner.ts
+++ b/src/gateway/claimCleaner.ts
@@ -5,6 +5,7 @@
  */
 import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as ClaimJobs from './claimJobs.ts'
 import * as ClaimWriter from './claimWriter.ts'
 
 /** Settings of a cleaner. */
@@ -28,11 +29,11 @@
  */
 export async function clean (options: CleanerOptions): Promise<number> {
   const nowMs = options.wallClock() - CLOCK_MARGIN_MS
-  const entries = await options.tables.scan(ClaimWriter.EXPIRY_TABLE, '', MAX_TRANSACTION_COUNT)
+  const entries = await options.tables.scan(ClaimJobs.EXPIRY_TABLE, '', MAX_TRANSACTION_COUNT)
   if (entries.isErr()) return 0
   let deletedCount = 0
   for (const entry of entries.value) {
-    if (entry.key.slice(0, entry.key.indexOf('/')) >= ClaimWriter.bucketOf(nowMs)) break
+    if (entry.key.slice(0, entry.key.indexOf('/')) >= ClaimJobs.bucketOf(nowMs)) break
     deletedCount += await deleteClaims(options, entry, nowMs)
   }
   return deletedCount
--- a/src/gateway/claimWriter.ts
+++ b/src/gateway/claimWriter.ts
@@ -10,14 +10,12 @@
 import * as Core from '../core/index.ts'
 import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as ClaimJobs from './claimJobs.ts'
 import * as ClaimRecords from './claimRecords.ts'
 import type * as Messages from './messages.ts'
 
 /** The table that holds claims. */
 export const CLAIM_TABLE = 'claims'
-/** The table that names the claims of each transaction by the time when they expire. */
-export const EXPIRY_TABLE = 'claimExpiry'
-
 /** Batches writes of claims. */
 export interface ClaimWriter {
   write: (write: Messages.ClaimWrite) => void
@@ -45,24 +43,6 @@
   readonly intervalMs: () => number
 }
 
-interface Job {
-  readonly write: Messages.ClaimWrite
-  record: Schemas.Calls.ClaimRecord
-  revision: number
-  readonly sizeBytes: number
-  readonly queuedAtMs: number
-  /** Nonces of this job that may have taken effect. */
-  readonly sentNonces: Set<string>
-  /** The last transaction with this job had no answer. */
-  uncertain: boolean
-  abandoned: boolean
-  busy: boolean
-}
-
-/** The most rows in one transaction. */
-const MAX_BATCH_COUNT = 128
-/** The most bytes of saved answers in one transaction. */
-const MAX_BATCH_BYTES = 256 * 1024
 /** The most claims that wait; further ones are refused at once. */
 const MAX_CLAIM_COUNT = 4_096
 /** The most bytes of saved answers that wait; the oldest saves are dropped beyond it. */
@@ -75,20 +55,8 @@
 const FIRST_BACK_OFF_MS = 50
 const MAX_BACK_OFF_MS = 1_000
 const IDLE_STEP_MS = 5
-const EXPIRY_BUCKET_MS = 3_600_000
-const RECORD_BYTES = 500
 const decodeRecord = Schemas.Decode.lenient(Schemas.Calls.ClaimRecord)
 
-/**
- * Names the bucket of claims that expire at about a time.
- *
- * @param expiresAtMs - Wall-clock time in milliseconds since 1970.
- * @returns The bucket; buckets sort by time.
- */
-export function bucketOf (expiresAtMs: number): string {
-  return String(Math.ceil(expiresAtMs / EXPIRY_BUCKET_MS)).padStart(8, '0')
-}
-
 /**
  * Creates a writer of claims.
  *
@@ -96,7 +64,7 @@
  * @returns The writer.
  */
 export function createClaimWriter (options: WriterOptions): ClaimWriter {
-  const jobs = new Set<Job>()
+  const jobs = new Set<ClaimJobs.Job>()
   let saveBytes = 0
   let saveCount = 0
   let laneCount = 0
@@ -105,18 +73,18 @@
   let failureCount = 0
   let watching = false
 
-  const add = (job: Job): void => {
+  const add = (job: ClaimJobs.Job): void => {
     jobs.add(job)
     if (job.write.kind === 'claim') return
     saveBytes += job.sizeBytes
     saveCount++
   }
-  const remove = (job: Job): void => {
+  const remove = (job: ClaimJobs.Job): void => {
     if (!jobs.delete(job) || job.write.kind === 'claim') return
     saveBytes -= job.sizeBytes
     saveCount--
   }
-  const answer = (job: Job, result: Messages.ClaimResult): void => {
+  const answer = (job: ClaimJobs.Job, result: Messages.ClaimResult): void => {
     remove(job)
     if (job.write.kind === 'claim' && !job.abandoned) options.onResult(job.write.claimKey, job.write.callId, result)
   }
@@ -127,7 +95,7 @@
     }
   }
 
-  const committed = (job: Job, revision: number): void => {
+  const committed = (job: ClaimJobs.Job, revision: number): void => {
     const { record } = job
     if (job.abandoned && record.state === 'claimed') {
       job.revision = revision
@@ -136,10 +104,10 @@
       answer(job, { kind: 'granted', revision, record })
     }
   }
-  const toRelease = (job: Job): void => { job.record = ClaimRecords.releasedOf(job.record, options.makeId()) }
+  const toRelease = (job: ClaimJobs.Job): void => { job.record = ClaimRecords.releasedOf(job.record, options.makeId()) }
 
   /** Settles a job whose row has another revision than its condition. */
-  const conflicted = (job: Job, row: Schemas.Platform.Row): void => {
+  const conflicted = (job: ClaimJobs.Job, row: Schemas.Platform.Row): void => {
     if (row.revision === 0) {
       if (job.write.kind === 'claim') job.revision = 0
       else remove(job)
@@ -153,7 +121,7 @@
     if (ownClaim || betterKnown) { job.revision = row.revision; return }
     answer(job, { kind: 'held', revision: row.revision, record: record.value })
   }
-  const readBack = async (batch: readonly Job[]): Promise<boolean> => {
+  const readBack = async (batch: readonly ClaimJobs.Job[]): Promise<boolean> => {
     const rows = await options.tables.read(batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey })))
     if (rows.isErr()) return false
     const found = new Map(rows.value.map(row => [row.key, row]))
@@ -164,14 +132,14 @@
     }
     return true
   }
-  const transact = async (batch: readonly Job[]): Promise<boolean> => {
+  const transact = async (batch: readonly ClaimJobs.Job[]): Promise<boolean> => {
     for (const job of batch) {
       if (job.abandoned && job.record.state === 'claimed') toRelease(job)
       job.sentNonces.add(job.record.nonce)
     }
     const result = await options.tables.transact({
       conditions: batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, revision: job.revision })),
-      writes: [...batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, value: job.record })), ...expiryOf(batch, options.makeId)]
+      writes: [...batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, value: job.record })), ...ClaimJobs.expiryOf(batch, options.makeId)]
     })
     if (result.isErr()) {
       for (const job of batch) job.uncertain = result.error.maybeApplied
@@ -186,25 +154,9 @@
     return true
   }
 
-  const pick = (uncertain: boolean): Job[] => {
-    const batch: Job[] = []
-    const keys = new Set([...jobs].filter(job => job.busy).map(job => job.write.claimKey))
-    let sizeBytes = 0
-    for (const job of jobs) {
-      if (batch.length >= MAX_BATCH_COUNT) break
-      const { claimKey } = job.write
-      const taken = keys.has(claimKey)
-      keys.add(claimKey)
-      if (taken || job.uncertain !== uncertain) continue
-      if (batch.length > 0 && sizeBytes + job.sizeBytes > MAX_BATCH_BYTES) continue
-      batch.push(job)
-      sizeBytes += job.sizeBytes
-    }
-    return batch
-  }
   const runLane = async (): Promise<void> => {
-    const doubtful = pick(true)
-    const batch = doubtful.length > 0 ? doubtful : pick(false)
+    const doubtful = ClaimJobs.pick(jobs, true)
+    const batch = doubtful.length > 0 ? doubtful : ClaimJobs.pick(jobs, false)
     if (batch.length === 0) return
     laneCount++
     laneStartedMs = options.clock()
@@ -237,8 +189,7 @@
     watching = false
   }
   const enqueue = (write: Messages.ClaimWrite): void => {
-    const sizeBytes = RECORD_BYTES + (write.record.outcome !== undefined && 'bodyBase64' in write.record.outcome ? write.record.outcome.bodyBase64.length : 0)
-    add({ write, record: write.record, revision: write.revision, sizeBytes, queuedAtMs: options.clock(), sentNonces: new Set(), uncertain: false, abandoned: false, busy: false })
+    add(ClaimJobs.createJob(write, options.clock()))
     giveUpOldest()
     if (!watching) void watch()
   }
@@ -262,11 +213,3 @@
     pendingCount: () => jobs.size
   }
 }
-
-/** One row for a whole transaction, so that its claims are found again when they expire. */
-function expiryOf (batch: readonly Job[], makeId: () => string): Schemas.Platform.Write[] {
-  const claims = batch.filter(job => job.write.kind === 'claim')
-  if (claims.length === 0) return []
-  const expiresAtMs = Math.max(...claims.map(job => job.record.expiresAtMs))
-  return [{ table: EXPIRY_TABLE, key: `${bucketOf(expiresAtMs)}/${makeId()}`, value: { claimKeys: claims.map(job => job.write.claimKey) } }]
-}
--- a/src/gateway/finish.ts
+++ b/src/gateway/finish.ts
@@ -46,6 +46,7 @@
 export function detach (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
   row.detached = true
   row.deadlineMs = tick.nowMs + LINGER_MS
+  row.silentAtMs = tick.nowMs
   tables.deadlines.set(row.call.callId, row.deadlineMs)
   tell(tick, row, code, details)
 }
