--- a/test/claim-writer.test.ts
+++ b/test/claim-writer.test.ts
@@ -65,11 +65,12 @@
 
   describe('a lost answer', () => {
     it('is settled by reading back the nonce', async () => {
-      const { tables, writer, results } = createFixture()
+      const { tables, writer, results, transactionCount } = createFixture()
       tables.nextWrites(['answerLost'])
       writer.write(writeOf('w/k', 'a1'))
       await writer.flush(FLUSH_MS)
       expect(results.get('call-a1')?.kind).toEqual('granted')
+      expect(transactionCount()).toEqual(1)
     })
 
     it('of a write that arrives late never grants the key twice', async () => {
