Test control in virtual time; tell each member of news once

Cause: a notice to a process that did not answer was handed to whom that process tells, which at two dead roots went round and multiplied: the first run of the tests did not end. Change: each member is told of the same versions once. A lone ready process's word is taken when the others were asked twice, also when it answered at the first time. Conclusion: notices are bounded by the number of members.

--- a/src/control/systems/learning.ts
+++ b/src/control/systems/learning.ts
@@ -62,7 +62,7 @@
   if (learning.storeAnswered) return true
   const answeredCount = learning.answeredIds.size
   if (answeredCount >= ENOUGH_COUNT) return true
-  const askedAll = candidatesOf(tables).every(row => (learning.askedCounts.get(row.instanceId) ?? 0) >= ASK_EACH_COUNT)
+  const askedAll = candidatesOf(tables).every(row => learning.answeredIds.has(row.instanceId) || (learning.askedCounts.get(row.instanceId) ?? 0) >= ASK_EACH_COUNT)
   return answeredCount > 0 && askedAll && tables.polls.listReadCount > 0 && tick.nowMs - learning.startedAtMs > FEW_ANSWERS_MS
 }
 
--- a/src/control/systems/spread.ts
+++ b/src/control/systems/spread.ts
@@ -27,6 +27,7 @@
       if (input.kind === 'pullEnded') endPull(tables, input.memberId)
     }
     if (origins.size > 0) {
+      tables.toldIds.clear()
       const origin = origins.has('operator') || origins.has('store') ? 'operator' : 'peer'
       notify(tables, tick, Tables.layoutOf(tables, tick.nowMs).targetsOf(tables.identity.instanceId, origin))
     }
@@ -38,7 +39,8 @@
   const versions = tables.held.versions()
   for (const memberId of memberIds) {
     const row = tables.members.get(memberId)
-    if (row === undefined || (row.versions !== undefined && !Tables.isAhead(versions, row.versions))) continue
+    if (row === undefined || tables.toldIds.has(memberId) || (row.versions !== undefined && !Tables.isAhead(versions, row.versions))) continue
+    tables.toldIds.add(memberId)
     tick.emit({ kind: 'gossip', memberId, target: row.place, purpose: 'notify', message: Gossip.compose(tables, memberId) })
   }
 }
--- a/src/control/tables.ts
+++ b/src/control/tables.ts
@@ -109,6 +109,8 @@
   readonly pulls: Core.Table.Table<PullRow>
   /** Members that hold newer documents. */
   readonly sources: Map<string, Schemas.Control.Versions>
+  /** Members that were told of the versions held. */
+  readonly toldIds: Set<string>
   readonly learning: Learning
   readonly polls: Polls
   layout: Layout.Layout
@@ -148,6 +150,7 @@
     probeCount: 0,
     pulls: Core.Table.createTable('pulls'),
     sources: new Map(),
+    toldIds: new Set(),
     learning: { learnt: false, startedAtMs: -Infinity, askAtMs: 0, askedCounts: new Map(), answeredIds: new Set(), storeAnswered: false, othersFirstMs: 0, staleStoreCount: 0, everLearnt: false },
     polls: { storeAtMs: 0, storePending: false, storeFailureCount: 0, listAtMs: 0, listPending: false, listFailureCount: 0, listReadCount: 0, listSizeBytes: 0 },
     layout: Layout.createLayout([identity]),
--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Caller from './caller.ts'
+export * as ControlGroup from './controlGroup.ts'
 export * as Deployment from './deployment.ts'
 export * as Manifests from './manifests.ts'
 export * as Processes from './processes.ts'
