--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -94,7 +94,7 @@
     const path = RPC_PATH + op.path
     const body = op.input === undefined ? '' : JSON.stringify(op.input)
     const authorization = Auth.sign(key(), { method: 'POST', path, body })
-    HttpClient.sendText(target, 'POST', path, body, timeoutMs, { authorization, 'accept-encoding': 'gzip' }, fresh).then(
+    HttpClient.sendText({ target, method: 'POST', path, body, timeoutMs, fresh, headers: { authorization, 'accept-encoding': 'gzip' } }).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -3,10 +3,16 @@
  *
  * @packageDocumentation
  */
+import * as Core from '../../core/index.ts'
+import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Messages from '../messages.ts'
 import type * as Tables from '../tables.ts'
 import type * as Schemas from '../../schema/index.ts'
+import * as Outliers from '../outliers.ts'
+import * as Suspicion from '../suspicion.ts'
+import * as Routing from './routing.ts'
+import * as Asking from './asking.ts'
 
 const RETRY_AFTER_MS = 1_000
 const DEFAULT_PRIORITY = 1
@@ -30,7 +36,9 @@
     for (const input of tick.inputs) {
       if (input.kind !== 'attemptEnded') continue
       const row = tables.calls.get(input.callId)
+      if (row?.hedge?.attemptId === input.attemptId) { settleHedge(tables, tick, row, row.hedge, input.end); continue }
       if (row?.current?.attemptId !== input.attemptId) continue
+      Outliers.note(tables, tick, row.current.endpointId, input.end)
       settle(tables, tick, row, input.end)
     }
   }
@@ -40,15 +48,17 @@
 export const deadlineSystem: Tables.System = {
   name: 'deadline',
   run: (tables, tick) => {
-    for (const row of [...tables.calls.rows()]) {
-      if (tick.nowMs < row.deadlineMs) continue
-      const dispatched = row.state === 'running' || row.state === 'asking'
-      if (dispatched) tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
-      Finish.finish(tables, tick, row, dispatched ? 'deadlineRunning' : 'deadlinePassed', { reason: `The deadline passed while ${row.state}.` })
+    for (const callId of tables.deadlines.expire(tick.nowMs)) {
+      const row = tables.calls.get(callId)
+      if (row !== undefined) DEADLINE_HANDLERS[row.state](tables, tick, row)
     }
   }
 }
 
+const workspaceIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) => new Map(manifest.workspaces.map(workspace => [workspace.name, workspace])))
+const routeIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) =>
+  new Map(manifest.services.flatMap(service => service.routes.map((route): [string, FoundRoute] => [`${route.method} ${route.path}`, { service, route }]))))
+
 /** A service and the route of it that a call takes. */
 export interface FoundRoute {
   readonly service: Schemas.Manifest.Service
@@ -64,11 +74,7 @@
  * @returns The service and route, if the manifest has them.
  */
 export function findRoute (manifest: Schemas.Manifest.Manifest, method: string, path: string): FoundRoute | undefined {
-  for (const service of manifest.services) {
-    const route = service.routes.find(candidate => candidate.method === method && candidate.path === path)
-    if (route !== undefined) return { service, route }
-  }
-  return undefined
+  return routeIndex(manifest).get(`${method} ${path}`)
 }
 
 function accept (tables: Tables.Tables, tick: Tables.Tick, call: Messages.ArrivedCall): void {
@@ -78,15 +84,13 @@
   }
   const manifest = tables.held.manifest()
   if (manifest === undefined) { refuse('notReady', 'No manifest is in force here.', RETRY_AFTER_MS); return }
-  const workspace = manifest.workspaces.find(candidate => candidate.name === call.workspace)
+  const workspace = workspaceIndex(manifest).get(call.workspace)
   if (workspace === undefined) { refuse('workspaceUnknown', `No workspace "${call.workspace}".`); return }
   const found = findRoute(manifest, call.method, call.path)
   if (found === undefined) { refuse('routeUnknown', `No route ${call.method} ${call.path}.`); return }
-  if (tables.held.quarantine().entries.some(entry => entry.digest === call.digest && entry.expiresAtMs > tables.wallClock())) {
-    refuse('quarantined', 'Calls with this digest have crashed endpoints.')
-    return
-  }
-  tables.calls.set(call.callId, {
+  if (Suspicion.isQuarantined(tables, call.digest)) { refuse('quarantined', 'Calls with this digest have crashed endpoints.'); return }
+  tables.budgets.deposit(call.workspace)
+  const row: Tables.CallRow = {
     call,
     service: found.service.name,
     idempotent: found.route.idempotent,
@@ -101,8 +105,27 @@
     notBeforeMs: 0,
     nextIndex: 0,
     pinnedVersion: undefined,
-    claimRevision: 0
-  })
+    claimRevision: 0,
+    hedge: undefined,
+    answering: false,
+    sentAtMs: 0,
+    failureCount: 0,
+    suspect: Suspicion.isSuspect(tables, call.digest),
+    reconnected: false,
+    again: undefined,
+    backOffCount: 0,
+    claimRecord: undefined,
+    claimedAttemptId: undefined,
+    openAttempts: new Set(),
+    ask: undefined,
+    silentAfterMs: 0,
+    silentAtMs: 0,
+    detached: false
+  }
+  tables.calls.set(call.callId, row)
+  tables.deadlines.set(call.callId, row.deadlineMs)
+  if (call.idempotencyKey !== undefined || !row.idempotent) tables.covered.add(call.callId)
+  Routing.wait(tables, row)
 }
 
 function settle (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
@@ -113,45 +136,94 @@
 type Settler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd) => void
 
 const SETTLERS: Readonly<Record<Messages.AttemptEnd['run'], Settler>> = {
-  ran: (tables, tick, row) => { Finish.deliver(tables, tick, row) },
-  notRun: (tables, _tick, row) => { routeAgain(tables, row) },
+  ran: (tables, tick, row, end) => {
+    Suspicion.clear(tables, tick, row.call.digest)
+    ClaimRecords.save(tables, tick, row, 'done', end.outcome)
+    Finish.deliver(tables, tick, row)
+  },
+  notRun: (tables, tick, row) => {
+    if (row.current !== undefined) row.openAttempts.delete(row.current.attemptId)
+    followOn(tables, tick, row)
+  },
   unknown: (tables, tick, row, end) => {
-    if (row.idempotent && row.call.idempotencyKey === undefined) { routeAgain(tables, row); return }
-    ask(tables, tick, row, end)
+    blame(tables, tick, row, end)
+    reconnect(row, end)
+    if (row.idempotent) followOn(tables, tick, row)
+    else Asking.askOwn(tick, row)
   }
 }
 
-/**
- * Sends a call back to routing, away from the endpoint that it was at.
- *
- * @param tables - The gateway's tables.
- * @param row - The call.
- */
-export function routeAgain (tables: Tables.Tables, row: Tables.CallRow): void {
+/** Codes of ends that the endpoint itself caused. */
+const FAILURE_CODES: ReadonlySet<Core.Codes.CodeName> = new Set(['endpointFailed', 'streamCut'])
+/** Time for evidence of a crash to arrive before a call that failed endpoints is tried again, in milliseconds. */
+const EVIDENCE_WAIT_MS = 1_000
+
+/** Suspects a call whose endpoint failed. */
+function blame (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
+  if (!FAILURE_CODES.has(end.code) || end.silent === true) return
+  row.failureCount++
+  row.suspect = true
+  const crashId = row.current?.endpointIncarnation
+  if (end.code === 'endpointFailed' && crashId !== undefined && crashId !== '') Suspicion.addFailure(tables, tick, row, crashId)
+  if (row.failureCount > 1) row.notBeforeMs = tick.nowMs + EVIDENCE_WAIT_MS
+}
+
+/** After a silent connection, the same endpoint is asked once more over a new one. */
+function reconnect (row: Tables.CallRow, end: Messages.AttemptEnd): void {
+  if (end.silent !== true || row.reconnected || row.current === undefined) return
+  row.reconnected = true
+  row.again = { endpointId: row.current.endpointId, attemptId: row.current.attemptId }
+}
+
+/** Goes on with the other attempt of a hedged call, or sends the call back to routing. */
+function followOn (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
+  const { hedge } = row
+  if (hedge === undefined) { Asking.routeAgain(tables, tick, row); return }
+  row.hedge = undefined
   if (row.current !== undefined) row.refusedBy.add(row.current.endpointId)
   Finish.clearAttempt(tables, row)
-  row.state = 'routing'
+  row.current = hedge
 }
 
-/** Asks the agent what became of an attempt; the agent fences it unless it was run. */
-function ask (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
-  const endpoint = row.current === undefined ? undefined : tables.endpoints.get(row.current.endpointId)
-  if (row.current === undefined || endpoint === undefined) {
-    Finish.finish(tables, tick, row, 'outcomeUnknown', { reason: end.reason ?? 'The agent is gone.' })
-    return
+function settleHedge (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, hedge: Tables.CurrentAttempt, end: Messages.AttemptEnd): void {
+  Outliers.note(tables, tick, hedge.endpointId, end)
+  if (end.run === 'notRun') row.openAttempts.delete(hedge.attemptId)
+  row.refusedBy.add(hedge.endpointId)
+  row.hedge = undefined
+  Finish.release(tables, hedge)
+}
+
+type DeadlineHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow) => void
+
+const DEADLINE_HANDLERS: Readonly<Record<Tables.CallRow['state'], DeadlineHandler>> = {
+  routing: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'deadlinePassed'), { reason: 'The deadline passed while no endpoint took the call.' }) },
+  claiming: (tables, tick, row) => { Finish.finish(tables, tick, row, Finish.refusalOf(row, 'storeUnavailable'), { reason: 'The table service did not grant the claim by the deadline.', retryAfterMs: RETRY_AFTER_MS }) },
+  running: (tables, tick, row) => {
+    if (outlivesCaller(row) && !row.detached) { Finish.detach(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.', retryAfterMs: RETRY_AFTER_MS }); return }
+    tick.emit({ kind: 'cancelAttempt', callId: row.call.callId })
+    Finish.finish(tables, tick, row, 'deadlineRunning', { reason: 'The deadline passed while the call was run.' })
+  },
+  asking: (tables, tick, row) => {
+    Finish.finish(tables, tick, row, askingCode(row), { reason: 'The agent did not tell the outcome by the deadline.', retryAfterMs: RETRY_AFTER_MS })
   }
-  row.state = 'asking'
-  tick.emit({
-    kind: 'askFence',
-    callId: row.call.callId,
-    target: endpoint,
-    question: { attemptId: row.current.attemptId, agentIncarnation: row.current.agentIncarnation }
-  })
+}
+
+/** Only a call with a key may be told to come back: without one, a repeat could run it twice. */
+function askingCode (row: Tables.CallRow): Core.Codes.CodeName {
+  if (row.ask?.held?.record.state === 'done') return 'answerUnavailable'
+  if (row.ask?.lastState === 'running') return 'deadlineRunning'
+  return row.call.idempotencyKey === undefined ? 'outcomeUnknown' : 'agentUnreachable'
+}
+
+/** A keyed call that must not run twice is followed to its end, so that a repeat finds its answer. */
+function outlivesCaller (row: Tables.CallRow): boolean {
+  return row.call.idempotencyKey !== undefined && !row.idempotent && row.openAttempts.size > 0
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick, callId: string): void {
   const row = tables.calls.get(callId)
   if (row === undefined) return
+  if (outlivesCaller(row)) { if (!row.detached) Finish.detach(tables, tick, row, 'callerGone', { reason: 'The caller closed the connection.' }); return }
   tick.emit({ kind: 'cancelAttempt', callId })
   Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller closed the connection.' })
 }
