Spread weights between agents by a swarm in place of the thin collector

Cause: every agent fetched whole sets in sequence from the first peers or the origin, unverified by a digest of the whole and without bounds. Change: src/weights decides by tables and systems (seeding ranks, neighbours, requests, delivery, eviction, blame, border pace); edges pace, verify and serve chunks; placement gives one order at a time, loads whole sets only, and holds admission during a switch.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -12,13 +12,14 @@
 import * as Edge from '../edge/index.ts'
 import * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
+import * as Weights from '../weights/index.ts'
 import * as Calls from './calls.ts'
 import type * as Messages from './messages.ts'
+import * as Orders from './orders.ts'
 import * as Procedures from './procedures.ts'
 import type * as Settings from './settings.ts'
 import * as Systems from './systems/index.ts'
 import * as Tables from './tables.ts'
-import * as Weights from './weights.ts'
 
 /** A running agent. */
 export interface Agent {
@@ -28,13 +29,15 @@
 
 const BEAT_MS = 50
 const ENDPOINT_TIMEOUT_MS = 1_000
-const ORDER_TIMEOUT_MS = 30_000
+const EXCHANGE_TIMEOUT_MS = 2_000
 
 const EndpointLoad = Schema.Struct({
   incarnation: Schema.String,
   modelName: Schema.optional(Schema.String),
   modelVersion: Schema.optional(Schema.String),
   modelDigest: Schema.optional(Schema.String),
+  adapterDigests: Schema.optional(Schema.Array(Schema.String)),
+  fencingNumber: Schema.optional(Schema.Int),
   role: Schema.optional(Schema.String),
   activeCount: Schema.Int,
   queuedCount: Schema.Int,
@@ -80,19 +83,28 @@
     pollMs: settings.pollMs,
     log,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
-    onInstances: () => {}
+    onInstances: instances => { push({ kind: 'membersSeen', members: instances.filter(instance => instance.kind === 'agent') }) }
   })
-  const tables = Tables.createTables(identity, node.held)
+  const swarmTables = Weights.Tables.createTables({
+    ...identity,
+    memoryBytes: settings.weightMemoryBytes,
+    borderBytesPerSecond: Weights.Pacer.rateOf(settings.weightBorderBytesPerSecond)
+  }, weightSources(settings))
+  const tables = Tables.createTables(identity, node.held, swarmTables)
   const push = (input: Messages.Input): void => { loop?.push(input) }
   const relay = Calls.createRelay({ endpoint, maxBodyBytes: settings.maxBodyBytes, peerKey, tables, push, log })
-  const collector = Weights.createCollector({
-    instanceId: identity.instanceId,
-    sources: [settings.weightStore, settings.origin].filter(address => address !== '').map(Edge.HttpClient.targetOf),
-    peers: () => node.instances().filter(instance => instance.kind === 'agent' && instance.instanceId !== identity.instanceId && instance.service === settings.service).slice(0, 4),
+  const swarm = Weights.Swarm.createSwarm({
+    tables: swarmTables,
+    push: input => { push({ kind: 'weights', input }) },
     endpoint,
-    log,
-    onProgress: (digest, heldCount, wantedCount, whole) => { push({ kind: 'weightsProgress', digest, heldCount, wantedCount, whole }) }
+    uploadBytesPerSecond: Weights.Pacer.rateOf(settings.weightUploadBytesPerSecond),
+    downloadBytesPerSecond: Weights.Pacer.rateOf(settings.weightDownloadBytesPerSecond),
+    metrics,
+    authorization: () => `Bearer ${peerKey()}`,
+    isPeer: request => request.headers.authorization === `Bearer ${peerKey()}`,
+    exchange: async (address, request) => await Edge.Rpc.createClient<Procedures.AgentRouter>(address, peerKey, EXCHANGE_TIMEOUT_MS).exchangeWeights.mutate(request)
   })
+  const orders = Orders.createOrders({ endpoint, manifestOf: swarm.manifestOf, push })
 
   const perform: Core.Loop.Handlers<Messages.Command> = {
     admit: command => { relay.admit(command.attemptId) },
@@ -105,21 +117,8 @@
       asks.get(command.askId)?.(command.answer)
       asks.delete(command.askId)
     },
-    fetchWeights: command => { collector.want(command.digests) },
-    order: command => { void giveOrder(command) }
-  }
-  const giveOrder = async (command: Extract<Messages.Command, { kind: 'order' }>): Promise<void> => {
-    const model = command.assignment.model
-    const order = {
-      kind: 'load',
-      fencingNumber: command.fencingNumber,
-      modelName: model?.name,
-      modelVersion: model?.version,
-      digest: model?.digest,
-      chunks: model === undefined ? [] : collector.manifestOf(model.digest)?.chunks
-    }
-    const answer = await Edge.HttpClient.sendJson(endpoint, 'POST', '/orders', order, ORDER_TIMEOUT_MS).catch((error: Error) => ({ status: 0, value: error.message }))
-    push({ kind: 'orderAnswered', accepted: answer.status === 200, reason: answer.status === 200 ? undefined : JSON.stringify(answer.value) })
+    weights: command => { swarm.perform(command.command) },
+    order: command => { orders.give(command.order) }
   }
   const loop = Core.Loop.createLoop({
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
@@ -130,15 +129,17 @@
     beatMs: BEAT_MS
   })
   const seeEndpoint = async (): Promise<void> => {
+    const askedAtMs = clock()
     const answer = await Edge.HttpClient.sendJson(endpoint, 'GET', '/load', undefined, ENDPOINT_TIMEOUT_MS).catch(() => undefined)
     const load = answer?.status === 200 ? decodeLoad(answer.value) : undefined
-    push({ kind: 'endpointSeen', load: load?.isOk() === true ? load.value : undefined })
+    push({ kind: 'endpointSeen', load: load?.isOk() === true ? load.value : undefined, askedAtMs })
   }
   const endpointTimer = setInterval(() => { void seeEndpoint() }, settings.endpointPollMs)
 
   const procedures = Procedures.createProcedures({
     node,
     report: () => Tables.reportOf(tables),
+    exchangeWeights: swarm.answer,
     fence: async question => await new Promise(resolve => {
       const askId = Crypto.randomUUID()
       asks.set(askId, resolve)
@@ -151,7 +152,7 @@
     headersTimeoutMs: 10_000,
     routes: [
       relay.route,
-      ...collector.routes,
+      ...swarm.routes,
       Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken: () => '' }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
@@ -168,10 +169,19 @@
       while (tables.attempts.count() > 0 && clock() < deadlineMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
       await server.close(Math.max(0, deadlineMs - clock()))
       clearInterval(endpointTimer)
-      collector.stop()
+      swarm.stop()
       node.stop()
       loop.stop()
       log.info('agent', 'Agent stopped.')
     }
   }
 }
+
+function weightSources (settings: Settings.AgentSettings): Array<Pick<Weights.Tables.SourceRow, 'sourceId' | 'address' | 'crossesBorder'>> {
+  const sources = [
+    { sourceId: 'weightStore', address: settings.weightStore, region: settings.weightStoreRegion },
+    { sourceId: 'origin', address: settings.origin, region: settings.originRegion }
+  ]
+  return sources.filter(source => source.address !== '').map(({ sourceId, address, region }) =>
+    ({ sourceId, address: Edge.HttpClient.targetOf(address), crossesBorder: region !== '' && region !== settings.region }))
+}
--- /dev/null
+++ b/src/agent/orders.ts
@@ -0,0 +1,52 @@
+/**
+ * Gives orders to the endpoint, one at a time.
+ *
+ * @packageDocumentation
+ */
+import * as Edge from '../edge/index.ts'
+import type * as Schemas from '../schema/index.ts'
+import type * as Messages from './messages.ts'
+
+/** What the giving of orders needs. */
+export interface OrderOptions {
+  readonly endpoint: Edge.HttpClient.Target
+  readonly manifestOf: (digest: string) => Schemas.Weights.WeightManifest | undefined
+  readonly push: (input: Messages.Input) => void
+}
+
+/** Gives orders. */
+export interface Orders {
+  give: (order: Messages.Order) => void
+}
+
+const TIMEOUT_MS = 30_000
+
+const ANSWERS: Readonly<Record<number, Messages.OrderAnswer>> = { 200: 'accepted', 409: 'stale', 422: 'notWhole' }
+
+/**
+ * Creates the edge that gives orders.
+ *
+ * @param options - Endpoint and loop.
+ * @returns The edge.
+ */
+export function createOrders (options: OrderOptions): Orders {
+  const chunksOf = (digest: string): readonly string[] => options.manifestOf(digest)?.chunks ?? []
+  const adaptersOf = (adapters: readonly Schemas.Manifest.Adapter[]): object[] =>
+    adapters.map(adapter => ({ name: adapter.name, version: adapter.version, digest: adapter.digest, chunks: chunksOf(adapter.digest) }))
+  const bodyOf = (order: Messages.Order): object => {
+    if (order.kind === 'load') {
+      const { name, version, digest } = order.model
+      return { kind: 'load', fencingNumber: order.fencingNumber, modelName: name, modelVersion: version, digest, chunks: chunksOf(digest), adapters: adaptersOf(order.adapters) }
+    }
+    return order.kind === 'adapters' ? { ...order, adapters: adaptersOf(order.adapters) } : order
+  }
+  const give = async (order: Messages.Order): Promise<void> => {
+    try {
+      const { status, value } = await Edge.HttpClient.sendJson(options.endpoint, 'POST', '/orders', bodyOf(order), TIMEOUT_MS)
+      options.push({ kind: 'orderAnswered', order, answer: ANSWERS[status] ?? 'refused', reason: status === 200 ? undefined : JSON.stringify(value) })
+    } catch (error) {
+      options.push({ kind: 'orderAnswered', order, answer: 'lost', reason: (error as Error).message })
+    }
+  }
+  return { give: order => { void give(order) } }
+}
--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -11,6 +11,8 @@
 export interface ProcedureOptions {
   readonly node: Control.Node.ControlNode
   readonly report: () => Schemas.Control.AgentReport
+  /** Exchanges news of weights with a peer. */
+  readonly exchangeWeights: (request: Schemas.Weights.SwarmExchange) => Schemas.Weights.SwarmExchange
   readonly fence: (question: Schemas.Calls.FenceQuestion) => Promise<Schemas.Calls.FenceAnswer>
 }
 
@@ -26,6 +28,9 @@
     exchange: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
       .mutation(({ input }) => options.node.exchange(input)),
+    exchangeWeights: Edge.Rpc.peerProcedure
+      .input(Schemas.Decode.parser(Schemas.Weights.SwarmExchange))
+      .mutation(({ input }) => options.exchangeWeights(input)),
     fence: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Schemas.Calls.FenceQuestion))
       .mutation(async ({ input }) => await options.fence(input))
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -53,6 +53,8 @@
 }
 
 function admit (tables: Tables.Tables, tick: Tables.Tick): void {
+  if (tables.endpoint.switchingSinceMs !== undefined) return
+  refuseOtherVersions(tables, tick)
   let runningCount = Tables.runningCount(tables)
   for (const attempt of tables.attempts.rows()) {
     if (runningCount >= tables.endpoint.limitCount) return
@@ -66,6 +68,15 @@
   }
 }
 
+/** Refuses queued attempts that are meant for a version which the endpoint no longer holds. */
+function refuseOtherVersions (tables: Tables.Tables, tick: Tables.Tick): void {
+  for (const attempt of [...tables.attempts.rows()]) {
+    const { modelVersion } = attempt.envelope
+    if (attempt.state !== 'queued' || modelVersion === undefined || modelVersion === tables.endpoint.modelVersion) continue
+    refuseAttempt(tables, tick, attempt.envelope, { code: 'modelNotLoaded', reason: `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.` })
+  }
+}
+
 function expire (tables: Tables.Tables, tick: Tables.Tick): void {
   for (const attempt of [...tables.attempts.rows()]) {
     if (attempt.state !== 'queued' || tick.nowMs < attempt.deadlineMs) continue
--- a/src/agent/systems/endpoint.ts
+++ b/src/agent/systems/endpoint.ts
@@ -3,18 +3,21 @@
  *
  * @packageDocumentation
  */
+import type * as Schemas from '../../schema/index.ts'
+import * as Weights from '../../weights/index.ts'
 import type * as Messages from '../messages.ts'
 import * as Tables from '../tables.ts'
 
 /** An endpoint that has not answered for so long counts as unreachable, in milliseconds. */
 const UNREACHABLE_AFTER_MS = 3_000
+const ROLES: readonly Schemas.Manifest.Role[] = ['mixed', 'prefill', 'decode']
 
 /** Takes what the endpoint told of itself. */
 export const endpointSystem: Tables.System = {
   name: 'endpoint',
   run: (tables, tick) => {
     for (const input of tick.inputs) {
-      if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load)
+      if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load, input.askedAtMs)
       if (input.kind === 'stopping') tables.stopping = true
     }
     const { endpoint } = tables
@@ -25,18 +28,23 @@
   }
 }
 
-function see (tables: Tables.Tables, tick: Tables.Tick, load: Messages.EndpointLoad): void {
+function see (tables: Tables.Tables, tick: Tables.Tick, load: Messages.EndpointLoad, askedAtMs: number): void {
   const { endpoint } = tables
   if (endpoint.incarnation !== load.incarnation) {
     tick.log('endpoint', 'Endpoint has a new incarnation.', { incarnation: load.incarnation })
-    endpoint.orderPending = false
     endpoint.limitCount = 1
+    Weights.Tables.forgetDelivered(tables.weights)
   }
+  const restarted = endpoint.incarnation !== load.incarnation
   endpoint.incarnation = load.incarnation
   endpoint.reachable = true
+  endpoint.coldReported = load.cold
+  endpoint.lastSeenMs = tick.nowMs
+  tables.fencingNumber = Math.max(tables.fencingNumber, load.fencingNumber ?? 0)
+  if (!restarted && (endpoint.orderPending || askedAtMs < endpoint.answeredAtMs)) return
   endpoint.modelName = load.modelName
   endpoint.modelVersion = load.modelVersion
   endpoint.modelDigest = load.modelDigest
-  endpoint.coldReported = load.cold
-  endpoint.lastSeenMs = tick.nowMs
+  endpoint.adapterDigests = load.adapterDigests ?? []
+  endpoint.role = ROLES.find(role => role === load.role) ?? 'mixed'
 }
--- a/src/agent/systems/placement.ts
+++ b/src/agent/systems/placement.ts
@@ -1,56 +1,122 @@
 /**
- * Brings the endpoint to what the plan assigns: fetches weights, then orders one load.
+ * Brings the endpoint to what the plan assigns: one order at a time, loads only of whole weights.
  *
  * @packageDocumentation
  */
 import type * as Schemas from '../../schema/index.ts'
+import * as Weights from '../../weights/index.ts'
+import type * as Messages from '../messages.ts'
 import * as Tables from '../tables.ts'
 
-/** An order without an answer for so long is given again, in milliseconds. */
-const ORDER_RETRY_MS = 5_000
+/** The next order waits for so long after one that was not accepted, in milliseconds. */
+const RETRY_MS = 1_000
+/** A switch waits so long for calls that were just handed to the endpoint, in milliseconds. */
+const SETTLE_MS = 250
 
-/** Fetches what is assigned and orders it once whole. */
+type Settle = (tables: Tables.Tables, tick: Tables.Tick, order: Messages.Order) => void
+
+/** Takes answers and gives the next order. */
 export const placementSystem: Tables.System = {
   name: 'placement',
   run: (tables, tick) => {
-    for (const input of tick.inputs) {
-      if (input.kind === 'weightsProgress') {
-        const row = tables.weights.get(input.digest)
-        if (row !== undefined) Object.assign(row, { heldCount: input.heldCount, wantedCount: input.wantedCount, whole: input.whole })
-      }
-      if (input.kind === 'orderAnswered') {
-        tables.endpoint.orderPending = false
-        tick.log('placement', input.accepted ? 'Order accepted.' : 'Order refused.', { reason: input.reason })
-      }
-    }
+    for (const input of tick.inputs) if (input.kind === 'orderAnswered') settle(tables, tick, input)
     const plan = tables.held.placement()
-    const assignment = Tables.assignmentOf(tables)
-    if (plan === undefined || assignment === undefined) return
-    follow(tables, tick, plan, assignment)
+    const { endpoint } = tables
+    if (!endpoint.reachable) endpoint.switchingSinceMs = undefined
+    if (plan === undefined || !endpoint.reachable || endpoint.orderPending || tick.nowMs < endpoint.orderAfterMs) return
+    if (plan.fencingNumber < tables.fencingNumber || Tables.serviceOf(tables)?.kind !== 'engine') { endpoint.switchingSinceMs = undefined; return }
+    const order = nextOrder(tables, plan)
+    if (order === undefined) { endpoint.switchingSinceMs = undefined; return }
+    if (SWITCHES[order.kind] && !isSettled(tables, tick, order)) return
+    give(tables, tick, order)
+  }
+}
+
+/** Whether an order replaces the version that answers calls. */
+const SWITCHES: Readonly<Record<Messages.Order['kind'], boolean>> = { load: true, unload: true, adapters: false, role: false }
+
+const SETTLERS: Readonly<Record<Messages.Order['kind'], Settle>> = {
+  load: (tables, _tick, order) => {
+    if (order.kind !== 'load') return
+    const { name, version, digest } = order.model
+    Object.assign(tables.endpoint, { modelName: name, modelVersion: version, modelDigest: digest, adapterDigests: order.adapters.map(adapter => adapter.digest) })
+  },
+  adapters: (tables, _tick, order) => {
+    if (order.kind === 'adapters') tables.endpoint.adapterDigests = order.adapters.map(adapter => adapter.digest)
+  },
+  role: (tables, _tick, order) => {
+    if (order.kind === 'role') tables.endpoint.role = order.role
+  },
+  unload: tables => {
+    Object.assign(tables.endpoint, { modelName: undefined, modelVersion: undefined, modelDigest: undefined, adapterDigests: [] })
+  }
+}
+
+function settle (tables: Tables.Tables, tick: Tables.Tick, input: Extract<Messages.Input, { readonly kind: 'orderAnswered' }>): void {
+  const { endpoint } = tables
+  endpoint.orderPending = false
+  endpoint.answeredAtMs = tick.nowMs
+  endpoint.switchingSinceMs = undefined
+  if (input.answer === 'accepted') {
+    SETTLERS[input.order.kind](tables, tick, input.order)
+    tick.log('placement', 'Order accepted.', { order: input.order.kind, version: endpoint.modelVersion, fencingNumber: input.order.fencingNumber })
+    return
   }
+  endpoint.orderAfterMs = tick.nowMs + RETRY_MS
+  if (input.answer === 'notWhole') Weights.Tables.forgetDelivered(tables.weights)
+  tick.log('placement', 'Order not accepted.', { order: input.order.kind, answer: input.answer, reason: input.reason, fencingNumber: input.order.fencingNumber })
 }
 
-function follow (tables: Tables.Tables, tick: Tables.Tick, plan: Schemas.Control.PlacementPlan, assignment: Schemas.Control.Assignment): void {
+function nextOrder (tables: Tables.Tables, plan: Schemas.Control.PlacementPlan): Messages.Order | undefined {
   const { endpoint } = tables
-  const model = assignment.model
-  if (model === undefined || !endpoint.reachable || endpoint.modelDigest === model.digest) return
-  const digests = [model.digest, ...assignment.adapters.map(adapter => adapter.digest)]
-  want(tables, tick, digests)
-  if (!digests.every(digest => tables.weights.get(digest)?.whole === true)) return
-  if (endpoint.orderPending && tick.nowMs - endpoint.orderedAtMs < ORDER_RETRY_MS) return
-  if (plan.fencingNumber < tables.fencingNumber) return
-  tables.fencingNumber = plan.fencingNumber
+  const { fencingNumber } = plan
+  const assignment = Tables.assignmentOf(tables)
+  const model = assignment?.model
+  if (assignment === undefined || model === undefined) {
+    return endpoint.modelDigest === undefined ? undefined : { kind: 'unload', fencingNumber }
+  }
+  const { adapters, role } = assignment
+  if (endpoint.modelDigest !== model.digest) {
+    return areWhole(tables, [model, ...adapters]) ? { kind: 'load', fencingNumber, model, adapters } : undefined
+  }
+  if (!sameDigests(adapters, endpoint.adapterDigests)) {
+    const missing = adapters.filter(adapter => !endpoint.adapterDigests.includes(adapter.digest))
+    return areWhole(tables, missing) ? { kind: 'adapters', fencingNumber, adapters } : undefined
+  }
+  return endpoint.role === role ? undefined : { kind: 'role', fencingNumber, role }
+}
+
+/** Admission waits from here on; calls that were just admitted reach the endpoint before the order, and an unload waits for all calls. */
+function isSettled (tables: Tables.Tables, tick: Tables.Tick, order: Messages.Order): boolean {
+  const { endpoint } = tables
+  endpoint.switchingSinceMs ??= tick.nowMs
+  if (order.kind === 'unload') return Tables.runningCount(tables) === 0
+  const justAdmitted = [...tables.attempts.rows()].some(attempt => attempt.state === 'running' && attempt.answeringAtMs === 0)
+  return !justAdmitted || tick.nowMs - endpoint.switchingSinceMs >= SETTLE_MS
+}
+
+function give (tables: Tables.Tables, tick: Tables.Tick, order: Messages.Order): void {
+  const { endpoint } = tables
+  tables.fencingNumber = order.fencingNumber
   endpoint.orderPending = true
   endpoint.orderedAtMs = tick.nowMs
-  tick.log('placement', 'Load ordered.', { model: model.name, version: model.version, fencingNumber: plan.fencingNumber, reason: 'weights are whole' })
-  tick.emit({ kind: 'order', assignment, fencingNumber: plan.fencingNumber, load: true })
+  if (order.kind === 'load') {
+    const digests = [order.model, ...order.adapters].map(entry => entry.digest)
+    tick.check('wholeWeights', digests.every(digest => isDelivered(tables, digest)), () => ({ digests, fencingNumber: order.fencingNumber }))
+  }
+  tick.log('placement', 'Order given.', { order: order.kind, version: order.kind === 'load' ? order.model.version : endpoint.modelVersion, fencingNumber: order.fencingNumber, reason: 'the plan assigns it' })
+  tick.emit({ kind: 'order', order })
+}
+
+function isDelivered (tables: Tables.Tables, digest: string): boolean {
+  const set = tables.weights.sets.get(digest)
+  return set?.chunks !== undefined && set.wholeMatches === true && Weights.Bitmap.isFull(set.chunks.delivered)
+}
+
+function areWhole (tables: Tables.Tables, entries: ReadonlyArray<{ readonly digest: string }>): boolean {
+  return entries.every(entry => Weights.Tables.isWhole(tables.weights, entry.digest))
 }
 
-function want (tables: Tables.Tables, tick: Tables.Tick, digests: readonly string[]): void {
-  const missing = digests.filter(digest => !tables.weights.has(digest))
-  if (missing.length === 0) return
-  for (const digest of [...tables.weights.keys()]) if (!digests.includes(digest)) tables.weights.remove(digest)
-  for (const digest of missing) tables.weights.set(digest, { digest, heldCount: 0, wantedCount: 0, whole: false })
-  tick.log('placement', 'Weights wanted.', { digests, reason: 'assigned by the plan' })
-  tick.emit({ kind: 'fetchWeights', digests })
+function sameDigests (adapters: readonly Schemas.Manifest.Adapter[], digests: readonly string[]): boolean {
+  return adapters.length === digests.length && adapters.every(adapter => digests.includes(adapter.digest))
 }
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -6,6 +6,7 @@
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Weights from '../weights/index.ts'
 import type * as Messages from './messages.ts'
 
 /** An attempt that was offered to this agent and is not finished. */
@@ -26,14 +27,6 @@
   readonly finishedAtMs: number
 }
 
-/** Weights that the agent collects. */
-export interface WeightsRow {
-  readonly digest: string
-  heldCount: number
-  wantedCount: number
-  whole: boolean
-}
-
 /** The endpoint beside the agent. */
 export interface EndpointRow {
   incarnation: string
@@ -41,14 +34,22 @@
   modelName: string | undefined
   modelVersion: string | undefined
   modelDigest: string | undefined
+  adapterDigests: readonly string[]
   role: Schemas.Manifest.Role
   coldReported: boolean
   limitCount: number
   /** The limit while the endpoint is warm. */
   warmLimitCount: number
   lastSeenMs: number
+  /** An order is on its way; the next one waits for its answer. */
   orderPending: boolean
   orderedAtMs: number
+  /** When the last order was answered; what the endpoint told before it is out of date. */
+  answeredAtMs: number
+  /** The next order waits until then. */
+  orderAfterMs: number
+  /** Since when admission waits for the endpoint's switch to another version; undefined for no switch. */
+  switchingSinceMs: number | undefined
 }
 
 /** Who the agent is and what it was set to. */
@@ -62,7 +63,9 @@
   readonly held: Control.Documents.Held
   readonly attempts: Core.Table.Table<AttemptRow>
   readonly finished: Core.Table.Table<FinishedRow>
-  readonly weights: Core.Table.Table<WeightsRow>
+  readonly weights: Weights.Tables.Tables
+  /** What the wanted weights were last derived from. */
+  wantedFrom: string
   readonly endpoint: EndpointRow
   /** The highest fencing number that the agent has acted on. */
   fencingNumber: number
@@ -79,28 +82,34 @@
  *
  * @param identity - Who the agent is.
  * @param held - The documents it holds.
+ * @param weights - The swarm's tables.
  * @returns The tables.
  */
-export function createTables (identity: AgentIdentity, held: Control.Documents.Held): Tables {
+export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights: Weights.Tables.Tables): Tables {
   return {
     identity,
     held,
     attempts: Core.Table.createTable('attempts'),
     finished: Core.Table.createTable('finished'),
-    weights: Core.Table.createTable('weights'),
+    weights,
+    wantedFrom: '',
     endpoint: {
       incarnation: '',
       reachable: false,
       modelName: undefined,
       modelVersion: undefined,
       modelDigest: undefined,
+      adapterDigests: [],
       role: 'mixed',
       coldReported: false,
       limitCount: 1,
       warmLimitCount: 1,
       lastSeenMs: 0,
       orderPending: false,
-      orderedAtMs: 0
+      orderedAtMs: 0,
+      answeredAtMs: -Infinity,
+      orderAfterMs: 0,
+      switchingSinceMs: undefined
     },
     fencingNumber: 0,
     stopping: false
@@ -166,9 +175,10 @@
   const activeCount = runningCount(tables)
   let heldChunkCount = 0
   let wantedChunkCount = 0
-  for (const row of tables.weights.rows()) {
-    heldChunkCount += row.heldCount
-    wantedChunkCount += row.wantedCount
+  for (const { wanted, chunks } of tables.weights.sets.rows()) {
+    if (!wanted || chunks === undefined) continue
+    heldChunkCount += Weights.Bitmap.count(chunks.delivered)
+    wantedChunkCount += chunks.delivered.sizeCount
   }
   return {
     instanceId: identity.instanceId,
--- a/src/platform/weightClient.ts
+++ b/src/platform/weightClient.ts
@@ -13,33 +13,26 @@
 
 const decodeManifest = Schemas.Decode.json(Schemas.Weights.WeightManifest)
 
+/** A weight manifest and the bytes that its digest covers. */
+export interface FetchedManifest {
+  readonly manifest: Schemas.Weights.WeightManifest
+  readonly bytes: Buffer
+}
+
 /**
  * Fetches a weight manifest and verifies its digest.
  *
  * @param target - The source.
  * @param digest - The digest of the weight manifest.
  * @param timeoutMs - Time for the exchange in milliseconds.
+ * @param headers - Headers that name the asking instance.
  * @returns The manifest, or why there is none.
  */
-export async function fetchManifest (target: HttpClient.Target, digest: string, timeoutMs: number): Promise<Neverthrow.Result<Schemas.Weights.WeightManifest, SourceFailure>> {
-  const body = await fetchBytes(target, `/weights/${digest}`, timeoutMs, {})
+export async function fetchManifest (target: HttpClient.Target, digest: string, timeoutMs: number, headers: Readonly<Record<string, string>>): Promise<Neverthrow.Result<FetchedManifest, SourceFailure>> {
+  const body = await fetchBytes(target, `/weights/${digest}`, timeoutMs, headers)
   return body.andThen(bytes => Core.Hash.sha256(bytes) !== digest
-    ? Neverthrow.err<Schemas.Weights.WeightManifest, SourceFailure>('corrupted')
-    : decodeManifest(bytes.toString()).mapErr((): SourceFailure => 'corrupted'))
-}
-
-/**
- * Fetches a chunk and verifies its digest.
- *
- * @param target - The source.
- * @param digest - The digest of the chunk.
- * @param timeoutMs - Time for the exchange in milliseconds.
- * @param headers - Headers that name the asking instance.
- * @returns The chunk, or why there is none.
- */
-export async function fetchChunk (target: HttpClient.Target, digest: string, timeoutMs: number, headers: Readonly<Record<string, string>>): Promise<Neverthrow.Result<Buffer, SourceFailure>> {
-  const body = await fetchBytes(target, `/chunks/${digest}`, timeoutMs, headers)
-  return body.andThen(bytes => Core.Hash.sha256(bytes) === digest ? Neverthrow.ok(bytes) : Neverthrow.err<Buffer, SourceFailure>('corrupted'))
+    ? Neverthrow.err<FetchedManifest, SourceFailure>('corrupted')
+    : decodeManifest(bytes.toString()).map(manifest => ({ manifest, bytes })).mapErr((): SourceFailure => 'corrupted'))
 }
 
 async function fetchBytes (target: HttpClient.Target, path: string, timeoutMs: number, headers: Readonly<Record<string, string>>): Promise<Neverthrow.Result<Buffer, SourceFailure>> {
--- /dev/null
+++ b/src/weights/edge/chunkClient.ts
@@ -0,0 +1,102 @@
+/**
+ * Fetches one chunk: paced, verified, and ended when no byte arrives in time.
+ *
+ * @packageDocumentation
+ */
+import * as Crypto from 'node:crypto'
+import * as Http from 'node:http'
+import * as Edge from '../../edge/index.ts'
+import type * as Messages from '../messages.ts'
+import * as News from './news.ts'
+import type * as Pacer from './pacer.ts'
+
+/** What to fetch and from where. */
+export interface ChunkRequest {
+  readonly address: Messages.Address
+  readonly chunkDigest: string
+  readonly headers: Readonly<Record<string, string>>
+  /** The paces that the bytes keep. */
+  readonly pacers: readonly Pacer.Pacer[]
+  /** The longest time without a byte in milliseconds. */
+  readonly stallMs: number
+  readonly onNews: (header: string) => void
+}
+
+/** How the fetch ended; with a whole chunk, its bytes. */
+export interface ChunkAnswer {
+  readonly ending: Messages.FetchEnding
+  readonly chunk: Buffer | undefined
+}
+
+/** A fetch in progress. */
+export interface ChunkFetch {
+  readonly answer: Promise<ChunkAnswer>
+  cancel: () => void
+}
+
+const ENDING_BY_STATUS: Readonly<Record<number, Messages.FetchEnding>> = { 404: 'absent', 429: 'throttled', 503: 'throttled' }
+
+/**
+ * Starts to fetch a chunk.
+ *
+ * @param request - What to fetch.
+ * @returns The fetch.
+ */
+export function fetchChunk (request: ChunkRequest): ChunkFetch {
+  let cancel = (): void => {}
+  const answer = new Promise<ChunkAnswer>(resolve => {
+    const hash = Crypto.createHash('sha256')
+    const parts: Buffer[] = []
+    let ended = false
+    const outgoing = Http.request({
+      host: request.address.host,
+      port: request.address.port,
+      method: 'GET',
+      path: `/chunks/${request.chunkDigest}`,
+      headers: request.headers,
+      agent: Edge.HttpClient.pool
+    })
+    const end = (ending: Messages.FetchEnding, chunk?: Buffer): void => {
+      if (ended) return
+      ended = true
+      clearTimeout(timer)
+      if (ending !== 'whole' && ending !== 'absent' && ending !== 'throttled' && ending !== 'corrupted') outgoing.destroy()
+      resolve({ ending, chunk })
+    }
+    let timer = setTimeout(() => { end('stalled') }, request.stallMs)
+    const moved = (): void => {
+      clearTimeout(timer)
+      timer = setTimeout(() => { end('stalled') }, request.stallMs)
+    }
+    cancel = () => { end('cancelled') }
+    outgoing.on('error', () => { end('unreachable') })
+    outgoing.on('response', incoming => {
+      const news = incoming.headers[News.NEWS_HEADER]
+      if (typeof news === 'string') request.onNews(news)
+      incoming.on('error', () => { end('unreachable') })
+      if (incoming.statusCode !== 200) {
+        incoming.resume()
+        incoming.on('end', () => { end(ENDING_BY_STATUS[incoming.statusCode ?? 0] ?? 'unreachable') })
+        return
+      }
+      incoming.on('data', (part: Buffer) => {
+        moved()
+        hash.update(part)
+        parts.push(part)
+        incoming.pause()
+        void passAll(request.pacers, part.length).then(() => { moved(); incoming.resume() })
+      })
+      incoming.on('end', () => {
+        if (!incoming.complete) { end('unreachable'); return }
+        const matches = hash.digest('hex') === request.chunkDigest
+        end(matches ? 'whole' : 'corrupted', matches ? Buffer.concat(parts) : undefined)
+      })
+    })
+    outgoing.end()
+  })
+  return { answer, cancel: () => { cancel() } }
+}
+
+async function passAll (pacers: readonly Pacer.Pacer[], sizeBytes: number): Promise<void> {
+  for (const pacer of pacers) await pacer.pass(sizeBytes)
+}
--- /dev/null
+++ b/src/weights/edge/chunkStore.ts
@@ -0,0 +1,71 @@
+/**
+ * The chunks and weight manifests that an agent keeps in memory, and the digests of whole sets.
+ *
+ * @packageDocumentation
+ */
+import * as Crypto from 'node:crypto'
+import type * as Schemas from '../../schema/index.ts'
+
+/** Chunks by digest. Every chunk in it is verified. */
+export interface ChunkStore {
+  get: (chunkDigest: string) => Buffer | undefined
+  put: (chunkDigest: string, chunk: Buffer) => void
+  remove: (chunkDigest: string) => void
+  manifestOf: (digest: string) => Schemas.Weights.WeightManifest | undefined
+  manifestBytesOf: (digest: string) => Buffer | undefined
+  addManifest: (digest: string, manifest: Schemas.Weights.WeightManifest, bytes: Buffer) => void
+  /** Forgets a weight manifest and the digest of its whole. */
+  forget: (digest: string) => void
+}
+
+/** Told how far the digest of a whole set has come; `wholeMatches` is undefined until its end. */
+export type OnHashed = (digest: string, hashedCount: number, wholeMatches: boolean | undefined) => void
+
+interface SetEntry {
+  readonly manifest: Schemas.Weights.WeightManifest
+  readonly bytes: Buffer
+  readonly hash: Crypto.Hash
+  hashedCount: number
+}
+
+/**
+ * Creates an empty store.
+ *
+ * @param onHashed - Told of progress of the digest of the whole.
+ * @returns The store.
+ */
+export function createChunkStore (onHashed: OnHashed): ChunkStore {
+  const chunks = new Map<string, Buffer>()
+  const sets = new Map<string, SetEntry>()
+
+  const advance = (digest: string, entry: SetEntry): void => {
+    const before = entry.hashedCount
+    const { manifest } = entry
+    while (entry.hashedCount < manifest.chunks.length) {
+      const chunk = chunks.get(manifest.chunks[entry.hashedCount] ?? '')
+      if (chunk === undefined) break
+      entry.hash.update(chunk)
+      entry.hashedCount++
+    }
+    if (entry.hashedCount === before) return
+    const ended = entry.hashedCount === manifest.chunks.length
+    onHashed(digest, entry.hashedCount, ended ? entry.hash.digest('hex') === manifest.wholeDigest : undefined)
+  }
+  return {
+    get: chunkDigest => chunks.get(chunkDigest),
+    put: (chunkDigest, chunk) => {
+      chunks.set(chunkDigest, chunk)
+      for (const [digest, entry] of sets) advance(digest, entry)
+    },
+    remove: chunkDigest => { chunks.delete(chunkDigest) },
+    manifestOf: digest => sets.get(digest)?.manifest,
+    manifestBytesOf: digest => sets.get(digest)?.bytes,
+    addManifest: (digest, manifest, bytes) => {
+      if (sets.has(digest)) return
+      const entry = { manifest, bytes, hash: Crypto.createHash('sha256'), hashedCount: 0 }
+      sets.set(digest, entry)
+      advance(digest, entry)
+    },
+    forget: digest => { sets.delete(digest) }
+  }
+}
--- /dev/null
+++ b/src/weights/faults.ts
@@ -0,0 +1,79 @@
+/**
+ * What went wrong with a fetch, who is blamed, and how long that one is left alone.
+ *
+ * @packageDocumentation
+ */
+
+/** A fault of a source or peer. */
+export type FaultKind = 'corrupted' | 'stalled' | 'slow' | 'unreachable' | 'throttled' | 'absent' | 'cancelled'
+
+/** How often something failed of late and until when it is left alone. */
+export interface Standing {
+  readonly faultCounts: Record<FaultKind, number>
+  backOffUntilMs: number
+}
+
+interface BackOff {
+  readonly baseMs: number
+  readonly factor: number
+  readonly longestMs: number
+}
+
+const NONE: BackOff = { baseMs: 0, factor: 1, longestMs: 0 }
+
+/** Back-off from a peer, by fault. */
+export const PEER_BACK_OFF: Readonly<Record<FaultKind, BackOff>> = {
+  corrupted: { baseMs: 5_000, factor: 4, longestMs: 600_000 },
+  stalled: { baseMs: 2_000, factor: 2, longestMs: 60_000 },
+  slow: { baseMs: 1_000, factor: 2, longestMs: 15_000 },
+  unreachable: { baseMs: 1_000, factor: 2, longestMs: 30_000 },
+  throttled: { baseMs: 50, factor: 1, longestMs: 50 },
+  absent: NONE,
+  cancelled: NONE
+}
+
+/** Back-off from the origin or the weight store, by fault; a source has no substitute, so it is short. */
+export const SOURCE_BACK_OFF: Readonly<Record<FaultKind, BackOff>> = {
+  corrupted: NONE,
+  stalled: { baseMs: 1_000, factor: 2, longestMs: 8_000 },
+  slow: NONE,
+  unreachable: { baseMs: 500, factor: 2, longestMs: 4_000 },
+  throttled: { baseMs: 500, factor: 2, longestMs: 4_000 },
+  absent: { baseMs: 2_000, factor: 1, longestMs: 2_000 },
+  cancelled: NONE
+}
+
+/**
+ * Creates a clean standing.
+ *
+ * @returns The standing.
+ */
+export function createStanding (): Standing {
+  return { faultCounts: { corrupted: 0, stalled: 0, slow: 0, unreachable: 0, throttled: 0, absent: 0, cancelled: 0 }, backOffUntilMs: 0 }
+}
+
+/**
+ * Blames a fault and starts its back-off.
+ *
+ * @param standing - Who is blamed.
+ * @param fault - What went wrong.
+ * @param rules - Back-off by fault.
+ * @param nowMs - The time.
+ * @returns How long it is left alone, in milliseconds.
+ */
+export function blame (standing: Standing, fault: FaultKind, rules: Readonly<Record<FaultKind, BackOff>>, nowMs: number): number {
+  const countBefore = standing.faultCounts[fault]++
+  const { baseMs, factor, longestMs } = rules[fault]
+  const backOffMs = Math.min(longestMs, baseMs * factor ** countBefore)
+  standing.backOffUntilMs = Math.max(standing.backOffUntilMs, nowMs + backOffMs)
+  return backOffMs
+}
+
+/**
+ * Counts a success: faults of speed and reach are forgiven, corrupted chunks are not.
+ *
+ * @param standing - Who served well.
+ */
+export function forgive (standing: Standing): void {
+  for (const fault of ['stalled', 'slow', 'unreachable', 'throttled'] as const) standing.faultCounts[fault] = 0
+}
--- /dev/null
+++ b/src/weights/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Weights: how chunks spread between agents, are verified, and reach endpoints whole.
+ *
+ * @packageDocumentation
+ */
+export * as Bitmap from './bitmap.ts'
+export * as Faults from './faults.ts'
+export * as Messages from './messages.ts'
+export * as Pace from './pace.ts'
+export * as Pacer from './edge/pacer.ts'
+export * as Seeding from './seeding.ts'
+export * as Swarm from './edge/swarm.ts'
+export * as Systems from './systems/index.ts'
+export * as Tables from './tables.ts'
--- /dev/null
+++ b/src/weights/seeding.ts
@@ -0,0 +1,55 @@
+/**
+ * Who fetches which chunk from the origin into a region, in which order, and who follows when one fails.
+ *
+ * Every agent computes the same ranks from the same list; a list that lags costs an extra copy.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+
+/** The ranks of one region's agents for each chunk. */
+export interface Seeding {
+  /** The chunks in the order in which the region fetches them. */
+  readonly order: readonly number[]
+  /** The rank of one agent for a chunk: 0 for the first in line. */
+  rankOf: (index: number, instanceId: string) => number
+  /** The agents in line for a chunk, the first first. */
+  line: (index: number) => readonly string[]
+}
+
+/**
+ * Ranks the agents of a region by rendezvous hashing.
+ *
+ * @param region - The region.
+ * @param chunks - The digests of the chunks.
+ * @param instanceIds - The agents of the region that want the weights.
+ * @returns The ranks.
+ */
+export function createSeeding (region: string, chunks: readonly string[], instanceIds: readonly string[]): Seeding {
+  const regionHash = Core.Hash.rankOf(region)
+  const chunkHashes = chunks.map(chunk => mix(Core.Hash.rankOf(chunk), regionHash))
+  const agentHashes = new Map(instanceIds.map(instanceId => [instanceId, Core.Hash.rankOf(instanceId)]))
+  const scoreOf = (index: number, agentHash: number): number => mix(chunkHashes[index] ?? 0, agentHash)
+  return {
+    order: chunks.map((_, index) => index).sort((a, b) => (chunkHashes[a] ?? 0) - (chunkHashes[b] ?? 0) || a - b),
+    rankOf: (index, instanceId) => {
+      const own = scoreOf(index, agentHashes.get(instanceId) ?? Core.Hash.rankOf(instanceId))
+      let rank = 0
+      for (const [other, agentHash] of agentHashes) {
+        const score = scoreOf(index, agentHash)
+        if (score > own || (score === own && other < instanceId)) rank++
+      }
+      return rank
+    },
+    line: index => [...agentHashes]
+      .map(([instanceId, agentHash]) => ({ instanceId, score: scoreOf(index, agentHash) }))
+      .sort((a, b) => b.score - a.score || (a.instanceId < b.instanceId ? -1 : 1))
+      .map(entry => entry.instanceId)
+  }
+}
+
+function mix (a: number, b: number): number {
+  let hash = Math.imul(a ^ (b >>> 15) ^ Math.imul(b, 0x9e3779b1), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
--- /dev/null
+++ b/src/weights/systems/neighbours.ts
@@ -0,0 +1,89 @@
+/**
+ * Chooses a bounded set of neighbours and exchanges news with those not heard of lately.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../../core/index.ts'
+import type * as Messages from '../messages.ts'
+import * as Tables from '../tables.ts'
+
+/** Neighbours in the agent's own zone. */
+const SAME_ZONE_COUNT = 6
+/** Neighbours in the other zones of the region. */
+const OTHER_ZONE_COUNT = 4
+/** Neighbours over each region border. */
+const BORDER_COUNT = 1
+const CHOOSE_INTERVAL_MS = 2_000
+/** A neighbour not heard of for so long is asked, in milliseconds. */
+const EXCHANGE_INTERVAL_MS = 250
+/** A neighbour over a border is asked less often, in milliseconds. */
+const BORDER_EXCHANGE_INTERVAL_MS = 1_000
+
+/** Chooses neighbours and asks for their news. */
+export const neighboursSystem: Tables.System = {
+  name: 'neighbours',
+  run: (tables, tick) => {
+    const fetching = [...tables.sets.rows()].filter(set => set.wanted && set.state === 'fetching')
+    if (fetching.length === 0) return
+    if (tick.nowMs - tables.neighboursAtMs >= CHOOSE_INTERVAL_MS) choose(tables, tick, fetching)
+    if (fetching.some(set => set.chunks !== undefined)) ask(tables, tick)
+  }
+}
+
+function choose (tables: Tables.Tables, tick: Tables.Tick, fetching: readonly Tables.SetRow[]): void {
+  tables.neighboursAtMs = tick.nowMs
+  const { instanceId, zone, region } = tables.identity
+  const wanting = new Set(fetching.flatMap(set => set.want.instanceIds))
+  const usable = [...tables.members.rows()].filter(member =>
+    wanting.has(member.instanceId) && member.instanceId !== instanceId && (tables.peers.get(member.instanceId)?.standing.backOffUntilMs ?? 0) <= tick.nowMs)
+  const ranked = usable
+    .map(member => ({ member, rank: rankPair(instanceId, member.instanceId) }))
+    .sort((a, b) => a.rank - b.rank || (a.member.instanceId < b.member.instanceId ? -1 : 1))
+    .map(entry => entry.member)
+  const chosen = [
+    ...ranked.filter(member => member.region === region && member.zone === zone).slice(0, SAME_ZONE_COUNT),
+    ...ranked.filter(member => member.region === region && member.zone !== zone).slice(0, OTHER_ZONE_COUNT),
+    ...firstOfEach(ranked.filter(member => member.region !== region), BORDER_COUNT)
+  ]
+  for (const peer of [...tables.peers.rows()]) {
+    peer.neighbour = false
+    if (!tables.members.has(peer.member.instanceId)) tables.peers.remove(peer.member.instanceId)
+  }
+  for (const member of chosen) {
+    const peer = Tables.peerOf(tables, member.instanceId)
+    if (peer !== undefined) peer.neighbour = true
+  }
+}
+
+function ask (tables: Tables.Tables, tick: Tables.Tick): void {
+  for (const peer of tables.peers.rows()) {
+    if (!peer.neighbour || peer.standing.backOffUntilMs > tick.nowMs) continue
+    const intervalMs = peer.member.region === tables.identity.region ? EXCHANGE_INTERVAL_MS : BORDER_EXCHANGE_INTERVAL_MS
+    if (tick.nowMs - Math.max(peer.heardAtMs, peer.askedAtMs) < intervalMs) continue
+    exchangeWith(tick, peer)
+  }
+}
+
+/**
+ * Asks a peer for its news.
+ *
+ * @param tick - The tick.
+ * @param peer - The peer.
+ */
+export function exchangeWith (tick: Tables.Tick, peer: Tables.PeerRow): void {
+  peer.askedAtMs = tick.nowMs
+  tick.emit({ kind: 'exchange', instanceId: peer.member.instanceId, address: peer.member })
+}
+
+function firstOfEach (members: readonly Messages.Member[], limitCount: number): Messages.Member[] {
+  const counts = new Map<string, number>()
+  return members.filter(member => {
+    const countBefore = counts.get(member.region) ?? 0
+    counts.set(member.region, countBefore + 1)
+    return countBefore < limitCount
+  })
+}
+
+function rankPair (a: string, b: string): number {
+  return Core.Hash.rankOf(a < b ? `${a}\n${b}` : `${b}\n${a}`)
+}
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -40,6 +40,8 @@
   modelName: string | undefined
   modelVersion: string | undefined
   modelDigest: string | undefined
+  /** The digests of the adapters beside the model. */
+  adapterDigests: readonly string[]
   role: string
   activeCount: number
   maxActiveCount: number
@@ -64,13 +66,16 @@
   maxTokens: Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 100_000 })),
   stream: Schema.optional(Schema.Boolean)
 })
+const OrderedAdapter = Schema.Struct({ name: Schema.String, digest: Schema.String, chunks: Schema.Array(Schema.String) })
 const Order = Schema.Struct({
-  kind: Schema.Literals(['load', 'unload', 'role']),
+  kind: Schema.Literals(['load', 'unload', 'role', 'adapters']),
   fencingNumber: Schema.Int,
   modelName: Schema.optional(Schema.String),
   modelVersion: Schema.optional(Schema.String),
   digest: Schema.optional(Schema.String),
   chunks: Schema.optional(Schema.Array(Schema.String)),
+  /** The adapters beside the model, all of them. */
+  adapters: Schema.optional(Schema.Array(OrderedAdapter)),
   role: Schema.optional(Schema.String)
 })
 
@@ -114,6 +119,7 @@
     modelName: undefined,
     modelVersion: undefined,
     modelDigest: undefined,
+    adapterDigests: [],
     role: 'mixed',
     activeCount: 0,
     maxActiveCount: 0,
@@ -129,7 +135,7 @@
     for (const sequence of sequences) sequence.response.socket?.destroy()
     sequences.clear()
     received.clear()
-    Object.assign(state, { incarnation: Crypto.randomUUID(), modelName: undefined, modelVersion: undefined, modelDigest: undefined, activeCount: 0, crashCount: state.crashCount + 1, fencingNumber: 0 })
+    Object.assign(state, { incarnation: Crypto.randomUUID(), modelName: undefined, modelVersion: undefined, modelDigest: undefined, adapterDigests: [], activeCount: 0, crashCount: state.crashCount + 1, fencingNumber: 0 })
     awayUntilMs = performance.now() + (options.restartMs ?? 100)
   }
   const whenHere = (handle: HttpServer.Handler): HttpServer.Handler => async (request, response, path) => {
@@ -194,6 +200,10 @@
     start(sequence)
   }
 
+  const isWhole = (digest: string, wantedChunks: readonly string[]): boolean => {
+    const chunks = received.get(digest)
+    return wantedChunks.length > 0 && wantedChunks.every((chunk, index) => chunks?.get(index) === chunk)
+  }
   const decodeOrder = Decode.json(Order)
   const order: HttpServer.Handler = async (request, response) => {
     const decoded = decodeOrder(await Faults.readText(request))
@@ -202,12 +212,17 @@
     if (options.fencing === true && wanted.fencingNumber < state.fencingNumber) { HttpServer.sendJson(response, 409, { error: 'stale fencing number' }); return }
     state.fencingNumber = wanted.fencingNumber
     if (wanted.kind === 'role') state.role = wanted.role ?? state.role
-    if (wanted.kind === 'unload') Object.assign(state, { modelName: undefined, modelVersion: undefined, modelDigest: undefined })
+    if (wanted.kind === 'unload') Object.assign(state, { modelName: undefined, modelVersion: undefined, modelDigest: undefined, adapterDigests: [] })
+    const adapters = wanted.adapters ?? []
+    const adaptersWhole = adapters.every(adapter => state.adapterDigests.includes(adapter.digest) || isWhole(adapter.digest, adapter.chunks))
+    if (wanted.kind === 'adapters') {
+      if (!adaptersWhole) { state.refusedLoadCount++; HttpServer.sendJson(response, 422, { error: 'adapters are not whole' }); return }
+      state.adapterDigests = adapters.map(adapter => adapter.digest)
+    }
     if (wanted.kind === 'load') {
-      const chunks = received.get(wanted.digest ?? '')
-      const whole = wanted.chunks !== undefined && wanted.chunks.every((digest, index) => chunks?.get(index) === digest)
-      if (!whole) { state.refusedLoadCount++; HttpServer.sendJson(response, 422, { error: 'weights are not whole' }); return }
-      Object.assign(state, { modelName: wanted.modelName, modelVersion: wanted.modelVersion, modelDigest: wanted.digest })
+      const whole = wanted.chunks !== undefined && isWhole(wanted.digest ?? '', wanted.chunks)
+      if (!whole || !adaptersWhole) { state.refusedLoadCount++; HttpServer.sendJson(response, 422, { error: 'weights are not whole' }); return }
+      Object.assign(state, { modelName: wanted.modelName, modelVersion: wanted.modelVersion, modelDigest: wanted.digest, adapterDigests: adapters.map(adapter => adapter.digest) })
       received.delete(wanted.digest ?? '')
       coldUntilMs = performance.now() + (options.coldMs ?? 0)
     }
