Measure the spread, tell the next agents in line of chunks brought in, and test the swarm's decisions

Change: the window starts at 4 and grows to 16; an agent that brought a chunk in tells the next agents in line and some neighbours at once.

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -83,7 +83,7 @@
     const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
     outgoing.on('socket', socket => {
       connected = !socket.connecting
-      socket.once('connect', () => { connected = true })
+      if (!connected) socket.once('connect', () => { connected = true })
     })
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
--- a/src/weights/systems/intake.ts
+++ b/src/weights/systems/intake.ts
@@ -79,6 +79,8 @@
   tables.fetches.remove(input.fetchId)
   if (input.ending === 'whole') keepChunk(tables, tick, input.chunkDigest, input.sizeBytes)
   if (fetch === undefined) return
+  const set = tables.sets.get(fetch.digest)
+  if (fetch.seeds && input.ending === 'whole' && set !== undefined) set.seededCount++
   const tookMs = tick.nowMs - fetch.startedAtMs
   const source = tables.sources.get(fetch.sourceId)
   if (source !== undefined) { judgeSource(source, tick, input.ending, tookMs); return }
--- a/src/weights/systems/seeds.ts
+++ b/src/weights/systems/seeds.ts
@@ -9,8 +9,11 @@
 import * as Fetches from './fetches.ts'
 import * as Neighbours from './neighbours.ts'
 
-/** Chunks of the region's order that may be on their way into it at once. */
+/** Chunks of the region's order that may be on their way into it at once, at the start and at most. */
+const FIRST_WINDOW_COUNT = 4
 const WINDOW_COUNT = 16
+/** Neighbours that hear at once of a chunk that was brought in. */
+const TOLD_COUNT = 3
 /** Chunks that one agent brings in at once. */
 const OWN_LIMIT_COUNT = 2
 /** The next agent in line follows after so long, in milliseconds. */
@@ -27,20 +30,42 @@
   name: 'seeds',
   run: (tables, tick) => {
     for (const set of Fetches.byPriority(tables)) {
-      if (set.chunks !== undefined && set.seeding !== undefined) seed(tables, tick, set, set.chunks, set.seeding)
+      if (set.chunks === undefined || set.seeding === undefined) continue
+      seed(tables, tick, set, set.chunks, set.seeding)
+      tell(tables, tick, set, set.chunks, set.seeding)
     }
   }
 }
 
+/** Tells some neighbours of chunks brought in, and the agents whose turn it is next. */
+function tell (tables: Tables.Tables, tick: Tables.Tick, set: Tables.SetRow, chunks: Tables.Chunks, seeding: Seeding.Seeding): void {
+  const seededCount = set.seededCount
+  if (seededCount === set.toldCount) return
+  set.toldCount = seededCount
+  const told = new Set<Tables.PeerRow>()
+  const next = seeding.order.filter(index => !Bitmap.has(chunks.present, index)).slice(Math.max(0, WINDOW_COUNT - TOLD_COUNT), WINDOW_COUNT + 1)
+  for (const index of next) {
+    const first = seeding.line(index)[0]
+    const peer = first === undefined ? undefined : Tables.peerOf(tables, first)
+    if (peer !== undefined) told.add(peer)
+  }
+  const neighbours = [...tables.peers.rows()].filter(peer => peer.neighbour && peer.member.region === tables.identity.region)
+  for (let count = 0; count < TOLD_COUNT && neighbours.length > 0; count++) {
+    told.add(neighbours.splice(tick.random.below(neighbours.length), 1)[0] as Tables.PeerRow)
+  }
+  for (const peer of told) if (peer.standing.backOffUntilMs <= tick.nowMs) Neighbours.exchangeWith(tick, peer)
+}
+
 function seed (tables: Tables.Tables, tick: Tables.Tick, set: Tables.SetRow, chunks: Tables.Chunks, seeding: Seeding.Seeding): void {
   let ownCount = 0
   for (const fetch of tables.fetches.rows()) if (fetch.seeds) ownCount++
   const order = set.want.sizeBytes > tables.identity.memoryBytes ? chunks.manifest.chunks.keys() : seeding.order
   const peers = Fetches.localPeers(tables, set, tick.nowMs)
+  const windowCount = Math.min(WINDOW_COUNT, FIRST_WINDOW_COUNT + Bitmap.count(chunks.present))
   let absentCount = 0
   for (const index of order) {
     if (isPresent(tick, set, chunks, index, peers)) continue
-    if (++absentCount > WINDOW_COUNT || ownCount >= OWN_LIMIT_COUNT) return
+    if (++absentCount > windowCount || ownCount >= OWN_LIMIT_COUNT) return
     if (chunks.dueAtMs[index] === 0) chunks.dueAtMs[index] = tick.nowMs
     if (!Fetches.mayFetch(tables, set, chunks, index)) continue
     if (!isTurn(tables, tick, set, chunks, seeding, index)) continue
--- a/src/weights/tables.ts
+++ b/src/weights/tables.ts
@@ -55,7 +55,9 @@
   wholeMatches: boolean | undefined
   manifestAskedAtMs: number
   manifestAskCount: number
-  loggedCount: number
+  /** Chunks that this agent brought into the region, and how many of them it told of. */
+  seededCount: number
+  toldCount: number
 }
 
 /** What a peer told of a set. */
@@ -185,7 +187,8 @@
         wholeMatches: undefined,
         manifestAskedAtMs: -Infinity,
         manifestAskCount: 0,
-        loggedCount: 0
+        seededCount: 0,
+        toldCount: 0
       })
       continue
     }
--- a/standins/weightSource.ts
+++ b/standins/weightSource.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Http from 'node:http'
 import * as Core from '../src/core/index.ts'
 import * as HttpServer from '../src/edge/httpServer.ts'
 import type * as Weights from '../src/schema/weights.ts'
@@ -24,12 +25,17 @@
   readonly rateBytesPerSecond?: number
   /** Share of chunks, from 0 to 1, that are sent with a wrong byte. */
   readonly corruptShare?: number
+  /** The region where it stands; with `border`, others reach it over that link. */
+  readonly region?: string
+  readonly border?: Link.Link
 }
 
 /** A running source. */
 export interface WeightSource extends Faults.StandIn {
   add: (weights: MadeWeights) => void
   sentBytes: () => number
+  /** Bytes sent to other regions. */
+  sentOverBorderBytes: () => number
 }
 
 /**
@@ -70,11 +76,24 @@
     manifests.set(weights.digest, Buffer.from(JSON.stringify(weights.manifest)))
     weights.manifest.chunks.forEach((digest, index) => { chunks.set(digest, weights.chunks[index] as Buffer) })
   }
-  const serve = (known: Map<string, Buffer>, corruptShare: number): HttpServer.Handler => async (_request, response, path) => {
+  let overBorderBytes = 0
+  const linkOf = (request: Http.IncomingMessage): Link.Link => {
+    const { border } = options
+    if (border === undefined || request.headers['x-fescue-region'] === options.region) return link
+    return {
+      ...link,
+      pass: async sizeBytes => {
+        overBorderBytes += sizeBytes
+        await border.pass(sizeBytes)
+        await link.pass(sizeBytes)
+      }
+    }
+  }
+  const serve = (known: Map<string, Buffer>, corruptShare: number): HttpServer.Handler => async (request, response, path) => {
     const body = known.get(path.slice(path.lastIndexOf('/') + 1))
     if (body === undefined) { HttpServer.sendJson(response, 404, {}); return }
     response.writeHead(200, { 'content-length': body.length })
-    await Link.writeThrough(response, random.next() < corruptShare ? corrupt(body) : body, link)
+    await Link.writeThrough(response, random.next() < corruptShare ? corrupt(body) : body, linkOf(request))
   }
   const standIn = await Faults.createStandIn({
     port: options.port,
@@ -95,10 +114,16 @@
       { method: 'GET', path: '/chunks/*', handle: serve(chunks, options.corruptShare ?? 0) }
     ]
   })
-  return { ...standIn, add, sentBytes: link.passedBytes }
+  return { ...standIn, add, sentBytes: link.passedBytes, sentOverBorderBytes: () => overBorderBytes }
 }
 
-function corrupt (body: Buffer): Buffer {
+/**
+ * Makes a copy with one wrong byte.
+ *
+ * @param body - The bytes.
+ * @returns The copy.
+ */
+export function corrupt (body: Buffer): Buffer {
   const copy = Buffer.from(body)
   copy[0] = (copy[0] ?? 0) ^ 0xff
   return copy
--- /dev/null
+++ b/test/weights.swarm.test.ts
@@ -0,0 +1,368 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Weights from '../src/weights/index.ts'
+import * as Fake from './weightsFake.ts'
+
+const names = (count: number): string[] => Array.from({ length: count }, (_, index) => `c${index}`)
+const all = (count: number): number[] => Array.from({ length: count }, (_, index) => index)
+const digestOf = (weights: Fake.FakeWeights, index: number): string => weights.manifest.chunks[index] ?? ''
+
+describe('seeding', () => {
+  const chunks = names(60).map(name => Fake.makeWeights(name, ['c']).digest)
+  const ids = ['a', 'b', 'c', 'd', 'e']
+
+  it('names one first agent for each chunk, the same whatever the order of the list', () => {
+    const one = Weights.Seeding.createSeeding('east', chunks, ids)
+    const other = Weights.Seeding.createSeeding('east', chunks, [...ids].reverse())
+    for (const index of all(60)) {
+      expect(other.line(index)).toEqual([...one.line(index)])
+      expect(ids.filter(id => one.rankOf(index, id) === 0)).toEqual([one.line(index)[0] ?? ''])
+    }
+  })
+
+  it('spreads chunks over all agents and orders them otherwise in another region', () => {
+    const east = Weights.Seeding.createSeeding('east', chunks, ids)
+    const west = Weights.Seeding.createSeeding('west', chunks, ids)
+    expect(new Set(all(60).map(index => east.line(index)[0])).size).toEqual(ids.length)
+    expect([...east.order]).not.toEqual([...west.order])
+  })
+
+  it('moves only the chunks of an agent that left', () => {
+    const before = Weights.Seeding.createSeeding('east', chunks, ids)
+    const after = Weights.Seeding.createSeeding('east', chunks, ids.slice(1))
+    for (const index of all(60)) if (before.line(index)[0] !== 'a') expect(after.line(index)[0]).toEqual(before.line(index)[0])
+  })
+})
+
+describe('the swarm', () => {
+  describe('fetching from the origin', () => {
+    const weights = Fake.makeWeights('w', names(8))
+
+    it('fetches only the chunks that are the agent\'s own', () => {
+      const agents = ['a0', 'a1', 'a2'].map(instanceId => Fake.createAgent({ members: Fake.makeMembers(3), instanceId }))
+      const firstFetches = agents.flatMap(agent => {
+        agent.want(weights)
+        return Fake.of('fetchChunk', agent.learn(weights)).map(fetch => fetch.index)
+      })
+      expect(new Set(firstFetches).size).toEqual(firstFetches.length)
+      expect(firstFetches.length).toBeGreaterThan(0)
+    })
+
+    it('follows when the first in line brings nothing, and not while that one says that it fetches', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(2) })
+      agent.want(weights)
+      agent.learn(weights)
+      const seeding = agent.tables.sets.get(weights.digest)?.seeding as Weights.Seeding.Seeding
+      const others = all(8).filter(index => seeding.line(index)[0] === 'a1').slice(0, 2)
+      const busy = all(16).flatMap(() => {
+        agent.hear('a1', weights, [], { seeding: others })
+        agent.pass(500)
+        return agent.endAll().map(fetch => fetch.index)
+      })
+      expect(busy.filter(index => others.includes(index))).toEqual([])
+      const silent = all(24).flatMap(() => { agent.pass(500); return agent.endAll().map(fetch => fetch.index) })
+      expect(others.filter(index => silent.includes(index))).toEqual(others)
+    })
+
+    it('brings a chunk in again when its only holder is gone', () => {
+      const single = Fake.makeWeights('single', ['c0'])
+      const agent = Fake.createAgent({ members: Fake.makeMembers(3) })
+      agent.want(single)
+      agent.learn(single)
+      agent.hear('a1', single, [], { present: [0] })
+      for (const fetch of agent.tables.fetches.rows()) agent.tables.fetches.remove(fetch.fetchId)
+      expect(Fake.of('fetchChunk', agent.pass(4_000))).toEqual([])
+      expect(Fake.of('fetchChunk', agent.pass(20_000)).length).toBeGreaterThan(0)
+    })
+
+    it('asks another region while the origin is down and the origin again afterwards', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(2, ['east-1', 'west-1']) })
+      agent.want(weights)
+      agent.learn(weights)
+      const asked: string[] = []
+      const failAll = (): void => {
+        for (const fetch of agent.pending()) {
+          asked.push(fetch.sourceId)
+          agent.end(fetch, fetch.sourceId === 'origin' ? 'throttled' : 'absent')
+        }
+      }
+      for (let round = 0; round < 12; round++) { failAll(); agent.pass(500) }
+      expect(asked.includes('a1')).toEqual(true)
+      expect(asked.filter(sourceId => sourceId === 'origin').length).toBeGreaterThan(2)
+      for (let round = 0; round < 20; round++) { agent.pass(500); agent.pending().forEach(fetch => { agent.end(fetch, fetch.sourceId === 'origin' ? 'whole' : 'absent') }) }
+      expect(agent.tables.askedAtMs.size).toEqual(8)
+    })
+  })
+
+  describe('asking peers', () => {
+    const weights = Fake.makeWeights('w', names(20))
+    const start = (members: readonly Weights.Messages.Member[]): Fake.FakeAgent => {
+      const agent = Fake.createAgent({ members })
+      agent.want(weights)
+      agent.learn(weights)
+      agent.pass(100)
+      return agent
+    }
+
+    it('takes everything from peers and nothing from the origin when it joins late', () => {
+      const agent = start(Fake.makeMembers(5))
+      for (const fetch of [...agent.tables.fetches.rows()]) agent.tick({ kind: 'chunkFetched', fetchId: fetch.fetchId, chunkDigest: digestOf(weights, fetch.index), ending: 'cancelled', sizeBytes: 0 })
+      const sources = new Set<string>()
+      for (let round = 0; round < 20; round++) {
+        const commands = ['a1', 'a2', 'a3', 'a4'].flatMap(id => agent.hear(id, weights, all(20)))
+        for (const fetch of Fake.of('fetchChunk', commands)) { sources.add(fetch.sourceId); agent.end(fetch, 'whole') }
+        agent.pass(50)
+      }
+      expect(sources.has('origin')).toEqual(false)
+      expect(sources.size).toBeGreaterThan(1)
+    })
+
+    it('asks for the rarest chunk first', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(4) })
+      agent.want(weights)
+      agent.learn(weights)
+      for (const id of ['a1', 'a2', 'a3']) Weights.Tables.peerOf(agent.tables, id)
+      agent.tables.peers.get('a1')?.holdings.set(weights.digest, holding(20, all(20)))
+      agent.tables.peers.get('a2')?.holdings.set(weights.digest, holding(20, all(19)))
+      agent.tables.peers.get('a3')?.holdings.set(weights.digest, holding(20, all(19)))
+      const first = Fake.of('fetchChunk', agent.tick()).find(fetch => fetch.sourceId !== 'origin')
+      expect(first?.index).toEqual(19)
+    })
+
+    it('prefers the own zone among peers that are equally loaded', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(3, ['east-1', 'east-2', 'east-1']) })
+      agent.want(weights)
+      agent.learn(weights)
+      for (const id of ['a1', 'a2']) {
+        Weights.Tables.peerOf(agent.tables, id)
+        agent.tables.peers.get(id)?.holdings.set(weights.digest, holding(20, [3]))
+      }
+      const fetch = Fake.of('fetchChunk', agent.tick()).find(candidate => candidate.index === 3 && candidate.sourceId !== 'origin')
+      expect(fetch?.sourceId).toEqual('a2')
+    })
+
+    it('exchanges with a bounded number of neighbours', () => {
+      const agent = start(Fake.makeMembers(400, ['east-1', 'east-2', 'east-3', 'west-1']))
+      const asked = new Set(Fake.of('exchange', agent.pass(1_000)).map(command => command.instanceId))
+      expect(asked.size).toBeLessThanOrEqual(11)
+      expect(asked.size).toBeGreaterThan(4)
+    })
+
+    it('asks twice in the end-game and ends the slower fetch', () => {
+      const few = Fake.makeWeights('few', ['c0'])
+      const agent = Fake.createAgent({ members: Fake.makeMembers(3), instanceId: 'a0' })
+      agent.want(few, { instanceIds: ['a1', 'a2'] })
+      agent.learn(few)
+      agent.hear('a2', few, [0])
+      const commands = [...agent.hear('a1', few, [0]), ...agent.pass(1_500)]
+      const fetches = [...agent.tables.fetches.rows()].filter(fetch => fetch.sourceId !== 'origin')
+      expect(new Set(fetches.map(fetch => fetch.sourceId)).size).toEqual(2)
+      expect(Fake.of('cancelFetch', commands)).toEqual([])
+      const ended = agent.tick({ kind: 'chunkFetched', fetchId: fetches[1]?.fetchId ?? '', chunkDigest: digestOf(few, 0), ending: 'whole', sizeBytes: 1_000 })
+      expect(Fake.of('cancelFetch', ended).map(command => command.fetchId)).toEqual([fetches[0]?.fetchId ?? ''])
+    })
+  })
+
+  describe('faults of peers', () => {
+    const weights = Fake.makeWeights('w', names(30))
+    const backOffMs = (ending: Weights.Messages.FetchEnding, repeatCount = 1): number => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(2) })
+      agent.want(weights, { instanceIds: ['a1'] })
+      agent.learn(weights)
+      for (let round = 0; round < repeatCount; round++) {
+        agent.hear('a1', weights, all(30))
+        const fetch = agent.pending('a1')[0]
+        if (fetch === undefined) throw new Error('nothing asked for')
+        agent.end(fetch, ending)
+        if (round < repeatCount - 1) agent.pass((agent.tables.peers.get('a1')?.standing.backOffUntilMs ?? 0) - agent.nowMs() + 50)
+      }
+      return (agent.tables.peers.get('a1')?.standing.backOffUntilMs ?? 0) - agent.nowMs()
+    }
+
+    it('are told apart: lying is left alone longer than stalling, stalling longer than being busy', () => {
+      expect(backOffMs('corrupted')).toBeGreaterThan(backOffMs('stalled'))
+      expect(backOffMs('stalled')).toBeGreaterThan(backOffMs('throttled'))
+      expect(backOffMs('absent')).toBeLessThanOrEqual(0)
+    })
+
+    it('grow with repetition', () => {
+      expect(backOffMs('corrupted', 2)).toBeGreaterThan(3 * backOffMs('corrupted'))
+      expect(backOffMs('stalled', 3)).toBeGreaterThan(3 * backOffMs('stalled'))
+    })
+
+    it('blame the peer and not the chunk, which is asked for elsewhere', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(3) })
+      agent.want(weights, { instanceIds: ['a1', 'a2'] })
+      agent.learn(weights)
+      const fetch = Fake.of('fetchChunk', agent.hear('a1', weights, all(30))).find(candidate => candidate.sourceId === 'a1')
+      if (fetch === undefined) throw new Error('nothing asked for')
+      agent.end(fetch, 'corrupted')
+      expect(agent.tables.askedAtMs.has(fetch.chunkDigest)).toEqual(false)
+      agent.hear('a2', weights, all(30))
+      const again = agent.endAll().filter(candidate => candidate.index === fetch.index).map(candidate => candidate.sourceId)
+      expect(again.filter(sourceId => sourceId !== 'origin')).toEqual(['a2'])
+    })
+
+    it('call a peer slow that takes many times as long as the others', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(4) })
+      agent.want(weights, { instanceIds: ['a1', 'a2', 'a3'] })
+      agent.learn(weights)
+      for (const [id, tookMs] of [['a1', 100], ['a2', 100], ['a3', 3_000]] as const) {
+        const fetch = Fake.of('fetchChunk', agent.hear(id, weights, all(30))).find(candidate => candidate.sourceId === id)
+        if (fetch === undefined) throw new Error(`nothing asked of ${id}`)
+        agent.pass(tookMs)
+        agent.end(fetch, 'whole')
+      }
+      expect(agent.tables.peers.get('a3')?.standing.faultCounts.slow).toEqual(1)
+      expect(agent.tables.peers.get('a1')?.standing.faultCounts.slow).toEqual(0)
+    })
+  })
+
+  describe('several sets', () => {
+    it('asks for the set of higher priority first and for small adapters before a model of the same priority', () => {
+      const model = Fake.makeWeights('model', names(20))
+      const urgent = Fake.makeWeights('urgent', names(20).map(name => `u${name}`))
+      const adapter = Fake.makeWeights('adapter', ['x0', 'x1'])
+      const agent = Fake.createAgent({ members: Fake.makeMembers(6) })
+      const others = { instanceIds: ['a1', 'a2', 'a3', 'a4', 'a5'] }
+      agent.want(model, others)
+      agent.want(adapter, others)
+      agent.want(urgent, { ...others, priority: 5 })
+      for (const weights of [model, adapter, urgent]) agent.learn(weights)
+      for (const id of others.instanceIds) {
+        Weights.Tables.peerOf(agent.tables, id)
+        for (const weights of [model, adapter, urgent]) agent.tables.peers.get(id)?.holdings.set(weights.digest, holding(weights.manifest.chunks.length, all(20)))
+      }
+      const asked = Fake.of('fetchChunk', agent.tick()).filter(fetch => fetch.sourceId !== 'origin').map(fetch => fetch.digest)
+      expect(new Set(asked)).toEqual(new Set([urgent.digest]))
+      expect([model, adapter, urgent].map(weights => Weights.Tables.isWhole(agent.tables, weights.digest))).toEqual([false, false, false])
+    })
+
+    it('drops a superseded version half-way and keeps the chunks that the new one shares', () => {
+      const old = Fake.makeWeights('v1', ['s0', 's1', 'o2', 'o3'])
+      const next = Fake.makeWeights('v2', ['s0', 's1', 'n2', 'n3'])
+      const agent = Fake.createAgent({ members: Fake.makeMembers(1) })
+      agent.want(old)
+      agent.learn(old)
+      while (!agent.tables.askedAtMs.has(digestOf(old, 0)) || !agent.tables.askedAtMs.has(digestOf(old, 1))) {
+        agent.end(agent.pending()[0] as Weights.Tables.FetchRow, 'whole')
+      }
+      const pendingCount = agent.pending().length
+      Weights.Tables.want(agent.tables, [{ digest: next.digest, sizeBytes: 4_000, priority: 0, instanceIds: ['a0'] }], agent.nowMs())
+      const cancelled = Fake.of('cancelFetch', agent.tick()).length
+      expect(cancelled).toEqual(pendingCount)
+      agent.learn(next)
+      expect(agent.endAll().map(fetch => fetch.index).sort()).toEqual([2, 3])
+    })
+  })
+
+  describe('wholeness', () => {
+    const weights = Fake.makeWeights('w', names(4))
+    const fetchAll = (agent: Fake.FakeAgent): void => {
+      agent.learn(weights)
+      agent.endAll()
+    }
+    const start = (memoryBytes?: number): Fake.FakeAgent => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(1), memoryBytes })
+      agent.want(weights)
+      return agent
+    }
+
+    it('needs every chunk taken by the endpoint and the digest of the whole', () => {
+      const agent = start()
+      fetchAll(agent)
+      agent.deliverAll(weights)
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(false)
+      agent.tick({ kind: 'chunksHashed', digest: weights.digest, hashedCount: 4, wholeMatches: true })
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(true)
+      expect(agent.violations).toEqual([])
+    })
+
+    it('is refused for ever when the digest of the whole differs', () => {
+      const agent = start()
+      fetchAll(agent)
+      agent.tick({ kind: 'chunksHashed', digest: weights.digest, hashedCount: 4, wholeMatches: false })
+      agent.deliverAll(weights)
+      agent.pass(5_000)
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(false)
+    })
+
+    it('is won back from memory, without a fetch, when the endpoint has restarted', () => {
+      const agent = start()
+      fetchAll(agent)
+      agent.deliverAll(weights)
+      agent.tick({ kind: 'chunksHashed', digest: weights.digest, hashedCount: 4, wholeMatches: true })
+      Weights.Tables.forgetDelivered(agent.tables)
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(false)
+      agent.tick()
+      agent.deliverAll(weights)
+      expect(agent.pending()).toEqual([])
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(true)
+    })
+
+    it('hands a chunk over again that the endpoint did not take', () => {
+      const agent = start()
+      agent.learn(weights)
+      const index = Fake.of('deliverChunk', agent.end(agent.pending()[0] as Weights.Tables.FetchRow, 'whole'))[0]?.index ?? -1
+      agent.tick({ kind: 'chunkDelivered', digest: weights.digest, index, accepted: false })
+      const delivery = Fake.of('deliverChunk', agent.pass(2_000)).find(command => command.index === index)
+      expect(delivery?.index).toEqual(index)
+    })
+  })
+
+  describe('memory', () => {
+    it('stays within its bound for a set that is larger, and evicts only what the endpoint has taken', () => {
+      const weights = Fake.makeWeights('large', names(40))
+      const agent = Fake.createAgent({ members: Fake.makeMembers(1), memoryBytes: 10_000 })
+      agent.want(weights)
+      agent.learn(weights)
+      let hashedCount = 0
+      const seen = new Set<number>()
+      for (let round = 0; round < 400 && !Weights.Tables.isWhole(agent.tables, weights.digest); round++) {
+        const fetch = agent.pending()[0]
+        if (fetch !== undefined) { seen.add(fetch.index); agent.end(fetch, 'whole') }
+        while (seen.has(hashedCount)) hashedCount++
+        agent.tick({ kind: 'chunksHashed', digest: weights.digest, hashedCount, wholeMatches: hashedCount === 40 ? true : undefined })
+        agent.deliverAll(weights)
+        expect(agent.tables.usedBytes).toBeLessThanOrEqual(10_000)
+        agent.pass(50)
+      }
+      expect(Weights.Tables.isWhole(agent.tables, weights.digest)).toEqual(true)
+    })
+
+    it('keeps weights that nobody wants for a while, then frees them', () => {
+      const weights = Fake.makeWeights('w', names(2))
+      const agent = Fake.createAgent({ members: Fake.makeMembers(1) })
+      agent.want(weights)
+      agent.learn(weights)
+      agent.endAll()
+      Weights.Tables.want(agent.tables, [], agent.nowMs())
+      agent.pass(30_000)
+      expect(agent.tables.usedBytes).toBeGreaterThan(0)
+      agent.pass(40_000)
+      expect([agent.tables.usedBytes, agent.tables.sets.count()]).toEqual([0, 0])
+    })
+  })
+})
+
+describe('the border pace', () => {
+  it('falls while exchanges wait behind live traffic and rises again after', () => {
+    const pace = Weights.Pace.createBorderPace(1_000_000)
+    const observe = (tookMs: number, count: number): number => {
+      for (let step = 0; step < count; step++) { nowMs += 300; Weights.Pace.observe(pace, tookMs, nowMs) }
+      return pace.bytesPerSecond
+    }
+    let nowMs = 0
+    const idle = observe(5, 20)
+    const busy = observe(120, 8)
+    expect(busy).toBeLessThan(idle / 5)
+    expect(observe(5, 40)).toBeGreaterThan(idle * 0.9)
+    expect(pace.bytesPerSecond).toBeLessThanOrEqual(1_000_000)
+  })
+})
+
+function holding (sizeCount: number, held: readonly number[]): Weights.Tables.Holding {
+  const bitmap = Weights.Bitmap.createBitmap(sizeCount)
+  held.filter(index => index < sizeCount).forEach(index => { Weights.Bitmap.add(bitmap, index) })
+  return { held: bitmap, present: bitmap, seeding: Weights.Bitmap.createBitmap(sizeCount) }
+}
--- a/testkit/deployment.ts
+++ b/testkit/deployment.ts
@@ -26,6 +26,8 @@
   readonly weightSizeBytes?: number
   readonly chunkSizeBytes?: number
   readonly originBytesPerSecond?: number
+  /** Further settings of the origin. */
+  readonly origin?: StandIns.WeightSource.SourceOptions
   readonly instanceLagMs?: number
   readonly engine?: StandIns.Engine.EngineOptions
   readonly plain?: StandIns.PlainService.PlainOptions
@@ -86,7 +88,7 @@
   const folder = Fs.mkdtempSync(Path.join(Os.tmpdir(), 'fescuespread-'))
   const table = await StandIns.TableService.createTableService()
   const objects = await StandIns.ObjectStore.createObjectStore()
-  const origin = await StandIns.WeightSource.createWeightSource({ rateBytesPerSecond: options.originBytesPerSecond })
+  const origin = await StandIns.WeightSource.createWeightSource({ rateBytesPerSecond: options.originBytesPerSecond, ...options.origin })
   const instances = await StandIns.InstanceList.createInstanceList({ lagMs: options.instanceLagMs })
   const shared = {
     tableService: `127.0.0.1:${table.port}`,
