Spread requests over less loaded peers and widen the window into a region

Change: at most 5 chunks on their way, peers with 4 waiting requests are not asked, what a peer told of its queue ages, the queue is 8 long; window 32.

--- a/src/weights/edge/chunkServer.ts
+++ b/src/weights/edge/chunkServer.ts
@@ -37,7 +37,7 @@
 /** Uploads that share the link at once. */
 const SLOT_COUNT = 2
 /** Requests that may wait for a slot. */
-const QUEUE_LIMIT_COUNT = 16
+const QUEUE_LIMIT_COUNT = 8
 const PIECE_BYTES = 16 * 1024
 /** An upload whose receiver takes nothing for so long is ended, in milliseconds. */
 const RECEIVER_STALL_MS = 5_000
--- a/src/weights/systems/intake.ts
+++ b/src/weights/systems/intake.ts
@@ -87,6 +87,7 @@
   const peer = tables.peers.get(fetch.sourceId)
   if (peer === undefined) return
   peer.outstandingCount = Math.max(0, peer.outstandingCount - 1)
+  peer.queuedCount = Math.max(0, peer.queuedCount - 1)
   judgePeer(tables, tick, peer, fetch, input.ending, tookMs)
 }
 
--- a/src/weights/systems/neighbours.ts
+++ b/src/weights/systems/neighbours.ts
@@ -15,7 +15,7 @@
 const BORDER_COUNT = 1
 const CHOOSE_INTERVAL_MS = 2_000
 /** A neighbour not heard of for so long is asked, in milliseconds. */
-const EXCHANGE_INTERVAL_MS = 250
+const EXCHANGE_INTERVAL_MS = 500
 /** A neighbour over a border is asked less often, in milliseconds. */
 const BORDER_EXCHANGE_INTERVAL_MS = 1_000
 
--- a/src/weights/systems/requests.ts
+++ b/src/weights/systems/requests.ts
@@ -9,9 +9,13 @@
 import * as Intake from './intake.ts'
 
 /** Chunks that are on their way from peers at once. */
-const LIMIT_COUNT = 8
+const LIMIT_COUNT = 5
 /** Chunks that are on their way from one peer at once. */
 const PEER_LIMIT_COUNT = 2
+/** A peer with so many requests waiting is not asked. */
+const BUSY_COUNT = 4
+/** What a peer told of its queue counts for so long, less and less, in milliseconds. */
+const QUEUE_MEMORY_MS = 600
 /** What a peer in another zone counts as, in waiting requests. */
 const OTHER_ZONE_LOAD = 0.5
 /** The end-game begins with so few chunks missing. */
@@ -45,7 +49,7 @@
   const peers = Fetches.localPeers(tables, set, tick.nowMs)
   if (!peers.some(peer => peer.outstandingCount < PEER_LIMIT_COUNT)) return
   for (const { index } of rarestFirst(tables, tick, set, chunks, peers)) {
-    const peer = choosePeer(tables, set, index, peers)
+    const peer = choosePeer(tables, tick, set, index, peers)
     if (peer === undefined) continue
     ask(tables, tick, set, index, peer)
     if (--freeCount === 0) return
@@ -66,12 +70,13 @@
   return candidates.sort((a, b) => a.rarity - b.rarity)
 }
 
-function choosePeer (tables: Tables.Tables, set: Tables.SetRow, index: number, peers: readonly Tables.PeerRow[], except?: string): Tables.PeerRow | undefined {
+function choosePeer (tables: Tables.Tables, tick: Tables.Tick, set: Tables.SetRow, index: number, peers: readonly Tables.PeerRow[], except?: string): Tables.PeerRow | undefined {
+  const waitingAt = (peer: Tables.PeerRow): number => peer.queuedCount * Math.max(0, 1 - (tick.nowMs - peer.heardAtMs) / QUEUE_MEMORY_MS)
   const loadOf = (peer: Tables.PeerRow): number =>
-    peer.outstandingCount + peer.queuedCount + (peer.member.zone === tables.identity.zone ? 0 : OTHER_ZONE_LOAD)
+    peer.outstandingCount + waitingAt(peer) + (peer.member.zone === tables.identity.zone ? 0 : OTHER_ZONE_LOAD)
   let best: Tables.PeerRow | undefined
   for (const peer of peers) {
-    if (peer.outstandingCount >= PEER_LIMIT_COUNT || peer.member.instanceId === except || !Fetches.holds(peer, set, index)) continue
+    if (peer.outstandingCount >= PEER_LIMIT_COUNT || peer.member.instanceId === except || waitingAt(peer) >= BUSY_COUNT || !Fetches.holds(peer, set, index)) continue
     if (best === undefined || loadOf(peer) < loadOf(best)) best = peer
   }
   return best
@@ -93,7 +98,7 @@
   for (const fetch of own) {
     if (tick.nowMs - fetch.startedAtMs < Math.max(END_GAME_FLOOR_MS, usualMs * END_GAME_FACTOR)) continue
     if (own.some(other => other !== fetch && other.index === fetch.index)) continue
-    const peer = choosePeer(tables, set, fetch.index, peers, fetch.sourceId)
+    const peer = choosePeer(tables, tick, set, fetch.index, peers, fetch.sourceId)
     if (peer !== undefined) ask(tables, tick, set, fetch.index, peer)
   }
 }
--- a/src/weights/systems/seeds.ts
+++ b/src/weights/systems/seeds.ts
@@ -11,7 +11,7 @@
 
 /** Chunks of the region's order that may be on their way into it at once, at the start and at most. */
 const FIRST_WINDOW_COUNT = 4
-const WINDOW_COUNT = 16
+const WINDOW_COUNT = 32
 /** Neighbours that hear at once of a chunk that was brought in. */
 const TOLD_COUNT = 3
 /** Chunks that one agent brings in at once. */
