--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -14,10 +14,12 @@
 import * as Schemas from '../schema/index.ts'
 import * as Weights from '../weights/index.ts'
 import * as Calls from './calls.ts'
+import * as CacheEvents from './cacheEvents.ts'
+import * as Explain from './explain.ts'
 import type * as Messages from './messages.ts'
 import * as Orders from './orders.ts'
 import * as Procedures from './procedures.ts'
-import type * as Settings from './settings.ts'
+import * as Settings from './settings.ts'
 import * as Systems from './systems/index.ts'
 import * as Tables from './tables.ts'
 
@@ -44,6 +46,8 @@
   capacityCount: Schema.Int,
   cold: Schema.Boolean
 })
+/** What is taken of an endpoint that answers but does not report its load. */
+const SILENT_LOAD: Messages.EndpointLoad = { incarnation: '', activeCount: 0, queuedCount: 0, capacityCount: 0, cold: false }
 const decodeLoad = Schemas.Decode.lenient(EndpointLoad)
 
 /**
@@ -67,10 +71,18 @@
   }
   const log = Edge.Log.createLog('agent', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
+  const violate = Edge.Violations.createReporter(log, metrics)
   const clock = (): number => performance.now()
   const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
-  const peerKey = (): string => settings.peerKey
+  const peerKeys = Settings.peerKeysOf(settings)._unsafeUnwrap()
+  const peerKey = peerKeys.current
+  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: () => [] })
+  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys }, log.keysRead)
+  const onRefused = (path: string, reason: string): void => {
+    metrics.count('peer_calls_refused_total', { reason })
+    log.warn('control', 'Procedure refused.', { path, reason })
+  }
   const asks = new Map<string, (answer: Schemas.Calls.FenceAnswer) => void>()
 
   const node = Control.Node.createNode({
@@ -82,8 +94,12 @@
     clock,
     pollMs: settings.pollMs,
     log,
+    violate,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
-    onInstances: instances => { push({ kind: 'membersSeen', members: instances.filter(instance => instance.kind === 'agent') }) }
+    onInstances: instances => {
+      push({ kind: 'membersSeen', members: instances.filter(instance => instance.kind === 'agent') })
+      push({ kind: 'listed', state: instances.find(instance => instance.instanceId === identity.instanceId)?.state })
+    }
   })
   const swarmTables = Weights.Tables.createTables({
     ...identity,
@@ -92,7 +108,7 @@
   }, weightSources(settings))
   const tables = Tables.createTables(identity, node.held, swarmTables)
   const push = (input: Messages.Input): void => { loop?.push(input) }
-  const relay = Calls.createRelay({ endpoint, maxBodyBytes: settings.maxBodyBytes, peerKey, tables, push, log })
+  const relay = Calls.createRelay({ endpoint, maxBodyBytes: settings.maxBodyBytes, guard, onRefused, tables, push, log })
   const swarm = Weights.Swarm.createSwarm({
     tables: swarmTables,
     push: input => { push({ kind: 'weights', input }) },
@@ -100,16 +116,24 @@
     uploadBytesPerSecond: Weights.Pacer.rateOf(settings.weightUploadBytesPerSecond),
     downloadBytesPerSecond: Weights.Pacer.rateOf(settings.weightDownloadBytesPerSecond),
     metrics,
-    authorization: () => `Bearer ${peerKey()}`,
-    isPeer: request => request.headers.authorization === `Bearer ${peerKey()}`,
+    authorize: (path, news) => Edge.Auth.sign(peerKey(), { method: 'GET', path, covered: news }),
+    isPeer: (request, path, news) => {
+      const caller = guard.identify(request, path, undefined, news)
+      if (caller.role !== 'peer') onRefused(path, caller.reason ?? 'wrongKey')
+      return caller.role === 'peer'
+    },
     exchange: async (address, request) => await Edge.Rpc.createClient<Procedures.AgentRouter>(address, peerKey, EXCHANGE_TIMEOUT_MS).exchangeWeights.mutate(request)
   })
   const orders = Orders.createOrders({ endpoint, manifestOf: swarm.manifestOf, push })
 
   const perform: Core.Loop.Handlers<Messages.Command> = {
-    admit: command => { relay.admit(command.attemptId) },
+    admit: command => {
+      metrics.count('attempts_admitted_total', { workspace: command.workspace })
+      metrics.observeSeconds('queue_seconds', command.queuedMs / 1_000)
+      relay.admit(command.attemptId)
+    },
     refuse: command => {
-      metrics.count('attempts_refused_total', { code: command.refusal.code })
+      metrics.count('attempts_refused_total', { code: command.refusal.code, workspace: command.workspace ?? '' })
       relay.refuse(command.attemptId, command.refusal)
     },
     cancel: command => { relay.cancel(command.attemptId) },
@@ -124,7 +148,7 @@
     step: Core.Loop.createStepper<Tables.Tables, Messages.Input, Messages.Command>(tables, Systems.SYSTEMS, random),
     perform: command => { Core.Loop.dispatch(perform, command) },
     record: log.decision,
-    violate: Edge.Violations.createReporter(log, metrics),
+    violate,
     clock,
     beatMs: BEAT_MS
   })
@@ -132,14 +156,24 @@
     const askedAtMs = clock()
     const answer = await Edge.HttpClient.sendJson(endpoint, 'GET', '/load', undefined, ENDPOINT_TIMEOUT_MS).catch(() => undefined)
     const load = answer?.status === 200 ? decodeLoad(answer.value) : undefined
-    push({ kind: 'endpointSeen', load: load?.isOk() === true ? load.value : undefined, askedAtMs })
+    if (load?.isOk() === true) push({ kind: 'endpointSeen', load: load.value, askedAtMs })
+    else push({ kind: 'endpointSeen', load: answer !== undefined && Tables.serviceOf(tables)?.reportsLoad === false ? SILENT_LOAD : undefined, askedAtMs })
   }
-  const endpointTimer = setInterval(() => { void seeEndpoint() }, settings.endpointPollMs)
+  const cacheEvents = CacheEvents.createReader(endpoint, () => tables.endpoint.incarnation, events => { push({ kind: 'cacheEvents', events }) })
+  const endpointTimer = setInterval(() => {
+    void seeEndpoint()
+    if (Tables.serviceOf(tables)?.kind === 'engine') void cacheEvents.poll()
+  }, settings.endpointPollMs)
+  const paceTimer = setInterval(() => {
+    const pace = relay.takePace()
+    if (pace !== undefined) push({ kind: 'paceSeen', pace })
+  }, BEAT_MS)
 
   const procedures = Procedures.createProcedures({
     node,
     report: () => Tables.reportOf(tables),
     exchangeWeights: swarm.answer,
+    explain: () => Explain.explain(tables, clock()),
     fence: async question => await new Promise(resolve => {
       const askId = Crypto.randomUUID()
       asks.set(askId, resolve)
@@ -153,23 +187,28 @@
     routes: [
       relay.route,
       ...swarm.routes,
-      Edge.Rpc.createRpcRoute(procedures, { peerKey, operatorToken: () => '' }, path => { log.warn('control', 'Procedure refused.', { path, reason: 'wrong key' }) }),
+      Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
       metrics.route,
       { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
       { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() ? 200 : 503, Tables.reportOf(tables)) } }
     ]
   })
+  node.announce({ host: settings.listenHost, port: server.port, service: settings.service })
   log.info('agent', 'Agent listens.', { port: server.port })
   return {
     port: server.port,
     report: () => Tables.reportOf(tables),
     stop: async () => {
       push({ kind: 'stopping' })
+      node.leave()
       const deadlineMs = clock() + settings.stopGraceMs
       while (tables.attempts.count() > 0 && clock() < deadlineMs) await new Promise(resolve => setTimeout(resolve, BEAT_MS))
       await server.close(Math.max(0, deadlineMs - clock()))
       clearInterval(endpointTimer)
+      clearInterval(paceTimer)
+      relay.stop()
       swarm.stop()
+      stopReloading()
       node.stop()
       loop.stop()
       log.info('agent', 'Agent stopped.')
--- a/src/agent/messages.ts
+++ b/src/agent/messages.ts
@@ -37,18 +37,37 @@
 /** How the endpoint answered an order; `lost` when there was no answer. */
 export type OrderAnswer = 'accepted' | 'stale' | 'notWhole' | 'refused' | 'lost'
 
+/** The pace of the streams that the endpoint runs, since it was asked last. */
+export interface StreamPace {
+  /** Time between parts, summed over all streams, in milliseconds. */
+  readonly gapSumMs: number
+  readonly gapCount: number
+  /** The longest time for which a stream has been quiet now, in milliseconds. */
+  readonly quietMs: number
+}
+
+/** A change of the endpoint's prefix cache. */
+export interface CacheEvent {
+  readonly sequence: number
+  readonly kind: 'stored' | 'evicted'
+  readonly prefixKey: string
+}
+
 /** What arrives at an agent's loop. */
 export type Input =
   | { readonly kind: 'document', readonly document: Schemas.Control.Document }
-  | { readonly kind: 'endpointSeen', readonly load: EndpointLoad | undefined, readonly askedAtMs: number }
+  | { readonly kind: 'endpointSeen', readonly load: EndpointLoad | undefined, readonly askedAtMs?: number }
   | { readonly kind: 'callOffered', readonly envelope: Schemas.Calls.CallEnvelope }
   | { readonly kind: 'callAnswering', readonly attemptId: string }
-  | { readonly kind: 'callEnded', readonly attemptId: string, readonly ending: Ending, readonly outcome?: Schemas.Calls.Outcome }
+  | { readonly kind: 'callEnded', readonly attemptId: string, readonly ending: Ending, readonly outcome?: Schemas.Calls.Outcome, readonly httpStatus?: number }
+  | { readonly kind: 'paceSeen', readonly pace: StreamPace }
+  | { readonly kind: 'cacheEvents', readonly events: readonly CacheEvent[] }
   | { readonly kind: 'callerGone', readonly attemptId: string }
   | { readonly kind: 'fenceAsked', readonly askId: string, readonly question: Schemas.Calls.FenceQuestion }
   | { readonly kind: 'weights', readonly input: Weights.Messages.Input }
   | { readonly kind: 'membersSeen', readonly members: readonly Weights.Messages.Member[] }
   | { readonly kind: 'orderAnswered', readonly order: Order, readonly answer: OrderAnswer, readonly reason?: string }
+  | { readonly kind: 'listed', readonly state: Schemas.Platform.Instance['state'] | undefined }
   | { readonly kind: 'stopping' }
 
 /** Why an attempt is refused before anything reached the endpoint. */
@@ -62,8 +81,8 @@
 
 /** What an agent's loop asks of the edge. */
 export type Command =
-  | { readonly kind: 'admit', readonly attemptId: string }
-  | { readonly kind: 'refuse', readonly attemptId: string, readonly refusal: Refusal }
+  | { readonly kind: 'admit', readonly attemptId: string, readonly workspace: string, readonly queuedMs: number }
+  | { readonly kind: 'refuse', readonly attemptId: string, readonly refusal: Refusal, readonly workspace?: string }
   | { readonly kind: 'cancel', readonly attemptId: string }
   | { readonly kind: 'answerFence', readonly askId: string, readonly answer: Schemas.Calls.FenceAnswer }
   | { readonly kind: 'weights', readonly command: Weights.Messages.Command }
--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -13,6 +13,7 @@
   readonly report: () => Schemas.Control.AgentReport
   /** Exchanges news of weights with a peer. */
   readonly exchangeWeights: (request: Schemas.Weights.SwarmExchange) => Schemas.Weights.SwarmExchange
+  readonly explain: () => Schemas.Explain.EndpointExplanation
   readonly fence: (question: Schemas.Calls.FenceQuestion) => Promise<Schemas.Calls.FenceAnswer>
 }
 
@@ -25,9 +26,8 @@
 export function createProcedures (options: ProcedureOptions) {
   return Edge.Rpc.router({
     report: Edge.Rpc.peerProcedure.mutation(() => options.report()),
-    exchange: Edge.Rpc.peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    explain: Edge.Rpc.peerProcedure.mutation(() => options.explain()),
+    ...Control.Peers.createProcedures(options.node),
     exchangeWeights: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Schemas.Weights.SwarmExchange))
       .mutation(({ input }) => options.exchangeWeights(input)),
--- a/src/agent/systems/endpoint.ts
+++ b/src/agent/systems/endpoint.ts
@@ -17,8 +17,7 @@
   name: 'endpoint',
   run: (tables, tick) => {
     for (const input of tick.inputs) {
-      if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load, input.askedAtMs)
-      if (input.kind === 'stopping') tables.stopping = true
+      if (input.kind === 'endpointSeen' && input.load !== undefined) see(tables, tick, input.load, input.askedAtMs ?? tick.nowMs)
     }
     const { endpoint } = tables
     if (endpoint.reachable && tick.nowMs - endpoint.lastSeenMs > UNREACHABLE_AFTER_MS) {
@@ -32,7 +31,6 @@
   const { endpoint } = tables
   if (endpoint.incarnation !== load.incarnation) {
     tick.log('endpoint', 'Endpoint has a new incarnation.', { incarnation: load.incarnation })
-    endpoint.limitCount = 1
     Weights.Tables.forgetDelivered(tables.weights)
   }
   const restarted = endpoint.incarnation !== load.incarnation
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -3,28 +3,43 @@
  *
  * @packageDocumentation
  */
-import * as Control from '../control/index.ts'
+import type * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import * as Weights from '../weights/index.ts'
+import * as Attempts from './attempts.ts'
+import * as Limiter from './limiter.ts'
 import type * as Messages from './messages.ts'
+import type * as Shares from './shares.ts'
 
 /** An attempt that was offered to this agent and is not finished. */
-export interface AttemptRow {
-  readonly envelope: Schemas.Calls.CallEnvelope
-  state: 'queued' | 'running'
-  readonly offeredAtMs: number
-  readonly deadlineMs: number
-  admittedAtMs: number
-  answeringAtMs: number
-}
+export type AttemptRow = Attempts.AttemptRow
 
 /** An attempt that is finished or fenced, kept for questions about its claim. */
 export interface FinishedRow {
   readonly attemptId: string
   readonly state: 'done' | 'fenced' | 'unknown' | 'neverRun'
-  readonly outcome: Schemas.Calls.Outcome | undefined
+  /** The whole answer, while it is kept. */
+  outcome: Schemas.Calls.Outcome | undefined
   readonly finishedAtMs: number
+  /** When a late arrival is refused by its age alone, in milliseconds. */
+  readonly expiresAtMs: number
+}
+
+/** An answer that is kept for questions. */
+export interface KeptAnswerRow {
+  readonly attemptId: string
+  readonly sizeBytes: number
+}
+
+/** What the agent has kept and forgotten of finished attempts. */
+export interface Memory {
+  keptBytes: number
+  /** Nothing is known of attempts that expired by this time, in milliseconds. */
+  forgottenBeforeMs: number
+  sweepAtMs: number
+  /** The time of the latest tick, in milliseconds. */
+  nowMs: number
 }
 
 /** The endpoint beside the agent. */
@@ -52,23 +67,60 @@
   switchingSinceMs: number | undefined
 }
 
+/** A crash of the endpoint and the calls that it ran. */
+export interface CrashRow extends Schemas.Control.Crash {
+  readonly atMs: number
+}
+
+/** An attempt that the endpoint failed, kept until it is known whether the endpoint crashed. */
+export interface FailureRow {
+  readonly digest: string
+  readonly atMs: number
+}
+
+/** The prefixes that the endpoint holds in its cache, as its late and gapped events tell. */
+export interface PrefixCacheRow {
+  readonly keys: Set<string>
+  /** The sequence number of the newest event that was taken; -1 for none. */
+  sequence: number
+}
+
 /** Who the agent is and what it was set to. */
 export interface AgentIdentity extends Control.Node.Identity {
   readonly service: string
 }
 
+/** Why an endpoint takes no new work. */
+export type DrainReason = 'the agent is stopping' | 'an operator took it out of service' | 'the platform lists it as leaving'
+
 /** Everything that an agent's systems decide from. */
 export interface Tables {
   readonly identity: AgentIdentity
   readonly held: Control.Documents.Held
-  readonly attempts: Core.Table.Table<AttemptRow>
+  readonly attempts: Attempts.AttemptTable
   readonly finished: Core.Table.Table<FinishedRow>
+  /** Kept answers, the oldest first. */
+  readonly keptAnswers: Core.Table.Table<KeptAnswerRow>
+  readonly memory: Memory
   readonly weights: Weights.Tables.Tables
   /** What the wanted weights were last derived from. */
   wantedFrom: string
   readonly endpoint: EndpointRow
+  readonly limiter: Limiter.LimiterRow
+  readonly fairness: Shares.FairnessRow
+  /** What the endpoint reported last. */
+  reported: Messages.EndpointLoad | undefined
+  /** The newest crashes of the endpoint. */
+  readonly crashes: CrashRow[]
+  /** The newest failures of the endpoint. */
+  readonly failures: FailureRow[]
+  readonly prefixCache: PrefixCacheRow
   /** The highest fencing number that the agent has acted on. */
   fencingNumber: number
+  /** Why the endpoint takes no new work; undefined while it does. */
+  drainReason: DrainReason | undefined
+  /** Whether the platform's list says that the instance is leaving. */
+  listedLeaving: boolean
   stopping: boolean
 }
 
@@ -77,20 +129,25 @@
 /** A tick of an agent. */
 export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
 
+const serviceIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) => new Map(manifest.services.map(service => [service.name, service])))
+const assignmentIndex = Core.Memo.byIdentity((plan: Schemas.Control.PlacementPlan) => new Map(plan.assignments.map(assignment => [assignment.instanceId, assignment])))
+
 /**
  * Creates the tables of an agent that has just started.
  *
  * @param identity - Who the agent is.
  * @param held - The documents it holds.
- * @param weights - The swarm's tables.
+ * @param weights - The swarm's tables; unbounded and without sources unless given.
  * @returns The tables.
  */
-export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights: Weights.Tables.Tables): Tables {
+export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights = createWeightTables(identity)): Tables {
   return {
     identity,
     held,
-    attempts: Core.Table.createTable('attempts'),
+    attempts: Attempts.createAttemptTable(),
     finished: Core.Table.createTable('finished'),
+    keptAnswers: Core.Table.createTable('keptAnswers'),
+    memory: { keptBytes: 0, forgottenBeforeMs: -Infinity, sweepAtMs: 0, nowMs: 0 },
     weights,
     wantedFrom: '',
     endpoint: {
@@ -111,7 +168,15 @@
       orderAfterMs: 0,
       switchingSinceMs: undefined
     },
+    limiter: Limiter.createLimiter(),
+    fairness: { virtualMs: 0, meanServiceMs: 0 },
+    reported: undefined,
+    crashes: [],
+    failures: [],
+    prefixCache: { keys: new Set(), sequence: -1 },
     fencingNumber: 0,
+    drainReason: undefined,
+    listedLeaving: false,
     stopping: false
   }
 }
@@ -123,7 +188,8 @@
  * @returns The service, once a manifest names it.
  */
 export function serviceOf (tables: Tables): Schemas.Manifest.Service | undefined {
-  return tables.held.manifest()?.services.find(service => service.name === tables.identity.service)
+  const manifest = tables.held.manifest()
+  return manifest === undefined ? undefined : serviceIndex(manifest).get(tables.identity.service)
 }
 
 /**
@@ -133,7 +199,8 @@
  * @returns The assignment, if there is one.
  */
 export function assignmentOf (tables: Tables): Schemas.Control.Assignment | undefined {
-  return tables.held.placement()?.assignments.find(assignment => assignment.instanceId === tables.identity.instanceId)
+  const plan = tables.held.placement()
+  return plan === undefined ? undefined : assignmentIndex(plan).get(tables.identity.instanceId)
 }
 
 /**
@@ -143,9 +210,7 @@
  * @returns The count.
  */
 export function runningCount (tables: Tables): number {
-  let count = 0
-  for (const attempt of tables.attempts.rows()) if (attempt.state === 'running') count++
-  return count
+  return tables.attempts.runningCount()
 }
 
 /**
@@ -155,8 +220,8 @@
  * @returns The endpoint's state as reported to gateways.
  */
 export function stateOf (tables: Tables): Schemas.Control.AgentReport['state'] {
-  const { identity, endpoint } = tables
-  if (tables.stopping || Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone)) return 'draining'
+  const { endpoint } = tables
+  if (tables.drainReason !== undefined) return 'draining'
   if (!endpoint.reachable) return 'unreachable'
   const assignment = assignmentOf(tables)
   const service = serviceOf(tables)
@@ -194,8 +259,15 @@
     wantedChunkCount,
     limitCount: endpoint.limitCount,
     activeCount,
-    queuedCount: tables.attempts.count() - activeCount,
+    queuedCount: tables.attempts.queuedCount(),
     cold: endpoint.limitCount < endpoint.warmLimitCount,
-    versions: tables.held.versions()
+    clockMs: tables.memory.nowMs,
+    versions: tables.held.versions(),
+    ...(tables.crashes.length === 0 ? {} : { crashes: tables.crashes.map(({ crashId, digests }) => ({ crashId, digests })) }),
+    ...(tables.prefixCache.keys.size === 0 ? {} : { prefixKeys: [...tables.prefixCache.keys] })
   }
 }
+
+function createWeightTables (identity: AgentIdentity): Weights.Tables.Tables {
+  return Weights.Tables.createTables({ ...identity, memoryBytes: Infinity, borderBytesPerSecond: Infinity }, [])
+}
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
+import type * as Net from 'node:net'
+import * as Zlib from 'node:zlib'
 
 /** A server to talk to. */
 export interface Target {
@@ -20,6 +22,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Whether to open a connection of its own, past the pool. */
+  readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
 }
@@ -41,9 +45,21 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 const CONNECTION_IDLE_MS = 15_000
+/** A connection is not used again after this time, in milliseconds. */
+const CONNECTION_MAX_AGE_MS = 120_000
 
 /** The process's pool of connections. */
-export const pool = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+export const pool = createPool()
+
+/**
+ * Closes the idle connections to a server, because one to it has gone silent.
+ *
+ * @param target - The server.
+ */
+export function dropIdle (target: Target): void {
+  const name = pool.getName({ host: target.host, port: target.port })
+  for (const socket of pool.freeSockets[name] ?? []) socket.destroy()
+}
 
 /**
  * Parses `host:port`.
@@ -65,7 +81,6 @@
  */
 export async function send (request: Request): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    let connected = false
     const maxAnswerBytes = request.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
     const outgoing = Http.request({
       host: request.target.host,
@@ -73,18 +88,15 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: pool
+      agent: request.fresh === true ? false : pool
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
       outgoing.destroy()
-      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected))
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
     }
     const timer = setTimeout(() => { fail('timed out') }, request.timeoutMs)
-    outgoing.on('socket', socket => {
-      connected = !socket.connecting
-      if (!connected) socket.once('connect', () => { connected = true })
-    })
+    const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
@@ -105,6 +117,21 @@
   })
 }
 
+/**
+ * Follows whether a request has a connection, so that its bytes may have reached the server.
+ *
+ * @param outgoing - The request, just made.
+ * @returns A function that tells whether it was ever connected.
+ */
+export function trackConnect (outgoing: Http.ClientRequest): () => boolean {
+  let connected = false
+  outgoing.on('socket', socket => {
+    connected = !socket.connecting
+    if (!connected) socket.once('connect', () => { connected = true })
+  })
+  return () => connected
+}
+
 /**
  * Sends JSON and reads JSON.
  *
@@ -117,13 +144,49 @@
  * @returns The status and the parsed body.
  * @throws TransportError when there is no whole answer in time.
  */
-export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<{ status: number, value: unknown }> {
-  const body = value === undefined ? undefined : JSON.stringify(value)
-  const answer = await send({ target, method, path, body, timeoutMs, headers: { 'content-type': 'application/json', ...headers } })
-  const text = answer.body.toString()
+export async function sendJson (target: Target, method: string, path: string, value: unknown, timeoutMs: number, headers: Readonly<Record<string, string>> = {}): Promise<JsonAnswer> {
+  return await sendText({ target, method, path, body: value === undefined ? undefined : JSON.stringify(value), timeoutMs, headers })
+}
+
+/** An answer whose body is JSON. */
+export interface JsonAnswer {
+  readonly status: number
+  /** The parsed body; undefined when it is empty. */
+  readonly value: unknown
+}
+
+/**
+ * Sends JSON that has been written already and reads JSON.
+ *
+ * @param request - The request.
+ * @returns The status and the parsed body.
+ * @throws TransportError when there is no whole answer in time.
+ */
+export async function sendText (request: Request): Promise<JsonAnswer> {
+  const { method, path } = request
+  const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
+  const text = textOf(answer)
   try {
     return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
   } catch {
     throw new TransportError(`${method} ${path}: answer is not JSON`, true)
   }
 }
+
+function createPool (): Http.Agent {
+  const agent = new Http.Agent({ keepAlive: true, maxFreeSockets: 64, timeout: CONNECTION_IDLE_MS })
+  const openedMs = new WeakMap<object, number>()
+  const keep = agent as unknown as { keepSocketAlive: (socket: Net.Socket) => boolean }
+  const keepSocketAlive = keep.keepSocketAlive.bind(agent)
+  keep.keepSocketAlive = socket => {
+    const sinceMs = openedMs.get(socket) ?? performance.now()
+    openedMs.set(socket, sinceMs)
+    return performance.now() - sinceMs < CONNECTION_MAX_AGE_MS && keepSocketAlive(socket)
+  }
+  return agent
+}
+
+function textOf (answer: Answer): string {
+  if (answer.headers['content-encoding'] !== 'gzip') return answer.body.toString()
+  return Zlib.gunzipSync(answer.body, { maxOutputLength: DEFAULT_MAX_ANSWER_BYTES }).toString()
+}
--- a/src/weights/edge/chunkServer.ts
+++ b/src/weights/edge/chunkServer.ts
@@ -17,7 +17,7 @@
   /** Paces bytes that leave the region. */
   readonly border: Pacer.Pacer
   /** Whether the request comes from one of the system's own processes. */
-  readonly isPeer: (request: Http.IncomingMessage) => boolean
+  readonly isPeer: (request: Http.IncomingMessage, path: string, news: string) => boolean
   readonly hear: (header: string) => void
   /** The agent's news about a set, for the header of the answer. */
   readonly newsHeader: (digest: string) => string | undefined
@@ -84,14 +84,14 @@
     return header === undefined ? {} : { [News.NEWS_HEADER]: header }
   }
   const guarded = (handle: Edge.HttpServer.Handler): Edge.HttpServer.Handler => async (request, response, path) => {
-    if (!options.isPeer(request)) { Edge.HttpServer.sendCode(response, 'unauthorized'); return }
+    if (!options.isPeer(request, path, String(request.headers[News.NEWS_HEADER] ?? ''))) { Edge.HttpServer.sendCode(response, 'unauthorized'); return }
     await handle(request, response, path)
   }
   const takeRequest: Edge.HttpServer.Handler = (request, response, path) => {
     const chunkDigest = path.slice(path.lastIndexOf('/') + 1)
     const digest = String(request.headers[News.SET_HEADER] ?? '')
     const news = request.headers[News.NEWS_HEADER]
-    if (typeof news === 'string') options.hear(news)
+    if (typeof news === 'string' && news !== '') options.hear(news)
     options.onAsked(chunkDigest)
     if (options.store.get(chunkDigest) === undefined) { answerWithNews(response, 404, newsHeaders(digest)); return }
     if (waiting.length >= QUEUE_LIMIT_COUNT) { answerWithNews(response, 429, newsHeaders(digest)); return }
--- a/src/weights/edge/swarm.ts
+++ b/src/weights/edge/swarm.ts
@@ -24,9 +24,10 @@
   readonly uploadBytesPerSecond: number
   readonly downloadBytesPerSecond: number
   readonly metrics: Edge.Metrics.Metrics
-  /** The authorization header of the system's own processes. */
-  readonly authorization: () => string
-  readonly isPeer: (request: Http.IncomingMessage) => boolean
+  /** Signs a request to a peer: its path and the news that it carries. */
+  readonly authorize: (path: string, news: string) => string
+  /** Whether a request is signed by one of the system's own processes. */
+  readonly isPeer: (request: Http.IncomingMessage, path: string, news: string) => boolean
   /** Asks a peer for its news. */
   readonly exchange: (address: Messages.Address, request: Schemas.Weights.SwarmExchange) => Promise<Schemas.Weights.SwarmExchange>
 }
@@ -76,19 +77,16 @@
     const [news] = newsOf(digest)
     return news === undefined ? undefined : JSON.stringify(news)
   }
-  const headersOf = (digest: string): Record<string, string> => {
-    const news = newsHeader(digest)
-    return {
-      authorization: options.authorization(),
-      [News.INSTANCE_HEADER]: instanceId,
-      [News.REGION_HEADER]: region,
-      [News.SET_HEADER]: digest,
-      ...(news === undefined ? {} : { [News.NEWS_HEADER]: news })
-    }
+  /** The origin and the weight store learn who asks; peers get a signature and news as well. */
+  const headersOf = (sourceId: string, path: string, digest: string): Record<string, string> => {
+    const own = { [News.INSTANCE_HEADER]: instanceId, [News.REGION_HEADER]: region }
+    if (!tables.peers.has(sourceId)) return own
+    const news = newsHeader(digest) ?? ''
+    return { ...own, authorization: options.authorize(path, news), [News.SET_HEADER]: digest, [News.NEWS_HEADER]: news }
   }
   const fetchManifest = async (command: Extract<Messages.Command, { kind: 'fetchManifest' }>): Promise<void> => {
     const { digest, sourceId } = command
-    const fetched = await Platform.WeightClient.fetchManifest(command.address, digest, MANIFEST_TIMEOUT_MS, tables.peers.has(sourceId) ? headersOf(digest) : withoutSecrets(headersOf(digest)))
+    const fetched = await Platform.WeightClient.fetchManifest(command.address, digest, MANIFEST_TIMEOUT_MS, headersOf(sourceId, `/weights/${digest}`, digest))
     countControl('manifest', fetched.isOk() ? fetched.value.bytes.length : 0)
     if (fetched.isErr()) { push({ kind: 'manifestFetched', digest, sourceId, manifest: undefined, fault: fetched.error }); return }
     const { manifest, bytes } = fetched.value
@@ -98,11 +96,11 @@
   const fetchChunk = async (command: Extract<Messages.Command, { kind: 'fetchChunk' }>): Promise<void> => {
     const { fetchId, chunkDigest } = command
     const isPeer = tables.peers.has(command.sourceId)
-    const headers = headersOf(command.digest)
+    const headers = headersOf(command.sourceId, `/chunks/${chunkDigest}`, command.digest)
     const fetch = ChunkClient.fetchChunk({
       address: command.address,
       chunkDigest,
-      headers: isPeer ? headers : withoutSecrets(headers),
+      headers,
       pacers: command.crossesBorder ? [border, download] : [download],
       stallMs: command.stallMs,
       onNews: header => { countControl('answer', header.length); hear(header) }
@@ -165,8 +163,3 @@
     stop: () => { for (const fetch of fetches.values()) fetch.cancel() }
   }
 }
-
-/** The origin and the weight store learn who asks and not the key of the system's own processes. */
-function withoutSecrets (headers: Readonly<Record<string, string>>): Record<string, string> {
-  return { [News.INSTANCE_HEADER]: headers[News.INSTANCE_HEADER] ?? '', [News.REGION_HEADER]: headers[News.REGION_HEADER] ?? '' }
-}
