--- a/tools/soak/worlds/agent.ts
+++ b/tools/soak/worlds/agent.ts
@@ -130,7 +130,7 @@
     time.after(LOAD_MS, () => {
       const incarnation = endpoint.loadReport()?.incarnation
       const whole = model === undefined || chunksOf(model.digest).every(chunk => taken.has(`${String(incarnation)} ${chunk}`))
-      if (whole) endpoint.load(model)
+      if (whole) { endpoint.load(model); knownVersion = endpoint.loadReport()?.modelVersion }
       agent.push({ kind: 'orderAnswered', order: given, answer: whole ? 'accepted' : 'notWhole' })
     })
   }
