--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -100,6 +100,7 @@
   const runningCount = attempts.runningCount()
   const bearableCount = endpoint.coldReported ? 1 : endpoint.limitCount
   tick.check('atMostOnce', !tables.finished.has(attemptId), () => ({ attemptId, finished: tables.finished.get(attemptId)?.state }))
+  tick.check('wholeWeights', !isOtherVersion(tables, attempt.envelope), () => ({ attemptId, wantedVersion: attempt.envelope.modelVersion, modelVersion: endpoint.modelVersion }))
   tick.check('startLimit', runningCount <= bearableCount, () => ({ attemptId, runningCount, bearableCount }))
   tick.check('drainedZone', !Control.Documents.isDrained(tables.held.drains(), identity.instanceId, identity.zone), () => ({ attemptId, zone: identity.zone }))
   tick.check('leavingEndpoint', !tables.stopping && !tables.listedLeaving, () => ({ attemptId, instanceId: identity.instanceId }))
@@ -110,7 +111,7 @@
   return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
 }
 
-/** Refuses at once what waits at an endpoint that takes no more work, and what waited past its deadline. */
+/** Refuses at once what waits at an endpoint that can no longer run it, and what waited past its deadline. */
 function shed (tables: Tables.Tables, tick: Tables.Tick): void {
   if (tables.attempts.queuedCount() === 0) return
   const state = Tables.stateOf(tables)
@@ -118,7 +119,7 @@
     for (const { envelope, deadlineMs } of [...row.queue.values()]) {
       if (state === 'draining') refuseAttempt(tables, tick, envelope, 'draining', 'The endpoint is leaving.')
       else if (state !== 'live') refuseAttempt(tables, tick, envelope, 'noEndpoint', `The endpoint is ${state}.`)
-      else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`)
+      else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'} now.`)
       else if (tick.nowMs >= deadlineMs) refuseAttempt(tables, tick, envelope, 'deadlinePassed', 'The deadline passed in the queue.')
     }
   }
