--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -79,7 +79,7 @@
 
 function admit (tables: Tables.Tables, tick: Tables.Tick): void {
   const { attempts, endpoint, limiter } = tables
-  if (Tables.stateOf(tables) !== 'live') return
+  if (Tables.stateOf(tables) !== 'live' || endpoint.switchingSinceMs !== undefined) return
   while (attempts.queuedCount() > 0 && attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)) {
     const attempt = Shares.pickNext(tables)
     if (attempt === undefined) return
@@ -106,7 +106,7 @@
   tick.check('leavingEndpoint', !tables.stopping && !tables.listedLeaving, () => ({ attemptId, instanceId: identity.instanceId }))
 }
 
-/** The endpoint may change its version while an attempt waits in the queue. */
+/** Whether the call is meant for a version that the endpoint does not hold, or no longer holds. */
 function isOtherVersion (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope): boolean {
   return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
 }
--- a/tools/soak/worlds/agent.ts
+++ b/tools/soak/worlds/agent.ts
@@ -7,6 +7,7 @@
 import * as Control from '../../../src/control/index.ts'
 import * as Core from '../../../src/core/index.ts'
 import type * as Schemas from '../../../src/schema/index.ts'
+import * as Weights from '../../../src/weights/index.ts'
 import * as Deployment from '../deployment.ts'
 import * as Endpoint from '../endpoint.ts'
 import * as Harness from '../harness.ts'
@@ -16,6 +17,7 @@
 const LOAD_MS = 150
 const CHUNK_MS = 20
 const CHUNK_COUNT = 5
+const CHUNK_BYTES = 1_000
 const WORK_MS = 300
 /** How late the agent may learn of a fenced attempt's caller, in milliseconds. */
 const DEADLINE_SLACK_MS = 500
@@ -40,11 +42,14 @@
   const endpoint = Endpoint.createFakeEndpoint(harness, AGENT_ID, 'engine')
   const held = Control.Documents.createHeld()
   const identity = { instanceId: AGENT_ID, kind: 'agent' as const, zone: 'kartli', region: 'kartli', service: 'fescue-llm', incarnation: 'agent/1' }
-  const tables = Agent.Tables.createTables(identity, held)
+  const weights = Weights.Tables.createTables({ ...identity, memoryBytes: Infinity, borderBytesPerSecond: Infinity }, [{ sourceId: 'origin', address: { host: 'origin', port: 1 }, crossesBorder: false }])
+  const tables = Agent.Tables.createTables(identity, held, weights)
   const offers = new Map<string, Offer>()
-  const whole = new Set<string>()
+  /** Chunks that the agent fetched, that the endpoint took at any time, and that it took in an incarnation. */
+  const fetched = new Set<string>()
+  const accepted = new Set<string>()
+  const taken = new Set<string>()
   const documentVersions = { placement: 0, drains: 0 }
-  let collecting: readonly string[] = []
   let orderedFencing = 0
   let wantedVersion = 'v1'
   let silent = false
@@ -83,27 +88,50 @@
     agent.push({ kind: 'callEnded', attemptId: work.envelope.attemptId, ending })
   }
   const crash = (): void => { endpoint.crash() }
-  const fetch = async (digests: readonly string[]): Promise<void> => {
-    collecting = digests
-    for (const digest of digests) {
-      let heldCount = 0
-      while (collecting.includes(digest) && heldCount < CHUNK_COUNT) {
-        await time.sleep(CHUNK_MS)
-        if (corruptedCount > 0) { corruptedCount--; harness.met('corruptedChunk'); continue }
-        heldCount++
-        if (heldCount === CHUNK_COUNT) whole.add(digest)
-        agent.push({ kind: 'weightsProgress', digest, heldCount, wantedCount: CHUNK_COUNT, whole: heldCount === CHUNK_COUNT })
-      }
+  const chunksOf = (digest: string): string[] => Array.from({ length: CHUNK_COUNT }, (_, index) => Core.Hash.sha256(`${digest} ${index}`))
+  const pushWeights = (input: Weights.Messages.Input): void => { agent.push({ kind: 'weights', input }) }
+  const endChunk = (command: Extract<Weights.Messages.Command, { kind: 'fetchChunk' }>): void => {
+    const { fetchId, digest, chunkDigest } = command
+    if (corruptedCount > 0) {
+      corruptedCount--
+      harness.met('corruptedChunk')
+      pushWeights({ kind: 'chunkFetched', fetchId, chunkDigest, ending: 'corrupted', sizeBytes: 0 })
+      return
+    }
+    fetched.add(chunkDigest)
+    pushWeights({ kind: 'chunkFetched', fetchId, chunkDigest, ending: 'whole', sizeBytes: CHUNK_BYTES })
+    const missingAt = chunksOf(digest).findIndex(chunk => !fetched.has(chunk))
+    pushWeights({ kind: 'chunksHashed', digest, hashedCount: missingAt < 0 ? CHUNK_COUNT : missingAt, wholeMatches: missingAt < 0 ? true : undefined })
+  }
+  const deliver = (command: Extract<Weights.Messages.Command, { kind: 'deliverChunk' }>): void => {
+    const { digest, index, chunkDigest } = command
+    const incarnation = endpoint.loadReport()?.incarnation
+    harness.expect('wholeWeights', fetched.has(chunkDigest), () => ({ digest, index, reason: 'a chunk was handed over that was not verified' }))
+    if (incarnation !== undefined) {
+      accepted.add(chunkDigest)
+      taken.add(`${incarnation} ${chunkDigest}`)
     }
+    pushWeights({ kind: 'chunkDelivered', digest, index, accepted: incarnation !== undefined })
+  }
+  const weightsHandlers: { readonly [Kind in Weights.Messages.Command['kind']]?: (command: any) => void } = {
+    fetchManifest: ({ digest, sourceId }) => {
+      const manifest = { sizeBytes: CHUNK_COUNT * CHUNK_BYTES, chunkSizeBytes: CHUNK_BYTES, wholeDigest: digest, chunks: chunksOf(digest) }
+      time.after(CHUNK_MS, () => { pushWeights({ kind: 'manifestFetched', digest, sourceId, manifest }) })
+    },
+    fetchChunk: command => { time.after(CHUNK_MS, () => { endChunk(command) }) },
+    deliverChunk: command => { time.after(1, () => { deliver(command) }) },
+    evictChunk: command => { fetched.delete(command.chunkDigest) }
   }
-  const order = (command: Extract<Agent.Messages.Command, { kind: 'order' }>): void => {
-    const model = command.assignment.model
-    harness.expect('wholeWeights', model !== undefined && whole.has(model.digest), () => ({ version: model?.version, reason: 'a load was ordered before the weights were whole' }))
-    harness.expect('manifestRises', command.fencingNumber >= orderedFencing, () => ({ fencingNumber: command.fencingNumber, orderedFencing }))
-    orderedFencing = Math.max(orderedFencing, command.fencingNumber)
+  const order = ({ order: given }: Extract<Agent.Messages.Command, { kind: 'order' }>): void => {
+    const model = given.kind === 'load' ? given.model : undefined
+    harness.expect('wholeWeights', model === undefined || chunksOf(model.digest).every(chunk => accepted.has(chunk)), () => ({ version: model?.version, reason: 'a load was ordered before the weights were whole' }))
+    harness.expect('manifestRises', given.fencingNumber >= orderedFencing, () => ({ fencingNumber: given.fencingNumber, orderedFencing }))
+    orderedFencing = Math.max(orderedFencing, given.fencingNumber)
     time.after(LOAD_MS, () => {
-      endpoint.load(model)
-      agent.push({ kind: 'orderAnswered', accepted: true })
+      const incarnation = endpoint.loadReport()?.incarnation
+      const whole = model === undefined || chunksOf(model.digest).every(chunk => taken.has(`${String(incarnation)} ${chunk}`))
+      if (whole) { endpoint.load(model); knownVersion = endpoint.loadReport()?.modelVersion }
+      agent.push({ kind: 'orderAnswered', order: given, answer: whole ? 'accepted' : 'notWhole' })
     })
   }
   const perform: Core.Loop.Handlers<Agent.Messages.Command> = {
@@ -121,7 +149,7 @@
       offer.fencedAtMs = time.nowMs()
       harness.expect('truthfulRefusal', !endpoint.startsByCall.has(offer.envelope.callId), () => ({ attemptId: command.askId, reason: 'neverRun was said of a begun attempt' }))
     },
-    fetchWeights: command => { void fetch(command.digests) },
+    weights: ({ command }) => { weightsHandlers[command.kind]?.(command) },
     order
   }
   const agent = Harness.startProcess<Agent.Tables.Tables, Agent.Messages.Input, Agent.Messages.Command>({
