Serve a workspace below its share first, by its use over time

Cause: shares were judged by the attempts of the moment, so that a workspace below its share over time was refused in a clump of its own calls, and a collapse followed each stall of a busy machine. Change: a bounded credit of virtual time for workspaces that used less than their share; the turn decides wait, refusal and eviction; calls of a workspace are spread over endpoints when all are full; slow samples hold admission at once and collapse the limit only when they last 400 ms; repeats after a failure take from the gateway's budget.

--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -102,17 +102,17 @@
 
 /** Calls that the same engines answer in a second when each is kept full directly, without agents. */
 async function measureCapacity (deployment: TestKit.Deployment.Deployment): Promise<number> {
-  const untilMs = performance.now() + CAPACITY_MS
-  let answeredCount = 0
-  const keepCalling = async (port: number): Promise<void> => {
-    for (let index = 0; performance.now() < untilMs; index++) {
-      const reply = await TestKit.Caller.send({ port, path: '/', workspace: BURST_WORKSPACE, stream: true, body: draftOf(index) })
-      if (reply.endVersion !== undefined && performance.now() <= untilMs) answeredCount++
+  const startedMs = performance.now()
+  const keepCalling = async (port: number): Promise<number> => {
+    let answeredCount = 0
+    while (performance.now() - startedMs < CAPACITY_MS) {
+      const reply = await TestKit.Caller.send({ port, path: '/', workspace: BURST_WORKSPACE, stream: true, body: draftOf(answeredCount) })
+      if (reply.endVersion !== undefined) answeredCount++
     }
+    return answeredCount * 1_000 / (performance.now() - startedMs)
   }
-  await Promise.all(deployment.runners.flatMap(({ endpointPort }) => Array.from({ length: ENGINE_LIMIT_COUNT }, async () => { await keepCalling(endpointPort) })))
-  const wholeCalls = answeredCount + deployment.runners.length * ENGINE_LIMIT_COUNT / 2
-  return wholeCalls * 1_000 / CAPACITY_MS
+  const rates = await Promise.all(deployment.runners.flatMap(({ endpointPort }) => Array.from({ length: ENGINE_LIMIT_COUNT }, async () => await keepCalling(endpointPort))))
+  return rates.reduce((total, rate) => total + rate, 0)
 }
 
 function draftOf (index: number): unknown {
--- a/src/agent/limiter.ts
+++ b/src/agent/limiter.ts
@@ -32,8 +32,8 @@
   changedAtMs: number
   /** Successes near the baseline since the last change. */
   successCount: number
-  /** Time until which no more calls are admitted than run, in milliseconds. */
-  heldUntilMs: number
+  /** Whether no more calls are admitted than run, until a sample tells whether the endpoint is cold. */
+  held: boolean
   readonly paces: Readonly<Record<PaceKind, PaceRow>>
 }
 
@@ -43,7 +43,7 @@
 interface PaceRule {
   /** A sample above so many baselines is slow. */
   readonly slowFactor: number
-  /** So many slow samples in a row mean that the endpoint is cold. */
+  /** So many slow samples in a row, for long enough, mean that the endpoint is cold. */
   readonly coldSampleCount: number
   /** Baselines below this are taken as this, in milliseconds. */
   readonly floorMs: number
@@ -57,7 +57,8 @@
 const NEAR_FACTOR = 1.5
 const RISE_SHARE = 0.05
 const FALL_SHARE = 0.2
-const HOLD_MS = 200
+/** How long samples must be slow before the endpoint counts as cold, in milliseconds. */
+const COLD_AFTER_MS = 400
 const GROWTH_INTERVAL_MS = 100
 /** Between doublings of an endpoint that does not report whether it is cold, in milliseconds. */
 const BLIND_GROWTH_INTERVAL_MS = 1_000
@@ -77,7 +78,7 @@
     reason: 'The endpoint has just started.',
     changedAtMs: -Infinity,
     successCount: 0,
-    heldUntilMs: -Infinity,
+    held: false,
     paces: { firstByte: createPace(), tokenGap: createPace(), whole: createPace() }
   }
 }
@@ -92,7 +93,7 @@
  */
 export function collapse (row: LimiterRow, reason: string, nowMs: number): boolean {
   const changed = row.limitCount !== 1 || row.phase !== 'cold'
-  Object.assign(row, { limitCount: 1, phase: 'cold', reason, changedAtMs: nowMs, successCount: 0 })
+  Object.assign(row, { limitCount: 1, phase: 'cold', reason, changedAtMs: nowMs, successCount: 0, held: false })
   return changed
 }
 
@@ -136,6 +137,7 @@
   const ratio = valueMs / Math.max(pace.baselineMs, rule.floorMs)
   if (ratio <= rule.slowFactor) {
     pace.slowCount = 0
+    row.held = false
     if (ratio > NEAR_FACTOR) return 'unsure'
     pace.baselineMs += (valueMs - pace.baselineMs) * (valueMs < pace.baselineMs ? FALL_SHARE : RISE_SHARE)
     return 'near'
@@ -146,12 +148,34 @@
     Object.assign(pace, { baselineMs: valueMs, slowCount: 0 })
     return 'unsure'
   }
-  row.heldUntilMs = nowMs + HOLD_MS
-  if (pace.slowCount < rule.coldSampleCount) return 'slow'
+  hold(row)
+  if (pace.slowCount < rule.coldSampleCount || nowMs - pace.slowSinceMs < COLD_AFTER_MS) return 'slow'
   collapse(row, `${kind} is ${ratio.toFixed(1)} times its warm baseline.`, nowMs)
   return 'cold'
 }
 
+/**
+ * Tells whether a stream has been quiet for longer than the warm pace allows.
+ *
+ * @param row - The limiter.
+ * @param quietMs - How long it has been quiet in milliseconds.
+ * @param gapCount - The warm gaps that it may be quiet for.
+ * @returns Whether it has; false while there is no baseline.
+ */
+export function isQuiet (row: LimiterRow, quietMs: number, gapCount: number): boolean {
+  const { baselineMs } = row.paces.tokenGap
+  return baselineMs > 0 && quietMs > Math.max(baselineMs, RULES.tokenGap.floorMs) * gapCount
+}
+
+/**
+ * Admits no more than runs until it is known whether the endpoint is cold.
+ *
+ * @param row - The limiter.
+ */
+export function hold (row: LimiterRow): void {
+  row.held = true
+}
+
 /**
  * Takes a success near the warm baseline; enough of them double the limit.
  *
@@ -161,7 +185,7 @@
  * @returns Whether the limit was raised.
  */
 export function succeed (row: LimiterRow, reportsLoad: boolean, nowMs: number): boolean {
-  if (nowMs < row.heldUntilMs) return false
+  if (row.held) return false
   row.successCount++
   if (row.limitCount >= row.ceilingCount) { row.phase = 'warm'; return false }
   const intervalMs = reportsLoad ? GROWTH_INTERVAL_MS : BLIND_GROWTH_INTERVAL_MS
@@ -176,11 +200,10 @@
  *
  * @param row - The limiter.
  * @param runningCount - The calls that it runs.
- * @param nowMs - The current time.
  * @returns The count.
  */
-export function allowedCount (row: LimiterRow, runningCount: number, nowMs: number): number {
-  return nowMs < row.heldUntilMs ? Math.max(1, Math.min(row.limitCount, runningCount)) : row.limitCount
+export function allowedCount (row: LimiterRow, runningCount: number): number {
+  return row.held ? Math.max(1, Math.min(row.limitCount, runningCount)) : row.limitCount
 }
 
 function shifted (pace: PaceRow, nowMs: number): boolean {
--- a/src/agent/pace.ts
+++ b/src/agent/pace.ts
@@ -24,6 +24,9 @@
   take: (nowMs: number) => Messages.StreamPace | undefined
 }
 
+/** A mean over fewer gaps tells nothing; they are kept for the next time. */
+const MIN_GAP_COUNT = 3
+
 /**
  * Creates a meter with no streams.
  *
@@ -59,6 +62,7 @@
       let quietMs = 0
       for (const stream of streams) quietMs = Math.max(quietMs, stream.quietMs(nowMs))
       const pace = { gapSumMs, gapCount, quietMs }
+      if (gapCount < MIN_GAP_COUNT) return { ...pace, gapCount: 0 }
       gapSumMs = 0
       gapCount = 0
       return pace
--- a/src/agent/shares.ts
+++ b/src/agent/shares.ts
@@ -21,6 +21,8 @@
 
 const MEAN_SHARE = 0.1
 const DEFAULT_WEIGHT = 1
+/** Attempts, for each unit of weight, that a workspace may catch up on after using less than its share. */
+const CREDIT_COUNT = 4
 
 const weightIndex = Core.Memo.byIdentity((manifest: Schemas.Manifest.Manifest) => new Map(manifest.workspaces.map(({ name, weight }) => [name, weight])))
 
@@ -44,12 +46,7 @@
  * @returns The share as a count of attempts, at least one.
  */
 export function shareOf (tables: Tables.Tables, workspace: string): number {
-  let sum = 0
-  for (const row of tables.attempts.workspaces()) {
-    if (row.workspace === workspace || usedCount(row) > 0) sum += weightOf(tables, row.workspace)
-  }
-  const weight = weightOf(tables, workspace)
-  return Math.max(1, tables.endpoint.limitCount * weight / Math.max(sum, weight))
+  return Math.max(1, tables.endpoint.limitCount * weightOf(tables, workspace) / activeWeight(tables, workspace))
 }
 
 /**
@@ -63,7 +60,7 @@
   for (const row of tables.attempts.workspaces()) {
     const attempt = firstOf(tables, row)
     if (attempt === undefined) continue
-    const virtualMs = Math.max(row.virtualMs, tables.fairness.virtualMs)
+    const virtualMs = clockOf(tables, row)
     if (best === undefined || virtualMs < best.virtualMs) best = { attempt, virtualMs }
   }
   return best?.attempt
@@ -74,18 +71,30 @@
  *
  * @param tables - The agent's tables.
  * @param workspace - The workspace that offers an attempt.
- * @returns The newest queued attempt of the workspace that is furthest over its share, or undefined
- * when that is the offering workspace itself.
+ * @returns The newest queued attempt of the workspace whose turn is furthest off, or undefined when
+ * that is the offering workspace itself.
  */
 export function pickEvicted (tables: Tables.Tables, workspace: string): Attempts.AttemptRow | undefined {
-  const load = (row: Attempts.WorkspaceRow, extraCount: number): number => (usedCount(row) + extraCount) / weightOf(tables, row.workspace)
-  const own = load(tables.attempts.workspace(workspace), 1)
-  let heaviest: Attempts.WorkspaceRow | undefined
+  let latest: Attempts.WorkspaceRow | undefined
+  let latestMs = turnOf(tables, tables.attempts.workspace(workspace), 1)
   for (const row of tables.attempts.workspaces()) {
-    if (row.queue.size === 0 || row.workspace === workspace || load(row, 0) <= own) continue
-    if (heaviest === undefined || load(row, 0) > load(heaviest, 0)) heaviest = row
+    if (row.queue.size === 0 || row.workspace === workspace) continue
+    const turnMs = turnOf(tables, row, 0)
+    if (turnMs > latestMs) { latest = row; latestMs = turnMs }
   }
-  return heaviest === undefined ? undefined : lastOf(heaviest)
+  return latest === undefined ? undefined : lastOf(latest)
+}
+
+/**
+ * Tells whether a workspace's next attempt would be more than its share.
+ *
+ * @param tables - The agent's tables.
+ * @param workspace - The workspace.
+ * @returns Whether its turn comes after that of a workspace that uses its share.
+ */
+export function isOverShare (tables: Tables.Tables, workspace: string): boolean {
+  const row = tables.attempts.workspace(workspace)
+  return usedCount(row) >= 1 && turnOf(tables, row, 1) > tables.fairness.virtualMs + tables.fairness.meanServiceMs / weightOf(tables, workspace)
 }
 
 /**
@@ -97,9 +106,10 @@
 export function charge (tables: Tables.Tables, attempt: Attempts.AttemptRow): void {
   const row = tables.attempts.workspace(attempt.envelope.workspace)
   const { fairness } = tables
-  fairness.virtualMs = Math.max(row.virtualMs, fairness.virtualMs)
+  const startMs = clockOf(tables, row)
+  fairness.virtualMs = Math.max(startMs, fairness.virtualMs)
   attempt.chargedMs = Math.max(1, fairness.meanServiceMs)
-  row.virtualMs = fairness.virtualMs + attempt.chargedMs / weightOf(tables, row.workspace)
+  row.virtualMs = startMs + attempt.chargedMs / weightOf(tables, row.workspace)
   row.admittedCount++
 }
 
@@ -127,11 +137,10 @@
  * @returns The wait in milliseconds.
  */
 export function waitMsOf (tables: Tables.Tables, workspace: string): number {
-  const { attempts, fairness, endpoint } = tables
-  const free = endpoint.limitCount - attempts.runningCount() - attempts.queuedCount()
-  if (free > 0) return 0
-  const queuedCount = attempts.workspace(workspace).queue.size + 1
-  return queuedCount * fairness.meanServiceMs / shareOf(tables, workspace)
+  const { attempts, endpoint, fairness } = tables
+  if (attempts.runningCount() + attempts.queuedCount() < endpoint.limitCount) return 0
+  const aheadMs = turnOf(tables, attempts.workspace(workspace), 1) - fairness.virtualMs
+  return Math.max(fairness.meanServiceMs / endpoint.limitCount, aheadMs * activeWeight(tables, workspace) / endpoint.limitCount)
 }
 
 /**
@@ -144,6 +153,27 @@
   return row.runningCount + row.queue.size
 }
 
+/** The weights of the workspaces that have attempts here, and of the given one. */
+function activeWeight (tables: Tables.Tables, workspace: string): number {
+  let sum = 0
+  for (const row of tables.attempts.workspaces()) {
+    if (row.workspace === workspace || usedCount(row) > 0) sum += weightOf(tables, row.workspace)
+  }
+  return sum
+}
+
+/** A workspace's virtual clock; one that used less than its share has a bounded credit. */
+function clockOf (tables: Tables.Tables, row: Attempts.WorkspaceRow): number {
+  const { virtualMs, meanServiceMs } = tables.fairness
+  return Math.max(row.virtualMs, virtualMs - CREDIT_COUNT * meanServiceMs)
+}
+
+/** The virtual time at which the workspace's last queued attempt, or one more, would start. */
+function turnOf (tables: Tables.Tables, row: Attempts.WorkspaceRow, extraCount: 0 | 1): number {
+  const aheadCount = row.queue.size + extraCount - 1
+  return clockOf(tables, row) + aheadCount * tables.fairness.meanServiceMs / weightOf(tables, row.workspace)
+}
+
 /** The first attempt in order of priority, then of offers; two suspects never run together. */
 function firstOf (tables: Tables.Tables, row: Attempts.WorkspaceRow): Attempts.AttemptRow | undefined {
   let first: Attempts.AttemptRow | undefined
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -16,8 +16,10 @@
 const QUEUE_PER_LIMIT = 2
 /** The longest queue of an endpoint whose limit is small. */
 const MIN_QUEUE_COUNT = 4
-/** The longest time that an attempt is queued for, in milliseconds. */
-const MAX_WAIT_MS = 2_000
+/** The share of the time left that an attempt may spend in the queue. */
+const MAX_WAIT_SHARE = 0.5
+/** The longest time that an attempt of a workspace above its share is queued for, in milliseconds. */
+const MAX_OVER_SHARE_WAIT_MS = 1_500
 const MIN_RETRY_AFTER_MS = 1_000
 const MAX_RETRY_AFTER_MS = 30_000
 
@@ -65,14 +67,15 @@
 /** Finds a place in the queue, if need be from the workspace that is furthest over its share. */
 function makeRoom (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, refuse: Refuse): boolean {
   const waitMs = Shares.waitMsOf(tables, envelope.workspace)
-  if (waitMs > Math.min(MAX_WAIT_MS, envelope.timeLeftMs)) {
-    refuse(codeOf(tables, envelope.workspace), `The wait would be ${Math.round(waitMs)} ms.`)
+  const code = codeOf(tables, envelope.workspace)
+  if (waitMs > Math.min(envelope.timeLeftMs * MAX_WAIT_SHARE, code === 'overShare' ? MAX_OVER_SHARE_WAIT_MS : Infinity)) {
+    refuse(code, `The wait would be ${Math.round(waitMs)} ms.`)
     return false
   }
   const queueLimit = Math.max(MIN_QUEUE_COUNT, tables.endpoint.limitCount * QUEUE_PER_LIMIT)
   if (tables.attempts.queuedCount() < queueLimit) return true
   const evicted = Shares.pickEvicted(tables, envelope.workspace)
-  if (evicted === undefined) { refuse(codeOf(tables, envelope.workspace), 'The queue is full.'); return false }
+  if (evicted === undefined) { refuse(code, 'The queue is full.'); return false }
   refuseAttempt(tables, tick, evicted.envelope, 'overShare', `The place in the queue went to workspace ${envelope.workspace}, which is below its share.`)
   return true
 }
@@ -80,7 +83,7 @@
 function admit (tables: Tables.Tables, tick: Tables.Tick): void {
   const { attempts, endpoint, limiter } = tables
   if (Tables.stateOf(tables) !== 'live') return
-  while (attempts.queuedCount() > 0 && attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)) {
+  while (attempts.queuedCount() > 0 && attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount())) {
     const attempt = Shares.pickNext(tables)
     if (attempt === undefined) return
     const { attemptId, workspace } = attempt.envelope
@@ -141,10 +144,9 @@
   Fencing.remember(tables, tick, attempt.envelope, 'neverRun')
 }
 
-/** A workspace at or above its share is refused for that; another is refused for the endpoint's limit. */
+/** A workspace above its share is refused for that; another is refused for the endpoint's limit. */
 function codeOf (tables: Tables.Tables, workspace: string): Core.Codes.CodeName {
-  const used = Shares.usedCount(tables.attempts.workspace(workspace))
-  return used >= Shares.shareOf(tables, workspace) ? 'overShare' : 'overCapacity'
+  return Shares.isOverShare(tables, workspace) ? 'overShare' : 'overCapacity'
 }
 
 function refuseAttempt (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, code: Core.Codes.CodeName, reason: string): void {
--- a/src/agent/systems/limits.ts
+++ b/src/agent/systems/limits.ts
@@ -9,8 +9,8 @@
 
 /** Statuses with which an endpoint says that it bears no more. */
 const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 502, 503, 504])
-/** A mean over fewer parts tells nothing. */
-const MIN_GAP_COUNT = 3
+/** A stream that is quiet for so many warm gaps holds admission back until its pace is known. */
+const QUIET_GAP_COUNT = 3
 
 type Handler<Kind extends Messages.Input['kind']> = (tables: Tables.Tables, tick: Tables.Tick, input: Extract<Messages.Input, { kind: Kind }>) => void
 
@@ -69,20 +69,12 @@
 
 function follow (tables: Tables.Tables, tick: Tables.Tick, pace: Messages.StreamPace): void {
   const { limiter } = tables
-  if (pace.gapCount < MIN_GAP_COUNT) {
-    if (limiter.paces.tokenGap.baselineMs > 0 && pace.quietMs > 0) watchQuiet(tables, tick, pace.quietMs)
-    return
-  }
-  const verdict = sample(tables, tick, 'tokenGap', Math.max(pace.gapSumMs / pace.gapCount, pace.quietMs / 2))
+  if (Limiter.isQuiet(limiter, pace.quietMs, QUIET_GAP_COUNT)) Limiter.hold(limiter)
+  if (pace.gapCount === 0) return
+  const verdict = sample(tables, tick, 'tokenGap', pace.gapSumMs / pace.gapCount)
   if (verdict === 'near' && tables.attempts.runningCount() >= limiter.limitCount) grow(tables, tick)
 }
 
-/** Streams that are quiet for longer than the warm pace allows count as slow. */
-function watchQuiet (tables: Tables.Tables, tick: Tables.Tick, quietMs: number): void {
-  const baselineMs = tables.limiter.paces.tokenGap.baselineMs
-  if (quietMs > baselineMs * 3) sample(tables, tick, 'tokenGap', quietMs)
-}
-
 function sample (tables: Tables.Tables, tick: Tables.Tick, kind: Limiter.PaceKind, valueMs: number): Limiter.PaceVerdict {
   if (tables.endpoint.coldReported) return 'unsure'
   const before = tables.limiter.limitCount
--- a/src/gateway/budgets.ts
+++ b/src/gateway/budgets.ts
@@ -13,6 +13,8 @@
   deposit: (workspace: string) => void
   /** Takes a token for a repeat out of the workspace's and the gateway's bucket, if both have one. */
   withdraw: (workspace: string, nowMs: number) => boolean
+  /** Takes a token out of the gateway's bucket alone, for a repeat that no workspace is to blame for. */
+  withdrawShared: (nowMs: number) => boolean
 }
 
 interface Bucket {
@@ -58,6 +60,12 @@
       bucket.tokenCount--
       gateway.tokenCount--
       return true
+    },
+    withdrawShared: nowMs => {
+      refill(gateway, MAX_GATEWAY_TOKEN_COUNT, nowMs)
+      if (gateway.tokenCount < 1) return false
+      gateway.tokenCount--
+      return true
     }
   }
 }
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -86,7 +86,7 @@
   const local = spare.filter(endpoint => endpoint.zone === tables.identity.zone)
   if (local.length > 0) return lessLoaded(random, local, 'less loaded of two in the zone')
   if (spare.length > 0) return lessLoaded(random, spare, 'spills over: no endpoint of the zone has room')
-  return lessLoaded(random, usable, 'every endpoint is full')
+  return leastOccupied(random, row, usable)
 }
 
 /**
@@ -118,6 +118,13 @@
     .sort((a, b) => spareOf(b) - spareOf(a))[0]
 }
 
+/** With every endpoint full, a workspace's calls are spread so that each waits in a short queue of its own. */
+function leastOccupied (random: Core.Random.Random, row: Tables.CallRow, usable: readonly Tables.EndpointRow[]): Choice | undefined {
+  const occupied = (endpoint: Tables.EndpointRow): number => endpoint.outstandingCounts.get(row.call.workspace) ?? 0
+  const fewest = Math.min(...usable.map(occupied))
+  return lessLoaded(random, usable.filter(endpoint => occupied(endpoint) === fewest), 'every endpoint is full; the workspace has the fewest calls here')
+}
+
 function lessLoaded (random: Core.Random.Random, candidates: readonly Tables.EndpointRow[], reason: string): Choice | undefined {
   const first = candidates[random.below(candidates.length)]
   const second = candidates[random.below(candidates.length)]
--- a/src/gateway/finish.ts
+++ b/src/gateway/finish.ts
@@ -95,7 +95,7 @@
  * @param row - The call.
  */
 export function clearAttempt (tables: Tables.Tables, row: Tables.CallRow): void {
-  if (row.current !== undefined && row.state !== 'claiming') release(tables, row.current)
+  if (row.current !== undefined && row.state !== 'claiming') release(tables, row.current, row.call.workspace)
   row.current = undefined
 }
 
@@ -104,10 +104,26 @@
  *
  * @param tables - The gateway's tables.
  * @param attempt - The attempt.
+ * @param workspace - The call's workspace.
  */
-export function release (tables: Tables.Tables, attempt: Tables.CurrentAttempt): void {
+export function release (tables: Tables.Tables, attempt: Tables.CurrentAttempt, workspace: string): void {
   const endpoint = tables.endpoints.get(attempt.endpointId)
-  if (endpoint !== undefined) endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+  if (endpoint === undefined) return
+  endpoint.outstandingCount = Math.max(0, endpoint.outstandingCount - 1)
+  const count = (endpoint.outstandingCounts.get(workspace) ?? 0) - 1
+  if (count > 0) endpoint.outstandingCounts.set(workspace, count)
+  else endpoint.outstandingCounts.delete(workspace)
+}
+
+/**
+ * Counts an attempt as under way at its endpoint.
+ *
+ * @param endpoint - The endpoint.
+ * @param workspace - The call's workspace.
+ */
+export function occupy (endpoint: Tables.EndpointRow, workspace: string): void {
+  endpoint.outstandingCount++
+  endpoint.outstandingCounts.set(workspace, (endpoint.outstandingCounts.get(workspace) ?? 0) + 1)
 }
 
 function tell (tick: Tables.Tick, row: Tables.CallRow, code: Core.Codes.CodeName, details: FinishDetails): void {
@@ -121,7 +137,7 @@
   if (row.state === 'claiming') tick.emit({ kind: 'abandonClaim', callId: row.call.callId })
   else if (row.openAttempts.size === 0) ClaimRecords.release(tables, tick, row)
   const { callId } = row.call
-  if (row.hedge !== undefined) release(tables, row.hedge)
+  if (row.hedge !== undefined) release(tables, row.hedge, row.call.workspace)
   row.hedge = undefined
   clearAttempt(tables, row)
   tables.calls.remove(callId)
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -190,7 +190,7 @@
   if (end.run === 'notRun') row.openAttempts.delete(hedge.attemptId)
   row.refusedBy.add(hedge.endpointId)
   row.hedge = undefined
-  Finish.release(tables, hedge)
+  Finish.release(tables, hedge, row.call.workspace)
 }
 
 type DeadlineHandler = (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow) => void
--- a/src/gateway/systems/endpoints.ts
+++ b/src/gateway/systems/endpoints.ts
@@ -81,6 +81,7 @@
       failureCount: 0,
       ejectionCount: 0,
       outstandingCount: 0,
+      outstandingCounts: new Map(),
       avoidUntilMs: 0
     })
   }
--- a/src/gateway/systems/hedging.ts
+++ b/src/gateway/systems/hedging.ts
@@ -65,7 +65,7 @@
   const loser = row.hedge?.attemptId === attemptId ? row.current : row.hedge
   if (row.hedge?.attemptId === attemptId) row.current = row.hedge
   row.hedge = undefined
-  if (loser !== undefined) Finish.release(tables, loser)
+  if (loser !== undefined) Finish.release(tables, loser, row.call.workspace)
 }
 
 function learn (tables: Tables.Tables, service: string, valueMs: number): void {
--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -27,6 +27,9 @@
 /** Ends that say nothing of load: a repeat elsewhere takes nothing out of the retry budget. */
 const FREE_CODES: ReadonlySet<Core.Codes.CodeName> = new Set(['draining', 'staleIncarnation', 'modelNotLoaded'])
 
+/** Ends that the workspace's own calls may have caused by being many. */
+const LOAD_CODES: ReadonlySet<Core.Codes.CodeName> = new Set(['overShare', 'overCapacity'])
+
 /** Routes calls that wait. */
 export const routingSystem: Tables.System = {
   name: 'routing',
@@ -109,7 +112,7 @@
   const { endpointId } = endpoint
   attempt.expiresAtMs ??= Clocks.expiryOf(tables, tick, row, attempt)
   row.openAttempts.add(attempt.attemptId)
-  endpoint.outstandingCount++
+  Finish.occupy(endpoint, call.workspace)
   const drained = !Choice.takesNewWork(tables, endpoint)
   tick.check('drainedZone', !drained, () => ({ callId: call.callId, endpointId, zone: endpoint.zone }))
   tick.check('leavingEndpoint', endpoint.listedState !== 'leaving', () => ({ callId: call.callId, endpointId }))
@@ -156,7 +159,7 @@
   const fresh = again === undefined ? usable.filter(endpoint => !row.refusedBy.has(endpoint.endpointId)) : [again]
   const choice = Choice.choose(tables, tick.random, row, fresh)
   if (choice === undefined) { backOff(tables, tick, row); return }
-  if (!mayRepeat(tables, tick, row, choice.endpoint)) { refuse(tables, tick, row); return }
+  if (!mayRepeat(tables, tick, row)) { refuse(tables, tick, row); return }
   const { endpoint, candidateCount, reason } = choice
   row.attemptCount++
   row.current = attemptAt(tables, endpoint)
@@ -168,12 +171,11 @@
   row.again = undefined
 }
 
-/** The first attempt is free; a repeat needs an endpoint that seems to have room, and the budget. */
-function mayRepeat (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, endpoint: Tables.EndpointRow): boolean {
+/** The first attempt is free; a repeat after a refusal takes from the workspace's budget, one after a failure from the gateway's. */
+function mayRepeat (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): boolean {
   const end = row.lastEnd
   if (row.attemptCount === 0 || end === undefined || FREE_CODES.has(end.code)) return true
-  if (end.code === 'overShare' && Choice.spareOf(endpoint) <= 0) return false
-  return tables.budgets.withdraw(row.call.workspace, tick.nowMs)
+  return LOAD_CODES.has(end.code) ? tables.budgets.withdraw(row.call.workspace, tick.nowMs) : tables.budgets.withdrawShared(tick.nowMs)
 }
 
 /** Waits a little for an endpoint when there was one, or when a begun stream has to go on. */
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -34,6 +34,8 @@
   ejectionCount: number
   /** Attempts of this gateway that are not finished. */
   outstandingCount: number
+  /** The same for each workspace that has any. */
+  readonly outstandingCounts: Map<string, number>
   /** Time until which the endpoint is not chosen, in milliseconds. */
   avoidUntilMs: number
 }
