--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -111,11 +111,6 @@
   return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
 }
 
-/** Whether the call is meant for a version that the endpoint does not hold, or no longer holds. */
-function isOtherVersion (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope): boolean {
-  return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
-}
-
 /** Refuses at once what waits at an endpoint that can no longer run it, and what waited past its deadline. */
 function shed (tables: Tables.Tables, tick: Tables.Tick): void {
   if (tables.attempts.queuedCount() === 0) return
@@ -125,7 +120,6 @@
       if (state === 'draining') refuseAttempt(tables, tick, envelope, 'draining', 'The endpoint is leaving.')
       else if (state !== 'live') refuseAttempt(tables, tick, envelope, 'noEndpoint', `The endpoint is ${state}.`)
       else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'} now.`)
-      else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`)
       else if (tick.nowMs >= deadlineMs) refuseAttempt(tables, tick, envelope, 'deadlinePassed', 'The deadline passed in the queue.')
     }
   }
