--- a/tools/scenarios/stage.ts
+++ b/tools/scenarios/stage.ts
@@ -46,7 +46,7 @@
   'poison-prompts': value => value > 0 ? ({ engine: { poison: 'poison' } }) : {},
   'work-ms': value => ({ plain: { workMs: value } }),
   'list-lag-ms': value => ({ instanceLagMs: value }),
-  'corrupt-share': value => ({ originCorruptShare: value }),
+  'corrupt-share': value => ({ origin: { corruptShare: value } }),
   'origin-bytes-per-second': value => ({ originBytesPerSecond: value }),
   'weight-bytes': value => ({ weightSizeBytes: value, chunkSizeBytes: Math.max(1, Math.ceil(value / 16)) })
 }
