--- a/tools/soak/worlds/agent.ts
+++ b/tools/soak/worlds/agent.ts
@@ -58,6 +58,7 @@
   let knownVersion: string | undefined
   let wholeSinceStart = 0
   let corruptedCount = 0
+  let stalledUntilMs = 0
 
   const adopt = (document: Schemas.Control.Document): void => {
     if (held.adopt(document)) agent.push({ kind: 'document', document })
@@ -92,6 +93,11 @@
   const pushWeights = (input: Weights.Messages.Input): void => { agent.push({ kind: 'weights', input }) }
   const endChunk = (command: Extract<Weights.Messages.Command, { kind: 'fetchChunk' }>): void => {
     const { fetchId, digest, chunkDigest } = command
+    if (time.nowMs() < stalledUntilMs) {
+      harness.met('linkStall')
+      pushWeights({ kind: 'chunkFetched', fetchId, chunkDigest, ending: 'stalled', sizeBytes: 0 })
+      return
+    }
     if (corruptedCount > 0) {
       corruptedCount--
       harness.met('corruptedChunk')
@@ -130,7 +136,10 @@
     time.after(LOAD_MS, () => {
       const incarnation = endpoint.loadReport()?.incarnation
       const whole = model === undefined || chunksOf(model.digest).every(chunk => taken.has(`${String(incarnation)} ${chunk}`))
-      if (whole) endpoint.load(model)
+      if (whole) {
+        endpoint.load(model)
+        knownVersion = model?.version
+      }
       agent.push({ kind: 'orderAnswered', order: given, answer: whole ? 'accepted' : 'notWhole' })
     })
   }
@@ -231,6 +240,7 @@
         harness.met('instanceDeath')
         crash()
       },
+      linkStall: amount => { stalledUntilMs = time.nowMs() + amount * 20 },
       corruptedChunk: amount => { corruptedCount += 1 + amount % 4 },
       poisonCall: amount => { offer(amount, { path: '/poison', digest: Core.Hash.sha256('poison') }) },
       silentConnection: amount => {
