--- /dev/null
+++ b/tools/mutants/guards.ts
@@ -0,0 +1,294 @@
+/**
+ * The guards that the mutation run takes out, one at a time, and the checks that must miss each.
+ *
+ * @packageDocumentation
+ */
+
+/** A check: a soak of one world, or a test file. */
+export type Check =
+  | { readonly kind: 'soak', readonly world: string }
+  | { readonly kind: 'test', readonly file: string }
+
+/** A guard and how it is taken out. */
+export interface Guard {
+  readonly name: string
+  readonly file: string
+  /** The guard's text; it stands in the file exactly once. */
+  readonly text: string
+  readonly replacement: string
+  /** Tried in order until one fails. */
+  readonly checks: readonly Check[]
+}
+
+const soak = (world: string): Check => ({ kind: 'soak', world })
+const test = (name: string): Check => ({ kind: 'test', file: `test/${name}.test.ts` })
+
+/** Every guard. */
+export const GUARDS: readonly Guard[] = [
+  {
+    name: 'limit',
+    file: 'src/agent/systems/admission.ts',
+    text: 'attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)',
+    replacement: 'true',
+    checks: [soak('agent')]
+  },
+  {
+    name: 'start at one call',
+    file: 'src/agent/limiter.ts',
+    text: '    limitCount: 1,\n    ceilingCount: 1,\n    phase: \'cold\',',
+    replacement: '    limitCount: 4,\n    ceilingCount: 4,\n    phase: \'warm\',',
+    checks: [soak('agent')]
+  },
+  {
+    name: 'incarnation of the agent',
+    file: 'src/agent/systems/admission.ts',
+    text: 'envelope.agentIncarnation !== tables.identity.incarnation',
+    replacement: 'false',
+    checks: [soak('agent'), soak('claims')]
+  },
+  {
+    name: 'fenced attempt',
+    file: 'src/agent/systems/admission.ts',
+    text: 'if (tables.finished.has(envelope.attemptId)) {',
+    replacement: 'if (false) {',
+    checks: [soak('claims'), soak('agent'), test('fencing')]
+  },
+  {
+    name: 'drain at the agent',
+    file: 'src/agent/systems/admission.ts',
+    text: "  if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }\n  if (state !== 'live') {",
+    replacement: "  if (state !== 'live' && state !== 'draining') {",
+    checks: [soak('agent'), test('drain')]
+  },
+  {
+    name: 'model version at the offer',
+    file: 'src/agent/systems/admission.ts',
+    text: "if (isOtherVersion(tables, envelope)) { refuse('modelNotLoaded'",
+    replacement: "if (false) { refuse('modelNotLoaded'",
+    checks: [soak('agent')]
+  },
+  {
+    name: 'model version in the queue',
+    file: 'src/agent/systems/admission.ts',
+    text: 'else if (isOtherVersion(tables, envelope))',
+    replacement: 'else if (false)',
+    checks: [soak('agent')]
+  },
+  {
+    name: 'deadline in the queue',
+    file: 'src/agent/systems/admission.ts',
+    text: 'else if (tick.nowMs >= deadlineMs)',
+    replacement: 'else if (false)',
+    checks: [soak('agent')]
+  },
+  {
+    name: 'promise never to run',
+    file: 'src/agent/systems/fencing.ts',
+    text: "if (tick.nowMs < expiresAtMs) set(tables, { attemptId, state: 'fenced', outcome: undefined, finishedAtMs: tick.nowMs, expiresAtMs })",
+    replacement: '',
+    checks: [test('fencing'), soak('claims')]
+  },
+  {
+    name: 'incarnation in a question',
+    file: 'src/agent/systems/fencing.ts',
+    text: "if (question.agentIncarnation !== tables.identity.incarnation) return { state: 'unknown' }",
+    replacement: '',
+    checks: [soak('claims'), test('fencing')]
+  },
+  {
+    name: 'whole weights before a load',
+    file: 'src/agent/systems/placement.ts',
+    text: "return areWhole(tables, [model, ...adapters]) ? { kind: 'load'",
+    replacement: "return true ? { kind: 'load'",
+    checks: [soak('agent')]
+  },
+  {
+    name: 'fencing number of a plan',
+    file: 'src/agent/systems/placement.ts',
+    text: 'plan.fencingNumber < tables.fencingNumber',
+    replacement: 'false',
+    checks: [soak('agent')]
+  },
+  {
+    name: 'answer of another call or version',
+    file: 'src/agent/answers.ts',
+    text: 'version !== undefined && envelope.modelVersion !== undefined && version !== envelope.modelVersion',
+    replacement: 'false',
+    checks: [test('proof.guards')]
+  },
+  {
+    name: 'digest of a chunk',
+    file: 'src/weights/edge/chunkClient.ts',
+    text: "hash.digest('hex') === request.chunkDigest",
+    replacement: 'true',
+    checks: [test('weights.edge')]
+  },
+  {
+    name: 'digest of the whole',
+    file: 'src/weights/systems/delivery.ts',
+    text: 'set.wholeMatches !== true || ',
+    replacement: '',
+    checks: [test('weights.swarm'), soak('agent'), test('weights.edge')]
+  },
+  {
+    name: 'attempt of an end',
+    file: 'src/gateway/systems/calls.ts',
+    text: 'if (row?.current?.attemptId !== input.attemptId) continue',
+    replacement: 'if (row?.current === undefined) continue',
+    checks: [soak('gateway')]
+  },
+  {
+    name: 'attempt of progress',
+    file: 'src/gateway/systems/calls.ts',
+    text: '  row.pinnedVersion = row.current.modelVersion\n',
+    replacement: '',
+    checks: [soak('gateway')]
+  },
+  {
+    name: 'repeat of what may not run twice',
+    file: 'src/gateway/systems/calls.ts',
+    text: '    if (row.idempotent) followOn(tables, tick, row)\n    else Asking.askOwn(tick, row)',
+    replacement: '    followOn(tables, tick, row)',
+    checks: [soak('claims')]
+  },
+  {
+    name: 'drain at the gateway',
+    file: 'src/gateway/choice.ts',
+    text: ' && !Control.Documents.isDrained(tables.held.drains(), endpoint.endpointId, endpoint.zone)',
+    replacement: '',
+    checks: [soak('gateway')]
+  },
+  {
+    name: 'leaving endpoint',
+    file: 'src/gateway/choice.ts',
+    text: "endpoint.listedState !== 'leaving' && ",
+    replacement: '',
+    checks: [soak('gateway')]
+  },
+  {
+    name: 'pinned version of a stream',
+    file: 'src/gateway/choice.ts',
+    text: 'return row.pinnedVersion === undefined || report.modelVersion === row.pinnedVersion',
+    replacement: 'return true',
+    checks: [soak('gateway')]
+  },
+  {
+    name: 'quarantine at the gateway',
+    file: 'src/gateway/systems/calls.ts',
+    text: 'if (Suspicion.isQuarantined(tables, call.digest)) {',
+    replacement: 'if (false) {',
+    checks: [test('proof.guards')]
+  },
+  {
+    name: 'truth of a refusal',
+    file: 'src/gateway/systems/routing.ts',
+    text: 'const code = row.openAttempts.size > 0 || row.nextIndex > 0 ? unknownCode : toldCode',
+    replacement: 'const code = toldCode',
+    checks: [soak('gateway'), soak('claims')]
+  },
+  {
+    name: 'key conflict',
+    file: 'src/gateway/systems/claims.ts',
+    text: 'if (record.digest !== row.call.digest) {',
+    replacement: 'if (false) {',
+    checks: [soak('claims')]
+  },
+  {
+    name: 'held claim',
+    file: 'src/gateway/claimWriter.ts',
+    text: "answer(job, { kind: 'held', revision: row.revision, record: record.value })",
+    replacement: "answer(job, { kind: 'granted', revision: row.revision, record: job.record })",
+    checks: [soak('claims'), test('claim-writer')]
+  },
+  {
+    name: 'nonce of a claim read back',
+    file: 'src/gateway/claimWriter.ts',
+    text: 'if (record.value.nonce === job.record.nonce) {',
+    replacement: 'if (record.value.digest === job.record.digest) {',
+    checks: [test('claim-writer'), soak('claims')]
+  },
+  {
+    name: 'revision of a claim',
+    file: 'src/gateway/claimWriter.ts',
+    text: 'conditions: batch.map(job => ({ table: CLAIM_TABLE, key: job.write.claimKey, revision: job.revision })),',
+    replacement: 'conditions: [],',
+    checks: [soak('claims'), test('claim-writer')]
+  },
+  {
+    name: 'versions rise where held',
+    file: 'src/control/documents.ts',
+    text: 'if (document.version <= versionOf(document.kind)) return false',
+    replacement: '',
+    checks: [soak('control')]
+  },
+  {
+    name: 'revision of a commit',
+    file: 'src/control/commits.ts',
+    text: '{ table: CONTROL_TABLE, key: change.kind, revision }, ',
+    replacement: '',
+    checks: [soak('control')]
+  },
+  {
+    name: 'expected version of a commit',
+    file: 'src/control/commits.ts',
+    text: 'if (change.expectedVersion !== undefined && change.expectedVersion !== version) return Neverthrow.err(conflict(change, row))',
+    replacement: '',
+    checks: [test('commits'), soak('control')]
+  },
+  {
+    name: 'lease lapsed under its holder',
+    file: 'src/control/lease.ts',
+    text: 'grant !== undefined && options.clock() < grant.validUntilMs ? grant : undefined',
+    replacement: 'grant',
+    checks: [soak('control')]
+  },
+  {
+    name: 'lease taken over too early',
+    file: 'src/control/lease.ts',
+    text: 'if (options.clock() - seen.sinceMs >= record.value.durationMs) ',
+    replacement: '',
+    checks: [soak('control'), test('lease')]
+  },
+  {
+    name: 'validity counted from before the write',
+    file: 'src/control/lease.ts',
+    text: 'validUntilMs: startedMs + options.durationMs }',
+    replacement: 'validUntilMs: options.clock() + options.durationMs }',
+    checks: [soak('control'), test('lease')]
+  },
+  {
+    name: 'fencing number of a lease rises',
+    file: 'src/control/lease.ts',
+    text: 'record.value.fencingNumber + 1)',
+    replacement: 'record.value.fencingNumber)',
+    checks: [test('lease'), soak('control')]
+  },
+  {
+    name: 'plan under its lease',
+    file: 'src/control/placementHolder.ts',
+    text: 'conditions: [{ table: Lease.LEASE_TABLE, key: PLACEMENT_LEASE, revision: grant.revision }]',
+    replacement: 'conditions: []',
+    checks: [soak('control')]
+  },
+  {
+    name: 'end mark of a stream',
+    file: 'src/gateway/streams.ts',
+    text: "incoming.on('end', () => { finish('The stream ended without its end mark.') })",
+    replacement: "incoming.on('end', () => { finish(undefined) })",
+    checks: [test('proof.guards')]
+  },
+  {
+    name: 'token in its place',
+    file: 'src/gateway/streams.ts',
+    text: "if (index !== exchange.nextIndex) { finish('A token is missing.'); return }",
+    replacement: '',
+    checks: [test('proof.guards')]
+  },
+  {
+    name: 'version of the end mark',
+    file: 'src/gateway/streams.ts',
+    text: 'mark.modelVersion !== undefined && exchange.version !== undefined && mark.modelVersion !== exchange.version',
+    replacement: 'false',
+    checks: [test('proof.guards')]
+  }
+]
