Send calls that must not run twice over connections of their own to the endpoint

Cause: an endpoint that closes an idle pooled connection just when a call is sent on it makes the outcome unknown; saves of a long outage would have stood before new claims; clock rows of endpoints that are gone were kept; the process test sent its first call before its gateway had seen an endpoint (3 of 4 runs failed on a busy machine). Change: covered calls open their own connection to the endpoint beside the agent; claims go first in a transaction; clock rows follow the endpoints; the test waits until each gateway serves.

--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -157,7 +157,8 @@
       port: options.endpoint.port,
       method: envelope.method,
       path: envelope.path,
-      agent: Edge.HttpClient.pool,
+      // A pooled connection that the endpoint has just closed would make the outcome unknown.
+      agent: Fencing.isCovered(envelope) ? false : Edge.HttpClient.pool,
       headers: {
         'content-type': envelope.contentType ?? 'application/json',
         'content-length': body.length,
--- a/src/gateway/claimJobs.ts
+++ b/src/gateway/claimJobs.ts
@@ -46,7 +46,8 @@
 }
 
 /**
- * Picks the jobs of the next transaction: the oldest ones, one for each key that is not busy.
+ * Picks the jobs of the next transaction: claims, then the rest, the oldest first, one for each key
+ * that is not busy.
  *
  * @param jobs - All jobs, the oldest first.
  * @param uncertain - Whether to pick those whose last transaction had no answer.
@@ -56,7 +57,7 @@
   const batch: Job[] = []
   const keys = new Set([...jobs].filter(job => job.busy).map(job => job.write.claimKey))
   let sizeBytes = 0
-  for (const job of jobs) {
+  for (const job of [...jobs].sort(claimsFirst)) {
     if (batch.length >= MAX_BATCH_COUNT) break
     const { claimKey } = job.write
     const taken = keys.has(claimKey)
@@ -91,3 +92,8 @@
   const expiresAtMs = Math.max(...claims.map(job => job.record.expiresAtMs))
   return [{ table: EXPIRY_TABLE, key: `${bucketOf(expiresAtMs)}/${makeId()}`, value: { claimKeys: claims.map(job => job.write.claimKey) } }]
 }
+
+/** Callers wait for claims, and nobody waits for saves. */
+function claimsFirst (a: Job, b: Job): number {
+  return Number(b.write.kind === 'claim') - Number(a.write.kind === 'claim')
+}
--- a/src/gateway/systems/clocks.ts
+++ b/src/gateway/systems/clocks.ts
@@ -16,7 +16,7 @@
   name: 'clocks',
   run: (tables, tick) => {
     for (const input of tick.inputs) {
-      if (input.kind === 'instances' && tables.firstListedAtMs === undefined) tables.firstListedAtMs = tick.nowMs
+      if (input.kind === 'instances') listed(tables, tick)
       if (input.kind === 'report' && input.report?.clockMs !== undefined) note(tables, input.endpointId, input.report.incarnation, input.report.clockMs - tick.nowMs)
     }
   }
@@ -37,6 +37,11 @@
   return Math.round(tick.nowMs + clock.offsetMs + Math.max(0, row.deadlineMs - tick.nowMs) + SLACK_MS)
 }
 
+function listed (tables: Tables.Tables, tick: Tables.Tick): void {
+  tables.firstListedAtMs ??= tick.nowMs
+  for (const endpointId of [...tables.clocks.keys()]) if (!tables.endpoints.has(endpointId)) tables.clocks.remove(endpointId)
+}
+
 function note (tables: Tables.Tables, endpointId: string, incarnation: string, offsetMs: number): void {
   const known = tables.clocks.get(endpointId)
   const best = known?.incarnation === incarnation ? Math.max(known.offsetMs, offsetMs) : offsetMs
--- a/test/keyed-calls.test.ts
+++ b/test/keyed-calls.test.ts
@@ -29,6 +29,7 @@
     deployment = await TestKit.Deployment.createDeployment({ shape: SHAPE, plain: { workMs: WORK_MS } })
     await deployment.commit(deployment.makeManifest('v1', 1))
     await deployment.untilLive('v1', 20_000)
+    for (const index of [0, 1, 2]) await TestKit.Wait.until(`gateway ${index} serves`, 10_000, async () => (await send(index, `first-${index}`)).status === 200)
   })
   after(async () => { await deployment.stop() })
 
