--- a/src/agent/index.ts
+++ b/src/agent/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as App from './app.ts'
+export * as Explain from './explain.ts'
 export * as Messages from './messages.ts'
 export * as Settings from './settings.ts'
 export * as Systems from './systems/index.ts'
--- a/src/agent/shares.ts
+++ b/src/agent/shares.ts
@@ -71,10 +71,11 @@
  *
  * @param tables - The agent's tables.
  * @param workspace - The workspace that offers an attempt.
- * @returns The newest queued attempt of the workspace whose turn is furthest off, or undefined when
- * that is the offering workspace itself.
+ * @param priority - The attempt's priority.
+ * @returns The newest queued attempt of the workspace whose turn is furthest off; when that is the
+ * offering workspace itself, an attempt of its own with less priority, or undefined.
  */
-export function pickEvicted (tables: Tables.Tables, workspace: string): Attempts.AttemptRow | undefined {
+export function pickEvicted (tables: Tables.Tables, workspace: string, priority: number): Attempts.AttemptRow | undefined {
   let latest: Attempts.WorkspaceRow | undefined
   let latestMs = turnOf(tables, tables.attempts.workspace(workspace), 1)
   for (const row of tables.attempts.workspaces()) {
@@ -82,7 +83,9 @@
     const turnMs = turnOf(tables, row, 0)
     if (turnMs > latestMs) { latest = row; latestMs = turnMs }
   }
-  return latest === undefined ? undefined : lastOf(latest)
+  if (latest !== undefined) return lastOf(latest)
+  const own = lastOf(tables.attempts.workspace(workspace))
+  return own !== undefined && own.envelope.priority < priority ? own : undefined
 }
 
 /**
@@ -134,12 +137,16 @@
  *
  * @param tables - The agent's tables.
  * @param workspace - The workspace.
+ * @param priority - The attempt's priority; what has less is not waited for.
  * @returns The wait in milliseconds.
  */
-export function waitMsOf (tables: Tables.Tables, workspace: string): number {
+export function waitMsOf (tables: Tables.Tables, workspace: string, priority = 0): number {
   const { attempts, endpoint, fairness } = tables
   if (attempts.runningCount() + attempts.queuedCount() < endpoint.limitCount) return 0
-  const aheadMs = turnOf(tables, attempts.workspace(workspace), 1) - fairness.virtualMs
+  const row = attempts.workspace(workspace)
+  let passedCount = 0
+  for (const attempt of row.queue.values()) if (attempt.envelope.priority < priority) passedCount++
+  const aheadMs = turnOf(tables, row, 1 - passedCount) - fairness.virtualMs
   return Math.max(fairness.meanServiceMs / endpoint.limitCount, aheadMs * activeWeight(tables, workspace) / endpoint.limitCount)
 }
 
@@ -168,8 +175,8 @@
   return Math.max(row.virtualMs, virtualMs - CREDIT_COUNT * meanServiceMs)
 }
 
-/** The virtual time at which the workspace's last queued attempt, or one more, would start. */
-function turnOf (tables: Tables.Tables, row: Attempts.WorkspaceRow, extraCount: 0 | 1): number {
+/** The virtual time at which the workspace's last queued attempt, or one so many places after it, would start. */
+function turnOf (tables: Tables.Tables, row: Attempts.WorkspaceRow, extraCount: number): number {
   const aheadCount = row.queue.size + extraCount - 1
   return clockOf(tables, row) + aheadCount * tables.fairness.meanServiceMs / weightOf(tables, row.workspace)
 }
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -66,7 +66,7 @@
 
 /** Finds a place in the queue, if need be from the workspace that is furthest over its share. */
 function makeRoom (tables: Tables.Tables, tick: Tables.Tick, envelope: Schemas.Calls.CallEnvelope, refuse: Refuse): boolean {
-  const waitMs = Shares.waitMsOf(tables, envelope.workspace)
+  const waitMs = Shares.waitMsOf(tables, envelope.workspace, envelope.priority)
   const code = codeOf(tables, envelope.workspace)
   if (waitMs > Math.min(envelope.timeLeftMs * MAX_WAIT_SHARE, code === 'overShare' ? MAX_OVER_SHARE_WAIT_MS : Infinity)) {
     refuse(code, `The wait would be ${Math.round(waitMs)} ms.`)
@@ -74,9 +74,9 @@
   }
   const queueLimit = Math.max(MIN_QUEUE_COUNT, tables.endpoint.limitCount * QUEUE_PER_LIMIT)
   if (tables.attempts.queuedCount() < queueLimit) return true
-  const evicted = Shares.pickEvicted(tables, envelope.workspace)
+  const evicted = Shares.pickEvicted(tables, envelope.workspace, envelope.priority)
   if (evicted === undefined) { refuse(code, 'The queue is full.'); return false }
-  refuseAttempt(tables, tick, evicted.envelope, 'overShare', `The place in the queue went to workspace ${envelope.workspace}, which is below its share.`)
+  refuseAttempt(tables, tick, evicted.envelope, 'overShare', evicted.envelope.workspace === envelope.workspace ? 'The place in the queue went to a call of the workspace with more priority.' : `The place in the queue went to workspace ${envelope.workspace}, which is below its share.`)
   return true
 }
 
--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * as Agents from './agents.ts'
 export * as Caller from './caller.ts'
 export * as Cpu from './cpu.ts'
 export * as Deployment from './deployment.ts'
