--- a/src/agent/procedures.ts
+++ b/src/agent/procedures.ts
@@ -11,6 +11,8 @@
 export interface ProcedureOptions {
   readonly node: Control.Node.ControlNode
   readonly report: () => Schemas.Control.AgentReport
+  /** Exchanges news of weights with a peer. */
+  readonly exchangeWeights: (request: Schemas.Weights.SwarmExchange) => Schemas.Weights.SwarmExchange
   readonly explain: () => Schemas.Explain.EndpointExplanation
   readonly fence: (question: Schemas.Calls.FenceQuestion) => Promise<Schemas.Calls.FenceAnswer>
 }
@@ -25,9 +27,10 @@
   return Edge.Rpc.router({
     report: Edge.Rpc.peerProcedure.mutation(() => options.report()),
     explain: Edge.Rpc.peerProcedure.mutation(() => options.explain()),
-    exchange: Edge.Rpc.peerProcedure
-      .input(Schemas.Decode.parser(Control.Node.ExchangeRequest))
-      .mutation(({ input }) => options.node.exchange(input)),
+    ...Control.Peers.createProcedures(options.node),
+    exchangeWeights: Edge.Rpc.peerProcedure
+      .input(Schemas.Decode.parser(Schemas.Weights.SwarmExchange))
+      .mutation(({ input }) => options.exchangeWeights(input)),
     fence: Edge.Rpc.peerProcedure
       .input(Schemas.Decode.parser(Schemas.Calls.FenceQuestion))
       .mutation(async ({ input }) => await options.fence(input))
--- a/src/agent/systems/index.ts
+++ b/src/agent/systems/index.ts
@@ -11,6 +11,7 @@
 import * as Fencing from './fencing.ts'
 import * as Limits from './limits.ts'
 import * as Placement from './placement.ts'
+import * as Weights from './weights.ts'
 import * as PrefixCache from './prefixCache.ts'
 
 /** The systems of an agent in the order in which they run. */
@@ -20,6 +21,7 @@
   Drain.drainSystem,
   Endpoint.endpointSystem,
   Limits.limitsSystem,
+  Weights.weightsSystem,
   Placement.placementSystem,
   Fencing.fencingSystem,
   Admission.admissionSystem
