--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -42,7 +42,7 @@
 
 function offer (tables: Tables.Tables, tick: Tables.Tick, offered: Schemas.Calls.CallEnvelope): void {
   if (offered.supersedes !== undefined) leave(tables, tick, offered.supersedes)
-  const entry = Control.Quarantines.entryOf(tables.held.quarantine(), offered.digest)
+  const entry = Control.Quarantines.entryInForce(tables.held.quarantine(), offered.digest, tables.wallClock)
   const envelope = entry?.suspect === true ? { ...offered, suspect: true } : offered
   const refuse: Refuse = (code, reason) => { refuseAttempt(tables, tick, envelope, code, reason) }
   const state = Tables.stateOf(tables)
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -106,6 +106,8 @@
   /** What the wanted weights were last derived from. */
   wantedFrom: string
   readonly endpoint: EndpointRow
+  /** Returns wall-clock time in milliseconds since 1970. */
+  readonly wallClock: () => number
   readonly limiter: Limiter.LimiterRow
   readonly fairness: Shares.FairnessRow
   /** What the endpoint reported last. */
@@ -138,10 +140,12 @@
  * @param identity - Who the agent is.
  * @param held - The documents it holds.
  * @param weights - The swarm's tables; unbounded and without sources unless given.
+ * @param wallClock - Returns wall-clock time in milliseconds since 1970.
  * @returns The tables.
  */
-export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights = createWeightTables(identity)): Tables {
+export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights = createWeightTables(identity), wallClock: () => number = Date.now): Tables {
   return {
+    wallClock,
     identity,
     held,
     attempts: Attempts.createAttemptTable(),
--- a/src/control/quarantines.ts
+++ b/src/control/quarantines.ts
@@ -34,6 +34,19 @@
   return index(quarantine).get(digest)
 }
 
+/**
+ * Finds the entry of a digest unless it has expired.
+ *
+ * @param quarantine - The document.
+ * @param digest - The call's digest.
+ * @param wallClock - Returns wall-clock time in milliseconds since 1970.
+ * @returns The entry, if there is one in force.
+ */
+export function entryInForce (quarantine: Schemas.Control.Quarantine, digest: string, wallClock: () => number): Schemas.Control.QuarantineEntry | undefined {
+  const entry = entryOf(quarantine, digest)
+  return entry !== undefined && entry.expiresAtMs > wallClock() ? entry : undefined
+}
+
 /**
  * Commits changes to the document.
  *
--- a/src/gateway/suspicion.ts
+++ b/src/gateway/suspicion.ts
@@ -26,8 +26,8 @@
  */
 export function isQuarantined (tables: Tables.Tables, digest: string): boolean {
   if (tables.suspects.get(digest)?.quarantined === true) return true
-  const entry = Control.Quarantines.entryOf(tables.held.quarantine(), digest)
-  return entry !== undefined && entry.suspect !== true && entry.expiresAtMs > tables.wallClock()
+  const entry = Control.Quarantines.entryInForce(tables.held.quarantine(), digest, tables.wallClock)
+  return entry !== undefined && entry.suspect !== true
 }
 
 /**
@@ -39,8 +39,7 @@
  */
 export function isSuspect (tables: Tables.Tables, digest: string): boolean {
   if (tables.suspects.has(digest)) return true
-  const entry = Control.Quarantines.entryOf(tables.held.quarantine(), digest)
-  return entry?.suspect === true && entry.expiresAtMs > tables.wallClock()
+  return Control.Quarantines.entryInForce(tables.held.quarantine(), digest, tables.wallClock)?.suspect === true
 }
 
 /**
