--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -46,6 +46,8 @@
   members: () => readonly Schemas.Membership.MemberReport[]
   /** Whether this process reads the store on behalf of its availability zone. */
   watches: () => boolean
+  /** Whether this gateway is one of the few that contend for the placement lease. */
+  contends: () => boolean
   /** Takes a document that was committed here; tells whether it was news. */
   adopt: (document: Schemas.Control.Document) => boolean
   /** Whether the process has learnt the newest manifest that it can learn. */
@@ -90,6 +92,7 @@
   const check = Core.Invariants.createCheck(options.violate)
   let instances: readonly Schemas.Platform.Instance[] = []
   let stopped = false
+  let contends = true
   const push = (input: Messages.Input): void => { loop.push(input) }
 
   const take = (document: Schemas.Control.Document, origin: Layout.Origin): boolean => {
@@ -137,6 +140,7 @@
   }
   const tellInstances = (): void => {
     instances = Tables.instancesOf(tables)
+    contends = Tables.isContender(tables)
     options.onInstances(instances)
   }
   const perform: Core.Loop.Handlers<Messages.Command> = {
@@ -160,6 +164,7 @@
     instances: () => instances,
     members: () => [...tables.members.rows()].map(row => reportOf(row, options.clock())),
     watches: () => Polls.isWatcher(tables, options.clock()),
+    contends: () => contends,
     adopt: document => take(document, 'operator'),
     ready: () => Tables.isReady(tables),
     announce: address => {
--- a/src/control/tables.ts
+++ b/src/control/tables.ts
@@ -125,6 +125,8 @@
 export type Tick = Core.Loop.Tick<Messages.Input, Messages.Command>
 
 const LAYOUT_MS = 1_000
+/** Gateways that contend for the placement lease. */
+const CONTENDER_COUNT = 5
 
 /**
  * Creates the tables of a process that knows nothing.
@@ -191,6 +193,18 @@
   return tables.self.place === undefined ? others : [...others, tables.self.place]
 }
 
+/**
+ * Tells whether a process is one of the few gateways that contend for the placement lease.
+ *
+ * @param tables - The tables.
+ * @returns Whether it contends.
+ */
+export function isContender (tables: Tables): boolean {
+  const others = [...tables.members.rows()].filter(row => row.place.kind === 'gateway' && row.state !== 'dead' && row.place.state === 'live')
+  const order = Core.Hash.rendezvous('placement', [tables.identity.instanceId, ...others.map(row => row.instanceId)])
+  return order.slice(0, CONTENDER_COUNT).includes(tables.identity.instanceId)
+}
+
 /**
  * Tells whether some versions are ahead of others in any kind.
  *
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -6,6 +6,7 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 import * as Zlib from 'node:zlib'
+import * as Traffic from './traffic.ts'
 
 /** A server to talk to. */
 export interface Target {
@@ -92,6 +93,7 @@
     })
     const fail = (message: string): void => {
       clearTimeout(timer)
+      Traffic.count(outgoing.socket, 'client', request.path)
       outgoing.destroy()
       reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
     }
@@ -110,6 +112,7 @@
       incoming.on('end', () => {
         if (!incoming.complete) { fail('answer cut short'); return }
         clearTimeout(timer)
+        Traffic.count(outgoing.socket, 'client', request.path)
         resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: Buffer.concat(parts) })
       })
     })
--- a/src/edge/httpServer.ts
+++ b/src/edge/httpServer.ts
@@ -7,6 +7,7 @@
 import type * as Net from 'node:net'
 import * as Neverthrow from 'neverthrow'
 import * as Core from '../core/index.ts'
+import * as Traffic from './traffic.ts'
 
 /** Handles one request. */
 export type Handler = (request: Http.IncomingMessage, response: Http.ServerResponse, path: string) => void | Promise<void>
@@ -39,6 +40,8 @@
 }
 
 const KEEP_ALIVE_MS = 30_000
+/** Stands for the paths of callers where bytes are counted. */
+const CALLS_PATH = '/calls'
 
 /**
  * Starts a server.
@@ -161,6 +164,7 @@
   const handle = route?.handle ?? options.fallback
   request.on('error', () => {})
   response.on('error', () => {})
+  response.once('close', () => { Traffic.count(request.socket, 'server', route === undefined ? CALLS_PATH : path) })
   if (handle === undefined) { sendCode(response, 'routeUnknown'); return }
   try {
     await handle(request, response, path)
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -5,6 +5,7 @@
  */
 import * as Prom from 'prom-client'
 import * as HttpServer from './httpServer.ts'
+import * as Traffic from './traffic.ts'
 
 /** The metrics of a process. */
 export interface Metrics {
@@ -36,7 +37,13 @@
     known.set(name, metric)
     return metric
   }
-  return {
+  const setTraffic = (): void => {
+    for (const { side, path, receivedBytes, sentBytes } of Traffic.rows()) {
+      metrics.gauge('http_bytes', receivedBytes, { side, path, direction: 'received' })
+      metrics.gauge('http_bytes', sentBytes, { side, path, direction: 'sent' })
+    }
+  }
+  const metrics: Metrics = {
     count: (name, labels = {}, amount = 1) => { find(counters, name, () => new Prom.Counter(options(name, labels))).inc(labels, amount) },
     gauge: (name, value, labels = {}) => { find(gauges, name, () => new Prom.Gauge(options(name, labels))).set(labels, value) },
     observeSeconds: (name, seconds, labels = {}) => {
@@ -46,9 +53,11 @@
       method: 'GET',
       path: '/metrics',
       handle: async (_request, response) => {
+        setTraffic()
         response.writeHead(200, { 'content-type': registry.contentType })
         response.end(await registry.metrics())
       }
     }
   }
+  return metrics
 }
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -181,7 +181,7 @@
   })
   let holding = false
   const holderTimer = setInterval(() => {
-    if (holding) return
+    if (holding || !node.contends()) return
     holding = true
     void holder.poll().finally(() => { holding = false })
   }, Math.min(settings.pollMs, settings.leaseDurationMs / 3))
