--- a/bench/config.ts
+++ b/bench/config.ts
@@ -154,6 +154,7 @@
     await fleet.deployment.restartAgent(runner)
     follow(fleet, lives)
     const waitedMs = await TestKit.Wait.until('ready without the store', FORCE_LIMIT_MS, async () => await Fleet.isReady(runner.agent))
+    await TestKit.Wait.until('the line that tells what was learnt', FORCE_LIMIT_MS, () => lives.get(runner.agent)?.learntVersion !== undefined)
     results.push({ seconds: round(waitedMs / 1_000), version: lives.get(runner.agent)?.learntVersion ?? 0 })
   }
   return results
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -38,7 +38,8 @@
     return metric
   }
   const setTraffic = (): void => {
-    for (const { side, path, receivedBytes, sentBytes } of Traffic.rows()) {
+    for (const { side, path, receivedBytes, sentBytes, exchangeCount } of Traffic.rows()) {
+      metrics.gauge('http_exchanges', exchangeCount, { side, path })
       metrics.gauge('http_bytes', receivedBytes, { side, path, direction: 'received' })
       metrics.gauge('http_bytes', sentBytes, { side, path, direction: 'sent' })
     }
