--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -41,14 +41,6 @@
   nowMs: number
 }
 
-/** Weights that the agent collects. */
-export interface WeightsRow {
-  readonly digest: string
-  heldCount: number
-  wantedCount: number
-  whole: boolean
-}
-
 /** The endpoint beside the agent. */
 export interface EndpointRow {
   incarnation: string
@@ -56,14 +48,22 @@
   modelName: string | undefined
   modelVersion: string | undefined
   modelDigest: string | undefined
+  adapterDigests: readonly string[]
   role: Schemas.Manifest.Role
   coldReported: boolean
   limitCount: number
   /** The limit while the endpoint is warm. */
   warmLimitCount: number
   lastSeenMs: number
+  /** An order is on its way; the next one waits for its answer. */
   orderPending: boolean
   orderedAtMs: number
+  /** When the last order was answered; what the endpoint told before it is out of date. */
+  answeredAtMs: number
+  /** The next order waits until then. */
+  orderAfterMs: number
+  /** Since when admission waits for the endpoint's switch to another version; undefined for no switch. */
+  switchingSinceMs: number | undefined
 }
 
 /** A crash of the endpoint and the calls that it ran. */
@@ -101,7 +101,9 @@
   /** Kept answers, the oldest first. */
   readonly keptAnswers: Core.Table.Table<KeptAnswerRow>
   readonly memory: Memory
-  readonly weights: Core.Table.Table<WeightsRow>
+  readonly weights: Weights.Tables.Tables
+  /** What the wanted weights were last derived from. */
+  wantedFrom: string
   readonly endpoint: EndpointRow
   readonly limiter: Limiter.LimiterRow
   readonly fairness: Shares.FairnessRow
@@ -134,9 +136,10 @@
  *
  * @param identity - Who the agent is.
  * @param held - The documents it holds.
+ * @param weights - The swarm's tables; unbounded and without sources unless given.
  * @returns The tables.
  */
-export function createTables (identity: AgentIdentity, held: Control.Documents.Held): Tables {
+export function createTables (identity: AgentIdentity, held: Control.Documents.Held, weights = createWeightTables(identity)): Tables {
   return {
     identity,
     held,
@@ -144,20 +147,25 @@
     finished: Core.Table.createTable('finished'),
     keptAnswers: Core.Table.createTable('keptAnswers'),
     memory: { keptBytes: 0, forgottenBeforeMs: -Infinity, sweepAtMs: 0, nowMs: 0 },
-    weights: Core.Table.createTable('weights'),
+    weights,
+    wantedFrom: '',
     endpoint: {
       incarnation: '',
       reachable: false,
       modelName: undefined,
       modelVersion: undefined,
       modelDigest: undefined,
+      adapterDigests: [],
       role: 'mixed',
       coldReported: false,
       limitCount: 1,
       warmLimitCount: 1,
       lastSeenMs: 0,
       orderPending: false,
-      orderedAtMs: 0
+      orderedAtMs: 0,
+      answeredAtMs: -Infinity,
+      orderAfterMs: 0,
+      switchingSinceMs: undefined
     },
     limiter: Limiter.createLimiter(),
     fairness: { virtualMs: 0, meanServiceMs: 0 },
@@ -231,9 +239,10 @@
   const activeCount = runningCount(tables)
   let heldChunkCount = 0
   let wantedChunkCount = 0
-  for (const row of tables.weights.rows()) {
-    heldChunkCount += row.heldCount
-    wantedChunkCount += row.wantedCount
+  for (const { wanted, chunks } of tables.weights.sets.rows()) {
+    if (!wanted || chunks === undefined) continue
+    heldChunkCount += Weights.Bitmap.count(chunks.delivered)
+    wantedChunkCount += chunks.delivered.sizeCount
   }
   return {
     instanceId: identity.instanceId,
@@ -257,3 +266,7 @@
     ...(tables.prefixCache.keys.size === 0 ? {} : { prefixKeys: [...tables.prefixCache.keys] })
   }
 }
+
+function createWeightTables (identity: AgentIdentity): Weights.Tables.Tables {
+  return Weights.Tables.createTables({ ...identity, memoryBytes: Infinity, borderBytesPerSecond: Infinity }, [])
+}
