--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -6,6 +6,7 @@
 import type * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
+import * as Weights from '../weights/index.ts'
 import * as Attempts from './attempts.ts'
 import * as Limiter from './limiter.ts'
 import type * as Messages from './messages.ts'
--- a/tools/soak/worlds/claims.ts
+++ b/tools/soak/worlds/claims.ts
@@ -191,6 +191,7 @@
       finish: command => { conclude(command.callId, command.code, Core.Codes.CODES[command.code].run === 'notRun', undefined) },
       writeClaim: command => { writer.write(command.write) },
       abandonClaim: command => { writer.abandon(command.callId) },
+      commitQuarantine: () => {},
       askFence: command => { askFence(index, command) }
     }
     const process = Harness.startProcess<Gateway.Tables.Tables, Gateway.Messages.Input, Gateway.Messages.Command>({ harness, tables, systems: Gateway.Systems.SYSTEMS, perform: command => { if (process.alive()) Core.Loop.dispatch(perform, command) } })
