--- a/src/weights/systems/fetches.ts
+++ b/src/weights/systems/fetches.ts
@@ -18,7 +18,7 @@
 }
 
 /** A fetch without a byte for so long is stalled, in milliseconds. */
-const STALL_MS = 2_500
+const STALL_MS = 4_000
 /** A fetch may stand still for so many usual times of a chunk. */
 const STALL_FACTOR = 6
 
--- a/src/weights/systems/seeds.ts
+++ b/src/weights/systems/seeds.ts
@@ -11,13 +11,13 @@
 
 /** Chunks of the region's order that may be on their way into it at once, at the start and at most. */
 const FIRST_WINDOW_COUNT = 4
-const WINDOW_COUNT = 32
+const WINDOW_COUNT = 12
 /** Neighbours that hear at once of a chunk that was brought in. */
 const TOLD_COUNT = 3
 /** Chunks that one agent brings in at once. */
 const OWN_LIMIT_COUNT = 2
 /** The next agent in line follows after so long, in milliseconds. */
-const FALLBACK_MS = 3_000
+const FALLBACK_MS = 4_000
 /** The next agent in line waits for at least so many usual times of a chunk. */
 const FALLBACK_FACTOR = 4
 /** A chunk said to be present that no peer holds for so long counts as lost, in milliseconds. */
--- a/tools/soak/worlds/claims.ts
+++ b/tools/soak/worlds/claims.ts
@@ -190,7 +190,6 @@
       replay: command => { conclude(command.callId, 'answer', false, 'bodyBase64' in command.outcome ? command.outcome.bodyBase64 : undefined) },
       finish: command => { conclude(command.callId, command.code, Core.Codes.CODES[command.code].run === 'notRun', undefined) },
       writeClaim: command => { writer.write(command.write) },
-      commitQuarantine: () => {},
       abandonClaim: command => { writer.abandon(command.callId) },
       commitQuarantine: () => {},
       askFence: command => { askFence(index, command) }
