--- a/src/weights/edge/chunkServer.ts
+++ b/src/weights/edge/chunkServer.ts
@@ -32,8 +32,11 @@
   readonly chunkDigest: string
   readonly response: Http.ServerResponse
   readonly crossesBorder: boolean
+  readonly sinceMs: number
 }
 
+/** A request that has waited for so long goes first, in milliseconds. */
+const LONG_WAIT_MS = 1_000
 /** Uploads that share the link at once. */
 const SLOT_COUNT = 2
 /** Requests that may wait for a slot. */
@@ -54,8 +57,10 @@
   const sentBytes = new Map<string, number>()
   let activeCount = 0
 
-  /** Prefers the chunk served least, then the peer that was sent least. */
+  /** Prefers the chunk served least, then the peer that was sent least; nobody is passed by for long. */
   const next = (): Waiting | undefined => {
+    const [oldest] = waiting
+    if (oldest !== undefined && performance.now() - oldest.sinceMs > LONG_WAIT_MS) return waiting.shift()
     let best = 0
     const costOf = (entry: Waiting): number => (servedCounts.get(entry.chunkDigest) ?? 0) * 2 ** 40 + (sentBytes.get(entry.peerId) ?? 0)
     for (let at = 1; at < waiting.length; at++) if (costOf(waiting[at] as Waiting) < costOf(waiting[best] as Waiting)) best = at
@@ -100,7 +105,8 @@
       digest,
       chunkDigest,
       response,
-      crossesBorder: request.headers[News.REGION_HEADER] !== options.region
+      crossesBorder: request.headers[News.REGION_HEADER] !== options.region,
+      sinceMs: performance.now()
     }
     response.once('close', () => {
       const at = waiting.indexOf(entry)
--- a/src/weights/edge/pacer.ts
+++ b/src/weights/edge/pacer.ts
@@ -12,7 +12,7 @@
 }
 
 /** Idle time that may be made up for, in milliseconds; it covers late timers. */
-const CREDIT_MS = 20
+const CREDIT_MS = 100
 
 /**
  * Creates a pacer.
