Gather log lines before they are written

Cause: each decision's line was a write of its own; about a quarter of the path's processor time went into system calls. Change: lines are gathered up to 4 KiB or 100 ms; warnings and the process's end write at once; a killed process loses at most its last 100 ms of lines.

--- a/src/edge/log.ts
+++ b/src/edge/log.ts
@@ -22,6 +22,11 @@
 /** A level to log at. */
 export type Level = typeof LEVELS[number]
 
+/** Lines are gathered up to this size before they are written, in bytes. */
+const BUFFER_BYTES = 4_096
+/** Lines wait no longer than this, in milliseconds. */
+const FLUSH_MS = 100
+
 /**
  * Creates a log on standard output.
  *
@@ -31,10 +36,17 @@
  * @returns The log.
  */
 export function createLog (program: string, instanceId: string, level: Level): Log {
-  const logger = pino({ level, base: { program, instanceId } })
+  const output = pino.destination({ dest: 1, sync: true, minLength: BUFFER_BYTES })
+  const logger = pino({ level, base: { program, instanceId } }, output)
+  const flush = (): void => { output.flushSync() }
+  setInterval(flush, FLUSH_MS).unref()
+  process.once('exit', flush)
   return {
     info: (prefix, sentence, fields = {}) => { logger.info(fields, `${prefix}: ${sentence}`) },
-    warn: (prefix, sentence, fields = {}) => { logger.warn(fields, `${prefix}: ${sentence}`) },
+    warn: (prefix, sentence, fields = {}) => {
+      logger.warn(fields, `${prefix}: ${sentence}`)
+      flush()
+    },
     keysRead: (name, outcome) => {
       if (outcome.isOk()) logger.info({ name, keyCount: outcome.value }, 'control: Keys read again.')
       else logger.warn({ name, reason: outcome.error }, 'control: Keys not read again.')
