Keep what the instance list says of a process, and tell of instances once the list was read

Cause: a process saw itself as live whatever the list said, the rest of a gateway was told of instances before the list had been read, and once for each member of a long list. Change: a process that the list calls leaving says so to the others, and takes it back with the list. Instances are told once in a tick and not before the first list. Conclusion: what the list says of leaving reaches every process as fast as a rumour.

--- a/src/control/systems/membership.ts
+++ b/src/control/systems/membership.ts
@@ -22,12 +22,15 @@
   name: 'membership',
   run: (tables, tick) => {
     for (const input of tick.inputs) {
-      if (input.kind === 'announced') announce(tables, tick, input.place)
+      if (input.kind === 'announced') announce(tables, input.place)
       if (input.kind === 'leaving') leave(tables, tick)
       if (input.kind === 'listRead') mergeList(tables, tick, input.instances)
       if (input.kind === 'gossipHeard') hear(tables, tick, input.gossip)
     }
     endSuspicions(tables, tick)
+    if (!tables.instancesStale || tables.polls.listReadCount === 0) return
+    tables.instancesStale = false
+    tick.emit({ kind: 'tellInstances' })
   }
 }
 
@@ -43,16 +46,17 @@
   take(tables, tick, { ...Gossip.rumourOf(row), state: 'suspect', accuserId: tables.identity.instanceId })
 }
 
-function announce (tables: Tables.Tables, tick: Tables.Tick, place: Schemas.Platform.Instance): void {
+function announce (tables: Tables.Tables, place: Schemas.Platform.Instance): void {
   tables.self.place = place
   Gossip.passOn(tables, { instanceId: place.instanceId, incarnation: tables.self.incarnation, state: 'alive', place })
-  changed(tables, tick)
+  changed(tables)
 }
 
 function leave (tables: Tables.Tables, tick: Tables.Tick): void {
   if (tables.self.place === undefined) return
+  tables.self.left = true
   tables.self.incarnation++
-  announce(tables, tick, { ...tables.self.place, state: 'leaving' })
+  announce(tables, { ...tables.self.place, state: 'leaving' })
   const alive = [...tables.members.rows()].filter(row => row.state === 'alive')
   const first = alive.length === 0 ? 0 : tick.random.below(alive.length)
   for (const row of [...alive.slice(first), ...alive.slice(0, first)].slice(0, FAREWELL_COUNT)) {
@@ -63,9 +67,10 @@
 function mergeList (tables: Tables.Tables, tick: Tables.Tick, instances: readonly Schemas.Platform.Instance[]): void {
   const isFirst = tables.polls.listReadCount++ === 0
   const listed = new Set<string>()
+  tables.instancesStale = true
   for (const place of instances) {
     listed.add(place.instanceId)
-    if (place.instanceId === tables.identity.instanceId) continue
+    if (place.instanceId === tables.identity.instanceId) { takeOwnListing(tables, place.state); continue }
     const row = tables.members.get(place.instanceId)
     if (row === undefined) {
       const added = addMember(tables, tick, { instanceId: place.instanceId, incarnation: 0, state: 'alive', place }, place)
@@ -73,19 +78,28 @@
       added.listed = true
       continue
     }
-    if (!row.listed || row.listedState !== place.state) changed(tables, tick)
+    if (!row.listed || row.listedState !== place.state) changed(tables)
     row.listed = true
     row.listedState = place.state
-    if (!samePlace(row.place, place) && (row.incarnation === 0 || row.state !== 'alive')) move(tables, tick, row, place)
+    if (!samePlace(row.place, place) && (row.incarnation === 0 || row.state !== 'alive')) move(tables, row, place)
   }
   for (const row of [...tables.members.rows()]) {
     if (listed.has(row.instanceId)) continue
-    if (row.listed) changed(tables, tick)
+    if (row.listed) changed(tables)
     row.listed = false
     if (row.state === 'dead' && tick.nowMs - row.diedAtMs > FORGET_MS) remove(tables, row)
   }
 }
 
+/** Tells the others when the instance list changes its word about this process. */
+function takeOwnListing (tables: Tables.Tables, state: Schemas.Platform.Instance['state']): void {
+  const { self } = tables
+  self.listedState = state
+  if (self.place === undefined || self.left || self.place.state === state) return
+  self.incarnation++
+  announce(tables, { ...self.place, state })
+}
+
 function hear (tables: Tables.Tables, tick: Tables.Tick, gossip: Schemas.Membership.Gossip): void {
   const { sender } = gossip
   if (sender.instanceId === tables.identity.instanceId) return
@@ -114,7 +128,7 @@
   if (row.state === 'suspect' && rumour.state === 'suspect' && rumour.incarnation === row.incarnation) accuse(tables, row, rumour)
   if (!Gossip.overrides(rumour, row)) return
   row.incarnation = rumour.incarnation
-  if (rumour.place !== undefined && rumour.state === 'alive') move(tables, tick, row, rumour.place)
+  if (rumour.place !== undefined && rumour.state === 'alive') move(tables, row, rumour.place)
   setState(tables, tick, row, rumour)
   Gossip.passOn(tables, rumour)
 }
@@ -126,7 +140,7 @@
   if (isTrue || rumour.incarnation < self.incarnation) return
   self.incarnation = rumour.incarnation + 1
   tick.log('members', 'Accusation refuted.', { state: rumour.state, accuserId: rumour.accuserId, incarnation: self.incarnation })
-  if (self.place !== undefined) announce(tables, tick, self.place)
+  if (self.place !== undefined) announce(tables, self.place)
 }
 
 function setState (tables: Tables.Tables, tick: Tables.Tick, row: Tables.MemberRow, rumour: Schemas.Membership.Rumour): void {
@@ -144,7 +158,7 @@
   if (rumour.state === 'dead') row.diedAtMs = tick.nowMs
   if (was === rumour.state) return
   tick.log('members', SENTENCES[rumour.state], { memberId: row.instanceId, zone: row.place.zone, incarnation: row.incarnation, accuserId: rumour.accuserId })
-  if (was === 'dead' || rumour.state === 'dead') changed(tables, tick)
+  if (was === 'dead' || rumour.state === 'dead') changed(tables)
 }
 
 function accuse (tables: Tables.Tables, row: Tables.MemberRow, rumour: Schemas.Membership.Rumour): void {
@@ -179,15 +193,15 @@
     versions: undefined
   }
   tables.members.set(row.instanceId, row)
-  changed(tables, tick)
+  changed(tables)
   if (rumour.state === 'suspect') setState(tables, tick, row, rumour)
   return row
 }
 
-function move (tables: Tables.Tables, tick: Tables.Tick, row: Tables.MemberRow, place: Schemas.Platform.Instance): void {
+function move (tables: Tables.Tables, row: Tables.MemberRow, place: Schemas.Platform.Instance): void {
   if (samePlace(row.place, place) && row.place.state === place.state) return
   row.place = place
-  changed(tables, tick)
+  changed(tables)
 }
 
 function remove (tables: Tables.Tables, row: Tables.MemberRow): void {
@@ -200,9 +214,9 @@
   return a.host === b.host && a.port === b.port && a.zone === b.zone && a.service === b.service
 }
 
-function changed (tables: Tables.Tables, tick: Tables.Tick): void {
+function changed (tables: Tables.Tables): void {
   tables.layoutStale = true
-  tick.emit({ kind: 'tellInstances' })
+  tables.instancesStale = true
 }
 
 const SENTENCES: Readonly<Record<Schemas.Membership.MemberState, string>> = {
--- a/src/control/tables.ts
+++ b/src/control/tables.ts
@@ -38,6 +38,18 @@
   versions: Schemas.Control.Versions | undefined
 }
 
+/** This process as the others are told of it. */
+export interface Self {
+  incarnation: number
+  /** Undefined until it listens. */
+  place: Schemas.Platform.Instance | undefined
+  /** What the instance list says of it; undefined while it is not listed. */
+  listedState: Schemas.Platform.Instance['state'] | undefined
+  /** Whether it has said that it leaves. */
+  left: boolean
+  peerHeardAtMs: number
+}
+
 /** A rumour that is being passed on. */
 export interface RumourRow {
   readonly rumour: Schemas.Membership.Rumour
@@ -96,7 +108,7 @@
   readonly held: Documents.Held
   /** The highest versions that any process or the store has named. */
   heard: Schemas.Control.Versions
-  readonly self: { incarnation: number, place: Schemas.Platform.Instance | undefined, peerHeardAtMs: number }
+  readonly self: Self
   readonly members: Core.Table.Table<MemberRow>
   /** The identifiers of suspected members. */
   readonly suspects: Set<string>
@@ -116,6 +128,8 @@
   layout: Layout.Layout
   layoutAtMs: number
   layoutStale: boolean
+  /** Whether the rest of the process is to be told of the instances. */
+  instancesStale: boolean
   tickAtMs: number
 }
 
@@ -142,7 +156,7 @@
     pollMs,
     held: Documents.createHeld(),
     heard: Documents.NO_VERSIONS,
-    self: { incarnation, place: undefined, peerHeardAtMs: -Infinity },
+    self: { incarnation, place: undefined, listedState: undefined, left: false, peerHeardAtMs: -Infinity },
     members: Core.Table.createTable('members'),
     suspects: new Set(),
     rumours: Core.Table.createTable('rumours'),
@@ -158,6 +172,7 @@
     layout: Layout.createLayout([identity]),
     layoutAtMs: -Infinity,
     layoutStale: true,
+    instancesStale: false,
     tickAtMs: -Infinity
   }
 }
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -216,6 +216,18 @@
       for (const process of group.processes) expect(process.tables.members.has('imereti-2')).toEqual(false)
     })
 
+    it('tell the others when the instance list says that they leave, and when it takes that back', () => {
+      const group = settled(5, 21)
+      const place = group.listed.get('adjara-1')
+      if (place === undefined) throw new Error('adjara-1 is not listed')
+      for (const state of ['leaving', 'live'] as const) {
+        group.listed.set('adjara-1', { ...place, state })
+        group.run(20_000)
+        for (const id of others(group, 'adjara-1')) expect(find(group, id).tables.members.get('adjara-1')?.place.state).toEqual(state)
+      }
+      expect(find(group, 'adjara-1').tables.self.place?.state).toEqual('live')
+    })
+
     it('send a bounded number of rumours', () => {
       const group = settled(20, 19)
       for (const process of group.processes.slice(0, 15)) group.kill(process.id)
