--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -95,6 +95,7 @@
     pollMs: settings.pollMs,
     log,
     violate,
+    count: metrics.count,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
     onInstances: instances => {
       push({ kind: 'membersSeen', members: instances.filter(instance => instance.kind === 'agent') })
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -33,6 +33,8 @@
   readonly log: Edge.Log.Log
   /** Takes invariants that did not hold. */
   readonly violate: (violation: Core.Invariants.Violation) => void
+  /** Counts what happens, by name and labels. */
+  readonly count: (name: string, labels: Readonly<Record<string, string>>) => void
   /** How often the store and the instance list are read, in milliseconds. */
   readonly pollMs: number
 }
@@ -78,6 +80,8 @@
 
 const LIST_TIMEOUT_MS = 2_000
 const BEAT_MS = 100
+/** The most reads of the store in each interval between polls. */
+const READS_PER_POLL = 4
 
 /**
  * Starts a node.
@@ -88,6 +92,12 @@
 export function createNode (options: NodeOptions): ControlNode {
   const { identity, log } = options
   const tables = Tables.createTables(identity, options.pollMs, Date.now())
+  const store = Platform.Budget.limitCalls(options.tables, {
+    readsPerSecond: READS_PER_POLL * 1_000 / options.pollMs,
+    writesPerSecond: 0,
+    clock: options.clock,
+    count: (kind, result) => { options.count('control_store_calls_total', { kind, result }) }
+  })
   const peers = Peers.createClient(options.peerKey)
   const check = Core.Invariants.createCheck(options.violate)
   let instances: readonly Schemas.Platform.Instance[] = []
@@ -106,12 +116,12 @@
     return true
   }
   const readStore = async (): Promise<void> => {
-    const versions = await Commits.readVersions(options.tables)
+    const versions = await Commits.readVersions(store)
     if (versions.isErr()) { push({ kind: 'storeFailed' }); return }
     const held = tables.held.versions()
     const newer = Schemas.Control.DOCUMENT_KINDS.filter(kind => versions.value[kind] > held[kind])
     if (newer.length > 0) {
-      const documents = await Commits.readDocuments(options.tables, newer)
+      const documents = await Commits.readDocuments(store, newer)
       if (documents.isErr()) { push({ kind: 'storeFailed' }); return }
       for (const document of documents.value) take(document, 'store')
     }
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -89,6 +89,7 @@
     pollMs: settings.pollMs,
     log,
     violate,
+    count: metrics.count,
     onDocument: document => { push({ kind: 'document', document }) },
     onInstances: instances => { push({ kind: 'instances', instances }) }
   })
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * as Budget from './budget.ts'
 export * as InstanceClient from './instanceClient.ts'
 export * as ObjectClient from './objectClient.ts'
 export * as TableClient from './tableClient.ts'
