--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -55,16 +55,16 @@
   },
   {
     name: 'drain at the agent',
-    file: 'src/agent/systems/admission.ts',
-    text: "  if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }\n  if (state !== 'live') {",
-    replacement: "  if (state !== 'live' && state !== 'draining') {",
-    checks: [soak('agent'), test('drain')]
+    file: 'src/agent/tables.ts',
+    text: "if (tables.drainReason !== undefined) return 'draining'",
+    replacement: '',
+    checks: [soak('agent')]
   },
   {
-    name: 'model version at the offer',
+    name: 'model version of an attempt',
     file: 'src/agent/systems/admission.ts',
-    text: "if (isOtherVersion(tables, envelope)) { refuse('modelNotLoaded'",
-    replacement: "if (false) { refuse('modelNotLoaded'",
+    text: 'return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion',
+    replacement: 'return false',
     checks: [soak('agent')]
   },
   {
@@ -173,10 +173,10 @@
     checks: [soak('gateway')]
   },
   {
-    name: 'quarantine at the gateway',
-    file: 'src/gateway/systems/calls.ts',
-    text: 'if (Suspicion.isQuarantined(tables, call.digest)) {',
-    replacement: 'if (false) {',
+    name: 'quarantine',
+    file: 'src/gateway/suspicion.ts',
+    text: 'return entry !== undefined && entry.suspect !== true && entry.expiresAtMs > tables.wallClock()',
+    replacement: 'return false',
     checks: [test('proof.guards')]
   },
   {
--- a/tools/soak/deployment.ts
+++ b/tools/soak/deployment.ts
@@ -8,8 +8,8 @@
 
 /** The most calls that a warm endpoint runs at once. */
 export const WARM_LIMIT_COUNT = 4
-/** Where work may still begin after a drain is known, in milliseconds: "a few seconds". */
-export const DRAIN_BOUND_MS = 3_000
+/** How long after a process has learnt of a drain it may still start work, in milliseconds. */
+export const KNOWN_DRAIN_BOUND_MS = 100
 /** The zones. */
 export const ZONES = ['kartli', 'imereti'] as const
 
--- a/tools/soak/worlds/agent.ts
+++ b/tools/soak/worlds/agent.ts
@@ -77,8 +77,9 @@
     harness.expect('startLimit', endpoint.activeCount() <= Deployment.WARM_LIMIT_COUNT, () => ({ activeCount: endpoint.activeCount(), reason: 'over the warm limit' }))
     const justStarted = knownIncarnation === work.incarnation && wholeSinceStart === 0
     harness.expect('startLimit', !justStarted || endpoint.activeCount() <= 1, () => ({ activeCount: endpoint.activeCount(), incarnation: work.incarnation, reason: 'more than one call before the first answer' }))
-    harness.expect('leavingEndpoint', time.nowMs() - drainKnownAtMs < Deployment.DRAIN_BOUND_MS, () => ({ attemptId, drainKnownAtMs }))
+    harness.expect('leavingEndpoint', time.nowMs() - drainKnownAtMs < Deployment.KNOWN_DRAIN_BOUND_MS, () => ({ attemptId, drainKnownAtMs }))
     harness.expect('wholeWeights', envelope.modelVersion === undefined || envelope.modelVersion === knownVersion, () => ({ attemptId, wanted: envelope.modelVersion, knownVersion, reason: 'admitted for a version that the endpoint is known not to hold' }))
+    harness.expect('atMostOnce', envelope.agentIncarnation === identity.incarnation, () => ({ attemptId, agentIncarnation: envelope.agentIncarnation, reason: 'meant for another incarnation of the agent' }))
     harness.expect('truthfulRefusal', time.nowMs() <= offer.deadlineMs + DEADLINE_SLACK_MS, () => ({ attemptId, reason: 'begun after its deadline' }))
     const begun = endpoint.startsByCall.get(envelope.callId) ?? 0
     harness.expect('atMostOnce', begun <= 1, () => ({ attemptId, begun }))
--- a/tools/soak/worlds/control.ts
+++ b/tools/soak/worlds/control.ts
@@ -14,6 +14,8 @@
 const READERS = ['agent-1', 'agent-2', 'agent-3'] as const
 const LEASE_MS = 1_000
 const POLL_MS = 300
+/** A reader takes what it read so late at most, so that reads overtake one another. */
+const MAX_READ_DELAY_MS = 1_000
 const HOLDER_POLL_MS = 200
 const INSTANCE_COUNT = 4
 
@@ -47,6 +49,8 @@
     const client = store.clientOf(operator)
     const manifest = { ...Deployment.manifestOf('v1'), name }
     const result = await Control.Commits.commit(client, { kind: 'manifest', expectedVersion, change: () => manifest, nonce: Crypto.randomUUID() })
+    const onTop = expectedVersion === undefined || result.isErr() || result.value.version === expectedVersion + 1
+    harness.expect('manifestRises', onTop, () => ({ reason: 'accepted on top of another version than expected', expectedVersion, version: result.isOk() ? result.value.version : 0 }))
     if (result.isOk()) accepted.push({ version: result.value.version, name })
     else if (result.error.code !== 'acceptedUnknown') refused.add(name)
   }
@@ -59,6 +63,7 @@
   return {
     actions: {
       commit: amount => { void commitManifest(`operator-${amount % 3}`, harness.makeId()) },
+      commitStale: amount => { void commitManifest(`operator-${amount % 3}`, harness.makeId(), Math.max(0, (accepted.at(-1)?.version ?? 0) - 1)) },
       operatorRace: amount => {
         harness.met('operatorRace')
         const expected = amount % 2 === 0 ? undefined : accepted.at(-1)?.version ?? 0
@@ -112,7 +117,7 @@
     for (;;) {
       harness.countStep()
       const documents = await Control.Commits.readDocuments(client)
-      const delayMs = harness.random.below(POLL_MS)
+      const delayMs = harness.random.below(MAX_READ_DELAY_MS)
       if (documents.isOk()) harness.time.after(delayMs, () => { adoptAll(documents.value) })
       await harness.time.sleep(POLL_MS)
     }
--- a/tools/soak/worlds/gateway.ts
+++ b/tools/soak/worlds/gateway.ts
@@ -114,8 +114,8 @@
     const agent = agents.find(candidate => candidate.instanceId === endpointId)
     if (caller === undefined || agent === undefined) return
     const drained = drainedSince.get(agent.zone) ?? Infinity
-    harness.expect('drainedZone', time.nowMs() - drained < Deployment.DRAIN_BOUND_MS, () => ({ callId: envelope.callId, zone: agent.zone, drained }))
-    harness.expect('leavingEndpoint', time.nowMs() - agent.leavingSinceMs < Deployment.DRAIN_BOUND_MS, () => ({ callId: envelope.callId, endpointId }))
+    harness.expect('drainedZone', time.nowMs() - drained < Deployment.KNOWN_DRAIN_BOUND_MS, () => ({ callId: envelope.callId, zone: agent.zone, drained }))
+    harness.expect('leavingEndpoint', time.nowMs() - agent.leavingSinceMs < REPORT_POLL_MS + Deployment.KNOWN_DRAIN_BOUND_MS, () => ({ callId: envelope.callId, endpointId }))
     caller.attemptId = envelope.attemptId
     let over = false
     const end = (result: Gateway.Messages.AttemptEnd): void => {
