--- a/testkit/index.ts
+++ b/testkit/index.ts
@@ -3,10 +3,12 @@
  *
  * @packageDocumentation
  */
+export * as Agents from './agents.ts'
 export * as Caller from './caller.ts'
 export * as ControlGroup from './controlGroup.ts'
 export * as Cpu from './cpu.ts'
 export * as Deployment from './deployment.ts'
+export * as Gateways from './gateways.ts'
 export * as Load from './load.ts'
 export * as Manifests from './manifests.ts'
 export * as Metrics from './metrics.ts'
--- a/tools/soak/worlds/claims.ts
+++ b/tools/soak/worlds/claims.ts
@@ -190,8 +190,8 @@
       replay: command => { conclude(command.callId, 'answer', false, 'bodyBase64' in command.outcome ? command.outcome.bodyBase64 : undefined) },
       finish: command => { conclude(command.callId, command.code, Core.Codes.CODES[command.code].run === 'notRun', undefined) },
       writeClaim: command => { writer.write(command.write) },
-      commitQuarantine: () => {},
       abandonClaim: command => { writer.abandon(command.callId) },
+      commitQuarantine: () => {},
       askFence: command => { askFence(index, command) }
     }
     const process = Harness.startProcess<Gateway.Tables.Tables, Gateway.Messages.Input, Gateway.Messages.Command>({ harness, tables, systems: Gateway.Systems.SYSTEMS, perform: command => { if (process.alive()) Core.Loop.dispatch(perform, command) } })
