Log what a replay of a violation needs; fail real-process tests at a violation

Cause: a violation's line told the decision but not the tick; tests of real processes passed over violations that processes had logged. Change: the loop hands tick, time and inputs to the reporter, which logs them with the process's seed and without answers; a deployment's stop throws when a process has reported a violation; the mutation run names every guard whose text is gone.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -71,9 +71,10 @@
   }
   const log = Edge.Log.createLog('agent', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
-  const violate = Edge.Violations.createReporter(log, metrics)
+  const seed = Crypto.randomInt(2 ** 31)
+  const violate = Edge.Violations.createReporter(log, metrics, seed)
   const clock = (): number => performance.now()
-  const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
+  const random = Core.Random.createRandom(seed)
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
   const peerKeys = Settings.peerKeysOf(settings)._unsafeUnwrap()
   const peerKey = peerKeys.current
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -76,12 +76,21 @@
   }
 }
 
+/** The tick in which something happened, for a replay. */
+export interface TickContext {
+  /** How many ticks the loop has run. */
+  readonly tickCount: number
+  readonly nowMs: number
+  /** What the tick was decided from, beside the tables. */
+  readonly inputs: readonly unknown[]
+}
+
 /** How a loop meets the world. */
 export interface LoopOptions<Input, Command> {
   readonly step: Stepper<Input, Command>
   readonly perform: (command: Command) => void
   readonly record: (decision: Decision) => void
-  readonly violate: (violation: Invariants.Violation) => void
+  readonly violate: (violation: Invariants.Violation, context: TickContext) => void
   /** Returns monotonic time in milliseconds. */
   readonly clock: () => number
   /** The longest time between ticks in milliseconds. */
@@ -105,15 +114,18 @@
   let pending: Input[] = []
   let scheduled = false
   let stopped = false
+  let tickCount = 0
 
   const runTick = (): void => {
     scheduled = false
     if (stopped) return
     const inputs = pending
     pending = []
-    const step = options.step(inputs, options.clock())
+    const nowMs = options.clock()
+    const step = options.step(inputs, nowMs)
+    tickCount++
     step.decisions.forEach(options.record)
-    step.violations.forEach(options.violate)
+    for (const violation of step.violations) options.violate(violation, { tickCount, nowMs, inputs })
     step.commands.forEach(options.perform)
   }
   const schedule = (): void => {
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -64,9 +64,10 @@
   }
   const log = Edge.Log.createLog('gateway', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
-  const violate = Edge.Violations.createReporter(log, metrics)
+  const seed = Crypto.randomInt(2 ** 31)
+  const violate = Edge.Violations.createReporter(log, metrics, seed)
   const clock = (): number => performance.now()
-  const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
+  const random = Core.Random.createRandom(seed)
   const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
   const peerKeys = AgentSettings.peerKeysOf(settings)._unsafeUnwrap()
   const operatorTokens = Settings.operatorTokensOf(settings)._unsafeUnwrap()
--- a/testkit/deployment.ts
+++ b/testkit/deployment.ts
@@ -15,6 +15,8 @@
 
 /** The key of the system's own processes in tests. */
 export const PEER_KEY = 'test-peer-key'
+/** What a process logs of a violated invariant. */
+export const VIOLATION_TEXT = 'invariant: Invariant violated.'
 /** The operators' token in tests. */
 export const OPERATOR_TOKEN = 'test-operator-token'
 
@@ -74,6 +76,7 @@
   untilLive: (version: string, limitMs: number) => Promise<number>
   restartAgent: (runner: Runner) => Promise<void>
   restartGateway: (gateway: GatewayPlace) => Promise<void>
+  /** Ends everything; throws when a process has reported a violated invariant. */
   stop: () => Promise<void>
 }
 
@@ -101,8 +104,14 @@
   const register = (kind: 'gateway' | 'agent', place: Shapes.RunnerPlace, port: number, service?: string): void => {
     instances.put({ ...place, kind, host: '127.0.0.1', port, service, state: 'live' })
   }
+  const violations: string[] = []
+  const startWatched = async (program: 'gateway' | 'agent', settings: Readonly<Record<string, string | number>>): Promise<Processes.Running> => {
+    const running = await Processes.startDaemon(program, settings)
+    running.onLine(line => { if (line.msg === VIOLATION_TEXT) violations.push(`${running.name}: ${JSON.stringify(line)}`) })
+    return running
+  }
   const startAgent = async (place: Shapes.RunnerPlace, service: Shapes.ServiceShape, endpointPort: number): Promise<Processes.Running> => {
-    const agent = await Processes.startDaemon('agent', {
+    const agent = await startWatched('agent', {
       ...shared,
       ...place,
       service: service.name,
@@ -114,7 +123,7 @@
     return agent
   }
   const startGateway = async (place: Shapes.RunnerPlace): Promise<Processes.Running> => {
-    const gateway = await Processes.startDaemon('gateway', { ...shared, ...place, operatorToken: OPERATOR_TOKEN, leaseDurationMs: 2_000, ...options.gatewaySettings })
+    const gateway = await startWatched('gateway', { ...shared, ...place, operatorToken: OPERATOR_TOKEN, leaseDurationMs: 2_000, ...options.gatewaySettings })
     register('gateway', place, gateway.port)
     return gateway
   }
@@ -168,6 +177,7 @@
       await Promise.all([...gateways.map(gateway => gateway.process), ...runners.map(runner => runner.agent)].map(async running => { await running.kill() }))
       await Promise.all([table, objects, origin, instances, ...runners.flatMap(runner => runner.engine ?? runner.plain ?? [])].map(async standIn => { await standIn.close() }))
       Fs.rmSync(folder, { recursive: true, force: true })
+      if (violations.length > 0) throw new Error(`invariants were violated:\n${violations.join('\n')}`)
     }
   }
 }
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -28,7 +28,7 @@
   {
     name: 'limit',
     file: 'src/agent/systems/admission.ts',
-    text: 'attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)',
+    text: 'attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount())',
     replacement: 'true',
     checks: [soak('agent')]
   },
@@ -175,7 +175,7 @@
   {
     name: 'quarantine',
     file: 'src/gateway/suspicion.ts',
-    text: 'return entry !== undefined && entry.suspect !== true && entry.expiresAtMs > tables.wallClock()',
+    text: 'return entry !== undefined && entry.suspect !== true',
     replacement: 'return false',
     checks: [test('proof.guards')]
   },
--- a/tools/mutants/main.ts
+++ b/tools/mutants/main.ts
@@ -48,6 +48,8 @@
 async function checkGuards (): Promise<void> {
   const [scratch] = scratches
   if (scratch === undefined) throw new Error(`no guard is named "${argv.guard ?? ''}"`)
+  const stale = guards.flatMap(guard => scratch.findProblem(guard) ?? [])
+  if (stale.length > 0) throw new Error(`${stale.join('\n')}\nbring tools/mutants/guards.ts up to date`)
   for (const guard of guards) {
     scratch.takeOut(guard)
     await EsBuild.build({ entryPoints: [Path.join(scratch.folder, guard.file)], write: false, logLevel: 'silent' })
--- a/tools/mutants/scratch.ts
+++ b/tools/mutants/scratch.ts
@@ -12,7 +12,8 @@
 /** A copy of the source tree. */
 export interface Scratch {
   readonly folder: string
-  /** Takes a guard out; throws when its text does not stand in its file exactly once. */
+  /** Tells when a guard's text does not stand in its file exactly once. */
+  findProblem: (guard: Guards.Guard) => string | undefined
   takeOut: (guard: Guards.Guard) => void
   restore: (guard: Guards.Guard) => void
   /** Runs a check; tells whether it passed. */
@@ -36,14 +37,14 @@
   for (const name of COPIED) Fs.cpSync(Path.join(root, name), Path.join(folder, name), { recursive: true })
   Fs.symlinkSync(Path.join(root, 'node_modules'), Path.join(folder, 'node_modules'))
   const pathOf = (guard: Guards.Guard): string => Path.join(folder, guard.file)
+  const sourceOf = (guard: Guards.Guard): string => Fs.readFileSync(pathOf(guard), 'utf8')
   return {
     folder,
-    takeOut: guard => {
-      const source = Fs.readFileSync(pathOf(guard), 'utf8')
-      const count = source.split(guard.text).length - 1
-      if (count !== 1) throw new Error(`guard "${guard.name}": its text stands ${count} times in ${guard.file}; bring tools/mutants/guards.ts up to date`)
-      Fs.writeFileSync(pathOf(guard), source.replace(guard.text, () => guard.replacement))
+    findProblem: guard => {
+      const count = sourceOf(guard).split(guard.text).length - 1
+      return count === 1 ? undefined : `guard "${guard.name}": its text stands ${count} times in ${guard.file}`
     },
+    takeOut: guard => { Fs.writeFileSync(pathOf(guard), sourceOf(guard).replace(guard.text, () => guard.replacement)) },
     restore: guard => { Fs.copyFileSync(Path.join(root, guard.file), pathOf(guard)) },
     run: async check => await runCommand(folder, argumentsOf(check)),
     remove: () => { Fs.rmSync(folder, { recursive: true, force: true }) }
--- a/tools/scenarios/stage.ts
+++ b/tools/scenarios/stage.ts
@@ -51,8 +51,6 @@
   'weight-bytes': value => ({ weightSizeBytes: value, chunkSizeBytes: Math.max(1, Math.ceil(value / 16)) })
 }
 
-const VIOLATION_TEXT = 'invariant: Invariant violated.'
-
 /**
  * Starts the deployment that a scenario gives.
  *
@@ -72,7 +70,7 @@
   let violationCount = 0
   let turn = 0
   const follow = (running: TestKit.Processes.Running): void => {
-    running.onLine(line => { if (line.msg === VIOLATION_TEXT) violationCount++ })
+    running.onLine(line => { if (line.msg === TestKit.Deployment.VIOLATION_TEXT) violationCount++ })
   }
   for (const running of processesOf(deployment)) follow(running)
   return {
