--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -223,6 +223,7 @@
     figures: () => ({
       killedCount: killed.length,
       stalledLinkCount: stalled.length,
+      carriedByLinksCount: links.reduce((total, link) => total + link.carriedCount(), 0),
       corruptedByLinksCount: links.reduce((total, link) => total + link.corruptedCount(), 0),
       originDownSeconds: round(ORIGIN_DOWN_SHARE * boundSeconds)
     })
