--- a/src/weights/edge/chunkClient.ts
+++ b/src/weights/edge/chunkClient.ts
@@ -17,6 +17,8 @@
   readonly headers: Readonly<Record<string, string>>
   /** The paces that the bytes keep. */
   readonly pacers: readonly Pacer.Pacer[]
+  /** Whether the bytes pass before others that wait. */
+  readonly urgent?: boolean
   /** The longest time without a byte in milliseconds. */
   readonly stallMs: number
   readonly onNews: (header: string) => void
@@ -84,7 +86,7 @@
         hash.update(part)
         parts.push(part)
         incoming.pause()
-        void passAll(request.pacers, part.length).then(() => { moved(); incoming.resume() })
+        void passAll(request.pacers, part.length, request.urgent).then(() => { moved(); incoming.resume() })
       })
       incoming.on('end', () => {
         if (!incoming.complete) { end('unreachable'); return }
@@ -97,6 +99,6 @@
   return { answer, cancel: () => { cancel() } }
 }
 
-async function passAll (pacers: readonly Pacer.Pacer[], sizeBytes: number): Promise<void> {
-  for (const pacer of pacers) await pacer.pass(sizeBytes)
+async function passAll (pacers: readonly Pacer.Pacer[], sizeBytes: number, urgent?: boolean): Promise<void> {
+  for (const pacer of pacers) await pacer.pass(sizeBytes, urgent)
 }
--- a/src/weights/edge/pacer.ts
+++ b/src/weights/edge/pacer.ts
@@ -6,11 +6,16 @@
 
 /** Lets bytes through at a rate. */
 export interface Pacer {
-  /** Waits until so many bytes may pass. */
-  pass: (sizeBytes: number) => Promise<void>
+  /** Waits until so many bytes may pass; urgent bytes pass before others that wait. */
+  pass: (sizeBytes: number, urgent?: boolean) => Promise<void>
   setRate: (bytesPerSecond: number) => void
 }
 
+interface Waiting {
+  readonly sizeBytes: number
+  readonly release: () => void
+}
+
 /** Idle time that may be made up for, in milliseconds; it covers late timers. */
 const CREDIT_MS = 100
 
@@ -21,15 +26,31 @@
  * @returns The pacer.
  */
 export function createPacer (bytesPerSecond: number): Pacer {
+  const urgentQueue: Waiting[] = []
+  const queue: Waiting[] = []
   let rate = bytesPerSecond
   let freeAtMs = -Infinity
+  let timer: NodeJS.Timeout | undefined
+
+  const pump = (): void => {
+    timer = undefined
+    for (;;) {
+      const nowMs = performance.now()
+      if (urgentQueue.length + queue.length === 0) return
+      if (freeAtMs - nowMs > 1) { timer = setTimeout(pump, freeAtMs - nowMs); return }
+      const next = urgentQueue.shift() ?? queue.shift()
+      if (next === undefined) return
+      freeAtMs = Math.max(nowMs - CREDIT_MS, freeAtMs) + next.sizeBytes * 1000 / rate
+      next.release()
+    }
+  }
   return {
-    pass: async sizeBytes => {
+    pass: async (sizeBytes, urgent = false) => {
       if (rate === Infinity) return
-      const nowMs = performance.now()
-      freeAtMs = Math.max(nowMs - CREDIT_MS, freeAtMs) + sizeBytes * 1000 / rate
-      const waitMs = freeAtMs - nowMs
-      if (waitMs > 1) await new Promise(resolve => setTimeout(resolve, waitMs))
+      await new Promise<void>(resolve => {
+        (urgent ? urgentQueue : queue).push({ sizeBytes, release: resolve })
+        if (timer === undefined) pump()
+      })
     },
     setRate: next => { rate = next }
   }
--- a/src/weights/edge/swarm.ts
+++ b/src/weights/edge/swarm.ts
@@ -102,6 +102,7 @@
       chunkDigest,
       headers,
       pacers: command.crossesBorder ? [border, download] : [download],
+      urgent: !isPeer || command.crossesBorder,
       stallMs: command.stallMs,
       onNews: header => { countControl('answer', header.length); hear(header) }
     })
