Reach a process where the list or it itself last said

Change: the list's address goes first, and whichever of the two changes last wins. A process on an unspecified address takes its place from the list. Conclusion: the list can move a process again.

--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -80,6 +80,8 @@
 
 const LIST_TIMEOUT_MS = 2_000
 const BEAT_MS = 100
+/** Addresses that a process may listen on and cannot be reached at; its place is then what the list says. */
+const UNSPECIFIED_HOSTS = ['0.0.0.0', '::']
 /** The most reads of the store in each interval between polls. */
 const READS_PER_POLL = 4
 
@@ -178,6 +180,7 @@
     adopt: document => take(document, 'operator'),
     ready: () => Tables.isReady(tables),
     announce: address => {
+      if (UNSPECIFIED_HOSTS.includes(address.host)) return
       const { instanceId, kind, zone, region } = identity
       push({ kind: 'announced', place: { instanceId, kind, zone, region, state: 'live', ...address } })
     },
--- a/src/control/systems/membership.ts
+++ b/src/control/systems/membership.ts
@@ -70,18 +70,21 @@
   tables.instancesStale = true
   for (const place of instances) {
     listed.add(place.instanceId)
-    if (place.instanceId === tables.identity.instanceId) { takeOwnListing(tables, place.state); continue }
+    if (place.instanceId === tables.identity.instanceId) { takeOwnListing(tables, place); continue }
     const row = tables.members.get(place.instanceId)
     if (row === undefined) {
       const added = addMember(tables, tick, { instanceId: place.instanceId, incarnation: 0, state: 'alive', place }, place)
       if (!isFirst) Gossip.passOn(tables, Gossip.rumourOf(added))
       added.listed = true
+      added.listedPlace = place
       continue
     }
     if (!row.listed || row.listedState !== place.state) changed(tables)
     row.listed = true
     row.listedState = place.state
-    if (!samePlace(row.place, place) && (row.incarnation === 0 || row.state !== 'alive')) move(tables, row, place)
+    const isNews = row.listedPlace === undefined || !samePlace(row.listedPlace, place)
+    row.listedPlace = place
+    if (isNews) move(tables, row, { ...place, state: row.place.state })
   }
   for (const row of [...tables.members.rows()]) {
     if (listed.has(row.instanceId)) continue
@@ -92,12 +95,12 @@
 }
 
 /** Tells the others when the instance list changes its word about this process. */
-function takeOwnListing (tables: Tables.Tables, state: Schemas.Platform.Instance['state']): void {
+function takeOwnListing (tables: Tables.Tables, place: Schemas.Platform.Instance): void {
   const { self } = tables
-  self.listedState = state
-  if (self.place === undefined || self.left || self.place.state === state) return
+  self.listedState = place.state
+  if (self.left || self.place?.state === place.state) return
   self.incarnation++
-  announce(tables, { ...self.place, state })
+  announce(tables, { ...(self.place ?? place), state: place.state })
 }
 
 function hear (tables: Tables.Tables, tick: Tables.Tick, gossip: Schemas.Membership.Gossip): void {
@@ -128,11 +131,18 @@
   if (row.state === 'suspect' && rumour.state === 'suspect' && rumour.incarnation === row.incarnation) accuse(tables, row, rumour)
   if (!Gossip.overrides(rumour, row)) return
   row.incarnation = rumour.incarnation
-  if (rumour.place !== undefined && rumour.state === 'alive') move(tables, row, rumour.place)
+  if (rumour.place !== undefined && rumour.state === 'alive') takeAnnounced(tables, row, rumour.place)
   setState(tables, tick, row, rumour)
   Gossip.passOn(tables, rumour)
 }
 
+/** Takes what a process says of itself; where it is reached, the list goes first until the process says something else. */
+function takeAnnounced (tables: Tables.Tables, row: Tables.MemberRow, place: Schemas.Platform.Instance): void {
+  const isNews = row.announcedPlace === undefined ? row.listedPlace === undefined : !samePlace(row.announcedPlace, place)
+  row.announcedPlace = place
+  move(tables, row, isNews ? place : { ...row.place, state: place.state })
+}
+
 /** Raises the own incarnation above that of a claim which is not true of this process. */
 function refute (tables: Tables.Tables, tick: Tables.Tick, rumour: Schemas.Membership.Rumour): void {
   const { self } = tables
@@ -183,6 +193,8 @@
     place,
     incarnation: rumour.incarnation,
     state: 'alive',
+    listedPlace: undefined,
+    announcedPlace: rumour.incarnation > 0 ? place : undefined,
     listed: false,
     listedState: place.state,
     heardAtMs: -Infinity,
--- a/src/control/tables.ts
+++ b/src/control/tables.ts
@@ -21,7 +21,12 @@
 /** Another process. */
 export interface MemberRow {
   readonly instanceId: string
+  /** Where it is reached: as the list or the process itself last changed it. */
   place: Schemas.Platform.Instance
+  /** What the list last said of it. */
+  listedPlace: Schemas.Platform.Instance | undefined
+  /** What it last said of itself. */
+  announcedPlace: Schemas.Platform.Instance | undefined
   /** Zero until it has been heard of by more than the instance list. */
   incarnation: number
   state: Schemas.Membership.MemberState
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -228,6 +228,21 @@
       expect(find(group, 'adjara-1').tables.self.place?.state).toEqual('live')
     })
 
+    it('are reached where the list or they themselves last said', () => {
+      const group = settled(3, 22)
+      const place = group.listed.get('adjara-1')
+      if (place === undefined) throw new Error('adjara-1 is not listed')
+      const portsOf = (): number[] => others(group, 'adjara-1').map(id => find(group, id).tables.members.get('adjara-1')?.place.port ?? 0)
+      group.listed.set('adjara-1', { ...place, port: 2 })
+      group.run(10_000)
+      expect(portsOf().every(port => port === 2)).toEqual(true)
+      const restarted = find(group, 'adjara-1')
+      restarted.tables.self.incarnation += 10
+      restarted.push({ kind: 'announced', place: { ...place, port: 3 } })
+      group.run(20_000)
+      expect(portsOf().every(port => port === 3)).toEqual(true)
+    })
+
     it('send a bounded number of rumours', () => {
       const group = settled(20, 19)
       for (const process of group.processes.slice(0, 15)) group.kill(process.id)
