Pass an idempotent call on when its engine answers that it holds no model

Change: a 503 without a model version, for a call that may run twice, is modelNotLoaded, not run, and goes to another endpoint.

--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -27,6 +27,8 @@
 
 const CONTENT_TYPE = 'application/octet-stream'
 const LINE_FEED = 10
+/** The HTTP status of an engine without a model. */
+const NO_MODEL_STATUS = 503
 
 /**
  * Checks that an answer belongs to the attempt and comes from the wanted model version.
@@ -43,6 +45,18 @@
   return undefined
 }
 
+/**
+ * Tells whether an engine refused a call because it holds no model, as after a crash that the agent
+ * has not seen yet. Only a call that may run twice is taken to be refused.
+ *
+ * @param envelope - The attempt.
+ * @param incoming - The answer's head.
+ * @returns Whether the call may go to another endpoint.
+ */
+export function isWithoutModel (envelope: Schemas.Calls.CallEnvelope, incoming: Pick<Http.IncomingMessage, 'statusCode' | 'headers'>): boolean {
+  return envelope.idempotent && envelope.modelVersion !== undefined && incoming.statusCode === NO_MODEL_STATUS && incoming.headers['x-model-version'] === undefined
+}
+
 /**
  * Relays the body of an answer whose head has been written.
  *
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -127,10 +127,16 @@
     exchange.response.destroy()
     end(exchange, 'failed')
   }
+  const passOn = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
+    incoming.resume()
+    sendResult(exchange, 'modelNotLoaded', { reason: 'The endpoint holds no model.' })
+    end(exchange, 'neverSent')
+  }
   const relayAnswer = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     const { response, envelope } = exchange
     const mismatch = Answers.findMismatch(envelope, incoming.headers)
     if (mismatch !== undefined) { discard(exchange, mismatch); return }
+    if (Answers.isWithoutModel(envelope, incoming)) { passOn(exchange, incoming); return }
     options.push({ kind: 'callAnswering', attemptId: envelope.attemptId })
     response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
     if (envelope.stream) response.flushHeaders()
--- a/test/proof.guards.test.ts
+++ b/test/proof.guards.test.ts
@@ -21,6 +21,20 @@
   })
 })
 
+describe('agent answers', () => {
+  describe('isWithoutModel', () => {
+    const keyed = { ...envelope, idempotent: false }
+    const idempotent = { ...envelope, idempotent: true }
+
+    it('takes a 503 without a version for a refusal, but only of a call that may run twice', () => {
+      expect(Answers.isWithoutModel(idempotent, { statusCode: 503, headers: {} })).toEqual(true)
+      expect(Answers.isWithoutModel(keyed, { statusCode: 503, headers: {} })).toEqual(false)
+      expect(Answers.isWithoutModel(idempotent, { statusCode: 503, headers: { 'x-model-version': 'v1' } })).toEqual(false)
+      expect(Answers.isWithoutModel(idempotent, { statusCode: 200, headers: {} })).toEqual(false)
+    })
+  })
+})
+
 describe('gateway', () => {
   describe('a call whose digest is quarantined', () => {
     it('is refused as not run, and is not sent', () => {
