Pause a placement holder between reading and committing its plan; test takesNewWork by itself

Cause: with the newest code three guards of 38 survived: drain and leaving at the gateway, since the subset of endpoints leaves such endpoints out too, and the plan's lease, which random pauses met too seldom. Change: the fake store can pause an owner at a read; a test of the function that is asked again between claim and dispatch.

--- a/test/proof.guards.test.ts
+++ b/test/proof.guards.test.ts
@@ -7,6 +7,7 @@
 import * as Control from '../src/control/index.ts'
 import * as Core from '../src/core/index.ts'
 import * as Gateway from '../src/gateway/index.ts'
+import * as Choice from '../src/gateway/choice.ts'
 import * as Streams from '../src/gateway/streams.ts'
 
 const envelope = { callId: 'call-1', modelVersion: 'v1' } as Parameters<typeof Answers.findMismatch>[0]
@@ -52,6 +53,24 @@
   })
 })
 
+describe('gateway choice', () => {
+  describe('takesNewWork', () => {
+    const endpoint = { endpointId: 'fescue-llm-1', zone: 'kartli', listedState: 'live' } as Gateway.Tables.EndpointRow
+    const takes = (drains: { zones: string[], instanceIds: string[] }, row = endpoint): boolean => {
+      const held = Control.Documents.createHeld()
+      held.adopt({ kind: 'drains', version: 1, body: drains })
+      return Choice.takesNewWork({ held } as Gateway.Tables.Tables, row)
+    }
+
+    it('looks at operators and at the platform, also once the endpoint is chosen', () => {
+      expect(takes({ zones: [], instanceIds: [] })).toEqual(true)
+      expect(takes({ zones: ['kartli'], instanceIds: [] })).toEqual(false)
+      expect(takes({ zones: [], instanceIds: ['fescue-llm-1'] })).toEqual(false)
+      expect(takes({ zones: [], instanceIds: [] }, { ...endpoint, listedState: 'leaving' })).toEqual(false)
+    })
+  })
+})
+
 describe('gateway streams', () => {
   /** Relays what a server sends, and returns what the caller got and the problem that was told. */
   const relay = async (events: readonly string[]): Promise<{ text: string, problem: string | undefined }> => {
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -156,14 +156,14 @@
     file: 'src/gateway/choice.ts',
     text: ' && !Control.Documents.isDrained(tables.held.drains(), endpoint.endpointId, endpoint.zone)',
     replacement: '',
-    checks: [soak('gateway')]
+    checks: [soak('gateway'), test('proof.guards')]
   },
   {
     name: 'leaving endpoint',
     file: 'src/gateway/choice.ts',
     text: "endpoint.listedState !== 'leaving' && ",
     replacement: '',
-    checks: [soak('gateway')]
+    checks: [soak('gateway'), test('proof.guards')]
   },
   {
     name: 'pinned version of a stream',
--- a/tools/soak/store.ts
+++ b/tools/soak/store.ts
@@ -22,6 +22,8 @@
   loseAnswers: (durationMs: number) => void
   /** Holds back everything that an owner is told for a time, as if the owner were paused. */
   pause: (owner: string, durationMs: number) => void
+  /** Pauses an owner as soon as it has read one row and waits for the answer. */
+  pauseAtRead: (owner: string, key: string, durationMs: number) => void
   rowsOf: (table: string) => Schemas.Platform.Row[]
 }
 
@@ -39,6 +41,7 @@
   const { time, random } = harness
   const tables = new Map<string, Map<string, Schemas.Platform.Row>>()
   const pausedUntil = new Map<string, number>()
+  const armed = new Map<string, { readonly key: string, readonly durationMs: number }>()
   let downUntilMs = 0
   let slowUntilMs = 0
   let loseUntilMs = 0
@@ -60,6 +63,15 @@
     }
     return { committed: true, revision, conflicts: [] }
   }
+  const read = (owner: string, rows: ReadonlyArray<{ table: string, key: string }>): Schemas.Platform.Row[] => {
+    const pause = armed.get(owner)
+    if (pause !== undefined && rows.length === 1 && rows[0]?.key === pause.key) {
+      armed.delete(owner)
+      pausedUntil.set(owner, time.nowMs() + pause.durationMs)
+      harness.met('pausedHolder')
+    }
+    return rows.flatMap(row => structuredClone(find(row.table, row.key)) ?? [])
+  }
   const latencyMs = (): number => {
     if (time.nowMs() >= slowUntilMs) return LATENCY_MS
     harness.met('storeSlow')
@@ -91,13 +103,14 @@
   return {
     clientOf: owner => ({
       transact: async transaction => await exchange(owner, () => apply(transaction)),
-      read: async rows => await exchange(owner, () => rows.flatMap(row => structuredClone(find(row.table, row.key)) ?? [])),
+      read: async rows => await exchange(owner, () => read(owner, rows)),
       scan: async (table, prefix, limitCount) => await exchange(owner, () => structuredClone(rowsOf(table).filter(row => row.key.startsWith(prefix)).slice(0, limitCount)))
     }),
     goDown: durationMs => { downUntilMs = time.nowMs() + durationMs },
     goSlow: durationMs => { slowUntilMs = time.nowMs() + durationMs },
     loseAnswers: durationMs => { loseUntilMs = time.nowMs() + durationMs },
     pause: (owner, durationMs) => { pausedUntil.set(owner, time.nowMs() + durationMs) },
+    pauseAtRead: (owner, key, durationMs) => { armed.set(owner, { key, durationMs }) },
     rowsOf
   }
 }
--- a/tools/soak/worlds/control.ts
+++ b/tools/soak/worlds/control.ts
@@ -31,10 +31,12 @@
  * @returns The world.
  */
 export const createControlWorld: Harness.WorldFactory = harness => {
+  const { time } = harness
   const store = Store.createFakeStore(harness)
   const accepted: Accepted[] = []
   const refused = new Set<string>()
   let instanceState: Schemas.Platform.Instance['state'] = 'live'
+  const toggleInstance = (): void => { instanceState = instanceState === 'live' ? 'leaving' : 'live' }
   const instances = (): Schemas.Platform.Instance[] => Array.from({ length: INSTANCE_COUNT }, (_, index) => ({
     instanceId: `runner-${index}`,
     kind: 'agent',
@@ -78,11 +80,16 @@
         harness.met('pausedHolder')
         store.pause(HOLDERS[holder] ?? '', LEASE_MS + amount * 20)
       },
+      pausedPlan: amount => {
+        for (const holder of HOLDERS) store.pauseAtRead(holder, 'placement', LEASE_MS * 2 + amount * 20)
+        toggleInstance()
+        time.after(LEASE_MS * 2, toggleInstance)
+      },
       instanceDeath: amount => {
         harness.met('instanceDeath')
         readers[amount % readers.length]?.restart()
       },
-      instancesChange: () => { instanceState = instanceState === 'live' ? 'leaving' : 'live' }
+      instancesChange: toggleInstance
     },
     finish: () => {
       checkHistory(harness, store, accepted, refused)
