--- a/test/keyed-calls.test.ts
+++ b/test/keyed-calls.test.ts
@@ -75,7 +75,7 @@
       await TestKit.Wait.sleep(1_000)
       const reply = send(1, 'silent')
       await untilExecuted('silent')
-      for (const proxy of proxies) proxy.silence()
+      expect(proxies.reduce((sum, proxy) => sum + proxy.silence(), 0) > 0).toEqual(true)
       expect([(await reply).status, executionsOf('silent')]).toEqual([200, 1])
       for (const runner of deployment.runners) deployment.instances.put({ ...runner.place, kind: 'agent', host: '127.0.0.1', port: runner.agent.port, service: runner.service.name, state: 'live' })
       await Promise.all(proxies.map(async proxy => { await proxy.close() }))
