Follow soon when an agent ahead in line cannot be reached

Change: agents in back-off are passed by in the line; the next one asks after the first once a chunk has been due for 1 s.

--- a/src/weights/systems/seeds.ts
+++ b/src/weights/systems/seeds.ts
@@ -18,6 +18,8 @@
 const OWN_LIMIT_COUNT = 2
 /** The next agent in line follows after so long, in milliseconds. */
 const FALLBACK_MS = 4_000
+/** The next agent in line asks after the first when a chunk has been due for so long, in milliseconds. */
+const PROBE_AFTER_MS = 1_000
 /** The next agent in line waits for at least so many usual times of a chunk. */
 const FALLBACK_FACTOR = 4
 /** A chunk said to be present that no peer holds for so long counts as lost, in milliseconds. */
@@ -84,16 +86,18 @@
 function isTurn (tables: Tables.Tables, tick: Tables.Tick, set: Tables.SetRow, chunks: Tables.Chunks, seeding: Seeding.Seeding, index: number): boolean {
   const rank = seeding.rankOf(index, tables.identity.instanceId)
   if (rank === 0) return true
+  const ahead = seeding.line(index).slice(0, rank).flatMap(id => Tables.peerOf(tables, id) ?? []).filter(peer => peer.standing.backOffUntilMs <= tick.nowMs)
+  const [first] = ahead
+  if (first === undefined) return true
+  const dueAtMs = chunks.dueAtMs[index] ?? 0
+  if (ahead.length === 1 && first.askedAtMs < dueAtMs && tick.nowMs - dueAtMs > PROBE_AFTER_MS) Neighbours.exchangeWith(tick, first)
   const usualMs = Math.max(...[...tables.sources.rows()].map(source => source.chunkMs), 0)
   const waitMs = Math.max(FALLBACK_MS, usualMs * FALLBACK_FACTOR)
-  if (tick.nowMs - (chunks.dueAtMs[index] ?? 0) < waitMs * rank) return false
-  const first = seeding.line(index)[0]
-  const peer = first === undefined ? undefined : Tables.peerOf(tables, first)
-  if (peer === undefined || peer.standing.backOffUntilMs > tick.nowMs) return true
-  if (peer.askedAtMs < (chunks.dueAtMs[index] ?? 0) + waitMs / 2) { Neighbours.exchangeWith(tick, peer); return false }
-  if (tick.nowMs - peer.heardAtMs > waitMs) return true
-  const seeding0 = peer.holdings.get(set.want.digest)?.seeding
-  if (seeding0 !== undefined && Bitmap.has(seeding0, index)) { chunks.dueAtMs[index] = tick.nowMs; return false }
+  if (tick.nowMs - dueAtMs < waitMs * ahead.length) return false
+  if (first.askedAtMs < dueAtMs + waitMs / 2) { Neighbours.exchangeWith(tick, first); return false }
+  if (tick.nowMs - first.heardAtMs > waitMs) return true
+  const atWork = first.holdings.get(set.want.digest)?.seeding
+  if (atWork !== undefined && Bitmap.has(atWork, index)) { chunks.dueAtMs[index] = tick.nowMs; return false }
   return true
 }
 
--- a/test/weights.swarm.test.ts
+++ b/test/weights.swarm.test.ts
@@ -64,6 +64,19 @@
       expect(others.filter(index => silent.includes(index))).toEqual(others)
     })
 
+    it('follows soon when the first in line cannot be reached', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(2) })
+      agent.want(weights)
+      agent.learn(weights)
+      const seeding = agent.tables.sets.get(weights.digest)?.seeding as Weights.Seeding.Seeding
+      const others = all(8).filter(index => seeding.line(index)[0] === 'a1').slice(0, 2)
+      const fetched = all(6).flatMap(() => {
+        for (const probe of Fake.of('exchange', agent.pass(500))) agent.tick({ kind: 'exchanged', instanceId: probe.instanceId, answered: false, tookMs: 1 })
+        return agent.endAll().map(fetch => fetch.index)
+      })
+      expect(others.filter(index => fetched.includes(index))).toEqual(others)
+    })
+
     it('brings a chunk in again when its only holder is gone', () => {
       const single = Fake.makeWeights('single', ['c0'])
       const agent = Fake.createAgent({ members: Fake.makeMembers(3) })
