--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -28,7 +28,7 @@
   {
     name: 'limit',
     file: 'src/agent/systems/admission.ts',
-    text: 'attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount(), tick.nowMs)',
+    text: 'attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount())',
     replacement: 'true',
     checks: [soak('agent')]
   },
@@ -55,16 +55,16 @@
   },
   {
     name: 'drain at the agent',
-    file: 'src/agent/systems/admission.ts',
-    text: "  if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }\n  if (state !== 'live') {",
-    replacement: "  if (state !== 'live' && state !== 'draining') {",
-    checks: [soak('agent'), test('drain')]
+    file: 'src/agent/tables.ts',
+    text: "if (tables.drainReason !== undefined) return 'draining'",
+    replacement: '',
+    checks: [soak('agent')]
   },
   {
-    name: 'model version at the offer',
+    name: 'model version of an attempt',
     file: 'src/agent/systems/admission.ts',
-    text: "if (isOtherVersion(tables, envelope)) { refuse('modelNotLoaded'",
-    replacement: "if (false) { refuse('modelNotLoaded'",
+    text: 'return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion',
+    replacement: 'return false',
     checks: [soak('agent')]
   },
   {
@@ -156,14 +156,14 @@
     file: 'src/gateway/choice.ts',
     text: ' && !Control.Documents.isDrained(tables.held.drains(), endpoint.endpointId, endpoint.zone)',
     replacement: '',
-    checks: [soak('gateway')]
+    checks: [soak('gateway'), test('proof.guards')]
   },
   {
     name: 'leaving endpoint',
     file: 'src/gateway/choice.ts',
     text: "endpoint.listedState !== 'leaving' && ",
     replacement: '',
-    checks: [soak('gateway')]
+    checks: [soak('gateway'), test('proof.guards')]
   },
   {
     name: 'pinned version of a stream',
@@ -173,10 +173,10 @@
     checks: [soak('gateway')]
   },
   {
-    name: 'quarantine at the gateway',
-    file: 'src/gateway/systems/calls.ts',
-    text: 'if (Suspicion.isQuarantined(tables, call.digest)) {',
-    replacement: 'if (false) {',
+    name: 'quarantine',
+    file: 'src/gateway/suspicion.ts',
+    text: 'return entry !== undefined && entry.suspect !== true',
+    replacement: 'return false',
     checks: [test('proof.guards')]
   },
   {
