Give both daemons one runtime, and an advertised address

Cause: the two start functions repeated thirty lines, the gateway's program bundled the agent for a few constants, and a daemon listening on every address told the others 0.0.0.0. Tests: a wildcard without it ends with exit code 2.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -10,7 +10,7 @@
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
-import * as Platform from '../platform/index.ts'
+import * as Process from '../process/index.ts'
 import * as Schemas from '../schema/index.ts'
 import * as Weights from '../weights/index.ts'
 import * as Calls from './calls.ts'
@@ -69,27 +69,15 @@
     service: settings.service,
     incarnation: Crypto.randomUUID()
   }
-  const log = Edge.Log.createLog('agent', settings.instanceId, settings.logLevel)
-  const metrics = Edge.Metrics.createMetrics()
-  const seed = Crypto.randomInt(2 ** 31)
-  const violate = Edge.Violations.createReporter(log, metrics, seed)
-  const clock = (): number => performance.now()
-  const random = Core.Random.createRandom(seed)
+  const runtime = Process.Runtime.createRuntime({ program: 'agent', settings })
+  const { log, metrics, violate, clock, random, peerKey, guard, onRefused } = runtime
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
-  const peerKeys = Settings.peerKeysOf(settings)._unsafeUnwrap()
-  const peerKey = peerKeys.current
-  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: () => [] })
-  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys }, log.keysRead)
-  const onRefused = (path: string, reason: string): void => {
-    metrics.count('peer_calls_refused_total', { reason })
-    log.warn('control', 'Procedure refused.', { path, reason })
-  }
   const asks = new Map<string, (answer: Schemas.Calls.FenceAnswer) => void>()
 
   const node = Control.Node.createNode({
     identity,
-    tables: Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs),
-    instanceList: Edge.HttpClient.targetOf(settings.instanceList),
+    tables: runtime.store,
+    instanceList: runtime.instanceList,
     peerKey,
     random,
     clock,
@@ -190,12 +178,10 @@
       relay.route,
       ...swarm.routes,
       Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
-      metrics.route,
-      { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
-      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, node.ready() ? 200 : 503, Tables.reportOf(tables)) } }
+      ...Process.Runtime.healthRoutes(metrics, node.ready, () => Tables.reportOf(tables))
     ]
   })
-  node.announce({ host: settings.listenHost, port: server.port, service: settings.service })
+  node.announce({ host: Process.Settings.advertisedHostOf(settings)._unsafeUnwrap(), port: server.port, service: settings.service })
   log.info('agent', 'Agent listens.', { port: server.port })
   return {
     port: server.port,
@@ -210,7 +196,7 @@
       clearInterval(paceTimer)
       relay.stop()
       swarm.stop()
-      stopReloading()
+      runtime.close()
       node.stop()
       loop.stop()
       log.info('agent', 'Agent stopped.')
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -6,6 +6,7 @@
 import * as Http from 'node:http'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
+import * as CallWire from '../schema/callWire.ts'
 import * as Schemas from '../schema/index.ts'
 import * as Answers from './answers.ts'
 import type * as Messages from './messages.ts'
@@ -13,15 +14,6 @@
 import * as Fencing from './systems/fencing.ts'
 import * as Tables from './tables.ts'
 
-/** Where gateways send attempts. */
-export const CALL_PATH = '/call'
-/** The header that carries the envelope. */
-export const ENVELOPE_HEADER = 'x-fescue-envelope'
-/** The header that carries the agent's result. */
-export const RESULT_HEADER = 'x-fescue-result'
-/** An attempt under way shows a sign of life this often, in milliseconds. */
-export const HEARTBEAT_MS = 500
-
 /** Settings of the byte path. */
 export interface RelayOptions {
   readonly endpoint: Edge.HttpClient.Target
@@ -81,10 +73,10 @@
   const take: Edge.HttpServer.Handler = async (request, response) => {
     const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
     if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
-    const envelopeText = String(request.headers[ENVELOPE_HEADER] ?? '')
-    const caller = options.guard.identify(request, CALL_PATH, body.value, envelopeText)
+    const envelopeText = String(request.headers[CallWire.ENVELOPE_HEADER] ?? '')
+    const caller = options.guard.identify(request, CallWire.CALL_PATH, body.value, envelopeText)
     if (caller.role !== 'peer') {
-      options.onRefused(CALL_PATH, caller.reason ?? 'wrongRole')
+      options.onRefused(CallWire.CALL_PATH, caller.reason ?? 'wrongRole')
       Edge.HttpServer.sendCode(response, 'unauthorized')
       return
     }
@@ -107,7 +99,7 @@
   }
   const sendResult = (exchange: Exchange, code: Core.Codes.CodeName, refusal?: Partial<Messages.Refusal>): void => {
     const result = resultOf(options.tables, exchange.envelope, code, refusal)
-    Edge.HttpServer.sendJson(exchange.response, Core.Codes.CODES[code].httpStatus, result, { [RESULT_HEADER]: JSON.stringify(result) })
+    Edge.HttpServer.sendJson(exchange.response, Core.Codes.CODES[code].httpStatus, result, { [CallWire.RESULT_HEADER]: JSON.stringify(result) })
   }
   /** Stops the endpoint's work and frees its place once the endpoint had time to notice. */
   const cancel = (exchange: Exchange): void => {
@@ -138,7 +130,7 @@
     if (mismatch !== undefined) { discard(exchange, mismatch); return }
     if (Answers.isWithoutModel(envelope, incoming)) { passOn(exchange, incoming); return }
     options.push({ kind: 'callAnswering', attemptId: envelope.attemptId })
-    response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
+    response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [CallWire.RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
     if (envelope.stream) response.flushHeaders()
     exchange.meter = paceMeter.open(clock())
     exchange.answer = Answers.relayBody({
@@ -193,9 +185,9 @@
       else if (exchange.envelope.stream && exchange.meter !== undefined && exchange.meter.quietMs(nowMs) > QUIET_STREAM_MS) { exchange.upstream?.destroy(); fail(exchange) } else beat(exchange, nowMs)
     }
   }
-  const sweepTimer = setInterval(sweep, HEARTBEAT_MS)
+  const sweepTimer = setInterval(sweep, CallWire.HEARTBEAT_MS)
   return {
-    route: { method: 'POST', path: CALL_PATH, handle: take },
+    route: { method: 'POST', path: CallWire.CALL_PATH, handle: take },
     admit,
     refuse: (attemptId, refusal) => {
       const exchange = exchanges.get(attemptId)
@@ -218,7 +210,7 @@
   const { response, envelope, meter, answer } = exchange
   if (response.destroyed || exchange.cancelled) return
   if (!response.headersSent) response.writeProcessing()
-  else if (envelope.stream && answer?.atBoundary() === true && (meter?.quietMs(nowMs) ?? 0) >= HEARTBEAT_MS) response.write(':\n\n')
+  else if (envelope.stream && answer?.atBoundary() === true && (meter?.quietMs(nowMs) ?? 0) >= CallWire.HEARTBEAT_MS) response.write(':\n\n')
 }
 
 function resultOf (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope, code: Core.Codes.CodeName, refusal?: Partial<Messages.Refusal>): Schemas.Calls.CallResult {
--- a/src/daemon/gateway/main.ts
+++ b/src/daemon/gateway/main.ts
@@ -5,10 +5,10 @@
  */
 import * as Effect from 'effect/Effect'
 import * as Neverthrow from 'neverthrow'
-import * as Agent from '../../agent/index.ts'
 import * as Edge from '../../edge/index.ts'
 import * as Gateway from '../../gateway/index.ts'
+import * as Process from '../../process/index.ts'
 
 const settings = Edge.Settings.read('fescuespread-gateway', Gateway.Settings.SPEC, process.argv.slice(2), process.env)
-  .andThen(values => Neverthrow.Result.combine([Agent.Settings.peerKeysOf(values), Gateway.Settings.operatorTokensOf(values)]).map(() => values))
+  .andThen(values => Neverthrow.Result.combine([Process.Settings.peerKeysOf(values), Process.Settings.advertisedHostOf(values), Gateway.Settings.operatorTokensOf(values)]).map(() => values))
 Edge.Launch.runDaemon(settings, values => Effect.asVoid(Gateway.App.open(values)))
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -7,11 +7,11 @@
 import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import type * as AgentProcedures from '../agent/procedures.ts'
-import * as AgentSettings from '../agent/settings.ts'
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
 import * as Platform from '../platform/index.ts'
+import * as Process from '../process/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import * as Answers from './answers.ts'
 import * as Callers from './callers.ts'
@@ -62,28 +62,14 @@
     region: settings.region,
     incarnation: Crypto.randomUUID()
   }
-  const log = Edge.Log.createLog('gateway', settings.instanceId, settings.logLevel)
-  const metrics = Edge.Metrics.createMetrics()
-  const seed = Crypto.randomInt(2 ** 31)
-  const violate = Edge.Violations.createReporter(log, metrics, seed)
-  const clock = (): number => performance.now()
-  const random = Core.Random.createRandom(seed)
-  const store = Platform.TableClient.createTableClient(Edge.HttpClient.targetOf(settings.tableService), settings.storeTimeoutMs)
-  const peerKeys = AgentSettings.peerKeysOf(settings)._unsafeUnwrap()
-  const operatorTokens = Settings.operatorTokensOf(settings)._unsafeUnwrap()
-  const peerKey = peerKeys.current
-  const guard = Edge.Auth.createGuard({ peerKeys: peerKeys.accepted, operatorTokens: operatorTokens.accepted })
-  const stopReloading = Edge.Keys.reloadOnHangup({ peerKeys, operatorTokens }, log.keysRead)
-  const onRefused = (path: string, reason: string): void => {
-    metrics.count('peer_calls_refused_total', { reason })
-    log.warn('control', 'Procedure refused.', { path, reason })
-  }
+  const runtime = Process.Runtime.createRuntime({ program: 'gateway', settings, operatorTokens: Settings.operatorTokensOf(settings)._unsafeUnwrap() })
+  const { log, metrics, violate, clock, random, store, peerKey, guard, onRefused } = runtime
   const push = (input: Messages.Input): void => { loop?.push(input) }
 
   const node = Control.Node.createNode({
     identity,
     tables: store,
-    instanceList: Edge.HttpClient.targetOf(settings.instanceList),
+    instanceList: runtime.instanceList,
     peerKey,
     random,
     clock,
@@ -210,13 +196,11 @@
     headersTimeoutMs: settings.bodyTimeoutMs,
     routes: [
       Edge.Rpc.createRpcRoute(procedures, guard, onRefused),
-      metrics.route,
-      { method: 'GET', path: '/live', handle: (_request, response) => { Edge.HttpServer.sendJson(response, 200, { live: true }) } },
-      { method: 'GET', path: '/ready', handle: (_request, response) => { Edge.HttpServer.sendJson(response, isReady() ? 200 : 503, report()) } }
+      ...Process.Runtime.healthRoutes(metrics, isReady, report)
     ],
     fallback: callers.handle
   })
-  node.announce({ host: settings.listenHost, port: server.port })
+  node.announce({ host: Process.Settings.advertisedHostOf(settings)._unsafeUnwrap(), port: server.port })
   log.info('gateway', 'Gateway listens.', { port: server.port })
   return {
     port: server.port,
@@ -233,7 +217,7 @@
       callers.stop()
       clearInterval(cleanTimer)
       node.stop()
-      stopReloading()
+      runtime.close()
       loop.stop()
       log.info('gateway', 'Gateway stopped.')
     }
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -4,9 +4,9 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
-import * as AgentCalls from '../agent/calls.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
+import * as CallWire from '../schema/callWire.ts'
 import * as Schemas from '../schema/index.ts'
 import type * as Exchange from './exchange.ts'
 import type * as Messages from './messages.ts'
@@ -32,7 +32,7 @@
 /** The largest answer that is saved for repeats, in bytes. */
 const MAX_SAVED_ANSWER_BYTES = 4 * 1024 * 1024
 /** A connection over which no sign of life came for so long is given up, in milliseconds. */
-const SILENT_MS = 4 * AgentCalls.HEARTBEAT_MS
+const SILENT_MS = 4 * CallWire.HEARTBEAT_MS
 /** The same while a whole answer is being read, in milliseconds. */
 const SILENT_BODY_MS = 15_000
 const decodeResult = Schemas.Decode.json(Schemas.Calls.CallResult)
@@ -61,11 +61,11 @@
       host: target.host,
       port: target.port,
       method: 'POST',
-      path: AgentCalls.CALL_PATH,
+      path: CallWire.CALL_PATH,
       agent: Edge.HttpClient.pool,
       headers: {
-        authorization: Edge.Auth.sign(options.peerKey(), { method: 'POST', path: AgentCalls.CALL_PATH, body: exchange.body, covered: envelopeText }),
-        [AgentCalls.ENVELOPE_HEADER]: envelopeText,
+        authorization: Edge.Auth.sign(options.peerKey(), { method: 'POST', path: CallWire.CALL_PATH, body: exchange.body, covered: envelopeText }),
+        [CallWire.ENVELOPE_HEADER]: envelopeText,
         'content-length': exchange.body.length
       }
     })
@@ -86,7 +86,7 @@
   }
   const take = (exchange: Exchange.Exchange, attempt: Exchange.Attempt, command: Messages.Dispatch, incoming: Http.IncomingMessage): void => {
     const { callId, modelVersion } = command.envelope
-    const result = decodeResult(String(incoming.headers[AgentCalls.RESULT_HEADER] ?? ''))
+    const result = decodeResult(String(incoming.headers[CallWire.RESULT_HEADER] ?? ''))
     if (result.isErr() || result.value.callId !== callId || result.value.attemptId !== attempt.attemptId) {
       end(exchange, attempt, { run: 'unknown', code: 'outcomeUnknown', reason: 'The answer does not belong to the attempt.' })
       incoming.destroy()
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -4,12 +4,12 @@
  * @packageDocumentation
  */
 import type * as Neverthrow from 'neverthrow'
-import * as AgentSettings from '../agent/settings.ts'
 import * as Edge from '../edge/index.ts'
+import * as Process from '../process/index.ts'
 
 /** Settings of a gateway. */
 export const SPEC = {
-  ...AgentSettings.SHARED,
+  ...Process.Settings.SHARED,
   operatorToken: Edge.Settings.optionalText('Tokens that operators prove, separated by commas', true),
   operatorTokenFile: Edge.Settings.optionalText('File of operator tokens in place of the flag, one a line, read again at SIGHUP'),
   maxBodyBytes: Edge.Settings.count('Largest request body in bytes', 1, 1 << 30, 1 << 20),
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -24,6 +24,11 @@
     expect(line.includes('k7q')).toEqual(false)
     expect(await startWith({ peerKey: 'long-enough-key' })).toInclude('ended with 2: settings: --operator-token')
   })
+
+  it('needs an address to tell others when it listens on every one', async () => {
+    const keys = { peerKey: 'long-enough-key', operatorToken: 'operator-token' }
+    expect(await startWith({ ...keys, listenHost: '0.0.0.0' })).toInclude('ended with 2: settings: --advertise-host')
+  })
 })
 
 describe('read', () => {
