--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import type * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import type * as Pace from './pace.ts'
 
@@ -43,6 +44,21 @@
   return undefined
 }
 
+/** Statuses with which an engine says that it has generated nothing. */
+const ENGINE_REFUSALS: Readonly<Record<number, Core.Codes.CodeName>> = { 429: 'overCapacity', 503: 'modelNotLoaded' }
+
+/**
+ * Finds whether an engine refused an attempt instead of running it, so that it may go elsewhere.
+ *
+ * @param envelope - The attempt.
+ * @param kind - The kind of the service; a plain service may answer so after doing its work.
+ * @param httpStatus - The answer's status.
+ * @returns The result code, or undefined when the answer is the caller's.
+ */
+export function findRefusal (envelope: Schemas.Calls.CallEnvelope, kind: Schemas.Manifest.Service['kind'] | undefined, httpStatus: number): Core.Codes.CodeName | undefined {
+  return kind === 'engine' && envelope.idempotent ? ENGINE_REFUSALS[httpStatus] : undefined
+}
+
 /**
  * Relays the body of an answer whose head has been written.
  *
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -131,6 +131,13 @@
     const { response, envelope } = exchange
     const mismatch = Answers.findMismatch(envelope, incoming.headers)
     if (mismatch !== undefined) { discard(exchange, mismatch); return }
+    const refusal = Answers.findRefusal(envelope, Tables.serviceOf(options.tables)?.kind, incoming.statusCode ?? 502)
+    if (refusal !== undefined) {
+      incoming.resume()
+      sendResult(exchange, refusal, { reason: `The endpoint answered ${incoming.statusCode ?? 502}.` })
+      end(exchange, 'neverSent', undefined, incoming.statusCode)
+      return
+    }
     options.push({ kind: 'callAnswering', attemptId: envelope.attemptId })
     response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
     if (envelope.stream) response.flushHeaders()
--- a/src/agent/systems/limits.ts
+++ b/src/agent/systems/limits.ts
@@ -38,8 +38,8 @@
     const attempt = tables.attempts.get(attemptId)
     if (attempt?.state !== 'running') return
     if (ending === 'failed') { cool(tables, tick, 'The endpoint failed an attempt.'); return }
-    if (ending !== 'whole') return
     if (httpStatus !== undefined && OVERLOAD_STATUSES.has(httpStatus)) { cool(tables, tick, `The endpoint answered ${httpStatus}.`); return }
+    if (ending !== 'whole') return
     const verdict = attempt.envelope.stream || reportsLoad(tables) ? 'near' : sample(tables, tick, 'whole', tick.nowMs - attempt.admittedAtMs)
     if (verdict === 'near') grow(tables, tick)
   }
