--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
-import type * as Core from '../core/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import type * as Pace from './pace.ts'
 
@@ -28,6 +27,8 @@
 
 const CONTENT_TYPE = 'application/octet-stream'
 const LINE_FEED = 10
+/** The HTTP status of an engine without a model. */
+const NO_MODEL_STATUS = 503
 
 /**
  * Checks that an answer belongs to the attempt and comes from the wanted model version.
@@ -44,19 +45,16 @@
   return undefined
 }
 
-/** Statuses with which an engine says that it has generated nothing. */
-const ENGINE_REFUSALS: Readonly<Record<number, Core.Codes.CodeName>> = { 429: 'overCapacity', 503: 'modelNotLoaded' }
-
 /**
- * Finds whether an engine refused an attempt instead of running it, so that it may go elsewhere.
+ * Tells whether an engine refused a call because it holds no model, as after a crash that the agent
+ * has not seen yet. Only a call that may run twice is taken to be refused.
  *
  * @param envelope - The attempt.
- * @param kind - The kind of the service; a plain service may answer so after doing its work.
- * @param httpStatus - The answer's status.
- * @returns The result code, or undefined when the answer is the caller's.
+ * @param incoming - The answer's head.
+ * @returns Whether the call may go to another endpoint.
  */
-export function findRefusal (envelope: Schemas.Calls.CallEnvelope, kind: Schemas.Manifest.Service['kind'] | undefined, httpStatus: number): Core.Codes.CodeName | undefined {
-  return kind === 'engine' && envelope.idempotent ? ENGINE_REFUSALS[httpStatus] : undefined
+export function isWithoutModel (envelope: Schemas.Calls.CallEnvelope, incoming: Pick<Http.IncomingMessage, 'statusCode' | 'headers'>): boolean {
+  return envelope.idempotent && envelope.modelVersion !== undefined && incoming.statusCode === NO_MODEL_STATUS && incoming.headers['x-model-version'] === undefined
 }
 
 /**
--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -71,9 +71,10 @@
   }
   const log = Edge.Log.createLog('agent', settings.instanceId, settings.logLevel)
   const metrics = Edge.Metrics.createMetrics()
-  const violate = Edge.Violations.createReporter(log, metrics)
+  const seed = Crypto.randomInt(2 ** 31)
+  const violate = Edge.Violations.createReporter(log, metrics, seed)
   const clock = (): number => performance.now()
-  const random = Core.Random.createRandom(Crypto.randomInt(2 ** 31))
+  const random = Core.Random.createRandom(seed)
   const endpoint = Edge.HttpClient.targetOf(settings.endpoint)
   const peerKeys = Settings.peerKeysOf(settings)._unsafeUnwrap()
   const peerKey = peerKeys.current
@@ -95,6 +96,7 @@
     pollMs: settings.pollMs,
     log,
     violate,
+    count: metrics.count,
     onDocument: document => { loop?.push({ kind: 'document', document }) },
     onInstances: instances => {
       push({ kind: 'membersSeen', members: instances.filter(instance => instance.kind === 'agent') })
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -127,17 +127,16 @@
     exchange.response.destroy()
     end(exchange, 'failed')
   }
+  const passOn = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
+    incoming.resume()
+    sendResult(exchange, 'modelNotLoaded', { reason: 'The endpoint holds no model.' })
+    end(exchange, 'neverSent', undefined, incoming.statusCode)
+  }
   const relayAnswer = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     const { response, envelope } = exchange
     const mismatch = Answers.findMismatch(envelope, incoming.headers)
     if (mismatch !== undefined) { discard(exchange, mismatch); return }
-    const refusal = Answers.findRefusal(envelope, Tables.serviceOf(options.tables)?.kind, incoming.statusCode ?? 502)
-    if (refusal !== undefined) {
-      incoming.resume()
-      sendResult(exchange, refusal, { reason: `The endpoint answered ${incoming.statusCode ?? 502}.` })
-      end(exchange, 'neverSent', undefined, incoming.statusCode)
-      return
-    }
+    if (Answers.isWithoutModel(envelope, incoming)) { passOn(exchange, incoming); return }
     options.push({ kind: 'callAnswering', attemptId: envelope.attemptId })
     response.writeHead(incoming.statusCode ?? 502, { ...Answers.headersOf(incoming), [RESULT_HEADER]: JSON.stringify(resultOf(options.tables, envelope, 'ok')) })
     if (envelope.stream) response.flushHeaders()
