--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -122,7 +122,7 @@
   const passOn = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     incoming.resume()
     sendResult(exchange, 'modelNotLoaded', { reason: 'The endpoint holds no model.' })
-    end(exchange, 'neverSent')
+    end(exchange, 'neverSent', undefined, incoming.statusCode)
   }
   const relayAnswer = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     const { response, envelope } = exchange
