Keep a lifted quarantine lifted; bound the young generation of daemons

Cause: test/streams.test.ts failed 2 of 6 times at 'nothing is quarantined': a gateway that heard of the crashes after the lift put the entry back. Change: the document remembers the crashes of lifted entries; late evidence with them does not count, and gateways withdraw what they hold of it. A new crash counts as the first.

--- a/src/control/quarantines.ts
+++ b/src/control/quarantines.ts
@@ -14,6 +14,8 @@
 export const MAX_ENTRY_COUNT = 256
 /** The most crashes remembered with one entry. */
 export const MAX_CRASH_ID_COUNT = 8
+/** The most lifted entries whose crashes are remembered. */
+export const MAX_LIFTED_COUNT = 128
 
 /** Changes to a quarantine document. */
 export interface QuarantineChange {
@@ -62,9 +64,23 @@
   })
 }
 
+/**
+ * Tells whether a crash no longer counts against a digest.
+ *
+ * @param quarantine - The document.
+ * @param digest - The call's digest.
+ * @param crashId - The crash.
+ * @returns Whether an operator or a whole answer has cleared the digest of it.
+ */
+export function isLifted (quarantine: Schemas.Control.Quarantine, digest: string, crashId: string): boolean {
+  return quarantine.lifted?.some(evidence => evidence.digest === digest && evidence.crashIds.includes(crashId)) === true
+}
+
 /**
  * Applies changes: crashes of one digest add up, expired entries go, and suspects give way first.
  *
+ * Crashes of a lifted entry are remembered, so that evidence which arrives late does not undo the lift.
+ *
  * @param quarantine - The document in force, if there is one.
  * @param change - What to put and lift.
  * @param nowMs - Wall-clock time in milliseconds since 1970.
@@ -72,18 +88,35 @@
  */
 export function merge (quarantine: Schemas.Control.Quarantine | undefined, change: QuarantineChange, nowMs: number): Schemas.Control.Quarantine {
   const entries = new Map(quarantine?.entries.filter(entry => entry.expiresAtMs > nowMs).map(entry => [entry.digest, entry]))
-  change.lift.forEach(digest => { entries.delete(digest) })
+  const newlyLifted = change.lift.flatMap(digest => {
+    const crashIds = entries.get(digest)?.crashIds ?? []
+    entries.delete(digest)
+    return crashIds.length === 0 ? [] : [{ digest, crashIds }]
+  })
+  const lifted = [...(quarantine?.lifted ?? []), ...newlyLifted].slice(-MAX_LIFTED_COUNT)
   for (const entry of change.put) {
-    const known = entries.get(entry.digest)
-    const crashIds = [...new Set([...(known?.crashIds ?? []), ...(entry.crashIds ?? [])])].slice(-MAX_CRASH_ID_COUNT)
-    entries.set(entry.digest, {
-      ...entry,
-      crashIds,
-      crashCount: Math.max(crashIds.length, entry.crashCount, known?.crashCount ?? 0),
-      suspect: entry.suspect === true && (known === undefined || known.suspect === true) ? true : undefined,
-      expiresAtMs: Math.max(entry.expiresAtMs, known?.expiresAtMs ?? 0)
-    })
+    const counting = withoutLifted({ entries: [], lifted }, entry)
+    if (counting !== undefined) entries.set(entry.digest, add(entries.get(entry.digest), counting))
   }
   const ordered = [...entries.values()].sort((a, b) => Number(a.suspect === true) - Number(b.suspect === true) || b.expiresAtMs - a.expiresAtMs)
-  return { entries: ordered.slice(0, MAX_ENTRY_COUNT) }
+  return { entries: ordered.slice(0, MAX_ENTRY_COUNT), ...(lifted.length === 0 ? {} : { lifted }) }
+}
+
+/** Leaves out crashes that no longer count; an entry that loses some is a suspect again. */
+function withoutLifted (quarantine: Schemas.Control.Quarantine, entry: Schemas.Control.QuarantineEntry): Schemas.Control.QuarantineEntry | undefined {
+  const given = entry.crashIds ?? []
+  const crashIds = given.filter(crashId => !isLifted(quarantine, entry.digest, crashId))
+  if (crashIds.length === given.length) return entry
+  return crashIds.length === 0 ? undefined : { ...entry, crashIds, crashCount: crashIds.length, suspect: true }
+}
+
+function add (known: Schemas.Control.QuarantineEntry | undefined, entry: Schemas.Control.QuarantineEntry): Schemas.Control.QuarantineEntry {
+  const crashIds = [...new Set([...(known?.crashIds ?? []), ...(entry.crashIds ?? [])])].slice(-MAX_CRASH_ID_COUNT)
+  return {
+    ...entry,
+    crashIds,
+    crashCount: Math.max(crashIds.length, entry.crashCount, known?.crashCount ?? 0),
+    suspect: entry.suspect === true && (known === undefined || known.suspect === true) ? true : undefined,
+    expiresAtMs: Math.max(entry.expiresAtMs, known?.expiresAtMs ?? 0)
+  }
 }
--- a/src/edge/launch.ts
+++ b/src/edge/launch.ts
@@ -7,8 +7,11 @@
 import * as Fiber from 'effect/Fiber'
 import type * as Neverthrow from 'neverthrow'
 import type * as Scope from 'effect/Scope'
+import * as V8 from 'node:v8'
 
 const EXIT_BAD_SETTINGS = 2
+/** The largest half of the heap's young generation, in megabytes: V8's default alone is half of a daemon's budget. */
+const YOUNG_GENERATION_HALF_MB = 1
 
 /**
  * Runs a daemon until a signal asks it to stop.
@@ -22,6 +25,7 @@
     process.exitCode = EXIT_BAD_SETTINGS
     return
   }
+  V8.setFlagsFromString(`--max-semi-space-size=${YOUNG_GENERATION_HALF_MB}`)
   const program = Effect.scoped(Effect.andThen(start(settings.value), Effect.never))
   const fiber = Effect.runFork(program)
   const stop = (): void => { Effect.runFork(Effect.andThen(Fiber.interrupt(fiber), Effect.sync(() => { process.exit(0) }))) }
--- a/src/gateway/suspicion.ts
+++ b/src/gateway/suspicion.ts
@@ -87,7 +87,7 @@
 }
 
 /**
- * Adds crashes to a digest's evidence.
+ * Adds crashes to a digest's evidence, but for those that were lifted.
  *
  * @param tables - The gateway's tables.
  * @param tick - The current tick.
@@ -96,9 +96,12 @@
  * @param crashIds - The crashes.
  */
 export function addEvidence (tables: Tables.Tables, tick: Tables.Tick, service: string, digest: string, crashIds: readonly string[]): void {
-  const documented = Control.Quarantines.entryOf(tables.held.quarantine(), digest)?.crashIds ?? []
+  const quarantine = tables.held.quarantine()
+  const counting = crashIds.filter(crashId => !Control.Quarantines.isLifted(quarantine, digest, crashId))
+  if (counting.length === 0) return
+  const documented = Control.Quarantines.entryOf(quarantine, digest)?.crashIds ?? []
   const row = tables.suspects.get(digest) ?? { digest, service, crashIds: new Set(documented), quarantined: false }
-  crashIds.forEach(crashId => row.crashIds.add(crashId))
+  counting.forEach(crashId => row.crashIds.add(crashId))
   tables.suspects.remove(digest)
   tables.suspects.set(digest, row)
   tables.suspectTimes.set(digest, tick.nowMs + SUSPECT_MS)
@@ -136,6 +139,22 @@
   for (const digest of tables.suspectTimes.expire(nowMs)) tables.suspects.remove(digest)
 }
 
+/**
+ * Takes back crashes that no longer count against a digest.
+ *
+ * @param tables - The gateway's tables.
+ * @param evidence - The digest and the crashes.
+ */
+export function withdraw (tables: Tables.Tables, evidence: Schemas.Control.LiftedEvidence): void {
+  const row = tables.suspects.get(evidence.digest)
+  if (row === undefined) return
+  const heldCount = row.crashIds.size
+  evidence.crashIds.forEach(crashId => row.crashIds.delete(crashId))
+  if (row.crashIds.size === heldCount) return
+  if (row.crashIds.size === 0) drop(tables, row.digest)
+  else row.quarantined &&= row.crashIds.size >= CRASHES_TO_QUARANTINE
+}
+
 /**
  * Drops what this gateway holds against a digest.
  *
--- a/src/gateway/systems/quarantine.ts
+++ b/src/gateway/systems/quarantine.ts
@@ -35,6 +35,7 @@
     Suspicion.drop(tables, digest)
   }
   tables.quarantine.documented = documented
+  for (const evidence of quarantine.lifted ?? []) Suspicion.withdraw(tables, evidence)
   for (const entry of quarantine.entries) {
     const row = tables.suspects.get(entry.digest)
     if (row === undefined) continue
--- a/src/schema/control.ts
+++ b/src/schema/control.ts
@@ -50,8 +50,17 @@
 /** A digest of calls that crash endpoints. */
 export type QuarantineEntry = typeof QuarantineEntry.Type
 
+/** Crashes that no longer count against a digest. */
+export const LiftedEvidence = Schema.Struct({ digest: Manifest.Digest, crashIds: Schema.Array(Schema.String) })
+/** Crashes that no longer count against a digest. */
+export type LiftedEvidence = typeof LiftedEvidence.Type
+
 /** Digests of calls that are refused. */
-export const Quarantine = Schema.Struct({ entries: Schema.Array(QuarantineEntry) })
+export const Quarantine = Schema.Struct({
+  entries: Schema.Array(QuarantineEntry),
+  /** Crashes that no longer count against a digest, the newest last. */
+  lifted: Schema.optional(Schema.Array(LiftedEvidence))
+})
 /** Digests of calls that are refused. */
 export type Quarantine = typeof Quarantine.Type
 
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -89,6 +89,19 @@
     expect(dispatchedBy(gateway.run([arrivalOf('p2', { digest: digestOf('p') })])).length).toEqual(1)
   })
 
+  it('stays lifted when another gateway hears of the same crashes later, and counts a new crash as the first', () => {
+    const [one, two] = [createGateway(1), createGateway(2)]
+    for (const gateway of [one, two]) gateway.list(ENDPOINTS)
+    const crash = (crashId: string) => ({ crashes: [{ crashId, digests: [digestOf('p')] }] })
+    const put = commitAll([one], 1, { entries: [] }, [...['k1', 'k2'].map(crashId => one.report('kartli-1', crash(crashId))), one.run([], 1_100)])
+    const late = [...['k1', 'k2'].map(crashId => two.report('kartli-1', crash(crashId))), two.run([], 1_100)]
+    const lifted = Control.Quarantines.merge(put, { put: [], lift: [digestOf('p')] }, 10_000)
+    expect(commitAll([one, two], 3, lifted, late).entries).toEqual([])
+    expect(dispatchedBy(two.run([arrivalOf('p')])).length).toEqual(1)
+    const again = commitAll([one, two], 4, lifted, [two.report('kartli-1', crash('k3')), two.run([], 1_100)])
+    expect(again.entries.map(({ crashCount, suspect }) => [crashCount, suspect])).toEqual([[1, true]])
+  })
+
   it('expires', () => {
     const gateway = createGateway()
     gateway.list(ENDPOINTS)
