--- a/src/control/layout.ts
+++ b/src/control/layout.ts
@@ -12,6 +12,7 @@
 /** What the layout needs to know of a process. */
 export interface Place {
   readonly instanceId: string
+  readonly kind: 'gateway' | 'agent'
   readonly zone: string
   readonly region: string
 }
@@ -32,6 +33,7 @@
 /** Processes that each one tells in each tree of its zone. */
 export const FAN_OUT = 4
 const TREES = ['a', 'b'] as const
+const KINDS = ['agent', 'gateway'] as const
 
 interface Tree {
   /** The processes of each zone in the order of the tree; the first is its root. */
@@ -83,13 +85,12 @@
 }
 
 function createTree (name: string, places: readonly Place[]): Tree {
-  const members = new Map<string, string[]>()
-  for (const place of places) {
-    const ids = members.get(place.zone) ?? []
-    ids.push(place.instanceId)
-    members.set(place.zone, ids)
-  }
-  const zones = new Map([...members].map(([zone, ids]) => [zone, Core.Hash.rendezvous(`${name}\n${zone}`, ids)]))
+  const zones = new Map([...new Set(places.map(place => place.zone))].map(zone => [zone, orderOf(`${name}\n${zone}`, places.filter(place => place.zone === zone))]))
   const positions = new Map([...zones.values()].flatMap(ids => ids.map((id, index): [string, number] => [id, index])))
   return { zones, positions }
 }
+
+/** Gateways come last: they carry callers' traffic beside control, and agents have bytes and memory to spare. */
+function orderOf (subject: string, places: readonly Place[]): string[] {
+  return KINDS.flatMap(kind => Core.Hash.rendezvous(subject, places.filter(place => place.kind === kind).map(place => place.instanceId)))
+}
--- a/src/gateway/systems/endpoints.ts
+++ b/src/gateway/systems/endpoints.ts
@@ -17,7 +17,7 @@
 /** The longest time between polls of an endpoint, in milliseconds. */
 const FULL_REPORT_MS = 2_000
 /** The most polls of live endpoints in a second. */
-const MAX_POLLS_PER_SECOND = 24
+const MAX_POLLS_PER_SECOND = 16
 const NO_KEYS: ReadonlySet<string> = new Set()
 
 /** Keeps the table of endpoints. */
