--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -13,10 +13,8 @@
 import * as Platform from '../platform/index.ts'
 import * as Process from '../process/index.ts'
 import type * as Schemas from '../schema/index.ts'
-import * as Answers from './answers.ts'
 import * as Callers from './callers.ts'
-import * as ClaimCleaner from './claimCleaner.ts'
-import * as ClaimWriter from './claimWriter.ts'
+import * as ClaimEdge from './claimEdge.ts'
 import * as Endpoints from './systems/endpoints.ts'
 import * as Systems from './systems/index.ts'
 import type * as Messages from './messages.ts'
@@ -34,13 +32,6 @@
 const REPORT_POLL_MS = 100
 const PEER_TIMEOUT_MS = 1_000
 const FENCE_TIMEOUT_MS = 1_000
-const CLAIM_GATHER_MS = 2
-const SAVE_GATHER_MS = 25
-/** Transactions of claims that all gateways together may make in a second. */
-const CLAIM_TRANSACTIONS_PER_SECOND = 200
-/** Time between rounds of deleting expired claims, for one gateway, in milliseconds. */
-const CLEAN_INTERVAL_MS = 60_000
-const REPLAY_RETRY_AFTER_MS = 1_000
 /** Time that a stop always leaves for saving outcomes, in milliseconds. */
 const CLAIM_FLUSH_MS = 2_000
 
@@ -82,38 +73,18 @@
   })
   const tables = Tables.createTables(identity, node.held, Date.now, Crypto.randomUUID)
   const callers = Callers.createCallers({ ...settings, peerKey, makeId: Crypto.randomUUID, push })
-  const claims = ClaimWriter.createClaimWriter({
-    tables: store,
-    gatherMs: CLAIM_GATHER_MS,
-    saveGatherMs: SAVE_GATHER_MS,
-    intervalMs: () => gatewayCount() * 1_000 / CLAIM_TRANSACTIONS_PER_SECOND,
-    clock,
-    wait: async delayMs => { await new Promise(resolve => setTimeout(resolve, delayMs)) },
+  const gatewayCount = (): number => Math.max(1, node.instances().filter(instance => instance.kind === 'gateway').length)
+  const claims = ClaimEdge.createClaimEdge({
+    store,
+    objects: Platform.ObjectClient.createObjectClient(Edge.HttpClient.targetOf(settings.objectStore), settings.storeTimeoutMs),
+    callers,
+    metrics,
+    log,
     random,
-    makeId: Crypto.randomUUID,
-    onResult: (claimKey, callId, result) => { push({ kind: 'claimAnswered', claimKey, callId, result }) }
+    clock,
+    gatewayCount,
+    push
   })
-  const gatewayCount = (): number => Math.max(1, node.instances().filter(instance => instance.kind === 'gateway').length)
-  const answers = Answers.createAnswers(Platform.ObjectClient.createObjectClient(Edge.HttpClient.targetOf(settings.objectStore), settings.storeTimeoutMs))
-  const writeClaim = async (write: Messages.ClaimWrite): Promise<void> => {
-    const { record } = write
-    const outcome = record.outcome === undefined ? undefined : await answers.toSaved(record.outcome, record.attemptId)
-    claims.write({ ...write, record: { ...record, outcome } })
-  }
-  const replay = async (callId: string, saved: Schemas.Calls.SavedOutcome): Promise<void> => {
-    const outcome = await answers.toInline(saved)
-    metrics.count('calls_total', { code: outcome === undefined ? 'answerUnavailable' : 'replayed' })
-    if (outcome !== undefined) callers.replay(callId, outcome)
-    else callers.finish(callId, 'answerUnavailable', { callId, reason: 'The saved answer could not be read.', retryAfterMs: REPLAY_RETRY_AFTER_MS })
-  }
-  let cleaning = false
-  const cleanTimer = setInterval(() => {
-    if (cleaning || random.next() * gatewayCount() > 1) return
-    cleaning = true
-    void ClaimCleaner.clean({ tables: store, wallClock: Date.now })
-      .then(deletedCount => { if (deletedCount > 0) log.info('claims', 'Expired claims deleted.', { deletedCount }) })
-      .finally(() => { cleaning = false })
-  }, CLEAN_INTERVAL_MS)
   const askFence = async (command: Extract<Messages.Command, { kind: 'askFence' }>): Promise<void> => {
     const client = Edge.Rpc.createClient<AgentProcedures.AgentRouter>(command.target, peerKey, FENCE_TIMEOUT_MS, true)
     const answer = await client.fence.mutate(command.question).catch(() => undefined)
@@ -131,12 +102,12 @@
       metrics.count('calls_total', { code: 'ok' })
       callers.deliver(command.callId)
     },
-    replay: command => { void replay(command.callId, command.outcome) },
+    replay: command => { void claims.replay(command.callId, command.outcome) },
     finish: command => {
       metrics.count('calls_total', { code: command.code })
       callers.finish(command.callId, command.code, command.details)
     },
-    writeClaim: command => { void writeClaim(command.write) },
+    writeClaim: command => { void claims.write(command.write) },
     abandonClaim: command => { claims.abandon(command.callId) },
     commitQuarantine: command => { void commitQuarantine(command.change) },
     askFence: command => { void askFence(command) }
@@ -215,7 +186,7 @@
       await claims.flush(Math.max(CLAIM_FLUSH_MS, untilMs - clock()))
       clearInterval(reportTimer)
       callers.stop()
-      clearInterval(cleanTimer)
+      claims.stop()
       node.stop()
       runtime.close()
       loop.stop()
