--- a/bench/support/callFaults.ts
+++ b/bench/support/callFaults.ts
@@ -67,6 +67,7 @@
   const counts: Record<string, number> = {}
   const proxies = new Map<TestKit.Deployment.Runner, TestKit.SilentProxy.SilentProxy>()
   let share = 0
+  let silencedCount = 0
   let stopped = false
   let storeBusy = false
 
@@ -140,7 +141,7 @@
     },
     { name: 'gatewayPaused', weight: 2, run: async () => await alone(pick(deployment.gateways), async gateway => { await pause(gateway.process, 3_000) }) },
     { name: 'agentPaused', weight: 2, run: async () => await alone(pick(deployment.runners), async runner => { await pause(runner.agent, 2_500) }) },
-    { name: 'connectionsSilent', weight: 4, run: async () => { proxies.get(pick(deployment.runners))?.silence() } }
+    { name: 'connectionsSilent', weight: 4, run: async () => { silencedCount += proxies.get(pick(deployment.runners))?.silence() ?? 0 } }
   ]
   const wheel = faults.flatMap(fault => Array.from({ length: fault.weight }, () => fault))
   const running = new Set<Promise<void>>()
@@ -163,6 +164,6 @@
       await Promise.all(running)
     },
     close: async () => { await Promise.all([...proxies.values()].map(async proxy => { await proxy.close() })) },
-    counts: () => counts
+    counts: () => ({ ...counts, silencedConnections: silencedCount })
   }
 }
--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import * as Crypto from 'node:crypto'
-import * as Effect from 'effect/Effect'
+import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import * as Schema from 'effect/Schema'
 import * as Control from '../control/index.ts'
@@ -27,6 +27,7 @@
 export interface Agent {
   readonly port: number
   report: () => Schemas.Control.AgentReport
+  stop: () => Promise<void>
 }
 
 const BEAT_MS = 50
@@ -57,10 +58,10 @@
  * @returns The agent.
  */
 export function open (settings: Settings.AgentSettings): Effect.Effect<Agent, Error, Scope.Scope> {
-  return Effect.map(Edge.Launch.resource(async () => await start(settings), async agent => { await agent.stop() }), agent => agent)
+  return Edge.Launch.resource(async () => await start(settings), async agent => { await agent.stop() })
 }
 
-async function start (settings: Settings.AgentSettings): Promise<Agent & { stop: () => Promise<void> }> {
+async function start (settings: Settings.AgentSettings): Promise<Agent> {
   const identity: Tables.AgentIdentity = {
     instanceId: settings.instanceId,
     kind: 'agent',
--- a/test/fescuectl.test.ts
+++ b/test/fescuectl.test.ts
@@ -83,6 +83,13 @@
     expect([finished.code, finished.stderr.includes('destroy')]).toEqual([2, true])
   })
 
+  it('takes no notice of the daemons\' variables, and shows no token', async () => {
+    const env = { FESCUE_PEER_KEY: 'k', FESCUE_ZONE: 'kartli', FESCUE_TOKEN: 'a-secret-token' }
+    const finished = await TestKit.Processes.runCtl(['manifest', 'validate', write('1.json', () => {})], env)
+    expect(finished.code).toEqual(0)
+    expect((await TestKit.Processes.runCtl(['--help'], env)).stdout.includes('a-secret-token')).toEqual(false)
+  })
+
   it('is refused without the token', async () => {
     const finished = await TestKit.Processes.runCtl(['status'], { FESCUE_GATEWAY: `127.0.0.1:${deployment.gateways[0]?.process.port ?? 0}`, FESCUE_TOKEN: 'wrong-token' })
     expect([finished.code, finished.stderr.includes('operator token required')]).toEqual([1, true])
