Leave a chunk to the first in line although its upload queue is full

Cause: an agent whose upload queue is full is in back-off for 50 ms, and the next in line took it for gone and drew its chunk from the origin a second time. Change: only agents that were unreachable, stalled or lied are passed by. The new test fails without the change.

--- a/src/weights/faults.ts
+++ b/src/weights/faults.ts
@@ -19,6 +19,8 @@
   readonly longestMs: number
 }
 
+/** Faults after which an agent may not be at work; one that is throttled is at work. */
+const AWAY_FAULTS: readonly FaultKind[] = ['corrupted', 'stalled', 'unreachable']
 const NONE: BackOff = { baseMs: 0, factor: 1, longestMs: 0 }
 
 /** Back-off from a peer, by fault. */
@@ -52,6 +54,17 @@
   return { faultCounts: { corrupted: 0, stalled: 0, slow: 0, unreachable: 0, throttled: 0, absent: 0, cancelled: 0 }, backOffUntilMs: 0 }
 }
 
+/**
+ * Tells whether an agent is left alone because of more than a full queue.
+ *
+ * @param standing - Its standing.
+ * @param nowMs - The time.
+ * @returns Whether others are to do its work meanwhile.
+ */
+export function isAway (standing: Standing, nowMs: number): boolean {
+  return standing.backOffUntilMs > nowMs && AWAY_FAULTS.some(fault => standing.faultCounts[fault] > 0)
+}
+
 /**
  * Blames a fault and starts its back-off.
  *
--- a/src/weights/systems/seeds.ts
+++ b/src/weights/systems/seeds.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Bitmap from '../bitmap.ts'
+import * as Faults from '../faults.ts'
 import * as Seeding from '../seeding.ts'
 import * as Tables from '../tables.ts'
 import * as Fetches from './fetches.ts'
@@ -86,7 +87,7 @@
 function isTurn (tables: Tables.Tables, tick: Tables.Tick, set: Tables.SetRow, chunks: Tables.Chunks, seeding: Seeding.Seeding, index: number): boolean {
   const rank = seeding.rankOf(index, tables.identity.instanceId)
   if (rank === 0) return true
-  const ahead = seeding.line(index).slice(0, rank).flatMap(id => Tables.peerOf(tables, id) ?? []).filter(peer => peer.standing.backOffUntilMs <= tick.nowMs)
+  const ahead = seeding.line(index).slice(0, rank).flatMap(id => Tables.peerOf(tables, id) ?? []).filter(peer => !Faults.isAway(peer.standing, tick.nowMs))
   const [first] = ahead
   if (first === undefined) return true
   const dueAtMs = chunks.dueAtMs[index] ?? 0
--- a/test/weights.swarm.test.ts
+++ b/test/weights.swarm.test.ts
@@ -77,6 +77,22 @@
       expect(others.filter(index => fetched.includes(index))).toEqual(others)
     })
 
+    it('leaves a chunk to the first in line although its queue is full', () => {
+      const agent = Fake.createAgent({ members: Fake.makeMembers(2) })
+      agent.want(weights)
+      agent.learn(weights)
+      const seeding = agent.tables.sets.get(weights.digest)?.seeding as Weights.Seeding.Seeding
+      const others = all(8).filter(index => seeding.line(index)[0] === 'a1')
+      const first = Weights.Tables.peerOf(agent.tables, 'a1') as Weights.Tables.PeerRow
+      const fetched = all(6).flatMap(() => {
+        Weights.Faults.blame(first.standing, 'throttled', Weights.Faults.PEER_BACK_OFF, agent.nowMs() + 50)
+        agent.pass(10)
+        return agent.endAll().map(fetch => fetch.index)
+      })
+      expect(fetched.length).toBeGreaterThan(0)
+      expect(others.filter(index => fetched.includes(index))).toEqual([])
+    })
+
     it('brings a chunk in again when its only holder is gone', () => {
       const single = Fake.makeWeights('single', ['c0'])
       const agent = Fake.createAgent({ members: Fake.makeMembers(3) })
