--- a/src/gateway/systems/endpoints.ts
+++ b/src/gateway/systems/endpoints.ts
@@ -16,8 +16,8 @@
 const OTHER_POLL_MS = 250
 /** The longest time between polls of an endpoint, in milliseconds. */
 const FULL_REPORT_MS = 2_000
-/** The most polls of live endpoints in a second. */
-const MAX_POLLS_PER_SECOND = 16
+/** Polls of live endpoints in a second, unless whole reports are due more often. */
+const USUAL_POLLS_PER_SECOND = 16
 const NO_KEYS: ReadonlySet<string> = new Set()
 
 /** Keeps the table of endpoints. */
@@ -44,7 +44,7 @@
 export function takePolls (tables: Tables.Tables, nowMs: number): Tables.EndpointRow[] {
   const few = tables.endpoints.count() <= Subset.FULL_SUBSET_COUNT
   const polled = few ? [...tables.endpoints.rows()] : [...tables.members.values()].flat()
-  const liveMs = Math.max(LIVE_POLL_MS, polled.length * 1_000 / MAX_POLLS_PER_SECOND)
+  const liveMs = Math.max(LIVE_POLL_MS, polled.length * 1_000 / USUAL_POLLS_PER_SECOND)
   const due = polled.filter(endpoint => {
     const heardMs = nowMs - Math.max(endpoint.polledAtMs, endpoint.heardAtMs)
     const fullMs = nowMs - Math.max(endpoint.polledAtMs, endpoint.reportedAtMs)
