Spread weights by news of held chunks, paced below the link

Cause: agents waited at one another for chunks in the same order, so 8 copies came from the origin and version 3 was first loaded after 10.9 s. Ruled out: the origin's link, which carried 64 chunks within 2.2 s once asked in parallel. At 0.88 of the link events of streams come late; at 0.75 they do not, but the spread takes longer. Conclusion: uploads are uneven; any holder has to serve next.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -6,11 +6,11 @@
 import * as Core from '../core/index.ts'
 import * as Follow from '../follow/index.ts'
 import type * as Routing from '../routing/index.ts'
+import * as Pacer from '../weights/edge/pacer.ts'
 import * as Exchange from './exchange.ts'
 import * as Filler from './filler.ts'
 import * as Library from './library.ts'
 import type * as Ports from './ports.ts'
-import * as Switching from './switching.ts'
 
 /** What an agent needs. */
 export interface AgentOptions extends Follow.Node.NodeOptions {
@@ -19,6 +19,8 @@
   /** The engine's service. */
   readonly service: string
   readonly versionMs: number
+  /** What the instance's link carries, in bits a second. */
+  readonly linkBitsPerSecond: number
   readonly engine: Ports.Engine
   readonly originAt: (address: string) => Ports.Origin
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
@@ -37,8 +39,15 @@
 const FAR_EVERY_COUNT = 3
 /** A load that did not change is told again after so many reports. */
 const RETELL_COUNT = 5
+/** Share of the link that chunks may take in each direction: the rest carries calls and answers. */
+const LINK_SHARE = 0.88
+const BITS_PER_BYTE = 8
+/** Chunks verified within this time are told of together, in milliseconds. */
+const ANNOUNCE_MS = 20
 const OPERATORS_WAIT_MS = 4_000
 const MEMBERS_WAIT_MS = 20_000
+/** Named versions that are remembered: the origin has no older ones. */
+const KEPT_GOAL_COUNT = 2
 /** Versions count from 1. */
 const FIRST_VERSION = 1
 
@@ -51,19 +60,37 @@
 export async function open (options: AgentOptions): Promise<Agent> {
   const { clock, log } = options
   const library = Library.createLibrary()
-  const named = new Map<string, { readonly version: number, readonly namedAtMs: number }>()
+  const named = new Map<string, Filler.Goal[]>()
   let deployment: Routing.Deployment.Deployment | undefined
   let origin: { readonly address: string, readonly client: Ports.Origin } | undefined
-  let working: { readonly model: string, readonly version: number, loaded: boolean } | undefined
   let reachable: boolean | undefined
   let busy = false
   let reportCount = 0
   let toldText = ''
   let toldAtCount = 0
 
-  const node = await Follow.Node.open(options, 'agent', news => { operators.hint(news.revisions[options.operatorsTable] ?? 0) }, [
-    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version))
+  const chunkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE * LINK_SHARE
+  const onNews = (news: Follow.News.News): void => {
+    operators.hint(news.revisions[options.operatorsTable] ?? 0)
+    if (news.held !== undefined) filler.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
+  }
+  const node = await Follow.Node.open(options, 'agent', onNews, [
+    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), Pacer.createPacer(chunkBytesPerSecond))
   ])
+  const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
+  const flushAnnouncements = (): void => {
+    for (const { receiver, ...held } of announcements.values()) node.tell({ revisions: {}, held }, 'agent', member => member.name === receiver)
+    announcements.clear()
+  }
+  const announce = (model: string, version: number, index: number, receivers: readonly string[]): void => {
+    if (announcements.size === 0 && receivers.length > 0) setTimeout(flushAnnouncements, ANNOUNCE_MS)
+    for (const receiver of receivers) {
+      const key = `${receiver} ${model}/${version}`
+      const entry = announcements.get(key) ?? { model, version, indexes: [], receiver }
+      entry.indexes.push(index)
+      announcements.set(key, entry)
+    }
+  }
   const filler = Filler.createFiller({
     name: options.name,
     region: options.region,
@@ -72,6 +99,8 @@
     library,
     agents: () => node.members().filter(member => member.kind === 'agent'),
     versionMs: options.versionMs,
+    download: Pacer.createPacer(chunkBytesPerSecond),
+    announce,
     clock,
     metrics: options.metrics,
     log
@@ -85,8 +114,9 @@
     },
     zoneDrained: () => {},
     versionNamed: ({ model, version }) => {
-      if (version <= (named.get(model)?.version ?? FIRST_VERSION)) return
-      named.set(model, { version, namedAtMs: clock() })
+      const before = named.get(model) ?? []
+      if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return
+      named.set(model, [...before, { model, version, namedAtMs: clock() }].slice(-KEPT_GOAL_COUNT))
       log('weights', 'Version named.', { model, version })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
@@ -105,16 +135,10 @@
   node.relay(options.operatorsTable, operators)
   node.followMembers(MEMBERS_WAIT_MS)
 
-  const goalOf = (report: Ports.EngineReport): Filler.Goal | undefined => {
+  const goalsOf = (): readonly Filler.Goal[] => {
     const model = deployment?.services.find(service => service.name === options.service)?.engine?.models[0]
-    if (model === undefined) return undefined
-    const newest = named.get(model)
-    const loaded = (report.weights ?? []).some(held => held.model === model && held.version >= (working?.version ?? Infinity))
-    const volume = working === undefined ? undefined : library.volumeOf(model, working.version)
-    const heldShare = volume === undefined ? 0 : volume.heldCount / volume.manifest.digests.length
-    const version = Switching.versionToFill(working === undefined ? undefined : { version: working.version, heldShare, loaded }, newest?.version ?? FIRST_VERSION)
-    working = { model, version, loaded }
-    return { model, version, namedAtMs: newest?.version === version ? newest.namedAtMs : -Infinity }
+    if (model === undefined) return []
+    return named.get(model) ?? [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
   }
   const tellLoad = (report: Ports.EngineReport): void => {
     reportCount++
@@ -146,8 +170,7 @@
       noteReachable(report !== undefined)
       if (report === undefined) return
       tellLoad(report)
-      const goal = goalOf(report)
-      if (goal !== undefined) void filler.advance(goal, report)
+      void filler.advance(goalsOf(), report)
     }).finally(() => { busy = false })
   }, REPORT_MS)
   log('agent', 'Agent started.', { endpoint: options.endpoint, service: options.service, incarnation: node.incarnation })
--- a/src/filling/exchange.ts
+++ b/src/filling/exchange.ts
@@ -5,24 +5,26 @@
  */
 import * as HttpClient from '../edge/httpClient.ts'
 import type * as HttpServer from '../edge/httpServer.ts'
+import type * as Pacer from '../weights/edge/pacer.ts'
 import type * as Library from './library.ts'
 import type * as Ports from './ports.ts'
 
 const PATH = '/weights/'
 const MANIFEST = 'manifest'
-/** An agent that is fetching the chunk itself holds the answer back for so long, in milliseconds. */
-const HOLD_MS = 900
+/** Says that the chunk is on its way to the agent asked, so that it is worth asking again. */
+const PENDING_STATUS = 202
 /** A chunk is on its way for at most so long once it is held, in milliseconds: several chunks share a thin link. */
-const TRANSFER_MS = 1_600
+const TRANSFER_MS = 2_500
 
 /**
  * Makes the route that serves chunks and manifests to other agents.
  *
  * @param library - The chunks in memory.
  * @param isFetching - Whether this agent is fetching a version.
+ * @param upload - Paces what is sent, so that the engine's answers on the same link are not held up.
  * @returns The route.
  */
-export function createRoute (library: Library.Library, isFetching: (model: string, version: number) => boolean): HttpServer.Route {
+export function createRoute (library: Library.Library, isFetching: (model: string, version: number) => boolean, upload: Pacer.Pacer): HttpServer.Route {
   return {
     method: 'GET',
     path: `${PATH}*`,
@@ -34,8 +36,10 @@
         response.end(volume === undefined ? undefined : JSON.stringify(volume.manifest))
         return
       }
-      const chunk = await library.wait(model, Number(version), Number(item), isFetching(model, Number(version)) ? HOLD_MS : 0)
-      response.writeHead(chunk === undefined ? 404 : 200, { 'content-length': chunk?.length ?? 0 })
+      const fetching = isFetching(model, Number(version))
+      const chunk = volume?.chunks[Number(item)]
+      if (chunk !== undefined) await upload.pass(chunk.length)
+      response.writeHead(chunk !== undefined ? 200 : fetching ? PENDING_STATUS : 404, { 'content-length': chunk?.length ?? 0 })
       response.end(chunk)
     }
   }
@@ -48,9 +52,9 @@
  * @param model - The model.
  * @param version - Its version.
  * @param index - The chunk.
- * @returns The bytes, not yet verified; undefined when the agent gives none.
+ * @returns The bytes, not yet verified; `pending` when the agent is fetching them itself; undefined when it gives none.
  */
-export async function fetchChunk (target: HttpClient.Target, model: string, version: number, index: number): Promise<Buffer | undefined> {
+export async function fetchChunk (target: HttpClient.Target, model: string, version: number, index: number): Promise<Buffer | 'pending' | undefined> {
   return await fetchItem(target, model, version, String(index))
 }
 
@@ -65,14 +69,15 @@
 export async function fetchManifest (target: HttpClient.Target, model: string, version: number): Promise<Ports.WeightManifest | undefined> {
   const bytes = await fetchItem(target, model, version, MANIFEST)
   try {
-    return bytes === undefined ? undefined : JSON.parse(bytes.toString()) as Ports.WeightManifest
+    return bytes === undefined || bytes === 'pending' ? undefined : JSON.parse(bytes.toString()) as Ports.WeightManifest
   } catch {
     return undefined
   }
 }
 
-async function fetchItem (target: HttpClient.Target, model: string, version: number, item: string): Promise<Buffer | undefined> {
+async function fetchItem (target: HttpClient.Target, model: string, version: number, item: string): Promise<Buffer | 'pending' | undefined> {
   const path = `${PATH}${encodeURIComponent(model)}/${version}/${item}`
-  const answer = await HttpClient.send({ target, method: 'GET', path, timeoutMs: HOLD_MS + TRANSFER_MS }).catch(() => undefined)
+  const answer = await HttpClient.send({ target, method: 'GET', path, timeoutMs: TRANSFER_MS }).catch(() => undefined)
+  if (answer?.status === PENDING_STATUS) return 'pending'
   return answer?.status === 200 ? answer.body : undefined
 }
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -7,6 +7,7 @@
 import * as CoreHash from '../core/hash.ts'
 import type * as Metrics from '../edge/metrics.ts'
 import type * as Follow from '../follow/index.ts'
+import type * as Pacer from '../weights/edge/pacer.ts'
 import * as Exchange from './exchange.ts'
 import type * as Library from './library.ts'
 import type * as Ports from './ports.ts'
@@ -23,6 +24,10 @@
   /** The other agents. */
   readonly agents: () => readonly Follow.Members.Member[]
   readonly versionMs: number
+  /** Paces what is fetched, so that calls to the engine on the same link are not held up. */
+  readonly download: Pacer.Pacer
+  /** Tells other agents that a chunk may be fetched here. */
+  readonly announce: (model: string, version: number, index: number, receivers: readonly string[]) => void
   readonly clock: () => number
   readonly metrics: Metrics.Metrics
   readonly log: Core.Loop.Tick<never, never>['log']
@@ -38,17 +43,28 @@
 
 /** A filler. */
 export interface Filler {
-  /** Works towards a goal; to be called with each report of the engine. */
-  advance: (goal: Goal, report: Ports.EngineReport) => Promise<void>
+  /** Works towards the named versions, the oldest first; to be called with each report of the engine. */
+  advance: (goals: readonly Goal[], report: Ports.EngineReport) => Promise<void>
   isFetching: (model: string, version: number) => boolean
+  /** Takes that another agent has chunks. */
+  noteHeld: (agent: string, model: string, version: number, indexes: readonly number[]) => void
 }
 
-/** Chunks fetched at once: enough to fill a thin link over its round trips. */
+/** Chunks fetched at once: enough to keep the link busy over its round trips, few enough that calls are not queued behind them. */
 const FETCH_LIMIT_COUNT = 5
-/** An agent that gave nothing is asked for no chunk for so long, in milliseconds. */
-const AGENT_BACK_OFF_MS = 3_000
+/** An agent that was told of no chunk that it lacks asks for one every so often, in milliseconds: news get lost. */
+const BLIND_EVERY_MS = 120
+/** The spread of a version is on its way to every agent within so long, in milliseconds; no agent asks unasked before. */
+const BLIND_AFTER_MS = 1_200
+/** Size by which fetches are paced before the first chunk is known, in bytes. */
+const FIRST_CHUNK_BYTES = 32_768
+/** A chunk that all agents asked are still fetching themselves is taken from the origin after so long, in milliseconds. */
+const PENDING_LIMIT_MS = 4_000
+/** An agent that lacked a chunk is asked for it again after so long, in milliseconds. */
+const REFUSED_MS = 1_500
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
+const ORIGIN: Sources.Source = { kind: 'origin' }
 /** A chunk that fits from so many sources in a row points to a wrong manifest. */
 const MISFIT_LIMIT_COUNT = 4
 /** An order that shows no effect is given again after so long, in milliseconds: reports are fresh on the engine's own machine. */
@@ -62,35 +78,35 @@
  */
 export function createFiller (options: FillerOptions): Filler {
   const { engine, library, clock, log, metrics } = options
-  const failures = new Map<number, number>()
-  const avoidUntilMs = new Map<string, number>()
-  const fetching = new Set<number>()
+  const own: Sources.Spreader = { name: options.name, region: options.region }
+  /** When an agent said that it lacks a chunk, as `agent chunk`. */
+  const refusedAtMs = new Map<string, number>()
+  const triedAtMs = new Map<string, number>()
+  const tryCounts = new Map<string, number>()
+  const fetching = new Set<string>()
   /** Chunks that lie at the engine, as far as this process has put or read them. */
   let staged = new Set<number>()
-  let current: { model: string, version: number } | undefined
+  let stagedVersion: number | undefined
   let bornAtMs: number | undefined
   let manifestPending = false
   let stagingPending = false
   let startedAtMs = -Infinity
   let misfitCount = 0
-  let lastGoal: Goal | undefined
+  let blindAtMs = -Infinity
+  const fetchedFrom = { origin: 0, region: 0, otherRegion: 0 }
+  let chunkBytes = FIRST_CHUNK_BYTES
+  /** Chunks that agents told of, as `agent chunk`. */
+  const told = new Set<string>()
+  let fetchGoal: Goal | undefined
 
-  const begin = (goal: Goal): void => {
-    if (current?.model === goal.model && current.version === goal.version) return
-    current = { model: goal.model, version: goal.version }
-    staged = new Set()
-    failures.clear()
-    misfitCount = 0
-    log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, agentCount: options.agents().length + 1 })
-  }
   const openVolume = async (goal: Goal): Promise<void> => {
     if (manifestPending) return
     manifestPending = true
     try {
       const manifest = await options.origin()?.manifest(goal.model, goal.version) ?? await manifestOfAgents(goal)
       if (manifest === undefined) { log('weights', 'Manifest not had.', { model: goal.model, version: goal.version }); return }
-      const volume = library.volumeOf(goal.model, goal.version) ?? library.open(manifest)
-      await adoptStaged(volume)
+      log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, chunkCount: manifest.digests.length, agentCount: options.agents().length + 1 })
+      await adoptStaged(library.volumeOf(goal.model, goal.version) ?? library.open(manifest))
     } finally {
       manifestPending = false
     }
@@ -105,56 +121,86 @@
   /** Takes what already lies at the engine, if it is of this version. */
   const adoptStaged = async (volume: Library.Volume): Promise<void> => {
     const { model, version } = volume.manifest
+    const found = new Set<number>()
     for (const index of await engine.listStaged(model) ?? []) {
-      if (volume.chunks[index] !== undefined) continue
       const bytes = await engine.readStaged(model, index)
       if (bytes === undefined) continue
       if (!library.put(volume, index, bytes)) break
-      staged.add(index)
+      found.add(index)
     }
-    if (staged.size > 0) log('weights', 'Staged chunks found.', { model, version, chunkCount: staged.size })
+    if (found.size === 0) return
+    staged = found
+    stagedVersion = version
+    log('weights', 'Staged chunks found.', { model, version, chunkCount: found.size })
   }
-  const fetchOne = async (volume: Library.Volume, index: number): Promise<void> => {
+  const fetchOne = async (volume: Library.Volume, index: number, key: string): Promise<void> => {
     const { model, version } = volume.manifest
     const agents = options.agents()
-    const nowMs = clock()
-    const own = { name: options.name, region: options.region }
-    const sources = Sources.sourcesOf(`${model}/${version}/${index}`, own, agents)
-      .filter(source => source.kind === 'origin' || (avoidUntilMs.get(source.name) ?? 0) <= nowMs)
-    const source = sources[Math.min(failures.get(index) ?? 0, sources.length - 1)] ?? { kind: 'origin' as const }
+    const source = sourceOf(key, agents)
     const agent = source.kind === 'agent' ? agents.find(other => other.name === source.name) : undefined
+    triedAtMs.set(key, triedAtMs.get(key) ?? clock())
+    tryCounts.set(key, (tryCounts.get(key) ?? 0) + 1)
+    await options.download.pass(chunkBytes)
     const bytes = agent === undefined ? await options.origin()?.chunk(model, version, index) : await Exchange.fetchChunk(agent, model, version, index)
     const from = agent === undefined ? 'origin' : agent.region === options.region ? 'region' : 'otherRegion'
+    if (bytes === 'pending') return
     if (bytes !== undefined && library.put(volume, index, bytes)) {
       metrics.count('weights_fetched_bytes_total', { from }, bytes.length)
       misfitCount = 0
+      chunkBytes = bytes.length
+      fetchedFrom[from]++
+      if (volume.heldCount === volume.manifest.digests.length) log('weights', 'Version held whole.', { model, version, sinceNamedMs: Math.round(clock() - (fetchGoal?.namedAtMs ?? 0)), fetchedFrom: { ...fetchedFrom } })
+      options.announce(model, version, index, Sources.receiversOf(key, own, agents))
       return
     }
-    failures.set(index, (failures.get(index) ?? 0) + 1)
     metrics.count('weights_fetch_faults_total', { from })
-    log('weights', 'Chunk not had.', { model, version, index, source: agent?.name ?? 'origin', reason: bytes === undefined ? 'no answer' : 'wrong digest' })
+    log('weights', 'Chunk not had.', { model, version, index, source: agent?.name ?? 'origin', reason: bytes === undefined ? 'no answer' : 'wrong digest', tryCount: tryCounts.get(key) })
     if (bytes !== undefined && ++misfitCount >= MISFIT_LIMIT_COUNT) {
       log('weights', 'Manifest discarded.', { model, version, misfitCount })
       misfitCount = 0
       library.discard(volume)
     }
-    if (agent !== undefined && bytes === undefined && (failures.get(index) ?? 0) > 1) avoidUntilMs.set(agent.name, clock() + AGENT_BACK_OFF_MS)
-    if (agent === undefined) await new Promise(resolve => { setTimeout(resolve, ORIGIN_BACK_OFF_MS) })
+    if (agent !== undefined) refusedAtMs.set(`${agent.name} ${key}`, clock())
+    else await new Promise(resolve => { setTimeout(resolve, ORIGIN_BACK_OFF_MS) })
+  }
+  /** Chooses the source of a chunk: each agent in line in turn, the origin once none of them is to have it. */
+  const sourceOf = (key: string, agents: readonly Follow.Members.Member[]): Sources.Source => {
+    const nowMs = clock()
+    const hasRefused = (name: string): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
+    const line = Sources.sourcesOf(key, own, agents).filter(source => source.kind === 'agent' && !hasRefused(source.name))
+    const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
+    return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
   const fetchMissing = (volume: Library.Volume): void => {
-    for (const index of fetchOrder(volume, options.name)) {
+    const { model, version, digests } = volume.manifest
+    const keys = digests.map((_, index) => `${model}/${version}/${index}`)
+    const agents = options.agents()
+    const nowMs = clock()
+    const ageMs = nowMs - (fetchGoal?.namedAtMs ?? nowMs)
+    for (const index of Sources.fetchOrder(keys, own, agents)) {
       if (fetching.size >= FETCH_LIMIT_COUNT) return
-      if (volume.chunks[index] !== undefined || fetching.has(index)) continue
-      fetching.add(index)
-      void fetchOne(volume, index).finally(() => {
-        fetching.delete(index)
-        if (current?.version === volume.manifest.version) fetchMissing(volume)
+      const key = keys[index] ?? ''
+      if (volume.chunks[index] !== undefined || fetching.has(key)) continue
+      const source = sourceOf(key, agents)
+      const isTold = source.kind === 'origin' || told.has(`${source.name} ${key}`)
+      if (!isTold && ageMs < options.versionMs) {
+        if (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS) continue
+        blindAtMs = nowMs
+      }
+      fetching.add(key)
+      void fetchOne(volume, index, key).finally(() => {
+        fetching.delete(key)
+        if (fetchGoal?.model === model && fetchGoal.version === version) fetchMissing(volume)
       })
     }
   }
   const stageHeld = async (volume: Library.Volume): Promise<void> => {
     if (stagingPending) return
     stagingPending = true
+    if (stagedVersion !== volume.manifest.version) {
+      stagedVersion = volume.manifest.version
+      staged = new Set()
+    }
     try {
       for (const [index, bytes] of volume.chunks.entries()) {
         if (bytes === undefined || staged.has(index)) continue
@@ -193,29 +239,40 @@
       stagingPending = false
     }
   }
+  const progressOf = (goal: Goal): Switching.Progress => {
+    const volume = library.volumeOf(goal.model, goal.version)
+    return { version: goal.version, namedAtMs: goal.namedAtMs, heldShare: volume === undefined ? 0 : volume.heldCount / volume.manifest.digests.length }
+  }
   return {
-    advance: async (goal, report) => {
+    advance: async (goals, report) => {
       if (report.bornAtMs !== bornAtMs) {
         bornAtMs = report.bornAtMs
         staged = new Set()
         startedAtMs = -Infinity
       }
-      lastGoal = goal
-      begin(goal)
-      const volume = library.volumeOf(goal.model, goal.version)
-      if (volume === undefined) { await openVolume(goal); return }
-      fetchMissing(volume)
-      if ((report.weights ?? []).some(held => held.model === goal.model && held.version >= goal.version)) return
+      const newest = goals.at(-1)
+      if (newest === undefined) return
+      const loaded = (report.weights ?? []).find(held => held.model === newest.model)?.version ?? 0
+      const isServed = loaded >= newest.version
+      const progress = (isServed ? [newest] : goals.filter(goal => goal.version > loaded)).map(progressOf)
+      const goalOf = (version: number | undefined): Goal | undefined => goals.find(goal => goal.version === version)
+      fetchGoal = goalOf(Switching.versionToFetch(progress, options.versionMs, clock()))
+      if (fetchGoal !== undefined) {
+        const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
+        if (volume === undefined) await openVolume(fetchGoal)
+        else fetchMissing(volume)
+      }
+      const loadGoal = isServed ? undefined : goalOf(Switching.versionToLoad(progress))
+      const volume = loadGoal === undefined ? undefined : library.volumeOf(loadGoal.model, loadGoal.version)
+      if (loadGoal === undefined || volume === undefined) return
       await stageHeld(volume)
-      if (staged.size === volume.manifest.digests.length) await start(goal, volume, report)
+      if (staged.size === volume.manifest.digests.length && stagedVersion === loadGoal.version) await start(loadGoal, volume, report)
     },
-    isFetching: (model, version) => lastGoal?.model === model && lastGoal.version === version
+    isFetching: (model, version) => fetchGoal?.model === model && fetchGoal.version === version,
+    noteHeld: (agent, model, version, indexes) => {
+      for (const index of indexes) told.add(`${agent} ${model}/${version}/${index}`)
+      const volume = library.volumeOf(model, version)
+      if (volume !== undefined && fetchGoal?.version === version) fetchMissing(volume)
+    }
   }
 }
-
-/** Chunks in an order of the agent's own, so that agents do not all ask for the same one first. */
-function fetchOrder (volume: Library.Volume, name: string): number[] {
-  const { digests } = volume.manifest
-  const offset = CoreHash.rankOf(name) % Math.max(1, digests.length)
-  return digests.map((_, at) => (at + offset) % digests.length)
-}
--- a/src/filling/library.ts
+++ b/src/filling/library.ts
@@ -19,8 +19,6 @@
   open: (manifest: Ports.WeightManifest) => Volume
   /** Takes a chunk if it is the one that the manifest names. */
   put: (volume: Volume, index: number, bytes: Buffer) => boolean
-  /** Waits until a chunk is held; undefined when it is not in time. */
-  wait: (model: string, version: number, index: number, waitMs: number) => Promise<Buffer | undefined>
   /** Forgets a manifest that no chunk fits. */
   discard: (volume: Volume) => void
 }
@@ -35,7 +33,6 @@
  */
 export function createLibrary (): Library {
   const volumes = new Map<string, Volume>()
-  const waiters = new Map<string, Set<(bytes: Buffer) => void>>()
   const keyOf = (model: string, version: number): string => `${model}/${version}`
   return {
     volumeOf: (model, version) => volumes.get(keyOf(model, version)),
@@ -50,27 +47,8 @@
       if (Core.Hash.sha256(bytes) !== volume.manifest.digests[index]) return false
       if (volume.chunks[index] === undefined) volume.heldCount++
       volume.chunks[index] = bytes
-      const key = `${keyOf(volume.manifest.model, volume.manifest.version)}/${index}`
-      for (const resolve of waiters.get(key) ?? []) resolve(bytes)
-      waiters.delete(key)
       return true
     },
-    wait: async (model, version, index, waitMs) => {
-      const held = volumes.get(keyOf(model, version))?.chunks[index]
-      if (held !== undefined || waitMs <= 0) return held
-      const key = `${keyOf(model, version)}/${index}`
-      const waiting = waiters.get(key) ?? new Set()
-      waiters.set(key, waiting)
-      return await new Promise(resolve => {
-        const done = (bytes: Buffer | undefined): void => {
-          clearTimeout(timer)
-          waiting.delete(done)
-          resolve(bytes)
-        }
-        const timer = setTimeout(() => { done(undefined) }, waitMs)
-        waiting.add(done)
-      })
-    },
     discard: volume => { volumes.delete(keyOf(volume.manifest.model, volume.manifest.version)) }
   }
 }
--- a/src/filling/sources.ts
+++ b/src/filling/sources.ts
@@ -18,6 +18,8 @@
 /** Where a chunk is fetched: the origin, or another agent. */
 export type Source = { readonly kind: 'origin' } | { readonly kind: 'agent', readonly name: string }
 
+/** Further agents of the region that are asked when the first ones do not have a chunk. */
+const OTHER_LIMIT_COUNT = 4
 const ORIGIN: Source = { kind: 'origin' }
 
 /**
@@ -36,7 +38,54 @@
   const regionOf = new Map(everyone.map(spreader => [spreader.name, spreader.region]))
   const regional = line.filter(name => regionOf.get(name) === own.region)
   const ahead = regional.slice(0, regional.indexOf(own.name))
-  const [head, ...others] = ahead
-  const names = new Set([head, drawer, ...others.slice(0, 1)].filter((name): name is string => name !== undefined))
+  const [head] = ahead
+  const others = regional.filter(name => name !== own.name && name !== head).slice(0, OTHER_LIMIT_COUNT)
+  const names = new Set([head, drawer, ...others].filter((name): name is string => name !== undefined))
   return [...[...names].map(name => ({ kind: 'agent' as const, name })), ORIGIN]
 }
+
+/** An agent's part in the spread of a chunk, in the order in which its chunks are fetched. */
+const PARTS = ['drawer', 'head', 'follower'] as const
+
+/**
+ * Orders the chunks that an agent fetches: first those that others wait for.
+ *
+ * @param subjects - Names of the chunks, by index.
+ * @param own - The agent that fetches.
+ * @param spreaders - All agents.
+ * @returns The indexes; chunks of one part in an order of the agent's own, so that not all ask for the same one first.
+ */
+export function fetchOrder (subjects: readonly string[], own: Spreader, spreaders: readonly Spreader[]): number[] {
+  const names = spreaders.some(spreader => spreader.name === own.name) ? spreaders : [...spreaders, own]
+  const regional = names.filter(spreader => spreader.region === own.region).map(spreader => spreader.name)
+  const partOf = (subject: string): number => {
+    if (Core.Hash.rendezvous(subject, names.map(spreader => spreader.name))[0] === own.name) return PARTS.indexOf('drawer')
+    return PARTS.indexOf(Core.Hash.rendezvous(subject, regional)[0] === own.name ? 'head' : 'follower')
+  }
+  return subjects
+    .map((subject, index) => ({ index, part: partOf(subject), rank: Core.Hash.rankOf(`${own.name}/${subject}`) }))
+    .sort((a, b) => a.part - b.part || a.rank - b.rank)
+    .map(entry => entry.index)
+}
+
+/**
+ * Lists the agents that fetch a chunk from one that has it.
+ *
+ * @param subject - Names the chunk and its version.
+ * @param own - The agent that has the chunk.
+ * @param spreaders - All agents.
+ * @returns The names of the agents to tell.
+ */
+export function receiversOf (subject: string, own: Spreader, spreaders: readonly Spreader[]): string[] {
+  const everyone = spreaders.some(spreader => spreader.name === own.name) ? spreaders : [...spreaders, own]
+  const line = Core.Hash.rendezvous(subject, everyone.map(spreader => spreader.name))
+  const regionOf = new Map(everyone.map(spreader => [spreader.name, spreader.region]))
+  const heads = new Map<string, string>()
+  for (const name of line) {
+    const region = regionOf.get(name) ?? ''
+    if (!heads.has(region)) heads.set(region, name)
+  }
+  const followers = heads.get(own.region) === own.name ? line.filter(name => regionOf.get(name) === own.region) : []
+  const others = line[0] === own.name ? [...heads.values()] : []
+  return [...new Set([...followers, ...others])].filter(name => name !== own.name)
+}
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -38,17 +38,38 @@
   return change.namedAtMs + share * change.versionMs
 }
 
-/** Share of the chunks from which on an older version is finished before a newer one is begun. */
-const FINISH_SHARE = 0.6
+/** A version is skipped when the next one is named within this share of the time that it has: it is not spread by then, and the next one still is in time. */
+const SKIP_SHARE = 0.35
+
+/** How far the fetch of a named version has come. */
+export interface Progress {
+  readonly version: number
+  readonly namedAtMs: number
+  readonly heldShare: number
+}
+
+/**
+ * Chooses the version to fetch. All agents come to the same choice, since they fetch from one another.
+ *
+ * @param named - The named versions that are not loaded, the oldest first.
+ * @param versionMs - Time by which a version has to be everywhere, in milliseconds.
+ * @param nowMs - The time.
+ * @returns The version; undefined when all are held.
+ */
+export function versionToFetch (named: readonly Progress[], versionMs: number, nowMs: number): number | undefined {
+  const worthFetching = (progress: Progress, at: number): boolean => {
+    const next = named[at + 1]
+    return next === undefined || (next.namedAtMs - progress.namedAtMs > SKIP_SHARE * versionMs && nowMs - progress.namedAtMs < versionMs)
+  }
+  return named.find((progress, at) => progress.heldShare < 1 && worthFetching(progress, at))?.version
+}
 
 /**
- * Chooses the version to work on when a newer one is named.
+ * Chooses the version to load: the newest that is held whole.
  *
- * @param current - The version being fetched, with its progress; undefined for none.
- * @param newest - The newest version named.
- * @returns The version to work on.
+ * @param named - The named versions that are not loaded, the oldest first.
+ * @returns The version; undefined when none is held whole.
  */
-export function versionToFill (current: { readonly version: number, readonly heldShare: number, readonly loaded: boolean } | undefined, newest: number): number {
-  if (current === undefined || current.loaded || current.version >= newest) return newest
-  return current.heldShare >= FINISH_SHARE ? current.version : newest
+export function versionToLoad (named: readonly Progress[]): number | undefined {
+  return named.filter(progress => progress.heldShare === 1).at(-1)?.version
 }
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -23,11 +23,19 @@
 /** What an agent tells gateways of the endpoint beside it. */
 export type LoadNews = typeof LoadNews.Type
 
+/** Chunks that an agent has just verified and that the receiver is to fetch from it. */
+export const HeldNews = Schema.Struct({ model: Schema.String, version: Schema.Int, indexes: Schema.Array(Schema.Int) })
+/** Chunks that an agent has just verified and that the receiver is to fetch from it. */
+export type HeldNews = typeof HeldNews.Type
+
 /** A message. */
 export const News = Schema.Struct({
+  /** The process that sends it. */
+  sender: Schema.String,
   /** The newest revisions that the sender holds, by table. */
   revisions: Schema.Record(Schema.String, Schema.Int),
-  load: Schema.optional(LoadNews)
+  load: Schema.optional(LoadNews),
+  held: Schema.optional(HeldNews)
 })
 /** A message. */
 export type News = typeof News.Type
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -40,7 +40,7 @@
   /** Hands a table on to processes that ask. */
   relay: (table: string, relayed: Relay.Relayed) => void
   /** Sends news to the other processes of a kind. */
-  tell: (news: News.News, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
+  tell: (news: Omit<News.News, 'sender'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
   close: () => void
 }
 
@@ -104,7 +104,7 @@
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
     relay: (table, entry) => { relayed.set(table, entry) },
-    tell: (news, toKind, choose = () => true) => { channel.send(news, members.filter(member => member.kind === toKind && choose(member))) },
+    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: () => {
       closed = true
       follower?.stop()
