Let any holder of a region serve a chunk; say when uploads are busy

Cause: the first agent in line of a region served all others, so its thin link set the pace. Change: news of each verified chunk goes to agents of the region, who choose a holder at random; a holder with a queue says so; no credit in the pacer, so that chunks do not travel in bursts.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -40,7 +40,7 @@
 /** A load that did not change is told again after so many reports. */
 const RETELL_COUNT = 5
 /** Share of the link that chunks may take in each direction: the rest carries calls and answers. */
-const LINK_SHARE = 0.88
+const LINK_SHARE = 0.85
 const BITS_PER_BYTE = 8
 /** Chunks verified within this time are told of together, in milliseconds. */
 const ANNOUNCE_MS = 20
@@ -75,7 +75,7 @@
     if (news.held !== undefined) filler.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
   }
   const node = await Follow.Node.open(options, 'agent', onNews, [
-    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), Pacer.createPacer(chunkBytesPerSecond))
+    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), Pacer.createPacer(chunkBytesPerSecond, 0))
   ])
   const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
   const flushAnnouncements = (): void => {
@@ -99,8 +99,9 @@
     library,
     agents: () => node.members().filter(member => member.kind === 'agent'),
     versionMs: options.versionMs,
-    download: Pacer.createPacer(chunkBytesPerSecond),
+    download: Pacer.createPacer(chunkBytesPerSecond, 0),
     announce,
+    random: options.random,
     clock,
     metrics: options.metrics,
     log
--- a/src/filling/exchange.ts
+++ b/src/filling/exchange.ts
@@ -11,7 +11,9 @@
 
 const PATH = '/weights/'
 const MANIFEST = 'manifest'
-/** Says that the chunk is on its way to the agent asked, so that it is worth asking again. */
+/** Chunks that may wait to be sent; whoever asks for more is better served by another agent. */
+const UPLOAD_QUEUE_COUNT = 2
+/** Says that the chunk is on its way to the agent asked, or that others wait for theirs, so that it is worth asking again. */
 const PENDING_STATUS = 202
 /** A chunk is on its way for at most so long once it is held, in milliseconds: several chunks share a thin link. */
 const TRANSFER_MS = 2_500
@@ -38,8 +40,14 @@
       }
       const fetching = isFetching(model, Number(version))
       const chunk = volume?.chunks[Number(item)]
-      if (chunk !== undefined) await upload.pass(chunk.length)
-      response.writeHead(chunk !== undefined ? 200 : fetching ? PENDING_STATUS : 404, { 'content-length': chunk?.length ?? 0 })
+      const isBusy = upload.waitingCount() >= UPLOAD_QUEUE_COUNT
+      if (chunk === undefined || isBusy) {
+        response.writeHead(chunk === undefined && !fetching ? 404 : PENDING_STATUS, { 'content-length': 0 })
+        response.end()
+        return
+      }
+      await upload.pass(chunk.length)
+      response.writeHead(200, { 'content-length': chunk.length })
       response.end(chunk)
     }
   }
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -29,6 +29,7 @@
   /** Tells other agents that a chunk may be fetched here. */
   readonly announce: (model: string, version: number, index: number, receivers: readonly string[]) => void
   readonly clock: () => number
+  readonly random: Core.Random.Random
   readonly metrics: Metrics.Metrics
   readonly log: Core.Loop.Tick<never, never>['log']
 }
@@ -51,7 +52,11 @@
 }
 
 /** Chunks fetched at once: enough to keep the link busy over its round trips, few enough that calls are not queued behind them. */
-const FETCH_LIMIT_COUNT = 5
+const FETCH_LIMIT_COUNT = 4
+/** Chunks asked of one agent at once. */
+const ASKED_LIMIT_COUNT = 2
+/** An agent that others wait for is asked again after so long, in milliseconds: about the time of a chunk on a thin link. */
+const BUSY_MS = 60
 /** An agent that was told of no chunk that it lacks asks for one every so often, in milliseconds: news get lost. */
 const BLIND_EVERY_MS = 120
 /** The spread of a version is on its way to every agent within so long, in milliseconds; no agent asks unasked before. */
@@ -95,8 +100,10 @@
   let blindAtMs = -Infinity
   const fetchedFrom = { origin: 0, region: 0, otherRegion: 0 }
   let chunkBytes = FIRST_CHUNK_BYTES
-  /** Chunks that agents told of, as `agent chunk`. */
-  const told = new Set<string>()
+  /** The agents that told of a chunk. */
+  const holdersOf = new Map<string, Set<string>>()
+  const askedCounts = new Map<string, number>()
+  const busyUntilMs = new Map<string, number>()
   let fetchGoal: Goal | undefined
 
   const openVolume = async (goal: Goal): Promise<void> => {
@@ -133,17 +140,21 @@
     stagedVersion = version
     log('weights', 'Staged chunks found.', { model, version, chunkCount: found.size })
   }
-  const fetchOne = async (volume: Library.Volume, index: number, key: string): Promise<void> => {
+  const fetchOne = async (volume: Library.Volume, index: number, key: string, source: Sources.Source, agents: readonly Follow.Members.Member[]): Promise<void> => {
     const { model, version } = volume.manifest
-    const agents = options.agents()
-    const source = sourceOf(key, agents)
     const agent = source.kind === 'agent' ? agents.find(other => other.name === source.name) : undefined
     triedAtMs.set(key, triedAtMs.get(key) ?? clock())
     tryCounts.set(key, (tryCounts.get(key) ?? 0) + 1)
+    const sourceName = agent?.name ?? 'origin'
+    askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 0) + 1)
     await options.download.pass(chunkBytes)
     const bytes = agent === undefined ? await options.origin()?.chunk(model, version, index) : await Exchange.fetchChunk(agent, model, version, index)
+    askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 1) - 1)
     const from = agent === undefined ? 'origin' : agent.region === options.region ? 'region' : 'otherRegion'
-    if (bytes === 'pending') return
+    if (bytes === 'pending') {
+      busyUntilMs.set(sourceName, clock() + BUSY_MS)
+      return
+    }
     if (bytes !== undefined && library.put(volume, index, bytes)) {
       metrics.count('weights_fetched_bytes_total', { from }, bytes.length)
       misfitCount = 0
@@ -154,7 +165,7 @@
       return
     }
     metrics.count('weights_fetch_faults_total', { from })
-    log('weights', 'Chunk not had.', { model, version, index, source: agent?.name ?? 'origin', reason: bytes === undefined ? 'no answer' : 'wrong digest', tryCount: tryCounts.get(key) })
+    log('weights', 'Chunk not had.', { model, version, index, source: sourceName, reason: bytes === undefined ? 'no answer' : 'wrong digest', tryCount: tryCounts.get(key) })
     if (bytes !== undefined && ++misfitCount >= MISFIT_LIMIT_COUNT) {
       log('weights', 'Manifest discarded.', { model, version, misfitCount })
       misfitCount = 0
@@ -163,14 +174,24 @@
     if (agent !== undefined) refusedAtMs.set(`${agent.name} ${key}`, clock())
     else await new Promise(resolve => { setTimeout(resolve, ORIGIN_BACK_OFF_MS) })
   }
-  /** Chooses the source of a chunk: each agent in line in turn, the origin once none of them is to have it. */
-  const sourceOf = (key: string, agents: readonly Follow.Members.Member[]): Sources.Source => {
-    const nowMs = clock()
-    const hasRefused = (name: string): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
-    const line = Sources.sourcesOf(key, own, agents).filter(source => source.kind === 'agent' && !hasRefused(source.name))
+  /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
+  const blindSourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number): Sources.Source => {
+    const line = Sources.sourcesOf(key, own, agents).filter(source => source.kind === 'agent' && !hasRefused(source.name, key, nowMs))
     const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
     return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
+  const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
+  /** Chooses where a chunk is fetched now; undefined when it has to wait for news. */
+  const sourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number, ageMs: number): Sources.Source | undefined => {
+    if (Sources.sourcesOf(key, own, agents)[0]?.kind === 'origin') return ORIGIN
+    const holders = [...holdersOf.get(key) ?? []].filter(name => (askedCounts.get(name) ?? 0) < ASKED_LIMIT_COUNT && !hasRefused(name, key, nowMs) && (busyUntilMs.get(name) ?? 0) <= nowMs)
+    const name = holders[options.random.below(holders.length)]
+    if (name !== undefined) return { kind: 'agent', name }
+    const isSettled = ageMs >= options.versionMs
+    if (!isSettled && (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS)) return undefined
+    blindAtMs = nowMs
+    return blindSourceOf(key, agents, nowMs)
+  }
   const fetchMissing = (volume: Library.Volume): void => {
     const { model, version, digests } = volume.manifest
     const keys = digests.map((_, index) => `${model}/${version}/${index}`)
@@ -181,14 +202,10 @@
       if (fetching.size >= FETCH_LIMIT_COUNT) return
       const key = keys[index] ?? ''
       if (volume.chunks[index] !== undefined || fetching.has(key)) continue
-      const source = sourceOf(key, agents)
-      const isTold = source.kind === 'origin' || told.has(`${source.name} ${key}`)
-      if (!isTold && ageMs < options.versionMs) {
-        if (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS) continue
-        blindAtMs = nowMs
-      }
+      const source = sourceOf(key, agents, nowMs, ageMs)
+      if (source === undefined) continue
       fetching.add(key)
-      void fetchOne(volume, index, key).finally(() => {
+      void fetchOne(volume, index, key, source, agents).finally(() => {
         fetching.delete(key)
         if (fetchGoal?.model === model && fetchGoal.version === version) fetchMissing(volume)
       })
@@ -270,7 +287,11 @@
     },
     isFetching: (model, version) => fetchGoal?.model === model && fetchGoal.version === version,
     noteHeld: (agent, model, version, indexes) => {
-      for (const index of indexes) told.add(`${agent} ${model}/${version}/${index}`)
+      for (const index of indexes) {
+        const key = `${model}/${version}/${index}`
+        const holders = holdersOf.get(key) ?? new Set()
+        holdersOf.set(key, holders.add(agent))
+      }
       const volume = library.volumeOf(model, version)
       if (volume !== undefined && fetchGoal?.version === version) fetchMissing(volume)
     }
--- a/src/filling/sources.ts
+++ b/src/filling/sources.ts
@@ -68,8 +68,11 @@
     .map(entry => entry.index)
 }
 
+/** Agents of the region that are told of each chunk: enough for every one to hear of it from several. */
+const TOLD_LIMIT_COUNT = 8
+
 /**
- * Lists the agents that fetch a chunk from one that has it.
+ * Lists the agents that may fetch a chunk from one that has it: some of its region, and for the agent that drew it from the origin the heads of the other regions.
  *
  * @param subject - Names the chunk and its version.
  * @param own - The agent that has the chunk.
@@ -85,7 +88,8 @@
     const region = regionOf.get(name) ?? ''
     if (!heads.has(region)) heads.set(region, name)
   }
-  const followers = heads.get(own.region) === own.name ? line.filter(name => regionOf.get(name) === own.region) : []
+  const regional = line.filter(name => regionOf.get(name) === own.region && name !== own.name)
+  const neighbours = regional.length <= TOLD_LIMIT_COUNT ? regional : Core.Hash.rendezvous(`${own.name}/${subject}`, regional).slice(0, TOLD_LIMIT_COUNT)
   const others = line[0] === own.name ? [...heads.values()] : []
-  return [...new Set([...followers, ...others])].filter(name => name !== own.name)
+  return [...new Set([...neighbours, ...others])].filter(name => name !== own.name)
 }
--- a/src/weights/edge/pacer.ts
+++ b/src/weights/edge/pacer.ts
@@ -9,6 +9,8 @@
   /** Waits until so many bytes may pass; urgent bytes pass before others that wait. */
   pass: (sizeBytes: number, urgent?: boolean) => Promise<void>
   setRate: (bytesPerSecond: number) => void
+  /** Passages that wait. */
+  waitingCount: () => number
 }
 
 interface Waiting {
@@ -23,9 +25,10 @@
  * Creates a pacer.
  *
  * @param bytesPerSecond - The rate; Infinity for none.
+ * @param creditMs - Idle time that may be made up for, in milliseconds.
  * @returns The pacer.
  */
-export function createPacer (bytesPerSecond: number): Pacer {
+export function createPacer (bytesPerSecond: number, creditMs = CREDIT_MS): Pacer {
   const urgentQueue: Waiting[] = []
   const queue: Waiting[] = []
   let rate = bytesPerSecond
@@ -40,7 +43,7 @@
       if (freeAtMs - nowMs > 1) { timer = setTimeout(pump, freeAtMs - nowMs); return }
       const next = urgentQueue.shift() ?? queue.shift()
       if (next === undefined) return
-      freeAtMs = Math.max(nowMs - CREDIT_MS, freeAtMs) + next.sizeBytes * 1000 / rate
+      freeAtMs = Math.max(nowMs - creditMs, freeAtMs) + next.sizeBytes * 1000 / rate
       next.release()
     }
   }
@@ -52,7 +55,8 @@
         if (timer === undefined) pump()
       })
     },
-    setRate: next => { rate = next }
+    setRate: next => { rate = next },
+    waitingCount: () => urgentQueue.length + queue.length
   }
 }
 
