--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -21,9 +21,9 @@
 }
 
 /** Weights are hardly ever spread before this share of the time. */
-const FIRST_SHARE = 0.4
+const FIRST_SHARE = 0.55
 /** The last endpoint begins its change at this share of the time: a batch has to end and the weights have to be loaded. */
-const LAST_SHARE = 0.75
+const LAST_SHARE = 0.9
 
 /**
  * Works out when an endpoint that serves an older version begins its change.
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -60,7 +60,7 @@
 /** Time kept for closing before the process is killed, in milliseconds. */
 const STOP_RESERVE_MS = 700
 /** Calls stop beginning on an old version so long before the new one has to be everywhere, in milliseconds: queueing and the way there. */
-const VERSION_RESERVE_MS = 1_200
+const VERSION_RESERVE_MS = 600
 const BEAT_MS = 100
 /** Revisions are told again after so long without a change, in milliseconds, in case a datagram was lost. */
 const RETELL_MS = 1_000
