--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -72,6 +72,8 @@
   const chunkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE * LINK_SHARE
   const onNews = (news: Follow.News.News): void => {
     operators.hint(news.revisions[options.operatorsTable] ?? 0)
+    filler.noteHeard(news.sender)
+    if (news.rollCall === true) node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
     if (news.held !== undefined) filler.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
   }
   const node = await Follow.Node.open(options, 'agent', onNews, [
@@ -97,7 +99,8 @@
     engine: options.engine,
     origin: () => origin?.client,
     library,
-    agents: () => node.members().filter(member => member.kind === 'agent'),
+    members: () => node.members().filter(member => member.kind === 'agent'),
+    callRoll: () => { node.tell({ revisions: {}, rollCall: true }, 'agent') },
     versionMs: options.versionMs,
     download: Pacer.createPacer(chunkBytesPerSecond, 0),
     announce,
@@ -106,6 +109,8 @@
     metrics: options.metrics,
     log
   })
+  /** Whether changes are taken that were made before this process started. */
+  let catchingUp = false
   const takeChange: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
     deployed: change => {
       if (deployment !== undefined && change.deployment.version <= deployment.version) return
@@ -117,7 +122,7 @@
     versionNamed: ({ model, version }) => {
       const before = named.get(model) ?? []
       if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return
-      named.set(model, [...before, { model, version, namedAtMs: clock() }].slice(-KEPT_GOAL_COUNT))
+      named.set(model, [...before, { model, version, namedAtMs: catchingUp ? -Infinity : clock() }].slice(-KEPT_GOAL_COUNT))
       log('weights', 'Version named.', { model, version })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
@@ -126,7 +131,8 @@
     ...node.followerOptions,
     table: options.operatorsTable,
     waitMs: OPERATORS_WAIT_MS,
-    onRows: rows => {
+    onRows: (rows, { isFirst }) => {
+      catchingUp = isFirst
       for (const row of rows) {
         const change = options.changeOf(row)
         if (change !== undefined) Core.Loop.dispatch(takeChange, change)
@@ -179,7 +185,7 @@
     stop: async () => {
       clearInterval(beat)
       operators.stop()
-      node.close()
+      await node.close()
       log('agent', 'Agent stopped.')
     }
   }
--- a/src/filling/exchange.ts
+++ b/src/filling/exchange.ts
@@ -15,8 +15,9 @@
 const UPLOAD_QUEUE_COUNT = 2
 /** Says that the chunk is on its way to the agent asked, or that others wait for theirs, so that it is worth asking again. */
 const PENDING_STATUS = 202
-/** A chunk is on its way for at most so long once it is held, in milliseconds: several chunks share a thin link. */
-const TRANSFER_MS = 2_500
+const ABSENT_STATUS = 404
+/** A chunk is on its way for at most so long, in milliseconds: a few chunks share a thin link. */
+const TRANSFER_MS = 1_000
 
 /**
  * Makes the route that serves chunks and manifests to other agents.
@@ -42,7 +43,7 @@
       const chunk = volume?.chunks[Number(item)]
       const isBusy = upload.waitingCount() >= UPLOAD_QUEUE_COUNT
       if (chunk === undefined || isBusy) {
-        response.writeHead(chunk === undefined && !fetching ? 404 : PENDING_STATUS, { 'content-length': 0 })
+        response.writeHead(chunk === undefined && !fetching ? ABSENT_STATUS : PENDING_STATUS, { 'content-length': 0 })
         response.end()
         return
       }
@@ -60,9 +61,9 @@
  * @param model - The model.
  * @param version - Its version.
  * @param index - The chunk.
- * @returns The bytes, not yet verified; `pending` when the agent is fetching them itself; undefined when it gives none.
+ * @returns The bytes, not yet verified; `pending` when the agent is fetching them itself or is busy, `absent` when it lacks them, undefined without an answer.
  */
-export async function fetchChunk (target: HttpClient.Target, model: string, version: number, index: number): Promise<Buffer | 'pending' | undefined> {
+export async function fetchChunk (target: HttpClient.Target, model: string, version: number, index: number): Promise<Buffer | 'pending' | 'absent' | undefined> {
   return await fetchItem(target, model, version, String(index))
 }
 
@@ -77,15 +78,16 @@
 export async function fetchManifest (target: HttpClient.Target, model: string, version: number): Promise<Ports.WeightManifest | undefined> {
   const bytes = await fetchItem(target, model, version, MANIFEST)
   try {
-    return bytes === undefined || bytes === 'pending' ? undefined : JSON.parse(bytes.toString()) as Ports.WeightManifest
+    return bytes instanceof Buffer ? JSON.parse(bytes.toString()) as Ports.WeightManifest : undefined
   } catch {
     return undefined
   }
 }
 
-async function fetchItem (target: HttpClient.Target, model: string, version: number, item: string): Promise<Buffer | 'pending' | undefined> {
+async function fetchItem (target: HttpClient.Target, model: string, version: number, item: string): Promise<Buffer | 'pending' | 'absent' | undefined> {
   const path = `${PATH}${encodeURIComponent(model)}/${version}/${item}`
   const answer = await HttpClient.send({ target, method: 'GET', path, timeoutMs: TRANSFER_MS }).catch(() => undefined)
   if (answer?.status === PENDING_STATUS) return 'pending'
+  if (answer?.status === ABSENT_STATUS) return 'absent'
   return answer?.status === 200 ? answer.body : undefined
 }
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -3,8 +3,7 @@
  *
  * @packageDocumentation
  */
-import type * as Core from '../core/index.ts'
-import * as CoreHash from '../core/hash.ts'
+import * as Core from '../core/index.ts'
 import type * as Metrics from '../edge/metrics.ts'
 import type * as Follow from '../follow/index.ts'
 import type * as Pacer from '../weights/edge/pacer.ts'
@@ -22,7 +21,9 @@
   readonly origin: () => Ports.Origin | undefined
   readonly library: Library.Library
   /** The other agents. */
-  readonly agents: () => readonly Follow.Members.Member[]
+  readonly members: () => readonly Follow.Members.Member[]
+  /** Tells the other agents that this one is there, and asks who else is. */
+  readonly callRoll: () => void
   readonly versionMs: number
   /** Paces what is fetched, so that calls to the engine on the same link are not held up. */
   readonly download: Pacer.Pacer
@@ -47,6 +48,8 @@
   /** Works towards the named versions, the oldest first; to be called with each report of the engine. */
   advance: (goals: readonly Goal[], report: Ports.EngineReport) => Promise<void>
   isFetching: (model: string, version: number) => boolean
+  /** Takes that another agent is there. */
+  noteHeard: (agent: string) => void
   /** Takes that another agent has chunks. */
   noteHeld: (agent: string, model: string, version: number, indexes: readonly number[]) => void
 }
@@ -65,10 +68,17 @@
 const FIRST_CHUNK_BYTES = 32_768
 /** A chunk that all agents asked are still fetching themselves is taken from the origin after so long, in milliseconds. */
 const PENDING_LIMIT_MS = 4_000
+/** Agents that say nothing for so long after the roll was called are not counted on, in milliseconds: the store's news and a datagram over the regions. */
+const ROLL_CALL_MS = 500
+/** An agent that did not answer is not counted on for so long, in milliseconds, unless it is heard of. */
+const DOWN_MS = 5_000
 /** An agent that lacked a chunk is asked for it again after so long, in milliseconds. */
 const REFUSED_MS = 1_500
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
+const ORIGIN_NAME = 'origin'
+/** Chunks that one agent draws from the origin at once: the origin takes few connections from all agents together. */
+const ORIGIN_LIMIT_COUNT = 1
 const ORIGIN: Sources.Source = { kind: 'origin' }
 /** A chunk that fits from so many sources in a row points to a wrong manifest. */
 const MISFIT_LIMIT_COUNT = 4
@@ -97,6 +107,10 @@
   let stagingPending = false
   let startedAtMs = -Infinity
   let misfitCount = 0
+  let rollCalledAtMs = -Infinity
+  const heardAtMs = new Map<string, number>()
+  const downUntilMs = new Map<string, number>()
+  let originAfterMs = -Infinity
   let blindAtMs = -Infinity
   const fetchedFrom = { origin: 0, region: 0, otherRegion: 0 }
   let chunkBytes = FIRST_CHUNK_BYTES
@@ -106,20 +120,33 @@
   const busyUntilMs = new Map<string, number>()
   let fetchGoal: Goal | undefined
 
+  /** The agents to count on: those heard since the roll was called, and all for as long as answers may be on their way. */
+  const agentsThere = (): Follow.Members.Member[] => {
+    const nowMs = clock()
+    const isHeard = (name: string): boolean => nowMs - rollCalledAtMs < ROLL_CALL_MS || (heardAtMs.get(name) ?? -Infinity) > rollCalledAtMs - ROLL_CALL_MS
+    return options.members().filter(member => isHeard(member.name) && (downUntilMs.get(member.name) ?? 0) <= nowMs)
+  }
   const openVolume = async (goal: Goal): Promise<void> => {
-    if (manifestPending) return
+    if (manifestPending || clock() < originAfterMs) return
     manifestPending = true
+    rollCalledAtMs = clock()
+    options.callRoll()
     try {
-      const manifest = await options.origin()?.manifest(goal.model, goal.version) ?? await manifestOfAgents(goal)
-      if (manifest === undefined) { log('weights', 'Manifest not had.', { model: goal.model, version: goal.version }); return }
-      log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, chunkCount: manifest.digests.length, agentCount: options.agents().length + 1 })
+      const drawn = await options.origin()?.manifest(goal.model, goal.version)
+      const manifest = drawn?.isOk() === true ? drawn.value : await manifestOfAgents(goal)
+      if (manifest === undefined) {
+        originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
+        log('weights', 'Manifest not had.', { model: goal.model, version: goal.version, reason: drawn === undefined ? 'origin not known' : drawn.isErr() ? drawn.error : '' })
+        return
+      }
+      log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, chunkCount: manifest.digests.length, agentCount: agentsThere().length + 1 })
       await adoptStaged(library.volumeOf(goal.model, goal.version) ?? library.open(manifest))
     } finally {
       manifestPending = false
     }
   }
   const manifestOfAgents = async (goal: Goal): Promise<Ports.WeightManifest | undefined> => {
-    for (const agent of options.agents().filter(other => other.region === options.region).slice(0, 2)) {
+    for (const agent of agentsThere().filter(other => other.region === options.region).slice(0, 2)) {
       const manifest = await Exchange.fetchManifest(agent, goal.model, goal.version)
       if (manifest !== undefined) return manifest
     }
@@ -145,17 +172,18 @@
     const agent = source.kind === 'agent' ? agents.find(other => other.name === source.name) : undefined
     triedAtMs.set(key, triedAtMs.get(key) ?? clock())
     tryCounts.set(key, (tryCounts.get(key) ?? 0) + 1)
-    const sourceName = agent?.name ?? 'origin'
+    const sourceName = agent?.name ?? ORIGIN_NAME
     askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 0) + 1)
     await options.download.pass(chunkBytes)
-    const bytes = agent === undefined ? await options.origin()?.chunk(model, version, index) : await Exchange.fetchChunk(agent, model, version, index)
+    const drawn = agent === undefined ? await options.origin()?.chunk(model, version, index) : undefined
+    const bytes = agent === undefined ? drawn?.unwrapOr(undefined) : await Exchange.fetchChunk(agent, model, version, index)
     askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 1) - 1)
     const from = agent === undefined ? 'origin' : agent.region === options.region ? 'region' : 'otherRegion'
     if (bytes === 'pending') {
       busyUntilMs.set(sourceName, clock() + BUSY_MS)
       return
     }
-    if (bytes !== undefined && library.put(volume, index, bytes)) {
+    if (bytes instanceof Buffer && library.put(volume, index, bytes)) {
       metrics.count('weights_fetched_bytes_total', { from }, bytes.length)
       misfitCount = 0
       chunkBytes = bytes.length
@@ -165,14 +193,15 @@
       return
     }
     metrics.count('weights_fetch_faults_total', { from })
-    log('weights', 'Chunk not had.', { model, version, index, source: sourceName, reason: bytes === undefined ? 'no answer' : 'wrong digest', tryCount: tryCounts.get(key) })
-    if (bytes !== undefined && ++misfitCount >= MISFIT_LIMIT_COUNT) {
+    log('weights', 'Chunk not had.', { model, version, index, source: sourceName, reason: drawn?.isErr() === true ? drawn.error : bytes === undefined ? 'no answer' : bytes === 'absent' ? bytes : 'wrong digest', tryCount: tryCounts.get(key) })
+    if (bytes instanceof Buffer && ++misfitCount >= MISFIT_LIMIT_COUNT) {
       log('weights', 'Manifest discarded.', { model, version, misfitCount })
       misfitCount = 0
       library.discard(volume)
     }
+    if (agent !== undefined && bytes === undefined) downUntilMs.set(agent.name, clock() + DOWN_MS)
     if (agent !== undefined) refusedAtMs.set(`${agent.name} ${key}`, clock())
-    else await new Promise(resolve => { setTimeout(resolve, ORIGIN_BACK_OFF_MS) })
+    else originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
   }
   /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
   const blindSourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number): Sources.Source => {
@@ -183,19 +212,21 @@
   const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
   /** Chooses where a chunk is fetched now; undefined when it has to wait for news. */
   const sourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number, ageMs: number): Sources.Source | undefined => {
-    if (Sources.sourcesOf(key, own, agents)[0]?.kind === 'origin') return ORIGIN
+    if (Sources.sourcesOf(key, own, agents)[0]?.kind === 'origin') return isOriginFree(nowMs) ? ORIGIN : undefined
     const holders = [...holdersOf.get(key) ?? []].filter(name => (askedCounts.get(name) ?? 0) < ASKED_LIMIT_COUNT && !hasRefused(name, key, nowMs) && (busyUntilMs.get(name) ?? 0) <= nowMs)
     const name = holders[options.random.below(holders.length)]
     if (name !== undefined) return { kind: 'agent', name }
     const isSettled = ageMs >= options.versionMs
     if (!isSettled && (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS)) return undefined
     blindAtMs = nowMs
-    return blindSourceOf(key, agents, nowMs)
+    const source = blindSourceOf(key, agents, nowMs)
+    return source.kind === 'origin' && !isOriginFree(nowMs) ? undefined : source
   }
+  const isOriginFree = (nowMs: number): boolean => (askedCounts.get(ORIGIN_NAME) ?? 0) < ORIGIN_LIMIT_COUNT && nowMs >= originAfterMs
   const fetchMissing = (volume: Library.Volume): void => {
     const { model, version, digests } = volume.manifest
     const keys = digests.map((_, index) => `${model}/${version}/${index}`)
-    const agents = options.agents()
+    const agents = agentsThere()
     const nowMs = clock()
     const ageMs = nowMs - (fetchGoal?.namedAtMs ?? nowMs)
     for (const index of Sources.fetchOrder(keys, own, agents)) {
@@ -233,7 +264,7 @@
     let spoiltCount = 0
     for (const [index, digest] of volume.manifest.digests.entries()) {
       const bytes = await engine.readStaged(volume.manifest.model, index)
-      if (bytes !== undefined && CoreHash.sha256(bytes) === digest) continue
+      if (bytes !== undefined && Core.Hash.sha256(bytes) === digest) continue
       staged.delete(index)
       spoiltCount++
     }
@@ -244,7 +275,7 @@
     const nowMs = clock()
     if (nowMs - startedAtMs < ORDER_PATIENCE_MS || report.loading || stagingPending) return
     const serves = (report.weights ?? []).some(held => held.model === goal.model)
-    const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs, own: options.name, names: options.agents().map(agent => agent.name) })
+    const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs, own: options.name, names: options.members().map(agent => agent.name) })
     if (serves && nowMs < dueAtMs) return
     stagingPending = true
     try {
@@ -286,6 +317,10 @@
       if (staged.size === volume.manifest.digests.length && stagedVersion === loadGoal.version) await start(loadGoal, volume, report)
     },
     isFetching: (model, version) => fetchGoal?.model === model && fetchGoal.version === version,
+    noteHeard: agent => {
+      heardAtMs.set(agent, clock())
+      downUntilMs.delete(agent)
+    },
     noteHeld: (agent, model, version, indexes) => {
       for (const index of indexes) {
         const key = `${model}/${version}/${index}`
--- a/src/filling/ports.ts
+++ b/src/filling/ports.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type * as Neverthrow from 'neverthrow'
 import type * as Routing from '../routing/index.ts'
 
 /** An engine's own report. */
@@ -34,8 +35,8 @@
   readonly digests: readonly string[]
 }
 
-/** The origin of weights. */
+/** The origin of weights; failures are told in words, for the log. */
 export interface Origin {
-  manifest: (model: string, version: number) => Promise<WeightManifest | undefined>
-  chunk: (model: string, version: number, index: number) => Promise<Buffer | undefined>
+  manifest: (model: string, version: number) => Promise<Neverthrow.Result<WeightManifest, string>>
+  chunk: (model: string, version: number, index: number) => Promise<Neverthrow.Result<Buffer, string>>
 }
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -6,6 +6,14 @@
 import type * as Core from '../core/index.ts'
 import * as Rows from './rows.ts'
 
+/** How rows came. */
+export interface RowsContext {
+  /** False for rows that another process handed on. */
+  readonly fromStore: boolean
+  /** Whether the rows are the first ones, so that they may be of any age. */
+  readonly isFirst: boolean
+}
+
 /** What a follower needs. */
 export interface FollowerOptions {
   readonly table: string
@@ -17,7 +25,7 @@
   readonly clock: () => number
   readonly random: Core.Random.Random
   /** Takes changed rows. */
-  readonly onRows: (rows: readonly Rows.Row[], fromStore: boolean) => void
+  readonly onRows: (rows: readonly Rows.Row[], context: RowsContext) => void
   readonly log: Core.Loop.Tick<never, never>['log']
 }
 
@@ -60,7 +68,7 @@
   const accept = (rows: readonly Rows.Row[], fromStore: boolean): void => {
     const first = !known
     known = true
-    if (rows.length > 0 || first) options.onRows(rows, fromStore)
+    if (rows.length > 0 || first) options.onRows(rows, { fromStore, isFirst: first })
   }
   const noteAnswer = (): void => {
     if (lostAtMs === undefined) return
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -35,7 +35,11 @@
   /** The newest revisions that the sender holds, by table. */
   revisions: Schema.Record(Schema.String, Schema.Int),
   load: Schema.optional(LoadNews),
-  held: Schema.optional(HeldNews)
+  /** How long ago versions of weights were named, in milliseconds. */
+  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, agoMs: Schema.Number }))),
+  held: Schema.optional(HeldNews),
+  /** Says that the sender is there; asks for the same where true. */
+  rollCall: Schema.optional(Schema.Boolean)
 })
 /** A message. */
 export type News = typeof News.Type
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -41,7 +41,8 @@
   relay: (table: string, relayed: Relay.Relayed) => void
   /** Sends news to the other processes of a kind. */
   tell: (news: Omit<News.News, 'sender'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
-  close: () => void
+  /** Removes the process's entry and leaves. */
+  close: () => Promise<void>
 }
 
 /** Time until an entry that could not be written is tried again, in milliseconds. */
@@ -105,9 +106,11 @@
     },
     relay: (table, entry) => { relayed.set(table, entry) },
     tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, ...news }, members.filter(member => member.kind === toKind && choose(member))) },
-    close: () => {
+    close: async () => {
       closed = true
       follower?.stop()
+      const removed = await store.remove(Members.MEMBERS_TABLE, name)
+      if (removed.isErr()) log('store', 'Entry not removed.', { name, reason: removed.error })
       channel.close()
     }
   }
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -32,6 +32,8 @@
   readSince: (table: string, revision: number, waitMs: number) => Promise<Neverthrow.Result<Page, ReadFailure>>
   /** Writes one row whatever it holds. */
   write: (table: string, key: string, value: unknown) => Promise<Neverthrow.Result<void, ReadFailure>>
+  /** Removes one row. */
+  remove: (table: string, key: string) => Promise<Neverthrow.Result<void, ReadFailure>>
 }
 
 /** The accepted rows of a table. */
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -19,7 +19,7 @@
   unreadTokens: number
   /** When bytes of the answer came last, in milliseconds. */
   heardAtMs: number
-  head: { readonly status: number, readonly facts: Dialect.AnswerFacts, readonly rawHeaders: string[], readonly isStream: boolean } | undefined
+  head: { readonly status: number, readonly facts: Dialect.AnswerFacts, readonly rawHeaders: string[], readonly isStream: boolean, readonly isFramed: boolean } | undefined
   readonly parts: Buffer[]
   partBytes: number
   splitter: Events.EventSplitter | undefined
@@ -29,6 +29,8 @@
 export interface FailureAnswer {
   readonly status: number
   readonly rawHeaders: string[]
+  /** Whether the endpoint told where the answer ends. */
+  readonly isFramed: boolean
   readonly body: Buffer
 }
 
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -85,6 +85,7 @@
 
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
+    for (const { model, version, agoMs } of news.named ?? []) versions.date(model, version, clock() - agoMs)
     operators.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
@@ -106,6 +107,8 @@
     metrics.gauge('deployment_version', deployment.version)
     log('control', 'Deployment in force.', { version: deployment.version, versionBefore: before, routeCount: deployment.routes.length, workspaceCount: deployment.workspaces?.length })
   }
+  /** Whether changes are taken that were made before this process started. */
+  let catchingUp = false
   const takeChange: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
     deployed: ({ deployment }) => { deploy(deployment) },
     zoneDrained: ({ zone, drained }) => {
@@ -114,7 +117,7 @@
       log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
     },
     versionNamed: ({ model, version }) => {
-      if (versions.name(model, version, clock())) log('weights', 'Version named.', { model, version })
+      if (versions.name(model, version, catchingUp ? undefined : clock())) log('weights', 'Version named.', { model, version, catchingUp })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
   }
@@ -140,7 +143,8 @@
     ...node.followerOptions,
     table: options.tables.operators,
     waitMs: OPERATORS_WAIT_MS,
-    onRows: rows => {
+    onRows: (rows, { isFirst }) => {
+      catchingUp = isFirst
       for (const row of rows) {
         const change = options.changeOf(row)
         if (change !== undefined) Core.Loop.dispatch(takeChange, change)
@@ -152,7 +156,7 @@
     ...node.followerOptions,
     table: options.tables.endpoints,
     waitMs: ENDPOINTS_WAIT_MS,
-    onRows: (rows, fromStore) => {
+    onRows: (rows, { fromStore }) => {
       for (const row of rows) takeListing(row, fromStore)
       ingress.wake()
     }
@@ -193,7 +197,8 @@
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
-    node.tell({ revisions: { [options.tables.operators]: operators.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
+    const named = versions.dated().map(({ model, version, namedAtMs }) => ({ model, version, agoMs: Math.round(nowMs - namedAtMs) }))
+    node.tell({ named, revisions: { [options.tables.operators]: operators.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
   const beat = setInterval(() => {
     const nowMs = clock()
@@ -219,7 +224,7 @@
       listed.stop()
       ingress.stop()
       upstream.close()
-      node.close()
+      await node.close()
     }
   }
 }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -272,7 +272,8 @@
       return
     }
     const isStream = isOk && call.route.kind === 'stream'
-    attempt.head = { status, facts, rawHeaders, isStream }
+    const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+    attempt.head = { status, facts, rawHeaders, isStream, isFramed }
     if (isStream) attempt.splitter = Events.createSplitter()
   }
 
@@ -309,6 +310,7 @@
     call.answering = true
     call.firstEventAtMs = attempt.heardAtMs
     metrics.observeSeconds('first_event_seconds', (call.firstEventAtMs - call.arrivedAtMs) / 1000)
+    if (!attempt.head.isFramed) endWithConnection(call.response)
     call.response.writeHead(attempt.head.status, withConnection(dialect.answer(attempt.head.rawHeaders)))
   }
 
@@ -321,14 +323,14 @@
       Routing.Endpoints.blame(attempt.row, clock())
       endAttempt(call, attempt, 'notRun', `endpoint refused with ${head.status}`)
     } else if (head.status >= 500 || PROMISES.has(head.status)) {
-      call.failure = { status: head.status, rawHeaders: head.rawHeaders, body }
+      call.failure = { status: head.status, rawHeaders: head.rawHeaders, isFramed: head.isFramed, body }
       endAttempt(call, attempt, 'failed', `endpoint failed with ${head.status}`)
     } else if (call.answering) {
       endAttempt(call, attempt, 'broken', `endpoint answered ${head.status} in place of the rest of a stream`)
     } else {
       release(call)
       finish(call, 'answered', { status: head.status, endpointId: attempt.row.listing.endpointId })
-      writeWhole(call.response, head.status, dialect.answer(head.rawHeaders), body)
+      writeWhole(call.response, head.status, dialect.answer(head.rawHeaders), body, head.isFramed)
     }
   }
 
@@ -385,7 +387,7 @@
     const { failure } = call
     if (failure === undefined || call.answering || PROMISES.has(failure.status)) { fail(call, 502, 'endpointFailed'); return }
     finish(call, 'failedByEndpoint', { status: failure.status })
-    writeWhole(call.response, failure.status, dialect.answer(failure.rawHeaders), failure.body)
+    writeWhole(call.response, failure.status, dialect.answer(failure.rawHeaders), failure.body, failure.isFramed)
   }
 
   const fail = (call: Calls.Call, status: number, code: Core.Codes.CodeName): void => {
@@ -434,9 +436,10 @@
     response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers, ...(options.isStopping() ? { connection: 'close' } : {}) })
     response.end(body)
   }
-  const writeWhole = (response: Http.ServerResponse, status: number, rawHeaders: string[], body: Buffer): void => {
+  const writeWhole = (response: Http.ServerResponse, status: number, rawHeaders: string[], body: Buffer, isFramed: boolean): void => {
     if (response.headersSent || response.destroyed) return
-    response.writeHead(status, withConnection([...rawHeaders, 'Content-Length', String(body.length)]))
+    if (!isFramed) endWithConnection(response)
+    response.writeHead(status, withConnection(isFramed ? [...rawHeaders, 'Content-Length', String(body.length)] : rawHeaders))
     response.end(body)
   }
 
@@ -469,6 +472,12 @@
   }
 }
 
+/** Ends an answer with its connection, as its endpoint did: nothing proves that it is whole. */
+function endWithConnection (response: Http.ServerResponse): void {
+  response.shouldKeepAlive = false
+  response.useChunkedEncodingByDefault = false
+}
+
 function readBody (request: Http.IncomingMessage, limits: Routing.Deployment.Limits, onBody: (body: Buffer | undefined | 'tooLarge' | 'gone') => void): void {
   const declaredBytes = Number(request.headers['content-length'] ?? 0)
   if (declaredBytes > limits.bodyBytes) { onBody('tooLarge'); return }
