--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -47,6 +47,8 @@
 const RETRY_MS = 250
 /** A process that hears of a newer revision waits so long for its own read to bring it, in milliseconds. */
 const HINT_PATIENCE_MS = 300
+/** A read that may have gone silent is replaced at most so often, in milliseconds. */
+const RESTART_MS = 1_000
 
 /**
  * Starts following a table.
@@ -64,6 +66,7 @@
   let stopped = false
   let hintedRevision = 0
   let generation = 0
+  let restartedAtMs = -Infinity
 
   const accept = (rows: readonly Rows.Row[], fromStore: boolean): void => {
     const first = !known
@@ -117,6 +120,17 @@
       })
     }
   }
+  /** Takes what another process is ahead by, and reads the store anew, since the read under way may have gone silent. */
+  const catchUp = (revision: number): void => {
+    if (stopped || mirror.rowRevision() >= revision) return
+    void readPeer()
+    const nowMs = clock()
+    if (lostAtMs !== undefined || nowMs - restartedAtMs < RESTART_MS) return
+    restartedAtMs = nowMs
+    log('store', 'Read restarted behind another process.', { table, revision: mirror.rowRevision(), heardRevision: revision })
+    generation++
+    void run(generation)
+  }
   void run(generation)
   return {
     mirror,
@@ -126,12 +140,7 @@
     hint: revision => {
       if (revision <= Math.max(mirror.rowRevision(), hintedRevision) || stopped) return
       hintedRevision = revision
-      setTimeout(() => {
-        if (mirror.rowRevision() >= revision || stopped || lostAtMs !== undefined) return
-        log('store', 'Read restarted behind another process.', { table, revision: mirror.revision(), heardRevision: revision })
-        generation++
-        void run(generation)
-      }, HINT_PATIENCE_MS)
+      setTimeout(() => { catchUp(revision) }, HINT_PATIENCE_MS)
     },
     stop: () => { stopped = true }
   }
