Test the direct path on stand-ins of the users' platform

The first run left handles open after a stop (readiness server, the processes' own port): closed now.

--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -70,7 +70,7 @@
     metrics.count('news_faults_total')
     log('news', 'News lost.', { reason })
   })
-  await HttpServer.listen({
+  const server = await HttpServer.listen({
     host,
     port,
     headersTimeoutMs: 2_000,
@@ -112,6 +112,7 @@
       const removed = await store.remove(Members.MEMBERS_TABLE, name)
       if (removed.isErr()) log('store', 'Entry not removed.', { name, reason: removed.error })
       channel.close()
+      await server.close(0)
     }
   }
 }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -224,6 +224,8 @@
       listed.stop()
       ingress.stop()
       upstream.close()
+      readiness.close()
+      readiness.closeAllConnections()
       await node.close()
     }
   }
--- /dev/null
+++ b/standins/platformStore.ts
@@ -0,0 +1,118 @@
+/**
+ * A stand-in of the platform's metadata store, spoken to by its published protocol, with faults.
+ *
+ * @packageDocumentation
+ */
+import * as Http from 'node:http'
+import type * as Net from 'node:net'
+
+interface StoredRow {
+  readonly table: string
+  readonly part: string
+  readonly key: string
+  readonly value: string | undefined
+  readonly schema_version: number
+  readonly deleted?: boolean
+}
+
+/** How the store misbehaves. */
+export interface StoreFaults {
+  /** Answers 503 to everything. */
+  down: boolean
+  /** Takes requests and answers none. */
+  silent: boolean
+  /** Answers 410 to feeds that begin below this revision. */
+  historyFrom: number
+}
+
+/** A running stand-in. */
+export interface PlatformStore {
+  readonly port: number
+  readonly faults: StoreFaults
+  /** Writes a row as an operator or an endpoint would; bytes are written as they are. */
+  put: (table: string, key: string, value: unknown) => number
+  drop: (table: string, key: string) => number
+  /** The rows of a table that are not deleted. */
+  rows: (table: string) => Array<{ readonly key: string, readonly value: unknown }>
+  close: () => Promise<void>
+}
+
+/**
+ * Starts the stand-in on loopback.
+ *
+ * @returns The store.
+ */
+export async function startPlatformStore (): Promise<PlatformStore> {
+  const rows = new Map<string, StoredRow>()
+  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
+  const waiting = new Set<() => void>()
+  const sockets = new Set<Net.Socket>()
+  let revision = 1
+
+  const set = (table: string, key: string, value: string | undefined, deleted: boolean): number => {
+    revision++
+    rows.set(`${table}/${key}`, { table, part: '', key, value, schema_version: revision, ...(deleted ? { deleted } : {}) })
+    for (const wake of [...waiting]) wake()
+    return revision
+  }
+  const ofTable = (table: string): StoredRow[] => [...rows.values()].filter(row => row.table === table)
+  const live = (table: string): StoredRow[] => ofTable(table).filter(row => row.deleted !== true).sort((a, b) => a.key < b.key ? -1 : 1)
+
+  const feed = (query: URLSearchParams, answer: (status: number, body: object) => void): void => {
+    const after = Number(query.get('after_revision'))
+    if (after < faults.historyFrom) { answer(410, {}); return }
+    const changed = (): StoredRow[] => ofTable(query.get('table') ?? '').filter(row => row.schema_version > after).sort((a, b) => a.schema_version - b.schema_version)
+    const finish = (): void => {
+      clearTimeout(timer)
+      waiting.delete(check)
+      answer(200, { rows: changed(), schema_version: revision, now_ms: 0 })
+    }
+    const check = (): void => { if (changed().length > 0) finish() }
+    const timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0))
+    waiting.add(check)
+    check()
+  }
+  const transact = (text: string, answer: (status: number, body: object) => void): void => {
+    const body = JSON.parse(text) as { write: Array<{ table: string, key: string, value: string }>, remove: Array<{ table: string, key: string }> }
+    for (const write of body.write) set(write.table, write.key, write.value, false)
+    for (const removed of body.remove) set(removed.table, removed.key, undefined, true)
+    answer(200, { schema_version: revision, now_ms: 0 })
+  }
+  const server = Http.createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://store')
+    const answer = (status: number, body: object): void => {
+      response.writeHead(status, { 'content-type': 'application/json' })
+      response.end(JSON.stringify(body))
+    }
+    const parts: Buffer[] = []
+    request.on('data', (part: Buffer) => { parts.push(part) })
+    request.on('end', () => {
+      if (faults.silent) return
+      if (faults.down) { answer(503, {}); return }
+      const handlers: Record<string, () => void> = {
+        '/rows-get': () => { answer(200, { rows: live(url.searchParams.get('table') ?? ''), has_more: false, schema_version: revision, now_ms: 0 }) },
+        '/rows-feed': () => { feed(url.searchParams, answer) },
+        '/rows-tx': () => { transact(Buffer.concat(parts).toString(), answer) }
+      }
+      const handle = handlers[url.pathname]
+      if (handle === undefined) answer(404, {})
+      else handle()
+    })
+  })
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.once('close', () => { sockets.delete(socket) })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    port: (server.address() as Net.AddressInfo).port,
+    faults,
+    put: (table, key, value) => set(table, key, Buffer.isBuffer(value) ? value.toString('base64') : Buffer.from(JSON.stringify(value)).toString('base64'), false),
+    drop: (table, key) => set(table, key, undefined, true),
+    rows: table => live(table).map(row => ({ key: row.key, value: JSON.parse(Buffer.from(row.value ?? '', 'base64').toString()) })),
+    close: async () => {
+      for (const socket of sockets) socket.destroy()
+      await new Promise(resolve => { server.close(resolve) })
+    }
+  }
+}
--- /dev/null
+++ b/test/direct-platform.test.ts
@@ -0,0 +1,136 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Neverthrow from 'neverthrow'
+import * as Core from '../src/core/index.ts'
+import * as Follow from '../src/follow/index.ts'
+import * as Ingress from '../src/ingress/index.ts'
+import * as Dialect from '../platform/dialect.ts'
+import * as Endpoints from '../platform/endpoints.ts'
+import * as Operators from '../platform/operators.ts'
+import * as Settings from '../platform/settings.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const row = (key: string, value: unknown, deleted = false): Follow.Rows.Row => ({ key, revision: 1, value, deleted })
+
+describe('platform', () => {
+  describe('listingOf', () => {
+    const entry = { backend: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', models: [{ name: 'm', version: 2 }], layers: { from: 0, target: 4, version: 2 } }
+
+    it('reads an entry', () => {
+      const listing = Endpoints.listingOf(row('i-1', entry), () => 'r')
+      expect([listing?.host, listing?.port, listing?.draining, listing?.weights]).toEqual(['10.0.0.1', 80, false, [{ model: 'm', version: 2 }]])
+    })
+
+    it('names no endpoint for entries of other writers', () => {
+      const wrong = [undefined, null, 'text', {}, { ...entry, state: 'resting' }, { ...entry, slots: 'many' }, { ...entry, address: 7 }, { ...entry, address: 'nowhere' }]
+      expect(wrong.map(value => Endpoints.listingOf(row('i-1', value), () => 'r'))).toEqual(wrong.map(() => undefined))
+      expect(Endpoints.listingOf(row('i-1', entry), () => '')).toEqual(undefined)
+    })
+
+    it('does not count a model whose layers are not whole from the first', () => {
+      expect(Endpoints.listingOf(row('i-1', { ...entry, layers: { from: 2, target: 4, version: 2 } }), () => 'r')?.weights).toEqual([])
+    })
+  })
+
+  describe('changeOf', () => {
+    it('reads zones and versions, and says what it cannot read', () => {
+      expect(Operators.changeOf(row('evacuate/a', {}))).toEqual({ kind: 'zoneDrained', zone: 'a', drained: true })
+      expect(Operators.changeOf(row('evacuate/a', undefined, true))).toEqual({ kind: 'zoneDrained', zone: 'a', drained: false })
+      expect(Operators.changeOf(row('version/m', { model: 'm', version: 2 }))).toEqual({ kind: 'versionNamed', model: 'm', version: 2 })
+      expect(Operators.changeOf(row('config', { version: 'x' }))?.kind).toEqual('unreadable')
+    })
+  })
+
+  describe('dialect', () => {
+    const dialect = Dialect.createDialect()
+
+    it('keeps the caller\'s headers but for those of one connection and its own', () => {
+      const raw = ['Host', 'h', 'Connection', 'close, X-Hop', 'X-Hop', '1', 'Authorization', 'Bearer k', 'X-Fescuespread-Tenant', 'forged', 'X-Fescuespread-Expect-Instance', 'forged', 'X-Fescuespread-Deadline-Ms', '9', 'X-Mine', '2']
+      expect(dialect.forward(raw, { endpointId: 'i', workspace: 'w', leftMs: 5, lastEventId: undefined, bodyBytes: undefined }))
+        .toEqual(['Host', 'h', 'X-Mine', '2', 'X-Fescuespread-Expect-Instance', 'i', 'X-Fescuespread-Deadline-Ms', '5', 'X-Fescuespread-Tenant', 'w'])
+    })
+
+    it('takes only 421 and the runner\'s own word for proof that a call did not run', () => {
+      const proofs = [421, 503, 429, 500].map(status => dialect.readAnswer(status, {}).notRun)
+      expect([...proofs, dialect.readAnswer(503, { 'x-fescuespread-not-executed': '1' }).notRun]).toEqual([true, false, false, false, true])
+    })
+  })
+
+  describe('settings', () => {
+    it('says what is wrong', () => {
+      expect(Settings.parse('node_name = 1').isErr()).toEqual(true)
+      expect(Settings.parse('= broken').isErr()).toEqual(true)
+    })
+  })
+})
+
+describe('Mirror', () => {
+  it('never goes back and tells rows that a whole read lacks as deleted', () => {
+    const mirror = Follow.Rows.createMirror()
+    mirror.take({ rows: [{ key: 'a', revision: 5, value: 1, deleted: false }, { key: 'b', revision: 6, value: 2, deleted: false }], revision: 6 })
+    expect(mirror.take({ rows: [{ key: 'a', revision: 4, value: 0, deleted: false }], revision: 4 })).toEqual([])
+    expect(mirror.replace({ rows: [{ key: 'b', revision: 6, value: 2, deleted: false }], revision: 9 })).toEqual([{ key: 'a', revision: 9, value: undefined, deleted: true }])
+    expect([mirror.live().map(live => live.key), mirror.rowRevision()]).toEqual([['b'], 6])
+  })
+})
+
+describe('Follower', () => {
+  const page = (revision: number, ...keys: string[]): Follow.Rows.Page => ({ rows: keys.map(key => row(key, {})).map(entry => ({ ...entry, revision })), revision })
+  const hang = async (): Promise<never> => await new Promise(() => {})
+  const create = (store: Partial<Follow.Rows.RowSource>, askPeer: Follow.Follower.FollowerOptions['askPeer'], seen: string[]): Follow.Follower.Follower => Follow.Follower.createFollower({
+    table: 't',
+    store: { readAll: async () => Neverthrow.ok(page(1, 'a')), readSince: hang, write: hang, remove: hang, ...store },
+    askPeer,
+    waitMs: 10,
+    clock: () => performance.now(),
+    random: Core.Random.createRandom(1),
+    onRows: rows => { seen.push(...rows.map(entry => entry.key)) },
+    log: () => {}
+  })
+
+  it('takes rows from another process while the store refuses it', async () => {
+    const seen: string[] = []
+    const follower = create({ readAll: async () => Neverthrow.err({ kind: 'unavailable', reason: 'status 503' }) }, async () => page(3, 'b'), seen)
+    await TestKit.Wait.until('rows of the peer', 2_000, () => seen.includes('b'))
+    expect([follower.isKnown(), follower.isInTouch()]).toEqual([true, false])
+    follower.stop()
+  })
+
+  it('takes rows from another process when its own read has gone silent', async () => {
+    const seen: string[] = []
+    const follower = create({}, async () => page(7, 'b'), seen)
+    await TestKit.Wait.until('the first read', 2_000, () => seen.includes('a'))
+    for (let revision = 2; revision <= 7; revision++) follower.hint(revision)
+    await TestKit.Wait.until('rows of the peer', 2_000, () => seen.includes('b'))
+    follower.stop()
+  })
+
+  it('reads the whole table where the history is gone', async () => {
+    const seen: string[] = []
+    let readCount = 0
+    const follower = create({
+      readAll: async () => Neverthrow.ok(readCount++ === 0 ? page(1, 'a') : page(9, 'c')),
+      readSince: async (_table, revision) => revision < 9 ? Neverthrow.err({ kind: 'historyGone' }) : await hang()
+    }, async () => undefined, seen)
+    await TestKit.Wait.until('the second read', 2_000, () => seen.includes('c'))
+    expect(seen).toEqual(['a', 'c', 'a'])
+    follower.stop()
+  })
+})
+
+describe('Splitter', () => {
+  it('passes on whole events only, however they are cut', () => {
+    const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
+    for (let size = 1; size < text.length; size++) {
+      const splitter = Ingress.Events.createSplitter()
+      let passed = ''
+      let lastEventId: string | undefined
+      for (let at = 0; at < text.length; at += size) {
+        const whole = splitter.push(Buffer.from(text.slice(at, at + size)))
+        passed += whole?.bytes.toString() ?? ''
+        lastEventId = whole?.lastEventId ?? lastEventId
+      }
+      expect([passed, lastEventId, splitter.pendingBytes()]).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', '2', 8])
+    }
+  })
+})
--- /dev/null
+++ b/test/direct-routing.test.ts
@@ -0,0 +1,253 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Core from '../src/core/index.ts'
+import * as Routing from '../src/routing/index.ts'
+import * as Direct from '../testkit/direct.ts'
+
+const { ENGINE, ENGINE_SERVICE, PLAIN_SERVICE, listingOf, surroundingsOf } = Direct
+const NOW_MS = 10_000
+const random = Core.Random.createRandom(1)
+
+const placing = (changes: Partial<Routing.Choice.Placing> = {}): Routing.Choice.Placing =>
+  ({ service: ENGINE_SERVICE, model: 'm', promptTokens: 1_000, regions: [], triedIds: new Set(), ...changes })
+const idsOf = (found: readonly Routing.Choice.Candidate[]): string[] => found.map(candidate => candidate.row.listing.endpointId)
+const loadOf = (activeCount: number, queuedCount = 0): Routing.Endpoints.LoadReport => ({ activeCount, queuedCount, pace: 1, loading: false, weights: undefined })
+
+describe('Choice', () => {
+  describe('candidates', () => {
+    it('leaves out what drains, lies in a drained zone or another region, failed, or had the call', () => {
+      const known = surroundingsOf([
+        listingOf('ok'),
+        listingOf('draining', { draining: true }),
+        listingOf('away', { zone: 'b', region: 'rb' }),
+        listingOf('drained', { zone: 'c' }),
+        listingOf('other', { service: 'plain' }),
+        listingOf('tried'),
+        listingOf('failed')
+      ], { drainedZones: new Set(['c']) })
+      const failed = known.endpoints.get('failed')
+      if (failed !== undefined) Routing.Endpoints.blame(failed, NOW_MS)
+      expect(idsOf(Routing.Choice.candidates(placing({ regions: [['ra'], []], triedIds: new Set(['tried']) }), known, NOW_MS))).toEqual(['ok'])
+    })
+
+    it('takes only engines that hold the model whole, in a version that may still be begun on', () => {
+      const known = surroundingsOf([
+        listingOf('old'),
+        listingOf('new', { weights: [{ model: 'm', version: 2 }] }),
+        listingOf('empty', { weights: [] }),
+        listingOf('another', { weights: [{ model: 'x', version: 2 }] })
+      ], { oldestVersionOf: () => 2 })
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS))).toEqual(['new'])
+    })
+
+    it('sends a cold endpoint no more than this gateway\'s part of what it bears in any second', () => {
+      const known = surroundingsOf([listingOf('cold', { coldForMs: 60_000 })], { gatewayCount: 6 })
+      const sentAtMs: number[] = []
+      for (let nowMs = 0; nowMs < 5_000; nowMs += 10) {
+        const [candidate] = Routing.Choice.candidates(placing(), known, nowMs)
+        if (candidate === undefined) continue
+        Routing.Choice.noteSent(candidate.row, 0, nowMs)
+        sentAtMs.push(nowMs)
+      }
+      const most = Math.max(...sentAtMs.map(fromMs => sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length))
+      expect([most, sentAtMs.length]).toEqual([36 / 6, 5 * 36 / 6])
+    })
+  })
+
+  describe('choose', () => {
+    it('prefers the own zone until another endpoint begins the answer clearly sooner', () => {
+      const known = surroundingsOf([listingOf('near'), listingOf('far', { zone: 'b', region: 'rb' })])
+      const near = known.endpoints.get('near')
+      expect(Routing.Choice.choose(Routing.Choice.candidates(placing(), known, NOW_MS), random)?.row.listing.endpointId).toEqual('near')
+      if (near !== undefined) Routing.Endpoints.report(near, loadOf(16, 4), NOW_MS)
+      expect(Routing.Choice.choose(Routing.Choice.candidates(placing(), known, NOW_MS), random)?.row.listing.endpointId).toEqual('far')
+    })
+
+    it('spreads calls that several gateways send from the same reports', () => {
+      const known = surroundingsOf(['e1', 'e2', 'e3', 'e4'].map(id => listingOf(id)))
+      const chosen = Array.from({ length: 40 }, () => Routing.Choice.choose(Routing.Choice.candidates(placing(), known, NOW_MS), random)?.row.listing.endpointId)
+      expect(new Set(chosen).size).toEqual(4)
+    })
+  })
+})
+
+describe('Endpoints', () => {
+  describe('busyCount', () => {
+    it('adds what this gateway sent since the last report', () => {
+      const known = surroundingsOf([listingOf('e')])
+      const row = known.endpoints.get('e') as Routing.Endpoints.EndpointRow
+      Routing.Endpoints.report(row, loadOf(5, 1), NOW_MS)
+      Routing.Choice.noteSent(row, 100, NOW_MS)
+      expect([Routing.Endpoints.busyCount(row, NOW_MS + 50), Routing.Endpoints.busyCount(row, NOW_MS + 5_000)]).toEqual([7, 1])
+    })
+  })
+
+  describe('miss', () => {
+    it('keeps an endpoint whose entry may have lapsed for two seconds and drops others at once', () => {
+      const known = surroundingsOf([listingOf('lapsed'), listingOf('gone'), listingOf('back')])
+      Routing.Endpoints.miss(known.endpoints, 'lapsed', true, NOW_MS)
+      Routing.Endpoints.miss(known.endpoints, 'back', true, NOW_MS)
+      Routing.Endpoints.miss(known.endpoints, 'gone', false, NOW_MS)
+      Routing.Endpoints.list(known.endpoints, listingOf('back'), NOW_MS + 1_000)
+      expect([...known.endpoints.keys()]).toEqual(['lapsed', 'back'])
+      expect(Routing.Endpoints.removeLapsed(known.endpoints, NOW_MS + 2_001)).toEqual(['lapsed'])
+    })
+  })
+
+  describe('list', () => {
+    it('forgets what it knew of an endpoint that started again under its id', () => {
+      const known = surroundingsOf([listingOf('e')])
+      const row = known.endpoints.get('e') as Routing.Endpoints.EndpointRow
+      Routing.Endpoints.blame(row, NOW_MS)
+      Routing.Endpoints.list(known.endpoints, listingOf('e', { bornAtMs: 2, weights: [] }), NOW_MS)
+      const again = known.endpoints.get('e')
+      expect([again?.failureCount, again?.weights]).toEqual([0, []])
+    })
+  })
+})
+
+describe('Admission', () => {
+  const asking = (changes: Partial<Routing.Admission.Asking> = {}): Routing.Admission.Asking => ({ ageMs: 0, waitedMs: 0, goalMs: 400, leftMs: 6_000, resuming: false, ...changes })
+  const candidate = (firstMs: number, hasPlace = true): Routing.Choice.Candidate =>
+    ({ row: surroundingsOf([listingOf('e')]).endpoints.get('e') as Routing.Endpoints.EndpointRow, firstMs, hasPlace, distanceMs: 0 })
+  const empty = { aheadCount: 0, turnMs: 50 }
+
+  it('sends what begins in time', () => {
+    expect(Routing.Admission.decide(asking(), candidate(300), empty, true).kind).toEqual('send')
+  })
+
+  it('refuses at once what would wait longer than it may', () => {
+    expect(Routing.Admission.decide(asking(), candidate(900, false), { aheadCount: 5, turnMs: 50 }, true)).toEqual({ kind: 'refuse', reason: 'overCapacity' })
+  })
+
+  it('lets a call wait for a place that comes soon, and no longer', () => {
+    expect(Routing.Admission.decide(asking(), candidate(900, false), empty, true).kind).toEqual('wait')
+    expect(Routing.Admission.decide(asking({ waitedMs: 130, ageMs: 130 }), candidate(900, false), empty, true).kind).toEqual('refuse')
+  })
+
+  it('gives a caller that came back late a free place only', () => {
+    const late = { ageMs: 1_500 }
+    expect(Routing.Admission.decide(asking(late), candidate(300, true), empty, true).kind).toEqual('send')
+    expect(Routing.Admission.decide(asking(late), candidate(300, false), { aheadCount: 20, turnMs: 50 }, true).kind).toEqual('refuse')
+  })
+
+  it('sends the rest of a broken stream wherever it ends before its deadline', () => {
+    expect(Routing.Admission.decide(asking({ resuming: true, ageMs: 2_000, leftMs: 4_000 }), candidate(900, false), empty, true).kind).toEqual('send')
+  })
+
+  it('refuses without a wait where no endpoint may serve, and where no time is left', () => {
+    expect(Routing.Admission.decide(asking(), undefined, empty, false)).toEqual({ kind: 'refuse', reason: 'noEndpoint' })
+    expect(Routing.Admission.decide(asking({ leftMs: 50 }), candidate(10), empty, true)).toEqual({ kind: 'refuse', reason: 'outOfTime' })
+  })
+})
+
+describe('EngineModel', () => {
+  describe('firstTokenMs', () => {
+    it('grows with the prompt tokens ahead and with a batch that is full', () => {
+      const idle = Routing.EngineModel.firstTokenMs(ENGINE, { busyCount: 0, tokensAheadCount: 0, pace: 1 }, 1_000)
+      const behind = Routing.EngineModel.firstTokenMs(ENGINE, { busyCount: 0, tokensAheadCount: 6_000, pace: 1 }, 1_000)
+      const full = Routing.EngineModel.firstTokenMs(ENGINE, { busyCount: 20, tokensAheadCount: 0, pace: 1 }, 1_000)
+      expect([idle < 100, behind > 350, full > 400]).toEqual([true, true, true])
+    })
+  })
+})
+
+describe('Waiting', () => {
+  it('orders streams that go on, then calls in time, then the more urgent, then the older', () => {
+    const entry = (name: string, changes: Partial<Routing.Waiting.Waiter>): Routing.Waiting.Waiter & { name: string } =>
+      ({ name, service: 's', resuming: false, late: false, priority: 1, arrivedAtMs: 0, ...changes })
+    const waiting = Routing.Waiting.createWaiting<Routing.Waiting.Waiter & { name: string }>()
+    for (const waiter of [entry('late', { late: true }), entry('second', { arrivedAtMs: 5 }), entry('first', { arrivedAtMs: 1 }), entry('urgent', { priority: 0, arrivedAtMs: 9 }), entry('resuming', { resuming: true, late: true })]) waiting.add(waiter)
+    expect(waiting.inOrder().map(waiter => waiter.name)).toEqual(['resuming', 'urgent', 'first', 'second', 'late'])
+  })
+})
+
+describe('Retries', () => {
+  const history = (changes: Partial<Routing.Retries.CallHistory> = {}): Routing.Retries.CallHistory =>
+    ({ kind: 'nonIdempotent', resumable: false, ranCount: 0, sentCount: 1, runLimitCount: 2, leftMs: 1_000, ...changes })
+
+  it('repeats a call that must not run twice only after proof that it did not run', () => {
+    expect(Routing.Retries.next('notRun', history())).toEqual('retry')
+    expect(Routing.Retries.next('unknown', history({ ranCount: 1 }))).toEqual('fail')
+    expect(Routing.Retries.next('notRun', history({ ranCount: 1, sentCount: 2 }))).toEqual('fail')
+  })
+
+  it('never promises that a call was not run once one attempt may have run', () => {
+    const ends: Routing.Retries.AttemptEnd[] = ['notRun', 'failed', 'unknown', 'broken']
+    const steps = ends.map(end => Routing.Retries.giveUp(end, history({ ranCount: 1 })))
+    expect(steps.includes('refuse')).toEqual(false)
+  })
+
+  it('goes on with a broken stream that may be resumed, within the runs of its route', () => {
+    expect(Routing.Retries.next('broken', history({ kind: 'stream', resumable: true, ranCount: 1 }))).toEqual('retry')
+    expect(Routing.Retries.next('broken', history({ kind: 'stream', resumable: true, ranCount: 2, sentCount: 2 }))).toEqual('fail')
+    expect(Routing.Retries.next('broken', history({ kind: 'stream', ranCount: 1 }))).toEqual('fail')
+  })
+})
+
+describe('Budgets', () => {
+  it('keeps the repeats of all gateways within the shared bound when every call fails', () => {
+    const gatewayCount = 6
+    const bound = { ratio: 0.2, slackCount: 106, windowMs: 10_000 }
+    const budgets = Array.from({ length: gatewayCount }, () => Routing.Budgets.createBudget(bound))
+    let repeatCount = 0
+    for (let index = 0; index < 1_000; index++) {
+      const budget = budgets[index % gatewayCount] as Routing.Budgets.Budget
+      budget.noteCall('s', index * 10)
+      if (budget.take('s', gatewayCount, index * 10)) repeatCount++
+    }
+    expect(repeatCount <= 0.2 * 1_000 + 106).toEqual(true)
+    expect(repeatCount > 100).toEqual(true)
+  })
+})
+
+describe('Versions', () => {
+  it('serves the version before until the new one has to be everywhere', () => {
+    const versions = Routing.Versions.createVersions(7_000)
+    versions.name('m', 2, 1_000)
+    expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000)]).toEqual([1, 2])
+  })
+
+  it('takes a version that was named before the start for overdue until another process dates it', () => {
+    const versions = Routing.Versions.createVersions(7_000)
+    versions.name('m', 2, undefined)
+    expect(versions.oldestOf('m', 0)).toEqual(2)
+    versions.date('m', 2, 0)
+    expect([versions.oldestOf('m', 100), versions.oldestOf('m', 7_000)]).toEqual([1, 2])
+  })
+
+  it('never goes back', () => {
+    const versions = Routing.Versions.createVersions(7_000)
+    versions.name('m', 3, 0)
+    expect([versions.name('m', 2, 10), versions.newestOf('m')]).toEqual([false, 3])
+  })
+})
+
+describe('Refusals', () => {
+  it('spreads the returns and stays within what callers honour', () => {
+    const times = Array.from({ length: 200 }, () => Routing.Refusals.returnAfterMs('overCapacity', 6_000, random))
+    expect([Math.max(...times) <= 2_000, Math.max(...times) - Math.min(...times) > 1_000]).toEqual([true, true])
+    expect(Routing.Refusals.returnAfterMs('overCapacity', 300, random) <= 100).toEqual(true)
+  })
+})
+
+describe('Ages', () => {
+  it('tells a caller that came back by the time it has left', () => {
+    const ages = Routing.Ages.createAges()
+    expect([ages.ageOf('r', 6_032), ages.ageOf('r', 6_020), ages.ageOf('r', 4_700), ages.ageOf('other', 4_700)]).toEqual([0, 0, 1_332, 0])
+  })
+})
+
+describe('Deployment', () => {
+  const route = (name: string, prefix: string): Routing.Deployment.Route =>
+    ({ name, host: 'h', prefix, kind: 'idempotent', targets: [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }], runLimitCount: 1, timeoutMs: 1, goalMs: 1, pauseGoalMs: 1, priority: 0, anonymous: true, resumable: false, regions: [] })
+
+  it('finds the route with the longest prefix of the host', () => {
+    const index = Routing.Deployment.createIndex({ version: 1, routes: [route('short', '/a/'), route('long', '/a/b/')], services: [PLAIN_SERVICE], workspaces: undefined, limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    expect([index.routeOf('h', '/a/b/c')?.name, index.routeOf('h', '/a/c')?.name, index.routeOf('x', '/a/c'), index.routeOf('h', '/a')]).toEqual(['long', 'short', undefined, undefined])
+  })
+
+  it('splits calls by weight', () => {
+    expect([Routing.Deployment.chooseTarget(route('r', '/'), 0.89), Routing.Deployment.chooseTarget(route('r', '/'), 0.91)]).toEqual(['a', 'b'])
+  })
+})
--- /dev/null
+++ b/testkit/direct.ts
@@ -0,0 +1,213 @@
+/**
+ * Makes what the direct path decides from, and starts a gateway of it on the stand-ins.
+ *
+ * @packageDocumentation
+ */
+import * as Http from 'node:http'
+import * as Core from '../src/core/index.ts'
+import * as Metrics from '../src/edge/metrics.ts'
+import * as Ingress from '../src/ingress/index.ts'
+import * as Routing from '../src/routing/index.ts'
+import * as Dialect from '../platform/dialect.ts'
+import * as Endpoints from '../platform/endpoints.ts'
+import * as Operators from '../platform/operators.ts'
+import * as Store from '../platform/store.ts'
+import * as PlatformStore from '../standins/platformStore.ts'
+import * as Runner from '../standins/runner.ts'
+
+/** An engine like the users' one. */
+export const ENGINE: Routing.Deployment.Engine = {
+  slotCount: 16,
+  stepMs: 8.87,
+  stepMsPerCall: 0.0388,
+  stepMsPerThousandTokens: 0.0227,
+  passStepCount: 5,
+  readTokensPerMs: 19.1,
+  pairMsPerMillion: 1.47,
+  readLimitTokens: 2048,
+  usualPromptTokens: 977,
+  usualAnswerTokens: 94,
+  layerCount: 16,
+  chunkCount: 64,
+  models: ['m']
+}
+
+/** A service of engines and a plain one. */
+export const ENGINE_SERVICE: Routing.Deployment.Service = { name: 'llm', coldCallsPerSecond: 36, engine: ENGINE, originAddress: undefined }
+export const PLAIN_SERVICE: Routing.Deployment.Service = { name: 'plain', coldCallsPerSecond: 0, engine: undefined, originAddress: undefined }
+
+/**
+ * Makes a listing.
+ *
+ * @param endpointId - Its id.
+ * @param changes - What differs from a warm engine in zone `a`.
+ * @returns The listing.
+ */
+export function listingOf (endpointId: string, changes: Partial<Routing.Endpoints.Listing> = {}): Routing.Endpoints.Listing {
+  return { endpointId, service: 'llm', host: '127.0.0.1', port: 1, zone: 'a', region: 'ra', slotCount: 16, draining: false, coldForMs: 0, bornAtMs: 1, weights: [{ model: 'm', version: 1 }], ...changes }
+}
+
+/**
+ * Makes what a gateway in zone `a` knows.
+ *
+ * @param listings - The endpoints.
+ * @param changes - What differs from a calm deployment with one gateway.
+ * @returns The surroundings.
+ */
+export function surroundingsOf (listings: readonly Routing.Endpoints.Listing[], changes: Partial<Routing.Choice.Surroundings> = {}): Routing.Choice.Surroundings {
+  const endpoints: Routing.Endpoints.Endpoints = Core.Table.createTable('endpoints')
+  for (const listing of listings) Routing.Endpoints.list(endpoints, listing, 0)
+  return { endpoints, zone: 'a', region: 'ra', drainedZones: new Set(), oldestVersionOf: () => 1, gatewayCount: 1, ...changes }
+}
+
+/** A deployment on the stand-ins with one gateway. */
+export interface DirectStage {
+  readonly store: PlatformStore.PlatformStore
+  readonly runners: readonly Runner.Runner[]
+  readonly port: number
+  readonly readyPort: number
+  /** Lines of the decision log. */
+  readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>> }>
+  list: (runner: Runner.Runner, changes?: object) => void
+  deploy: (changes?: object) => void
+  call: (options?: CallOptions) => Promise<CallAnswer>
+  stop: () => Promise<void>
+}
+
+/** A caller's call. */
+export interface CallOptions {
+  readonly path?: string
+  readonly id?: string
+  readonly key?: string
+  readonly deadlineMs?: number
+  readonly body?: string
+  /** Leaves after so long, in milliseconds. */
+  readonly leaveAfterMs?: number
+}
+
+/** What a caller got. */
+export interface CallAnswer {
+  readonly status: number
+  readonly headers: Http.IncomingHttpHeaders
+  readonly text: string
+  /** Whether the answer ended as a whole one. */
+  readonly whole: boolean
+}
+
+const ROUTE = { hostname: 'h', timeout_ms: 2000, latency_goal_ms: 400, priority: 1, max_attempts: 2, anonymous: false, allowed_regions: [] }
+const DEPLOYMENT = {
+  version: 1,
+  routes: [
+    { ...ROUTE, name: 'stream', prefix: '/stream/', route_type: 'streaming', backend: 'llm', resumable: true, gap_target_ms: 400 },
+    { ...ROUTE, name: 'read', prefix: '/read/', route_type: 'idempotent', backend: 'plain' },
+    { ...ROUTE, name: 'book', prefix: '/book/', route_type: 'non_idempotent', backend: 'plain', max_attempts: 1 }
+  ],
+  backends: [
+    { name: 'llm', cold_per_s: 36, engine: { slots: 16, stride: 5, step_ms: 8.87, per_seq_ms: 0.04, context_per_k: 0.02, read_per_s: 19100, pairs_per_m: 1.47, chunk: 2048, usual: { prompt: 977, answer: 94 }, layers: 4, chunks: 4, models: [{ name: 'm' }] } },
+    { name: 'plain' }
+  ],
+  limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+  tenants: [{ name: 'w1', api_keys: ['key-1'] }, { name: 'w2', api_keys: ['key-2'], allowed_regions: ['elsewhere'] }]
+}
+const SEED = 7
+
+/**
+ * Starts the stand-ins and a gateway.
+ *
+ * @param runners - The runners, with their services.
+ * @returns The stage.
+ */
+export async function startDirectStage (runners: ReadonlyArray<Runner.RunnerOptions & { readonly service: string }>): Promise<DirectStage> {
+  const store = await PlatformStore.startPlatformStore()
+  const started = await Promise.all(runners.map(async options => await Runner.startRunner(options)))
+  const services = new Map(runners.map(options => [options.instanceId, options.service]))
+  const lines: DirectStage['lines'] = []
+  const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+  const list = (runner: Runner.Runner, changes: object = {}): void => {
+    const models = [{ name: 'm', version: runner.version, adapters: [] }]
+    store.put('servers', runner.instanceId, { backend: services.get(runner.instanceId), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: 1, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
+  }
+  const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
+  deploy()
+  for (const runner of started) list(runner)
+  const gateway = await Ingress.Gateway.open({
+    name: 'g1',
+    host: '127.0.0.1',
+    port: peerPort,
+    zone: 'a',
+    region: 'ra',
+    seeds: [],
+    store: Store.createRowSource({ host: '127.0.0.1', port: store.port }),
+    clock: () => performance.now(),
+    random: Core.Random.createRandom(SEED),
+    metrics: Metrics.createMetrics(),
+    log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields }) },
+    callers: { host: '127.0.0.1', port },
+    readiness: { host: '127.0.0.1', port: readyPort },
+    bounds: { retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: 8_000, graceMs: 3_400 },
+    dialect: Dialect.createDialect(),
+    changeOf: Operators.changeOf,
+    listingOf: row => Endpoints.listingOf(row, () => 'ra'),
+    tables: { operators: 'op', endpoints: 'servers' }
+  })
+  let callCount = 0
+  let stopped: Promise<void> | undefined
+  const stop = async (): Promise<void> => {
+    await gateway.stop()
+    await Promise.all(started.map(async runner => { await runner.close() }))
+    await store.close()
+  }
+  return {
+    store,
+    runners: started,
+    port,
+    readyPort,
+    lines,
+    list,
+    deploy,
+    call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
+    stop: async () => {
+      stopped ??= stop()
+      await stopped
+    }
+  }
+}
+
+async function call (port: number, options: CallOptions): Promise<CallAnswer> {
+  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leaveAfterMs } = options
+  return await new Promise(resolve => {
+    const parts: Buffer[] = []
+    let answer: Http.IncomingMessage | undefined
+    const finish = (whole: boolean): void => { resolve({ status: answer?.statusCode ?? 0, headers: answer?.headers ?? {}, text: Buffer.concat(parts).toString(), whole }) }
+    const request = Http.request({
+      host: '127.0.0.1',
+      port,
+      method: 'POST',
+      path,
+      agent: false,
+      headers: {
+        host: 'h',
+        'X-Fescuespread-Attempt-Id': id,
+        'X-Fescuespread-Deadline-Ms': String(deadlineMs),
+        ...(path.startsWith('/stream/') ? { 'X-Fescuespread-Model': 'm', 'X-Fescuespread-Token-Usage': '100,50' } : {}),
+        ...(key === '' ? {} : { authorization: `Bearer ${key}` })
+      }
+    }, response => {
+      answer = response
+      response.on('data', (part: Buffer) => { parts.push(part) })
+      response.on('error', () => { finish(false) })
+      response.on('end', () => { finish(response.complete) })
+    })
+    request.on('error', () => { finish(false) })
+    if (leaveAfterMs !== undefined) setTimeout(() => { request.destroy() }, leaveAfterMs)
+    request.end(body)
+  })
+}
+
+async function freePort (): Promise<number> {
+  const server = Http.createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as { port: number }
+  await new Promise(resolve => { server.close(resolve) })
+  return port
+}
