Share free places between gateways; take impatient callers for what they are

Deadlines of first calls differ by up to 15 in 100. Change: shares of free places; ages allow for patience; a free place takes late calls too.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -95,7 +95,7 @@
     const row = endpoints.get(idByAddress.get(`${load.host}:${load.port}`) ?? '')
     if (row === undefined) return
     if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) return
-    Routing.Endpoints.report(row, load, clock())
+    Routing.Endpoints.report(row, load, clock(), random.next())
     ingress.wake()
   }
   const deploy = (deployment: Routing.Deployment.Deployment): void => {
@@ -175,7 +175,8 @@
       region: options.region,
       drainedZones,
       oldestVersionOf: model => versions.oldestOf(model, clock()),
-      gatewayCount: gatewayCount(members())
+      gatewayCount: gatewayCount(members()),
+      zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone))
     }),
     budget,
     clock,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -281,7 +281,7 @@
     if (facts.coldForMs !== undefined && facts.coldForMs > 0) row.coldUntilMs = nowMs + facts.coldForMs
     const isReported = row.load !== undefined && nowMs - row.loadAtMs < Routing.Endpoints.LOAD_MAX_AGE_MS
     if (facts.load !== undefined && !isReported) {
-      Routing.Endpoints.report(row, { ...facts.load, pace: row.load?.pace ?? 1, loading: false, weights: undefined }, nowMs)
+      Routing.Endpoints.report(row, { ...facts.load, pace: row.load?.pace ?? 1, loading: false, weights: undefined }, nowMs, random.next())
     }
   }
 
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -45,9 +45,6 @@
 const LATE_WAIT_SHARE = 0.1
 /** Calls that would wait with less time left than this are refused, in milliseconds: no answer fits into it. */
 const MIN_LEFT_MS = 100
-/** A predicted time may exceed the goal by this factor, since predictions are pessimistic for mixed batches. */
-const PREDICTION_FACTOR = 1.15
-
 /**
  * Decides what is done with a call.
  *
@@ -62,7 +59,7 @@
   const late = asking.ageMs > asking.goalMs
   if (best !== undefined && queue.aheadCount === 0) {
     if (asking.resuming && best.firstMs < asking.leftMs) return { kind: 'send', candidate: best }
-    if (late ? best.hasPlace : asking.ageMs + best.firstMs <= asking.goalMs * PREDICTION_FACTOR) return { kind: 'send', candidate: best }
+    if (best.hasPlace || (!late && asking.ageMs + best.firstMs <= asking.goalMs)) return { kind: 'send', candidate: best }
   }
   const waitLimitMs = late || asking.resuming ? asking.leftMs * LATE_WAIT_SHARE : asking.goalMs * WAIT_SHARE
   const expectedMs = asking.waitedMs + (queue.aheadCount + 1) * queue.turnMs
--- a/src/routing/ages.ts
+++ b/src/routing/ages.ts
@@ -14,13 +14,13 @@
    *
    * @param route - The route's name.
    * @param deadlineMs - Time that the caller says it has left, in milliseconds.
-   * @returns Time since the caller first asked, in milliseconds.
+   * @returns Time since the caller first asked, in milliseconds; a low estimate, 0 for a first call.
    */
   ageOf: (route: string, deadlineMs: number) => number
 }
 
-/** Deadlines of first calls differ by less, in milliseconds: the time that a call takes on its way. */
-const TOLERANCE_MS = 50
+/** Deadlines of first calls of one route differ by this share of the longest: callers differ in patience. */
+const PATIENCE_SHARE = 0.17
 
 /**
  * Creates an estimator that has seen nothing.
@@ -36,8 +36,7 @@
         longest.set(route, deadlineMs)
         return 0
       }
-      const ageMs = before - deadlineMs
-      return ageMs <= TOLERANCE_MS ? 0 : ageMs
+      return Math.max(0, before * (1 - PATIENCE_SHARE) - deadlineMs)
     }
   }
 }
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -3,7 +3,9 @@
  *
  * Answers uneven load over zones: the nearest endpoint that begins the answer in time goes first,
  * others take what it cannot begin in time. Several gateways choose at once from reports of the
- * same age, so endpoints that are nearly as good are drawn from at random.
+ * same age, so endpoints that are nearly as good are drawn from at random, and of the places that
+ * a report shows as free each gateway takes its share only: otherwise all of them fill the same
+ * place, and calls queue at an endpoint that looked free.
  *
  * @packageDocumentation
  */
@@ -35,6 +37,8 @@
   readonly oldestVersionOf: (model: string) => number
   /** Gateways that share the endpoints. */
   readonly gatewayCount: number
+  /** Gateways in the own zone, this one included. */
+  readonly zoneGatewayCount: number
 }
 
 /** An endpoint that may take a call. */
@@ -54,6 +58,8 @@
 const OTHER_REGION_MS = 40
 /** The same for another zone of the region, in milliseconds. */
 const OTHER_ZONE_MS = 15
+/** Share of an endpoint's free places that gateways of its own zone divide; the others divide the rest. */
+const NEAR_SHARE = 0.75
 /** Window of the bound on calls to cold endpoints, in milliseconds: the bound is given for a second. */
 const COLD_WINDOW_MS = 1_000
 /** A plain service's call is predicted to take so long where the endpoint has a place, in milliseconds. */
@@ -140,16 +146,34 @@
   return row.coldSentAtMs.length < Math.max(1, Math.floor(service.coldCallsPerSecond / Math.max(1, known.gatewayCount)))
 }
 
+/**
+ * Works out how many more calls this gateway may send to an endpoint before calls queue there.
+ *
+ * @param row - The endpoint.
+ * @param known - What the gateway knows.
+ * @param nowMs - The time.
+ * @returns The gateway's share of the free places; zero or less when there is none.
+ */
+export function placeCount (row: Endpoints.EndpointRow, known: Surroundings, nowMs: number): number {
+  const { slotCount, zone } = row.listing
+  if (row.load === undefined || nowMs - row.loadAtMs > Endpoints.LOAD_MAX_AGE_MS) return Math.ceil(slotCount / known.gatewayCount) - row.ownCount
+  const freeCount = Math.max(0, slotCount - row.load.activeCount - row.load.queuedCount)
+  const farCount = known.gatewayCount - known.zoneGatewayCount
+  const nearShare = farCount === 0 ? 1 : NEAR_SHARE
+  const share = zone === known.zone ? nearShare / known.zoneGatewayCount : (1 - NEAR_SHARE) / Math.max(1, farCount)
+  return Math.floor(freeCount * share + row.loadDraw) - (row.ownCount - row.ownAtLoadCount)
+}
+
 function weigh (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): Candidate {
   const { listing } = row
   const distanceMs = listing.zone === known.zone ? 0 : listing.region === known.region ? OTHER_ZONE_MS : OTHER_REGION_MS
   const busyCount = Endpoints.busyCount(row, nowMs)
+  const freeCount = placeCount(row, known, nowMs)
+  const waitingCount = Math.max(0, 1 - freeCount)
   const { engine } = placing.service
-  if (engine === undefined) {
-    const waitingCount = Math.max(0, busyCount + 1 - listing.slotCount)
-    return { row, firstMs: PLAIN_MS * (busyCount + 1) * (1 + waitingCount), hasPlace: waitingCount === 0, distanceMs }
-  }
-  const tokensAheadCount = Math.max(row.unreadTokens, (row.load?.queuedCount ?? 0) * engine.usualPromptTokens)
-  const firstMs = EngineModel.firstTokenMs(engine, { busyCount, tokensAheadCount, pace: row.load?.pace ?? 1 }, placing.promptTokens)
-  return { row, firstMs, hasPlace: busyCount < listing.slotCount, distanceMs }
+  if (engine === undefined) return { row, firstMs: PLAIN_MS * (busyCount + 1) * (1 + waitingCount), hasPlace: waitingCount === 0, distanceMs }
+  const othersTokens = engine.usualPromptTokens * Math.min(1, busyCount / engine.slotCount)
+  const tokensAheadCount = othersTokens + Math.max(row.unreadTokens, (row.load?.queuedCount ?? 0) * engine.usualPromptTokens)
+  const firstMs = EngineModel.firstTokenMs(engine, { busyCount, waitingCount, tokensAheadCount, pace: row.load?.pace ?? 1 }, placing.promptTokens)
+  return { row, firstMs, hasPlace: waitingCount === 0, distanceMs }
 }
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -48,6 +48,8 @@
   weights: readonly HeldWeights[] | undefined
   load: LoadReport | undefined
   loadAtMs: number
+  /** Drawn with each report, in [0, 1): decides who gets a place that gateways cannot share evenly. */
+  loadDraw: number
   /** The gateway's own calls at the endpoint when the load was reported. */
   ownAtLoadCount: number
   /** The gateway's own calls at the endpoint. */
@@ -130,9 +132,10 @@
  * @param row - The endpoint.
  * @param load - The report.
  * @param nowMs - The time at which it came.
+ * @param draw - A random number in [0, 1).
  */
-export function report (row: EndpointRow, load: LoadReport, nowMs: number): void {
-  Object.assign(row, { load, loadAtMs: nowMs, ownAtLoadCount: row.ownCount, heardAtMs: nowMs })
+export function report (row: EndpointRow, load: LoadReport, nowMs: number, draw: number): void {
+  Object.assign(row, { load, loadAtMs: nowMs, loadDraw: draw, ownAtLoadCount: row.ownCount, heardAtMs: nowMs })
   if (load.weights !== undefined) row.weights = load.weights
 }
 
@@ -180,6 +183,7 @@
     weights: listing.weights,
     load: undefined,
     loadAtMs: 0,
+    loadDraw: 0,
     ownAtLoadCount: 0,
     ownCount: 0,
     unreadTokens: 0,
--- a/src/routing/engineModel.ts
+++ b/src/routing/engineModel.ts
@@ -12,6 +12,8 @@
 export interface EngineWork {
   /** Calls that run or wait. */
   readonly busyCount: number
+  /** Calls that have to end before this one gets a place, itself included. */
+  readonly waitingCount: number
   /** Prompt tokens that are to be read before the call's own. */
   readonly tokensAheadCount: number
   /** How many times slower than usual the engine is. */
@@ -47,8 +49,7 @@
   const readMs = tokens / engine.readTokensPerMs + engine.pairMsPerMillion * promptTokens * promptTokens / 2 / PAIRS_PER_MILLION
   const pass = writingCount === 0 ? engine.stepMs : passMs(engine, writingCount)
   const passCount = Math.ceil(tokens / engine.readLimitTokens)
-  const waitingCount = Math.max(0, work.busyCount + 1 - engine.slotCount)
-  return work.pace * (readMs + pass / 2 + passCount * (writingCount === 0 ? engine.stepMs : pass) + waitingCount * turnoverMs(engine))
+  return work.pace * (readMs + pass / 2 + passCount * (writingCount === 0 ? engine.stepMs : pass) + work.waitingCount * turnoverMs(engine))
 }
 
 /**
