Retire an engine before it loads and cut off the last answers of its batch

Cause: an engine that is told to load ends its batch first; the last answers run for seconds while all other places are empty. Change: gateways are told that the engine retires, and after 1.3 s, or with two calls left, it is told to cut; the streams go on elsewhere. An engine that does not serve leaves its link to chunks.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -69,7 +69,10 @@
   let toldText = ''
   let toldAtCount = 0
 
-  const chunkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE * LINK_SHARE
+  const linkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE
+  const chunkBytesPerSecond = linkBytesPerSecond * LINK_SHARE
+  const upload = Pacer.createPacer(chunkBytesPerSecond, 0)
+  const download = Pacer.createPacer(chunkBytesPerSecond, 0)
   const onNews = (news: Follow.News.News): void => {
     operators.hint(news.revisions[options.operatorsTable] ?? 0)
     filler.noteHeard(news.sender)
@@ -77,7 +80,7 @@
     if (news.held !== undefined) filler.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
   }
   const node = await Follow.Node.open(options, 'agent', onNews, [
-    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), Pacer.createPacer(chunkBytesPerSecond, 0))
+    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), upload)
   ])
   const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
   const flushAnnouncements = (): void => {
@@ -102,7 +105,11 @@
     members: () => node.members().filter(member => member.kind === 'agent'),
     callRoll: () => { node.tell({ revisions: {}, rollCall: true }, 'agent') },
     versionMs: options.versionMs,
-    download: Pacer.createPacer(chunkBytesPerSecond, 0),
+    isResumable: () => (deployment?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
+    download,
+    setServing: serving => {
+      for (const pacer of [download, upload]) pacer.setRate(serving ? chunkBytesPerSecond : linkBytesPerSecond)
+    },
     announce,
     random: options.random,
     clock,
@@ -155,7 +162,7 @@
       activeCount: report.activeCount,
       queuedCount: report.queuedCount,
       pace: report.pace,
-      loading: report.loading,
+      loading: report.loading || filler.isRetiring(),
       weights: [...report.weights ?? []]
     }
     const text = JSON.stringify(load)
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -25,8 +25,12 @@
   /** Tells the other agents that this one is there, and asks who else is. */
   readonly callRoll: () => void
   readonly versionMs: number
+  /** Whether every stream of the engine's service may go on at another endpoint. */
+  readonly isResumable: () => boolean
   /** Paces what is fetched, so that calls to the engine on the same link are not held up. */
   readonly download: Pacer.Pacer
+  /** Told whether the engine serves, so that an idle link may be filled. */
+  readonly setServing: (serving: boolean) => void
   /** Tells other agents that a chunk may be fetched here. */
   readonly announce: (model: string, version: number, index: number, receivers: readonly string[]) => void
   readonly clock: () => number
@@ -48,6 +52,8 @@
   /** Works towards the named versions, the oldest first; to be called with each report of the engine. */
   advance: (goals: readonly Goal[], report: Ports.EngineReport) => Promise<void>
   isFetching: (model: string, version: number) => boolean
+  /** Whether the engine is to be given no new calls, since it is about to load. */
+  isRetiring: () => boolean
   /** Takes that another agent is there. */
   noteHeard: (agent: string) => void
   /** Takes that another agent has chunks. */
@@ -77,6 +83,8 @@
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
 const ORIGIN_NAME = 'origin'
+/** The origin is taken for away after so many failures in a row. */
+const ORIGIN_FAILURE_LIMIT_COUNT = 2
 /** Chunks that one agent draws from the origin at once: the origin takes few connections from all agents together. */
 const ORIGIN_LIMIT_COUNT = 1
 const ORIGIN: Sources.Source = { kind: 'origin' }
@@ -106,11 +114,15 @@
   let manifestPending = false
   let stagingPending = false
   let startedAtMs = -Infinity
+  /** Since when the engine is given no new calls, in milliseconds. */
+  let retiredAtMs: number | undefined
+  let loadedBefore = 0
   let misfitCount = 0
   let rollCalledAtMs = -Infinity
   const heardAtMs = new Map<string, number>()
   const downUntilMs = new Map<string, number>()
   let originAfterMs = -Infinity
+  let originFailureCount = 0
   let blindAtMs = -Infinity
   const fetchedFrom = { origin: 0, region: 0, otherRegion: 0 }
   let chunkBytes = FIRST_CHUNK_BYTES
@@ -188,6 +200,7 @@
       misfitCount = 0
       chunkBytes = bytes.length
       fetchedFrom[from]++
+      if (agent === undefined) originFailureCount = 0
       if (volume.heldCount === volume.manifest.digests.length) log('weights', 'Version held whole.', { model, version, sinceNamedMs: Math.round(clock() - (fetchGoal?.namedAtMs ?? 0)), fetchedFrom: { ...fetchedFrom } })
       options.announce(model, version, index, Sources.receiversOf(key, own, agents))
       return
@@ -201,7 +214,8 @@
     }
     if (agent !== undefined && bytes === undefined) downUntilMs.set(agent.name, clock() + DOWN_MS)
     if (agent !== undefined) refusedAtMs.set(`${agent.name} ${key}`, clock())
-    else originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
+    else originFailureCount++
+    if (agent === undefined) originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
   }
   /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
   const blindSourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number): Sources.Source => {
@@ -242,6 +256,12 @@
       })
     }
   }
+  /** While the origin is away, the version before is the newest that agents can complete from one another. */
+  const fetchSkipped = (progress: readonly Switching.Progress[], goal: Goal): void => {
+    const skipped = progress.filter(entry => entry.version < goal.version && entry.heldShare > 0 && entry.heldShare < 1).at(-1)
+    const volume = skipped === undefined ? undefined : library.volumeOf(goal.model, skipped.version)
+    if (volume !== undefined) fetchMissing(volume)
+  }
   const stageHeld = async (volume: Library.Volume): Promise<void> => {
     if (stagingPending) return
     stagingPending = true
@@ -277,12 +297,15 @@
     const serves = (report.weights ?? []).some(held => held.model === goal.model)
     const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs, own: options.name, names: options.members().map(agent => agent.name) })
     if (serves && nowMs < dueAtMs) return
+    if (serves) retiredAtMs ??= nowMs
+    const mode = serves ? Switching.loadMode(report.activeCount, nowMs - (retiredAtMs ?? nowMs), options.isResumable()) : 'afterRunning'
+    if (mode === undefined) return
     stagingPending = true
     try {
       if (!await verifyStaged(volume)) return
       startedAtMs = clock()
-      const answer = await engine.start(goal.model, goal.version)
-      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, answer, activeCount: report.activeCount, sinceNamedMs: Math.round(startedAtMs - goal.namedAtMs) })
+      const answer = await engine.start(goal.model, goal.version, mode)
+      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, sinceNamedMs: Math.round(startedAtMs - goal.namedAtMs) })
     } finally {
       stagingPending = false
     }
@@ -297,11 +320,13 @@
         bornAtMs = report.bornAtMs
         staged = new Set()
         startedAtMs = -Infinity
+        retiredAtMs = undefined
       }
       const newest = goals.at(-1)
       if (newest === undefined) return
       const loaded = (report.weights ?? []).find(held => held.model === newest.model)?.version ?? 0
       const isServed = loaded >= newest.version
+      options.setServing(loaded > 0)
       const progress = (isServed ? [newest] : goals.filter(goal => goal.version > loaded)).map(progressOf)
       const goalOf = (version: number | undefined): Goal | undefined => goals.find(goal => goal.version === version)
       fetchGoal = goalOf(Switching.versionToFetch(progress, options.versionMs, clock()))
@@ -309,6 +334,12 @@
         const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
         if (volume === undefined) await openVolume(fetchGoal)
         else fetchMissing(volume)
+        if (originFailureCount >= ORIGIN_FAILURE_LIMIT_COUNT) fetchSkipped(progress, fetchGoal)
+      }
+      if (loaded !== loadedBefore) {
+        if (retiredAtMs !== undefined) log('weights', 'Engine loaded.', { model: newest.model, version: loaded, tookMs: Math.round(clock() - retiredAtMs) })
+        retiredAtMs = undefined
+        loadedBefore = loaded
       }
       const loadGoal = isServed ? undefined : goalOf(Switching.versionToLoad(progress))
       const volume = loadGoal === undefined ? undefined : library.volumeOf(loadGoal.model, loadGoal.version)
@@ -317,6 +348,7 @@
       if (staged.size === volume.manifest.digests.length && stagedVersion === loadGoal.version) await start(loadGoal, volume, report)
     },
     isFetching: (model, version) => fetchGoal?.model === model && fetchGoal.version === version,
+    isRetiring: () => retiredAtMs !== undefined,
     noteHeard: agent => {
       heardAtMs.set(agent, clock())
       downUntilMs.delete(agent)
--- a/src/filling/ports.ts
+++ b/src/filling/ports.ts
@@ -15,6 +15,9 @@
 /** How an order was taken. */
 export type OrderAnswer = 'accepted' | 'done' | 'refused' | 'lost'
 
+/** Whether an engine loads once what runs has ended, or cuts it off. */
+export type LoadMode = 'afterRunning' | 'cutting'
+
 /** The engine beside an agent. */
 export interface Engine {
   /** Undefined when the engine does not answer. */
@@ -23,8 +26,8 @@
   listStaged: (model: string) => Promise<readonly number[] | undefined>
   readStaged: (model: string, index: number) => Promise<Buffer | undefined>
   stage: (model: string, index: number, bytes: Buffer) => Promise<boolean>
-  /** Loads the staged weights once what runs has ended. */
-  start: (model: string, version: number) => Promise<OrderAnswer>
+  /** Loads the staged weights. */
+  start: (model: string, version: number, mode: LoadMode) => Promise<OrderAnswer>
 }
 
 /** The digests of a version's chunks, in order. */
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -7,6 +7,7 @@
  * @packageDocumentation
  */
 import * as Core from '../core/index.ts'
+import type * as Ports from './ports.ts'
 
 /** What the time of a change depends on. */
 export interface Switch {
@@ -38,6 +39,27 @@
   return change.namedAtMs + share * change.versionMs
 }
 
+/** An engine that takes no new calls is given so long to end what runs, in milliseconds: most answers of a batch end within it. */
+const RETIRE_MS = 1_300
+/** So few calls are cut off rather than waited for. */
+const CUT_LIMIT_COUNT = 2
+
+/**
+ * Decides how a serving engine is told to load.
+ *
+ * Answers the tail of a batch: its last answers run for seconds while all other places are empty.
+ * They are cut off where gateways can go on with them elsewhere.
+ *
+ * @param activeCount - Calls that run.
+ * @param retiredForMs - How long the engine has been given no new calls, in milliseconds.
+ * @param resumable - Whether every stream of the service may go on at another endpoint.
+ * @returns The mode; undefined while the engine is to go on ending what runs.
+ */
+export function loadMode (activeCount: number, retiredForMs: number, resumable: boolean): Ports.LoadMode | undefined {
+  if (!resumable || activeCount === 0) return 'afterRunning'
+  return activeCount <= CUT_LIMIT_COUNT || retiredForMs >= RETIRE_MS ? 'cutting' : undefined
+}
+
 /** A version is skipped when the next one is named within this share of the time that it has: it is not spread by then, and the next one still is in time. */
 const SKIP_SHARE = 0.35
 
--- a/test/direct-filling.test.ts
+++ b/test/direct-filling.test.ts
@@ -65,6 +65,12 @@
     expect(Filling.Switching.versionToFetch(named, 8_000, 8_500)).toEqual(3)
   })
 
+  it('cuts off the last answers of a batch where they can go on elsewhere, and never others', () => {
+    const { loadMode } = Filling.Switching
+    expect([loadMode(10, 0, true), loadMode(10, 1_400, true), loadMode(1, 0, true), loadMode(0, 0, true)]).toEqual([undefined, 'cutting', 'cutting', 'afterRunning'])
+    expect([loadMode(10, 0, false), loadMode(1, 5_000, false)]).toEqual(['afterRunning', 'afterRunning'])
+  })
+
   it('loads the newest version that is whole', () => {
     expect(Filling.Switching.versionToLoad([{ version: 2, namedAtMs: 0, heldShare: 1 }, { version: 3, namedAtMs: 1, heldShare: 0.9 }])).toEqual(2)
   })
