--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -83,8 +83,6 @@
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
 const ORIGIN_NAME = 'origin'
-/** The origin is taken for away after so many failures in a row. */
-const ORIGIN_FAILURE_LIMIT_COUNT = 2
 /** Chunks that one agent draws from the origin at once: the origin takes few connections from all agents together. */
 const ORIGIN_LIMIT_COUNT = 1
 const ORIGIN: Sources.Source = { kind: 'origin' }
@@ -122,7 +120,6 @@
   const heardAtMs = new Map<string, number>()
   const downUntilMs = new Map<string, number>()
   let originAfterMs = -Infinity
-  let originFailureCount = 0
   let blindAtMs = -Infinity
   const fetchedFrom = { origin: 0, region: 0, otherRegion: 0 }
   let chunkBytes = FIRST_CHUNK_BYTES
@@ -200,7 +197,6 @@
       misfitCount = 0
       chunkBytes = bytes.length
       fetchedFrom[from]++
-      if (agent === undefined) originFailureCount = 0
       if (volume.heldCount === volume.manifest.digests.length) log('weights', 'Version held whole.', { model, version, sinceNamedMs: Math.round(clock() - (fetchGoal?.namedAtMs ?? 0)), fetchedFrom: { ...fetchedFrom } })
       options.announce(model, version, index, Sources.receiversOf(key, own, agents))
       return
@@ -214,8 +210,7 @@
     }
     if (agent !== undefined && bytes === undefined) downUntilMs.set(agent.name, clock() + DOWN_MS)
     if (agent !== undefined) refusedAtMs.set(`${agent.name} ${key}`, clock())
-    else originFailureCount++
-    if (agent === undefined) originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
+    else originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
   }
   /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
   const blindSourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number): Sources.Source => {
@@ -256,12 +251,6 @@
       })
     }
   }
-  /** While the origin is away, the version before is the newest that agents can complete from one another. */
-  const fetchSkipped = (progress: readonly Switching.Progress[], goal: Goal): void => {
-    const skipped = progress.filter(entry => entry.version < goal.version && entry.heldShare > 0 && entry.heldShare < 1).at(-1)
-    const volume = skipped === undefined ? undefined : library.volumeOf(goal.model, skipped.version)
-    if (volume !== undefined) fetchMissing(volume)
-  }
   const stageHeld = async (volume: Library.Volume): Promise<void> => {
     if (stagingPending) return
     stagingPending = true
@@ -334,7 +323,6 @@
         const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
         if (volume === undefined) await openVolume(fetchGoal)
         else fetchMissing(volume)
-        if (originFailureCount >= ORIGIN_FAILURE_LIMIT_COUNT) fetchSkipped(progress, fetchGoal)
       }
       if (loaded !== loadedBefore) {
         if (retiredAtMs !== undefined) log('weights', 'Engine loaded.', { model: newest.model, version: loaded, tookMs: Math.round(clock() - retiredAtMs) })
