Keep lapsed entries until two seconds after the store's return, no longer

Change: the time runs from the return of the store and is looked at when an endpoint is chosen. The test fails on the code before.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -121,7 +121,7 @@
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
   }
-  const takeListing = (row: Follow.Rows.Row, fromStore: boolean): void => {
+  const takeListing = (row: Follow.Rows.Row): void => {
     const nowMs = clock()
     const before = endpoints.get(row.key)
     const listing = row.deleted ? undefined : options.listingOf(row)
@@ -134,8 +134,7 @@
       return
     }
     if (before === undefined) return
-    const lapsed = row.deleted && (!fromStore || !listed.isInTouch() || nowMs - (listed.regainedAtMs() ?? -Infinity) < Routing.Endpoints.LAPSE_MS)
-    Routing.Endpoints.miss(endpoints, row.key, lapsed, nowMs)
+    const lapsed = Routing.Endpoints.miss(endpoints, row.key, row.deleted ? listed.regainedAtMs() ?? -Infinity : -Infinity, nowMs)
     log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, revision: row.revision })
   }
 
@@ -156,8 +155,8 @@
     ...node.followerOptions,
     table: options.tables.endpoints,
     waitMs: ENDPOINTS_WAIT_MS,
-    onRows: (rows, { fromStore }) => {
-      for (const row of rows) takeListing(row, fromStore)
+    onRows: rows => {
+      for (const row of rows) takeListing(row)
       ingress.wake()
     }
   })
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -126,6 +126,7 @@
 
 function isUsable (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): boolean {
   const { listing } = row
+  if ((row.keptUntilMs ?? Infinity) <= nowMs) return false
   if (listing.service !== placing.service.name || listing.draining || row.avoidUntilMs > nowMs) return false
   if (placing.triedIds.has(listing.endpointId) || known.drainedZones.has(listing.zone)) return false
   if (placing.regions.some(regions => regions.length > 0 && !regions.includes(listing.region))) return false
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -63,8 +63,8 @@
   failureCount: number
   /** Time until which the endpoint is not chosen, in milliseconds. */
   avoidUntilMs: number
-  /** Since when the platform's list lacks the endpoint, in milliseconds; undefined while it is listed. */
-  missingSinceMs: number | undefined
+  /** Until when the endpoint is kept although the platform's list lacks it, in milliseconds; undefined while it is listed. */
+  keptUntilMs: number | undefined
 }
 
 /** The endpoints by id. */
@@ -92,25 +92,28 @@
   const restarted = known !== undefined && known.listing.bornAtMs !== listing.bornAtMs
   const row: EndpointRow = known === undefined || restarted
     ? createRow(listing, nowMs)
-    : Object.assign(known, { listing, missingSinceMs: undefined, weights: listing.weights })
+    : Object.assign(known, { listing, keptUntilMs: undefined, weights: listing.weights })
   if (listing.coldForMs > 0) row.coldUntilMs = nowMs + listing.coldForMs
   endpoints.set(listing.endpointId, row)
   return row
 }
 
 /**
- * Takes that the list lacks an endpoint. Entries that lapsed while the store was away come back soon after it, so the endpoint is kept for a while then.
+ * Takes that the list lacks an endpoint. Entries that lapsed while the store was away come back soon after its return, so the endpoint is kept until then.
  *
  * @param endpoints - The endpoints.
  * @param endpointId - The endpoint.
- * @param lapsed - Whether the entry may have lapsed while the store was away.
+ * @param regainedAtMs - When the store was last regained, in milliseconds.
  * @param nowMs - The time.
+ * @returns Whether the endpoint is kept for now.
  */
-export function miss (endpoints: Endpoints, endpointId: string, lapsed: boolean, nowMs: number): void {
+export function miss (endpoints: Endpoints, endpointId: string, regainedAtMs: number, nowMs: number): boolean {
   const row = endpoints.get(endpointId)
-  if (row === undefined) return
-  if (lapsed) row.missingSinceMs ??= nowMs
+  if (row === undefined) return false
+  const isKept = nowMs - regainedAtMs < LAPSE_MS
+  if (isKept) row.keptUntilMs ??= regainedAtMs + LAPSE_MS
   else endpoints.remove(endpointId)
+  return isKept
 }
 
 /**
@@ -121,7 +124,7 @@
  * @returns The ids of the endpoints removed.
  */
 export function removeLapsed (endpoints: Endpoints, nowMs: number): string[] {
-  const gone = [...endpoints.rows()].filter(row => row.missingSinceMs !== undefined && nowMs - row.missingSinceMs > LAPSE_MS).map(row => row.listing.endpointId)
+  const gone = [...endpoints.rows()].filter(row => (row.keptUntilMs ?? Infinity) <= nowMs).map(row => row.listing.endpointId)
   for (const endpointId of gone) endpoints.remove(endpointId)
   return gone
 }
@@ -191,6 +194,6 @@
     coldSentAtMs: [],
     failureCount: 0,
     avoidUntilMs: 0,
-    missingSinceMs: undefined
+    keptUntilMs: undefined
   }
 }
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -113,14 +113,21 @@
   })
 
   describe('miss', () => {
-    it('keeps an endpoint whose entry may have lapsed for two seconds and drops others at once', () => {
-      const known = surroundingsOf([listingOf('lapsed'), listingOf('gone'), listingOf('back')])
-      Routing.Endpoints.miss(known.endpoints, 'lapsed', true, NOW_MS)
-      Routing.Endpoints.miss(known.endpoints, 'back', true, NOW_MS)
-      Routing.Endpoints.miss(known.endpoints, 'gone', false, NOW_MS)
+    const REGAINED_MS = NOW_MS - 500
+
+    it('keeps an endpoint whose entry may have lapsed until two seconds after the return of the store', () => {
+      const known = surroundingsOf([listingOf('lapsed'), listingOf('back')])
+      Routing.Endpoints.miss(known.endpoints, 'lapsed', REGAINED_MS, NOW_MS)
+      Routing.Endpoints.miss(known.endpoints, 'back', REGAINED_MS, NOW_MS)
       Routing.Endpoints.list(known.endpoints, listingOf('back'), NOW_MS + 1_000)
-      expect([...known.endpoints.keys()]).toEqual(['lapsed', 'back'])
-      expect(Routing.Endpoints.removeLapsed(known.endpoints, NOW_MS + 2_001)).toEqual(['lapsed'])
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS + 1_400))).toEqual(['lapsed', 'back'])
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS + 1_500))).toEqual(['back'])
+      expect(Routing.Endpoints.removeLapsed(known.endpoints, NOW_MS + 1_500)).toEqual(['lapsed'])
+    })
+
+    it('drops an endpoint at once where the store was there all along', () => {
+      const known = surroundingsOf([listingOf('gone')])
+      expect([Routing.Endpoints.miss(known.endpoints, 'gone', NOW_MS - 5_000, NOW_MS), known.endpoints.count()]).toEqual([false, 0])
     })
   })
 
