--- a/src/edge/log.ts
+++ b/src/edge/log.ts
@@ -6,6 +6,7 @@
 import type * as Neverthrow from 'neverthrow'
 import pino from 'pino'
 import type * as Core from '../core/index.ts'
+import * as LogLimits from './logLimits.ts'
 
 /** Writes log lines. */
 export interface Log {
@@ -28,6 +29,10 @@
 const BUFFER_BYTES = 4_096
 /** Lines wait no longer than this, in milliseconds. */
 const FLUSH_MS = 100
+/** Lines that a reader does not take are dropped beyond this size, in bytes: some seconds of a busy process. */
+const QUEUE_LIMIT_BYTES = 1_048_576
+/** Decisions of one kind that are written in a second: twice the calls of a busy process. */
+const DECISION_LIMIT_COUNT = 120
 
 /**
  * Creates a log on standard output.
@@ -38,11 +43,21 @@
  * @returns The log.
  */
 export function createLog (program: string, instanceId: string, level: Level): Log {
-  const output = pino.destination({ dest: 1, sync: true, minLength: BUFFER_BYTES })
+  const output = pino.destination({ dest: 1, sync: false, minLength: BUFFER_BYTES, maxLength: QUEUE_LIMIT_BYTES })
   const logger = pino({ level, base: { program, instanceId } }, output)
-  const flush = (): void => { output.flushSync() }
-  setInterval(flush, FLUSH_MS).unref()
-  process.once('exit', flush)
+  const limits = LogLimits.createLogLimits(DECISION_LIMIT_COUNT)
+  let droppedCount = 0
+  output.on('drop', () => { droppedCount++ })
+  output.on('error', () => { droppedCount++ })
+  const flush = (): void => { output.flush() }
+  const tellLosses = (): void => {
+    const leftOut = limits.takeLeftOut(performance.now())
+    if (leftOut !== undefined) logger.info({ leftOut }, 'log: Lines left out.')
+    if (droppedCount > 0) logger.warn({ droppedCount }, 'log: Lines dropped, since nothing takes them.')
+    droppedCount = 0
+  }
+  setInterval(() => { tellLosses(); flush() }, FLUSH_MS).unref()
+  process.once('exit', () => { flushAtEnd(output) })
   return {
     info: (prefix, sentence, fields = {}) => { logger.info(fields, `${prefix}: ${sentence}`) },
     warn: (prefix, sentence, fields = {}) => {
@@ -53,7 +68,19 @@
       if (outcome.isOk()) logger.info({ name, keyCount: outcome.value }, 'control: Keys read again.')
       else logger.warn({ name, reason: outcome.error }, 'control: Keys not read again.')
     },
-    decision: ({ prefix, sentence, fields }) => { logger.info(fields, `${prefix}: ${sentence}`) },
-    flush
+    decision: ({ prefix, sentence, fields }) => {
+      const line = `${prefix}: ${sentence}`
+      if (limits.admit(line, performance.now())) logger.info(fields, line)
+    },
+    flush: () => { flushAtEnd(output) }
+  }
+}
+
+/** The last lines are written before the process ends; a destination that never opened has none. */
+function flushAtEnd (output: ReturnType<typeof pino.destination>): void {
+  try {
+    output.flushSync()
+  } catch (error) {
+    process.stderr.write(`log: last lines not written: ${(error as Error).message}\n`)
   }
 }
