Close kept connections once their calls have ended during a stop; leave silent endpoints out

Ruled out: calls taken by new connections, which end 2.6 s after the signal. Change: idle connections are closed until the process ends. Further, an endpoint that says nothing while calls wait there is left out after 450 ms, and gateways of other zones hear unchanged loads within 600 ms. The test of the kept connection fails on the code before (closed after 20 s).

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -28,6 +28,12 @@
   readonly operatorsTable: string
 }
 
+/** The load that gateways were told last. */
+interface Told {
+  readonly text: string
+  readonly atCount: number
+}
+
 /** A running agent. */
 export interface Agent {
   stop: () => Promise<void>
@@ -37,8 +43,8 @@
 const REPORT_MS = 100
 /** Gateways in other zones hear of the load less often, in reports: they send here only what their own zone cannot take. */
 const FAR_EVERY_COUNT = 3
-/** A load that did not change is told again after so many reports. */
-const RETELL_COUNT = 5
+/** A load that did not change is told again after so many reports, well before it counts as out of date. */
+const RETELL_COUNT = 6
 /** Share of the link that chunks may take in each direction: the rest carries calls and answers. */
 const LINK_SHARE = 0.85
 const BITS_PER_BYTE = 8
@@ -66,8 +72,8 @@
   let reachable: boolean | undefined
   let busy = false
   let reportCount = 0
-  let toldText = ''
-  let toldAtCount = 0
+  let toldNear: Told = { text: '', atCount: 0 }
+  let toldFar: Told = { text: '', atCount: 0 }
 
   const linkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE
   const chunkBytesPerSecond = linkBytesPerSecond * LINK_SHARE
@@ -166,11 +172,13 @@
       weights: [...report.weights ?? []]
     }
     const text = JSON.stringify(load)
-    if (text === toldText && reportCount - toldAtCount < RETELL_COUNT) return
-    toldText = text
-    toldAtCount = reportCount
-    const far = reportCount % FAR_EVERY_COUNT === 0
-    node.tell({ revisions: { [options.operatorsTable]: operators.mirror.rowRevision() }, load }, 'gateway', member => far || member.zone === options.zone)
+    const isDue = (told: Told): boolean => text !== told.text || reportCount - told.atCount >= RETELL_COUNT
+    const near = isDue(toldNear)
+    const far = reportCount % FAR_EVERY_COUNT === 0 && isDue(toldFar)
+    if (near) toldNear = { text, atCount: reportCount }
+    if (far) toldFar = { text, atCount: reportCount }
+    if (!near && !far) return
+    node.tell({ revisions: { [options.operatorsTable]: operators.mirror.rowRevision() }, load }, 'gateway', member => member.zone === options.zone ? near : far)
   }
   const noteReachable = (now: boolean): void => {
     if (now === reachable) return
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -59,6 +59,8 @@
 const ROTATION_MS = 2_600
 /** Time kept for closing before the process is killed, in milliseconds. */
 const STOP_RESERVE_MS = 700
+/** Connections that became idle during a stop are closed so often, in milliseconds. */
+const STOP_BEAT_MS = 20
 /** Calls stop beginning on an old version so long before the new one has to be everywhere, in milliseconds: queueing and the way there. */
 const VERSION_RESERVE_MS = 600
 const BEAT_MS = 100
@@ -215,9 +217,14 @@
       log('gateway', 'Gateway stops.', { activeCount: ingress.activeCount() })
       await pause(ROTATION_MS)
       server.close()
-      server.closeIdleConnections()
       const untilMs = startedMs + options.bounds.graceMs - STOP_RESERVE_MS
-      while (ingress.activeCount() > 0 && clock() < untilMs) await pause(BEAT_MS / 2)
+      do {
+        // An answer that began before the stop did not tell its caller to use another connection.
+        server.closeIdleConnections()
+        await pause(STOP_BEAT_MS)
+      } while (ingress.activeCount() > 0 && clock() < untilMs)
+      await pause(STOP_BEAT_MS)
+      server.closeIdleConnections()
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(beat)
       operators.stop()
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -60,6 +60,10 @@
 const OTHER_ZONE_MS = 15
 /** Share of an endpoint's free places that gateways of its own zone divide; the others divide the rest. */
 const NEAR_SHARE = 0.75
+/** An endpoint with calls of this gateway from which nothing came for so long is left out, in milliseconds: longer than any pass over a full batch. */
+const QUIET_MS = 450
+/** An endpoint whose agent fell silent is chosen last, in milliseconds of prediction: its instance may be frozen or cut off. */
+const UNREPORTED_MS = 200
 /** Window of the bound on calls to cold endpoints, in milliseconds: the bound is given for a second. */
 const COLD_WINDOW_MS = 1_000
 /** A plain service's call is predicted to take so long where the endpoint has a place, in milliseconds. */
@@ -119,6 +123,7 @@
  * @param nowMs - The time.
  */
 export function noteSent (row: Endpoints.EndpointRow, promptTokens: number, nowMs: number): void {
+  if (row.ownCount === 0) row.heardAtMs = Math.max(row.heardAtMs, nowMs)
   row.ownCount++
   row.unreadTokens += promptTokens
   if (row.coldUntilMs > nowMs) row.coldSentAtMs.push(nowMs)
@@ -128,6 +133,7 @@
   const { listing } = row
   if ((row.keptUntilMs ?? Infinity) <= nowMs) return false
   if (listing.service !== placing.service.name || listing.draining || row.avoidUntilMs > nowMs) return false
+  if (row.ownCount > 0 && nowMs - row.heardAtMs > QUIET_MS) return false
   if (placing.triedIds.has(listing.endpointId) || known.drainedZones.has(listing.zone)) return false
   if (placing.regions.some(regions => regions.length > 0 && !regions.includes(listing.region))) return false
   if (placing.service.engine !== undefined && !holdsModel(row, placing, known)) return false
@@ -167,7 +173,9 @@
 
 function weigh (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): Candidate {
   const { listing } = row
-  const distanceMs = listing.zone === known.zone ? 0 : listing.region === known.region ? OTHER_ZONE_MS : OTHER_REGION_MS
+  const isUnreported = row.load !== undefined && nowMs - row.loadAtMs > Endpoints.LOAD_MAX_AGE_MS
+  const placeMs = listing.zone === known.zone ? 0 : listing.region === known.region ? OTHER_ZONE_MS : OTHER_REGION_MS
+  const distanceMs = placeMs + (isUnreported ? UNREPORTED_MS : 0)
   const busyCount = Endpoints.busyCount(row, nowMs)
   const freeCount = placeCount(row, known, nowMs)
   const waitingCount = Math.max(0, 1 - freeCount)
--- a/test/direct-path.test.ts
+++ b/test/direct-path.test.ts
@@ -206,3 +206,28 @@
     })
   })
 })
+
+describe('a stop while a stream runs on a kept connection', () => {
+  it('ends the stream whole and then closes the connection, so that no further call is taken on it', async () => {
+    const slow = await Direct.startDirectStage([{ instanceId: 'slow', service: 'llm', eventMs: 450, eventCount: 9 }])
+    const agent = new Http.Agent({ keepAlive: true })
+    await TestKit.Wait.until('the endpoint is listed', LIMIT_MS, () => slow.lines.some(line => line.sentence === 'Endpoint listed.'))
+    const ended = new Promise<{ text: string, endedAtMs: number, closedAtMs: number }>(resolve => {
+      let text = ''
+      let endedAtMs = 0
+      const headers = { host: 'h', authorization: 'Bearer key-1', 'X-Fescuespread-Attempt-Id': 'slow', 'X-Fescuespread-Model': 'm', 'X-Fescuespread-Token-Usage': '10,10', 'X-Fescuespread-Deadline-Ms': '9000' }
+      Http.request({ host: '127.0.0.1', port: slow.port, method: 'POST', path: '/slow/1', agent, headers }, response => {
+        response.on('data', (part: Buffer) => { text += part.toString() })
+        response.on('end', () => { endedAtMs = performance.now() })
+        response.socket.once('close', () => { resolve({ text, endedAtMs, closedAtMs: performance.now() }) })
+      }).end('prompt')
+    })
+    await TestKit.Wait.until('the stream has begun', LIMIT_MS, () => (slow.runners[0]?.ran.length ?? 0) > 0)
+    await TestKit.Wait.sleep(1_000)
+    const stopped = slow.stop()
+    const { text, endedAtMs, closedAtMs } = await ended
+    await stopped
+    agent.destroy()
+    expect([eventsOf(text), endedAtMs > 0 && closedAtMs - endedAtMs < 1_000]).toEqual([[1, 2, 3, 4, 5, 6, 7, 8, 9], true])
+  })
+})
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -47,6 +47,7 @@
         const [candidate] = Routing.Choice.candidates(placing(), known, nowMs)
         if (candidate === undefined) continue
         Routing.Choice.noteSent(candidate.row, 0, nowMs)
+        candidate.row.ownCount--
         sentAtMs.push(nowMs)
       }
       const most = Math.max(...sentAtMs.map(fromMs => sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length))
@@ -54,6 +55,21 @@
     })
   })
 
+  describe('an endpoint that says nothing', () => {
+    it('is left out while calls wait there, and chosen last once its agent is silent too', () => {
+      const known = surroundingsOf([listingOf('quiet'), listingOf('well')])
+      const quiet = known.endpoints.get('quiet') as Routing.Endpoints.EndpointRow
+      for (const row of known.endpoints.rows()) Routing.Endpoints.report(row, loadOf(0), NOW_MS, 0)
+      Routing.Choice.noteSent(quiet, 100, NOW_MS)
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS + 400))).toEqual(['quiet', 'well'])
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS + 500))).toEqual(['well'])
+      quiet.ownCount = 0
+      const well = known.endpoints.get('well') as Routing.Endpoints.EndpointRow
+      Routing.Endpoints.report(well, loadOf(4), NOW_MS + 1_200, 0)
+      expect(Routing.Choice.choose(Routing.Choice.candidates(placing(), known, NOW_MS + 1_200), random)?.row).toEqual(well)
+    })
+  })
+
   describe('choose', () => {
     it('prefers the own zone until another endpoint begins the answer clearly sooner', () => {
       const known = surroundingsOf([listingOf('near'), listingOf('far', { zone: 'b', region: 'rb' })])
