Draw even parts of a version from the origin; keep them while agents come and go

Hashing gave some agents nine chunks and others two. Change: the agents that draw are fixed when a version is first looked at; draws come before other fetches, two at a time. Lines are worked out once for a list.

--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -83,8 +83,10 @@
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
 const ORIGIN_NAME = 'origin'
-/** Chunks that one agent draws from the origin at once: the origin takes few connections from all agents together. */
-const ORIGIN_LIMIT_COUNT = 1
+/** Chunks that one agent draws from the origin at once, where its connections allow. */
+const ORIGIN_LIMIT_COUNT = 2
+/** Connections to the origin that all agents share: the origin resets those beyond a few dozen. */
+const ORIGIN_CONNECTION_COUNT = 32
 const ORIGIN: Sources.Source = { kind: 'origin' }
 /** A chunk that fits from so many sources in a row points to a wrong manifest. */
 const MISFIT_LIMIT_COUNT = 4
@@ -99,7 +101,7 @@
  */
 export function createFiller (options: FillerOptions): Filler {
   const { engine, library, clock, log, metrics } = options
-  const own: Sources.Spreader = { name: options.name, region: options.region }
+  const own = options.name
   /** When an agent said that it lacks a chunk, as `agent chunk`. */
   const refusedAtMs = new Map<string, number>()
   const triedAtMs = new Map<string, number>()
@@ -115,6 +117,8 @@
   /** Since when the engine is given no new calls, in milliseconds. */
   let retiredAtMs: number | undefined
   let loadedBefore = 0
+  const rings: Sources.Rings = new Map()
+  let linesOf = { signature: '', lines: Sources.createLines([], rings) }
   let misfitCount = 0
   let rollCalledAtMs = -Infinity
   const heardAtMs = new Map<string, number>()
@@ -135,6 +139,14 @@
     const isHeard = (name: string): boolean => nowMs - rollCalledAtMs < ROLL_CALL_MS || (heardAtMs.get(name) ?? -Infinity) > rollCalledAtMs - ROLL_CALL_MS
     return options.members().filter(member => isHeard(member.name) && (downUntilMs.get(member.name) ?? 0) <= nowMs)
   }
+  /** The lines of the agents listed now; worked out anew only when an agent comes, goes or falls silent. */
+  const linesNow = (): Sources.Lines => {
+    const there = new Set(agentsThere().map(agent => agent.name))
+    const spreaders = [{ name: own, region: options.region, isThere: true }, ...options.members().map(({ name, region }) => ({ name, region, isThere: there.has(name) }))]
+    const signature = spreaders.map(spreader => `${spreader.name}${spreader.isThere ? '+' : '-'}`).sort().join()
+    if (signature !== linesOf.signature) linesOf = { signature, lines: Sources.createLines(spreaders, rings) }
+    return linesOf.lines
+  }
   const openVolume = async (goal: Goal): Promise<void> => {
     if (manifestPending || clock() < originAfterMs) return
     manifestPending = true
@@ -183,7 +195,7 @@
     tryCounts.set(key, (tryCounts.get(key) ?? 0) + 1)
     const sourceName = agent?.name ?? ORIGIN_NAME
     askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 0) + 1)
-    await options.download.pass(chunkBytes)
+    await options.download.pass(chunkBytes, agent === undefined)
     const drawn = agent === undefined ? await options.origin()?.chunk(model, version, index) : undefined
     const bytes = agent === undefined ? drawn?.unwrapOr(undefined) : await Exchange.fetchChunk(agent, model, version, index)
     askedCounts.set(sourceName, (askedCounts.get(sourceName) ?? 1) - 1)
@@ -198,7 +210,7 @@
       chunkBytes = bytes.length
       fetchedFrom[from]++
       if (volume.heldCount === volume.manifest.digests.length) log('weights', 'Version held whole.', { model, version, sinceNamedMs: Math.round(clock() - (fetchGoal?.namedAtMs ?? 0)), fetchedFrom: { ...fetchedFrom } })
-      options.announce(model, version, index, Sources.receiversOf(key, own, agents))
+      options.announce(model, version, index, linesNow().receiversOf({ version: `${model}/${version}`, index }, own))
       return
     }
     metrics.count('weights_fetch_faults_total', { from })
@@ -213,36 +225,37 @@
     else originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
   }
   /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
-  const blindSourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number): Sources.Source => {
-    const line = Sources.sourcesOf(key, own, agents).filter(source => source.kind === 'agent' && !hasRefused(source.name, key, nowMs))
+  const blindSourceOf = (chunk: Sources.Chunk, key: string, nowMs: number): Sources.Source => {
+    const line = linesNow().sourcesOf(chunk, own).filter(source => source.kind === 'agent' && !hasRefused(source.name, key, nowMs))
     const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
     return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
   const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
   /** Chooses where a chunk is fetched now; undefined when it has to wait for news. */
-  const sourceOf = (key: string, agents: readonly Follow.Members.Member[], nowMs: number, ageMs: number): Sources.Source | undefined => {
-    if (Sources.sourcesOf(key, own, agents)[0]?.kind === 'origin') return isOriginFree(nowMs) ? ORIGIN : undefined
+  const sourceOf = (chunk: Sources.Chunk, key: string, nowMs: number, ageMs: number): Sources.Source | undefined => {
+    if (linesNow().sourcesOf(chunk, own)[0]?.kind === 'origin') return isOriginFree(nowMs) ? ORIGIN : undefined
     const holders = [...holdersOf.get(key) ?? []].filter(name => (askedCounts.get(name) ?? 0) < ASKED_LIMIT_COUNT && !hasRefused(name, key, nowMs) && (busyUntilMs.get(name) ?? 0) <= nowMs)
     const name = holders[options.random.below(holders.length)]
     if (name !== undefined) return { kind: 'agent', name }
     const isSettled = ageMs >= options.versionMs
     if (!isSettled && (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS)) return undefined
     blindAtMs = nowMs
-    const source = blindSourceOf(key, agents, nowMs)
+    const source = blindSourceOf(chunk, key, nowMs)
     return source.kind === 'origin' && !isOriginFree(nowMs) ? undefined : source
   }
-  const isOriginFree = (nowMs: number): boolean => (askedCounts.get(ORIGIN_NAME) ?? 0) < ORIGIN_LIMIT_COUNT && nowMs >= originAfterMs
+  const isOriginFree = (nowMs: number): boolean => (askedCounts.get(ORIGIN_NAME) ?? 0) < originLimitCount() && nowMs >= originAfterMs
+  const originLimitCount = (): number => Math.max(1, Math.min(ORIGIN_LIMIT_COUNT, Math.floor(ORIGIN_CONNECTION_COUNT / (options.members().length + 1))))
   const fetchMissing = (volume: Library.Volume): void => {
     const { model, version, digests } = volume.manifest
-    const keys = digests.map((_, index) => `${model}/${version}/${index}`)
+    const set = `${model}/${version}`
     const agents = agentsThere()
     const nowMs = clock()
     const ageMs = nowMs - (fetchGoal?.namedAtMs ?? nowMs)
-    for (const index of Sources.fetchOrder(keys, own, agents)) {
+    for (const index of linesNow().fetchOrder(set, digests.length, own)) {
       if (fetching.size >= FETCH_LIMIT_COUNT) return
-      const key = keys[index] ?? ''
+      const key = `${set}/${index}`
       if (volume.chunks[index] !== undefined || fetching.has(key)) continue
-      const source = sourceOf(key, agents, nowMs, ageMs)
+      const source = sourceOf({ version: set, index }, key, nowMs, ageMs)
       if (source === undefined) continue
       fetching.add(key)
       void fetchOne(volume, index, key, source, agents).finally(() => {
--- a/src/filling/sources.ts
+++ b/src/filling/sources.ts
@@ -1,9 +1,10 @@
 /**
  * From whom an agent fetches a chunk.
  *
- * Answers a version that hundreds of endpoints need at once: one agent of all draws a chunk from the
- * origin, one agent of each region fetches it from there, and the others of the region from that one.
- * Every agent works out the same line from the same list.
+ * Answers a version that hundreds of endpoints need at once, from an origin that may fail at any
+ * moment: all agents draw an even part of the chunks, one agent of each other region fetches each of
+ * them over the border, and any holder serves the others of its region. Every agent works out the
+ * same line from the same list.
  *
  * @packageDocumentation
  */
@@ -13,83 +14,122 @@
 export interface Spreader {
   readonly name: string
   readonly region: string
+  /** Whether it is counted on; the chunks of others go to the next in line. */
+  readonly isThere: boolean
+}
+
+/** A chunk of a version. */
+export interface Chunk {
+  /** Names the model and the version. */
+  readonly version: string
+  readonly index: number
 }
 
 /** Where a chunk is fetched: the origin, or another agent. */
 export type Source = { readonly kind: 'origin' } | { readonly kind: 'agent', readonly name: string }
 
+/** The agents in line for each chunk. */
+export interface Lines {
+  /**
+   * Lists the sources of a chunk in the order in which they are tried.
+   *
+   * @param chunk - The chunk.
+   * @param own - The name of the agent that fetches.
+   * @returns The sources; the origin alone for the agent that draws the chunk, the origin last for others.
+   */
+  sourcesOf: (chunk: Chunk, own: string) => Source[]
+  /**
+   * Lists the agents that may fetch a chunk from one that has it: some of its region, and for the agent that drew it the heads of the other regions.
+   *
+   * @param chunk - The chunk.
+   * @param own - The name of the agent that has it.
+   * @returns The names of the agents to tell.
+   */
+  receiversOf: (chunk: Chunk, own: string) => string[]
+  /**
+   * Orders the chunks of a version for an agent: first those that others wait for.
+   *
+   * @param version - The version.
+   * @param count - Its chunks.
+   * @param own - The name of the agent.
+   * @returns The indexes; chunks of one part in an order of the agent's own, so that not all ask for the same one first.
+   */
+  fetchOrder: (version: string, count: number, own: string) => readonly number[]
+}
+
 /** Further agents of the region that are asked when the first ones do not have a chunk. */
 const OTHER_LIMIT_COUNT = 4
+/** Agents of the region that are told of each chunk: enough for every one to hear of it from several. */
+const TOLD_LIMIT_COUNT = 8
+/** An agent's parts in the spread of a chunk, in the order in which its chunks are fetched. */
+const PARTS = ['drawer', 'head', 'follower'] as const
 const ORIGIN: Source = { kind: 'origin' }
 
-/**
- * Lists the sources of a chunk in the order in which they are tried.
- *
- * @param subject - Names the chunk and its version.
- * @param own - The agent that fetches.
- * @param spreaders - All agents, the own one among them or not.
- * @returns The sources, the origin last or first.
- */
-export function sourcesOf (subject: string, own: Spreader, spreaders: readonly Spreader[]): Source[] {
-  const everyone = spreaders.some(spreader => spreader.name === own.name) ? spreaders : [...spreaders, own]
-  const line = Core.Hash.rendezvous(subject, everyone.map(spreader => spreader.name))
-  const [drawer] = line
-  if (drawer === own.name) return [ORIGIN]
-  const regionOf = new Map(everyone.map(spreader => [spreader.name, spreader.region]))
-  const regional = line.filter(name => regionOf.get(name) === own.region)
-  const ahead = regional.slice(0, regional.indexOf(own.name))
-  const [head] = ahead
-  const others = regional.filter(name => name !== own.name && name !== head).slice(0, OTHER_LIMIT_COUNT)
-  const names = new Set([head, drawer, ...others].filter((name): name is string => name !== undefined))
-  return [...[...names].map(name => ({ kind: 'agent' as const, name })), ORIGIN]
-}
-
-/** An agent's part in the spread of a chunk, in the order in which its chunks are fetched. */
-const PARTS = ['drawer', 'head', 'follower'] as const
+/** The agents that draw the chunks of each version, in turn: those listed when the version was first looked at. */
+export type Rings = Map<string, readonly string[]>
 
 /**
- * Orders the chunks that an agent fetches: first those that others wait for.
+ * Works out the lines of a list of agents.
  *
- * @param subjects - Names of the chunks, by index.
- * @param own - The agent that fetches.
- * @param spreaders - All agents.
- * @returns The indexes; chunks of one part in an order of the agent's own, so that not all ask for the same one first.
+ * @param spreaders - All agents that are listed, the own one among them.
+ * @param rings - The agents that draw; kept while agents come and go, so that the others draw what they would have drawn.
+ * @returns The lines; they hold for as long as the list does.
  */
-export function fetchOrder (subjects: readonly string[], own: Spreader, spreaders: readonly Spreader[]): number[] {
-  const names = spreaders.some(spreader => spreader.name === own.name) ? spreaders : [...spreaders, own]
-  const regional = names.filter(spreader => spreader.region === own.region).map(spreader => spreader.name)
-  const partOf = (subject: string): number => {
-    if (Core.Hash.rendezvous(subject, names.map(spreader => spreader.name))[0] === own.name) return PARTS.indexOf('drawer')
-    return PARTS.indexOf(Core.Hash.rendezvous(subject, regional)[0] === own.name ? 'head' : 'follower')
-  }
-  return subjects
-    .map((subject, index) => ({ index, part: partOf(subject), rank: Core.Hash.rankOf(`${own.name}/${subject}`) }))
-    .sort((a, b) => a.part - b.part || a.rank - b.rank)
-    .map(entry => entry.index)
-}
-
-/** Agents of the region that are told of each chunk: enough for every one to hear of it from several. */
-const TOLD_LIMIT_COUNT = 8
+export function createLines (spreaders: readonly Spreader[], rings: Rings): Lines {
+  const regionOf = new Map(spreaders.map(spreader => [spreader.name, spreader.region]))
+  const there = spreaders.filter(spreader => spreader.isThere).map(spreader => spreader.name)
+  const lines = new Map<string, string[]>()
+  const orders = new Map<string, readonly number[]>()
 
-/**
- * Lists the agents that may fetch a chunk from one that has it: some of its region, and for the agent that drew it from the origin the heads of the other regions.
- *
- * @param subject - Names the chunk and its version.
- * @param own - The agent that has the chunk.
- * @param spreaders - All agents.
- * @returns The names of the agents to tell.
- */
-export function receiversOf (subject: string, own: Spreader, spreaders: readonly Spreader[]): string[] {
-  const everyone = spreaders.some(spreader => spreader.name === own.name) ? spreaders : [...spreaders, own]
-  const line = Core.Hash.rendezvous(subject, everyone.map(spreader => spreader.name))
-  const regionOf = new Map(everyone.map(spreader => [spreader.name, spreader.region]))
-  const heads = new Map<string, string>()
-  for (const name of line) {
-    const region = regionOf.get(name) ?? ''
-    if (!heads.has(region)) heads.set(region, name)
+  const ringOf = (version: string): readonly string[] => {
+    const ring = rings.get(version) ?? Core.Hash.rendezvous(version, spreaders.map(spreader => spreader.name))
+    rings.set(version, ring)
+    return ring
+  }
+  const lineOf = (chunk: Chunk): string[] => {
+    const key = `${chunk.version}/${chunk.index}`
+    const known = lines.get(key)
+    if (known !== undefined) return known
+    const ring = ringOf(chunk.version)
+    const drawer = ring[chunk.index % Math.max(1, ring.length)]
+    const others = Core.Hash.rendezvous(key, there)
+    const line = drawer !== undefined && there.includes(drawer) ? [drawer, ...others.filter(name => name !== drawer)] : others
+    lines.set(key, line)
+    return line
+  }
+  const headOf = (line: readonly string[], region: string): string | undefined => line.find(name => regionOf.get(name) === region)
+  const partOf = (chunk: Chunk, own: string): number => {
+    const line = lineOf(chunk)
+    if (line[0] === own) return PARTS.indexOf('drawer')
+    return PARTS.indexOf(headOf(line, regionOf.get(own) ?? '') === own ? 'head' : 'follower')
+  }
+  return {
+    sourcesOf: (chunk, own) => {
+      const line = lineOf(chunk)
+      const [drawer] = line
+      if (drawer === own || drawer === undefined) return [ORIGIN]
+      const regional = line.filter(name => regionOf.get(name) === regionOf.get(own))
+      const head = regional.indexOf(own) === 0 ? undefined : regional[0]
+      const others = regional.filter(name => name !== own && name !== head).slice(0, OTHER_LIMIT_COUNT)
+      const names = new Set([head, drawer, ...others].filter((name): name is string => name !== undefined))
+      return [...[...names].map(name => ({ kind: 'agent' as const, name })), ORIGIN]
+    },
+    receiversOf: (chunk, own) => {
+      const line = lineOf(chunk)
+      const regional = line.filter(name => regionOf.get(name) === regionOf.get(own) && name !== own)
+      const neighbours = regional.length <= TOLD_LIMIT_COUNT ? regional : Core.Hash.rendezvous(`${own}/${chunk.index}`, regional).slice(0, TOLD_LIMIT_COUNT)
+      const heads = line[0] === own ? [...new Set(regionOf.values())].map(region => headOf(line, region)) : []
+      return [...new Set([...neighbours, ...heads])].filter((name): name is string => name !== undefined && name !== own)
+    },
+    fetchOrder: (version, count, own) => {
+      const key = `${version}/${count}/${own}`
+      const known = orders.get(key)
+      if (known !== undefined) return known
+      const order = Array.from({ length: count }, (_, index) => ({ index, part: partOf({ version, index }, own), rank: Core.Hash.rankOf(`${own}/${version}/${index}`) }))
+        .sort((a, b) => a.part - b.part || a.rank - b.rank)
+        .map(entry => entry.index)
+      orders.set(key, order)
+      return order
+    }
   }
-  const regional = line.filter(name => regionOf.get(name) === own.region && name !== own.name)
-  const neighbours = regional.length <= TOLD_LIMIT_COUNT ? regional : Core.Hash.rendezvous(`${own.name}/${subject}`, regional).slice(0, TOLD_LIMIT_COUNT)
-  const others = line[0] === own.name ? [...heads.values()] : []
-  return [...new Set([...neighbours, ...others])].filter(name => name !== own.name)
 }
--- a/test/direct-filling.test.ts
+++ b/test/direct-filling.test.ts
@@ -2,20 +2,27 @@
 import { expect } from 'earl'
 import * as Filling from '../src/filling/index.ts'
 
-const agents = Array.from({ length: 15 }, (_, index) => ({ name: `agent-${index}`, region: `r${index % 3}` }))
-const subjects = Array.from({ length: 64 }, (_, index) => `m/2/${index}`)
+const agents = Array.from({ length: 15 }, (_, index) => ({ name: `agent-${index}`, region: `r${index % 3}`, isThere: true }))
+const VERSION = 'm/2'
+const COUNT = 64
+const chunks = Array.from({ length: COUNT }, (_, index) => ({ version: VERSION, index }))
+const rings: Filling.Sources.Rings = new Map()
+const lines = Filling.Sources.createLines(agents, rings)
+const isDrawn = (all: Filling.Sources.Lines, chunk: Filling.Sources.Chunk, own: string): boolean => all.sourcesOf(chunk, own)[0]?.kind === 'origin'
 
 describe('Sources', () => {
-  it('has each chunk drawn from the origin once, whoever works it out', () => {
-    const drawnBy = subjects.map(subject => agents.filter(agent => Filling.Sources.sourcesOf(subject, agent, agents)[0]?.kind === 'origin').length)
+  it('has each chunk drawn from the origin once, and an even part of them by each agent', () => {
+    const drawnBy = chunks.map(chunk => agents.filter(agent => isDrawn(lines, chunk, agent.name)).length)
     expect(new Set(drawnBy)).toEqual(new Set([1]))
+    const parts = agents.map(agent => chunks.filter(chunk => isDrawn(lines, chunk, agent.name)).length)
+    expect([Math.min(...parts), Math.max(...parts)]).toEqual([4, 5])
   })
 
   it('crosses each region border once for a chunk', () => {
-    for (const subject of subjects) {
-      const regionOf = new Map(agents.map(agent => [agent.name, agent.region]))
+    const regionOf = new Map(agents.map(agent => [agent.name, agent.region]))
+    for (const chunk of chunks) {
       const crossing = agents.filter(agent => {
-        const [first] = Filling.Sources.sourcesOf(subject, agent, agents)
+        const [first] = lines.sourcesOf(chunk, agent.name)
         return first?.kind === 'agent' && regionOf.get(first.name) !== agent.region
       })
       expect(crossing.length).toEqual(2)
@@ -23,25 +30,29 @@
   })
 
   it('lets every agent be told of each chunk by some agent', () => {
-    for (const subject of subjects) {
-      const told = new Set(agents.flatMap(agent => Filling.Sources.receiversOf(subject, agent, agents)))
+    for (const chunk of chunks) {
+      const told = new Set(agents.flatMap(agent => lines.receiversOf(chunk, agent.name)))
       expect(told.size).toEqual(agents.length)
     }
   })
 
   it('fetches first what others wait for', () => {
-    const [own] = agents
-    if (own === undefined) return
-    const order = Filling.Sources.fetchOrder(subjects, own, agents)
-    const isDrawn = (index: number): boolean => Filling.Sources.sourcesOf(subjects[index] ?? '', own, agents)[0]?.kind === 'origin'
-    const drawnCount = order.filter(isDrawn).length
-    expect(order.slice(0, drawnCount).every(isDrawn)).toEqual(true)
+    const own = 'agent-0'
+    const order = lines.fetchOrder(VERSION, COUNT, own)
+    const drawn = order.map(index => isDrawn(lines, { version: VERSION, index }, own))
+    const drawnCount = drawn.filter(Boolean).length
+    expect(drawn.slice(0, drawnCount).every(Boolean)).toEqual(true)
   })
 
-  it('gives the chunks of an agent that is gone to others', () => {
-    const without = agents.slice(1)
-    const drawers = subjects.map(subject => without.filter(agent => Filling.Sources.sourcesOf(subject, agent, without)[0]?.kind === 'origin').length)
-    expect(new Set(drawers)).toEqual(new Set([1]))
+  it('gives the chunks of an agent that is gone to others and leaves the rest as it is', () => {
+    const without = Filling.Sources.createLines(agents.filter(agent => agent.name !== 'agent-3'), rings)
+    const left = agents.filter(agent => agent.name !== 'agent-3')
+    for (const chunk of chunks) {
+      const before = agents.find(agent => isDrawn(lines, chunk, agent.name))?.name
+      const now = left.filter(agent => isDrawn(without, chunk, agent.name)).map(agent => agent.name)
+      expect(now.length).toEqual(1)
+      if (before !== 'agent-3') expect(now).toEqual([before ?? ''])
+    }
   })
 })
 
