Ask neighbours for chunks of an old version before the origin

Cause: an agent that joins late took itself for one that draws, so chunks that its region held came from the origin.

--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -83,6 +83,8 @@
 /** The origin is asked again after so long, in milliseconds. */
 const ORIGIN_BACK_OFF_MS = 300
 const ORIGIN_NAME = 'origin'
+/** Agents of the region that are asked for a chunk before the origin is. */
+const NEIGHBOUR_LIMIT_COUNT = 3
 /** Chunks that one agent draws from the origin at once, where its connections allow. */
 const ORIGIN_LIMIT_COUNT = 2
 /** Connections to the origin that all agents share: the origin resets those beyond a few dozen. */
@@ -230,14 +232,24 @@
     const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
     return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
+  /** Chooses an agent of the region that may hold a chunk of a version that was named long ago: an agent that joined late draws nothing that others hold. */
+  const neighbourToAsk = (key: string, nowMs: number): Sources.Source | undefined => {
+    if ((tryCounts.get(key) ?? 0) >= NEIGHBOUR_LIMIT_COUNT) return undefined
+    const neighbours = agentsThere().filter(agent => agent.region === options.region && !hasRefused(agent.name, key, nowMs))
+    const neighbour = neighbours[options.random.below(neighbours.length)]
+    return neighbour === undefined ? undefined : { kind: 'agent', name: neighbour.name }
+  }
   const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
   /** Chooses where a chunk is fetched now; undefined when it has to wait for news. */
   const sourceOf = (chunk: Sources.Chunk, key: string, nowMs: number, ageMs: number): Sources.Source | undefined => {
-    if (linesNow().sourcesOf(chunk, own)[0]?.kind === 'origin') return isOriginFree(nowMs) ? ORIGIN : undefined
+    const isSettled = ageMs >= options.versionMs
+    if (linesNow().sourcesOf(chunk, own)[0]?.kind === 'origin') {
+      const holder = isSettled ? neighbourToAsk(key, nowMs) : undefined
+      return holder ?? (isOriginFree(nowMs) ? ORIGIN : undefined)
+    }
     const holders = [...holdersOf.get(key) ?? []].filter(name => (askedCounts.get(name) ?? 0) < ASKED_LIMIT_COUNT && !hasRefused(name, key, nowMs) && (busyUntilMs.get(name) ?? 0) <= nowMs)
     const name = holders[options.random.below(holders.length)]
     if (name !== undefined) return { kind: 'agent', name }
-    const isSettled = ageMs >= options.versionMs
     if (!isSettled && (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS)) return undefined
     blindAtMs = nowMs
     const source = blindSourceOf(chunk, key, nowMs)
