--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -50,7 +50,7 @@
 const BITS_PER_BYTE = 8
 /** Chunks verified within this time are told of together, in milliseconds. */
 const ANNOUNCE_MS = 20
-const OPERATORS_WAIT_MS = 4_000
+const OPERATORS_WAIT_MS = 8_000
 const MEMBERS_WAIT_MS = 20_000
 /** Named versions that are remembered: the origin has no older ones. */
 const KEPT_GOAL_COUNT = 2
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -227,8 +227,12 @@
     else originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
   }
   /** Chooses the agent in line for a chunk that no agent told of; the origin once none of them is to have it. */
-  const blindSourceOf = (chunk: Sources.Chunk, key: string, nowMs: number): Sources.Source => {
-    const line = linesNow().sourcesOf(chunk, own).filter(source => source.kind === 'agent' && !hasRefused(source.name, key, nowMs))
+  const blindSourceOf = (chunk: Sources.Chunk, key: string, nowMs: number, isSettled: boolean): Sources.Source => {
+    const regions = new Map(options.members().map(member => [member.name, member.region]))
+    const isNear = (source: Sources.Source): boolean => source.kind === 'agent' && regions.get(source.name) === options.region
+    const asked = linesNow().sourcesOf(chunk, own).filter(source => source.kind === 'agent' && !hasRefused(source.name, key, nowMs))
+    const near = asked.filter(isNear)
+    const line = isSettled && near.length > 0 ? near : asked
     const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
     return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
@@ -252,7 +256,7 @@
     if (name !== undefined) return { kind: 'agent', name }
     if (!isSettled && (ageMs < BLIND_AFTER_MS || nowMs - blindAtMs < BLIND_EVERY_MS)) return undefined
     blindAtMs = nowMs
-    const source = blindSourceOf(chunk, key, nowMs)
+    const source = blindSourceOf(chunk, key, nowMs, isSettled)
     return source.kind === 'origin' && !isOriginFree(nowMs) ? undefined : source
   }
   const isOriginFree = (nowMs: number): boolean => (askedCounts.get(ORIGIN_NAME) ?? 0) < originLimitCount() && nowMs >= originAfterMs
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -22,6 +22,8 @@
   readonly askPeer: (table: string, revision: number) => Promise<Rows.Page | undefined>
   /** Longest time that the store holds a read back when nothing changes, in milliseconds. */
   readonly waitMs: number
+  /** Time between an answer and the next read, in which changes gather, in milliseconds; 0 without one. */
+  readonly gatherMs?: number
   readonly clock: () => number
   readonly random: Core.Random.Random
   /** Takes changed rows. */
@@ -100,6 +102,7 @@
       const rows = whole ? mirror.take(answer.value) : mirror.replace(answer.value)
       whole = true
       accept(rows, true)
+      if (options.gatherMs !== undefined) await pause(options.gatherMs)
       return
     }
     if (answer.error.kind === 'historyGone') {
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -47,6 +47,8 @@
 
 /** Time until an entry that could not be written is tried again, in milliseconds. */
 const ENTRY_RETRY_MS = 500
+/** Processes often start together; their entries are read together, in milliseconds. */
+const GATHER_MS = 1_000
 
 /**
  * Joins the system's processes.
@@ -98,6 +100,7 @@
         ...followerOptions,
         table: Members.MEMBERS_TABLE,
         waitMs,
+        gatherMs: GATHER_MS,
         onRows: () => {
           members = Members.membersOf(follower?.mirror.live() ?? []).filter(member => member.name !== name)
         }
