--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -236,7 +236,7 @@
     const isLate = nowMs - (triedAtMs.get(key) ?? nowMs) > PENDING_LIMIT_MS
     return isLate ? ORIGIN : line[(tryCounts.get(key) ?? 0) % Math.max(1, line.length)] ?? ORIGIN
   }
-  /** Chooses an agent of the region that may hold a chunk of a version that was named long ago: an agent that joined late draws nothing that others hold. */
+  /** Chooses an agent of the region that may hold a chunk of a version that was named before this process began: an agent that joined late draws nothing that others hold. */
   const neighbourToAsk = (key: string, nowMs: number): Sources.Source | undefined => {
     if ((tryCounts.get(key) ?? 0) >= NEIGHBOUR_LIMIT_COUNT) return undefined
     const neighbours = agentsThere().filter(agent => agent.region === options.region && !hasRefused(agent.name, key, nowMs))
@@ -246,7 +246,7 @@
   const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
   /** Chooses where a chunk is fetched now; undefined when it has to wait for news. */
   const sourceOf = (chunk: Sources.Chunk, key: string, nowMs: number, ageMs: number): Sources.Source | undefined => {
-    const isSettled = ageMs >= options.versionMs
+    const isSettled = ageMs === Infinity
     if (linesNow().sourcesOf(chunk, own)[0]?.kind === 'origin') {
       const holder = isSettled ? neighbourToAsk(key, nowMs) : undefined
       return holder ?? (isOriginFree(nowMs) ? ORIGIN : undefined)
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -43,6 +43,8 @@
 const WAIT_SHARE = 0.3
 /** A late call may wait for a place for this share of the time that it has left: it has missed its goal anyway. */
 const LATE_WAIT_SHARE = 0.1
+/** A call that would queue at an endpoint takes up to so many times its prediction: other gateways send there meanwhile. */
+const QUEUED_FACTOR = 1.5
 /** Calls that would wait with less time left than this are refused, in milliseconds: no answer fits into it. */
 const MIN_LEFT_MS = 100
 /**
@@ -59,7 +61,7 @@
   const late = asking.ageMs > asking.goalMs
   if (best !== undefined && queue.aheadCount === 0) {
     if (asking.resuming && best.firstMs < asking.leftMs) return { kind: 'send', candidate: best }
-    if (best.hasPlace || (!late && asking.ageMs + best.firstMs <= asking.goalMs)) return { kind: 'send', candidate: best }
+    if (best.hasPlace || (!late && asking.ageMs + best.firstMs * QUEUED_FACTOR <= asking.goalMs)) return { kind: 'send', candidate: best }
   }
   const waitLimitMs = late || asking.resuming ? asking.leftMs * LATE_WAIT_SHARE : asking.goalMs * WAIT_SHARE
   const expectedMs = asking.waitedMs + (queue.aheadCount + 1) * queue.turnMs
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -178,6 +178,10 @@
     expect(Routing.Admission.decide(asking({ waitedMs: 130, ageMs: 130 }), candidate(900, false), empty, true).kind).toEqual('refuse')
   })
 
+  it('queues a call at an endpoint only with time to spare', () => {
+    expect([200, 300].map(firstMs => Routing.Admission.decide(asking(), candidate(firstMs, false), empty, true).kind)).toEqual(['send', 'wait'])
+  })
+
   it('gives a caller that came back late a free place only', () => {
     const late = { ageMs: 1_500 }
     expect(Routing.Admission.decide(asking(late), candidate(300, true), empty, true).kind).toEqual('send')
