--- /dev/null
+++ b/src/ingress/bodies.ts
@@ -0,0 +1,46 @@
+/**
+ * Bodies of calls and the ends of answers.
+ *
+ * @packageDocumentation
+ */
+import type * as Http from 'node:http'
+import type * as Routing from '../routing/index.ts'
+
+/** A call's body; undefined for none. */
+export type Body = Buffer | undefined | 'tooLarge' | 'gone'
+
+/**
+ * Reads a call's body within operators' limits.
+ *
+ * @param request - The call.
+ * @param limits - The limits.
+ * @param onBody - Told once: the body, that it is too large, or that the caller is gone.
+ */
+export function read (request: Http.IncomingMessage, limits: Routing.Deployment.Limits, onBody: (body: Body) => void): void {
+  if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) { onBody('tooLarge'); return }
+  const parts: Buffer[] = []
+  let sizeBytes = 0
+  let over = false
+  const end = (body: Body): void => {
+    if (over) return
+    over = true
+    onBody(body)
+  }
+  request.on('data', (part: Buffer) => {
+    sizeBytes += part.length
+    if (sizeBytes > limits.bodyBytes) { end('tooLarge'); return }
+    parts.push(part)
+  })
+  request.on('end', () => { end(sizeBytes === 0 ? undefined : Buffer.concat(parts)) })
+  request.on('close', () => { if (!request.complete) end('gone') })
+}
+
+/**
+ * Lets an answer end with its connection, as its endpoint did: nothing proves that it is whole.
+ *
+ * @param response - The answer, before its head is written.
+ */
+export function endWithConnection (response: Http.ServerResponse): void {
+  response.shouldKeepAlive = false
+  response.useChunkedEncodingByDefault = false
+}
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -9,6 +9,7 @@
 import * as Core from '../core/index.ts'
 import type * as Edge from '../edge/index.ts'
 import * as Routing from '../routing/index.ts'
+import * as Bodies from './bodies.ts'
 import type * as Calls from './calls.ts'
 import type * as Dialect from './dialect.ts'
 import * as Events from './events.ts'
@@ -41,14 +42,6 @@
 
 /** Time between checks for silent endpoints and for calls that waited long enough, in milliseconds. */
 const BEAT_MS = 25
-/** A streaming answer that pauses for so many times its goal is taken to be lost. */
-const LOST_PAUSE_FACTOR = 2.5
-/** An answer that has not begun after so many times its goal, at an endpoint that says nothing else, is taken to be lost. */
-const LOST_FIRST_FACTOR = 2
-/** The same at an endpoint that goes on answering others. */
-const LOST_FIRST_HEARD_FACTOR = 4
-/** An endpoint from which nothing was heard for so long is silent, in milliseconds: several passes of a full batch. */
-const SILENT_MS = 700
 /** Idle connections of this age carry calls that may be repeated, in milliseconds. */
 const IDLE_MS = 4_000
 /** Idle connections of this age carry calls that must not be repeated, in milliseconds: endpoints close idle ones, and a call that crosses the close is lost. */
@@ -85,7 +78,7 @@
     if (route === undefined) { deny(request, response, facts, 'routeUnknown'); return }
     const workspace = facts.key === undefined ? undefined : index.workspaceOf(facts.key)
     if (workspace === undefined && index.deployment.workspaces !== undefined && !route.anonymous) { deny(request, response, facts, 'unauthorized'); return }
-    readBody(request, index.deployment.limits, body => {
+    Bodies.read(request, index.deployment.limits, body => {
       if (body === 'tooLarge') { deny(request, response, facts, 'bodyTooLarge'); return }
       if (body === 'gone') return
       accept(index, { facts, route, workspace, request, response, body, arrivedAtMs })
@@ -310,7 +303,7 @@
     call.answering = true
     call.firstEventAtMs = attempt.heardAtMs
     metrics.observeSeconds('first_event_seconds', (call.firstEventAtMs - call.arrivedAtMs) / 1000)
-    if (!attempt.head.isFramed) endWithConnection(call.response)
+    if (!attempt.head.isFramed) Bodies.endWithConnection(call.response)
     call.response.writeHead(attempt.head.status, withConnection(dialect.answer(attempt.head.rawHeaders)))
   }
 
@@ -438,7 +431,7 @@
   }
   const writeWhole = (response: Http.ServerResponse, status: number, rawHeaders: string[], body: Buffer, isFramed: boolean): void => {
     if (response.headersSent || response.destroyed) return
-    if (!isFramed) endWithConnection(response)
+    if (!isFramed) Bodies.endWithConnection(response)
     response.writeHead(status, withConnection(isFramed ? [...rawHeaders, 'Content-Length', String(body.length)] : rawHeaders))
     response.end(body)
   }
@@ -446,14 +439,12 @@
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
     const { attempt, route } = call
     if (attempt === undefined || route.kind === 'nonIdempotent') return
-    const endpointIsSilent = nowMs - attempt.row.heardAtMs > SILENT_MS
+    const endpointQuietMs = nowMs - attempt.row.heardAtMs
     const quietMs = nowMs - attempt.heardAtMs
-    const limitMs = call.answering && attempt.unreadTokens === 0
-      ? Math.max(SILENT_MS, route.pauseGoalMs * LOST_PAUSE_FACTOR)
-      : Math.max(SILENT_MS, route.goalMs * (endpointIsSilent ? LOST_FIRST_FACTOR : LOST_FIRST_HEARD_FACTOR))
+    const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs) return
     attempt.exchange.abort()
-    if (endpointIsSilent) Routing.Endpoints.blame(attempt.row, nowMs)
+    if (Routing.Silence.isSilent(endpointQuietMs)) Routing.Endpoints.blame(attempt.row, nowMs)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
   }
@@ -471,29 +462,3 @@
     stop: () => { clearInterval(beat) }
   }
 }
-
-/** Ends an answer with its connection, as its endpoint did: nothing proves that it is whole. */
-function endWithConnection (response: Http.ServerResponse): void {
-  response.shouldKeepAlive = false
-  response.useChunkedEncodingByDefault = false
-}
-
-function readBody (request: Http.IncomingMessage, limits: Routing.Deployment.Limits, onBody: (body: Buffer | undefined | 'tooLarge' | 'gone') => void): void {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0)
-  if (declaredBytes > limits.bodyBytes) { onBody('tooLarge'); return }
-  const parts: Buffer[] = []
-  let sizeBytes = 0
-  let over = false
-  const end = (body: Buffer | undefined | 'tooLarge' | 'gone'): void => {
-    if (over) return
-    over = true
-    onBody(body)
-  }
-  request.on('data', (part: Buffer) => {
-    sizeBytes += part.length
-    if (sizeBytes > limits.bodyBytes) { end('tooLarge'); return }
-    parts.push(part)
-  })
-  request.on('end', () => { end(sizeBytes === 0 ? undefined : Buffer.concat(parts)) })
-  request.on('close', () => { if (!request.complete) end('gone') })
-}
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -246,6 +246,22 @@
   })
 })
 
+describe('Silence', () => {
+  const quiet = { hasBegun: false, endpointQuietMs: 0, goalMs: 500, pauseGoalMs: 400 }
+
+  it('gives an endpoint that answers others more time than one that says nothing', () => {
+    expect([Routing.Silence.limitMs(quiet), Routing.Silence.limitMs({ ...quiet, endpointQuietMs: 800 })]).toEqual([2_000, 1_000])
+  })
+
+  it('measures a stream that has begun by its pauses', () => {
+    expect(Routing.Silence.limitMs({ ...quiet, hasBegun: true })).toEqual(1_000)
+  })
+
+  it('never takes a plain answer for lost within the time of some passes', () => {
+    expect(Routing.Silence.limitMs({ ...quiet, goalMs: 100, endpointQuietMs: 800 })).toEqual(700)
+  })
+})
+
 describe('Budgets', () => {
   it('keeps the repeats of all gateways within the shared bound when every call fails', () => {
     const gatewayCount = 6
