--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -290,5 +290,96 @@
     text: 'mark.modelVersion !== undefined && exchange.version !== undefined && mark.modelVersion !== exchange.version',
     replacement: 'false',
     checks: [test('proof.guards')]
+  },
+  {
+    name: 'direct: runs of a call that must not run twice',
+    file: 'src/routing/retries.ts',
+    text: "if (end !== 'notRun' && mayRun && repeatable) return 'retry'",
+    replacement: "if (end !== 'notRun' && mayRun) return 'retry'",
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: promise only what is proved',
+    file: 'src/routing/retries.ts',
+    text: "return end === 'notRun' && call.ranCount === 0 ? 'refuse' : 'fail'",
+    replacement: "return 'refuse'",
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: answer of another call',
+    file: 'src/ingress/ingress.ts',
+    text: 'const isForeign = facts.callId !== call.callId || ',
+    replacement: 'const isForeign = ',
+    checks: [test('direct-path')]
+  },
+  {
+    name: 'direct: whole events only',
+    file: 'src/ingress/events.ts',
+    text: 'const whole = end === all.length ? all : all.subarray(0, end)',
+    replacement: 'const whole = all',
+    checks: [test('direct-platform')]
+  },
+  {
+    name: 'direct: zone out of service',
+    file: 'src/routing/choice.ts',
+    text: ' || known.drainedZones.has(listing.zone)',
+    replacement: '',
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: regions',
+    file: 'src/routing/choice.ts',
+    text: 'if (placing.regions.some(regions => regions.length > 0 && !regions.includes(listing.region))) return false',
+    replacement: '',
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: cold endpoints',
+    file: 'src/routing/choice.ts',
+    text: 'return bearsCold(row, placing.service, known, nowMs)',
+    replacement: 'return true',
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: version that is due',
+    file: 'src/routing/choice.ts',
+    text: ' && held.version >= known.oldestVersionOf(held.model)',
+    replacement: '',
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: budget of repeats',
+    file: 'src/routing/budgets.ts',
+    text: 'if (window.repeats.length + 1 > limitCount) return false',
+    replacement: '',
+    checks: [test('direct-routing')]
+  },
+  {
+    name: 'direct: deployments never go back',
+    file: 'src/ingress/gateway.ts',
+    text: 'if (index !== undefined && deployment.version <= index.deployment.version) return',
+    replacement: '',
+    checks: [test('direct-path')]
+  },
+  {
+    name: 'direct: rows never go back',
+    file: 'src/follow/rows.ts',
+    text: 'page.rows.filter(row => row.revision > (rows.get(row.key)?.revision ?? 0))',
+    replacement: 'page.rows.filter(() => true)',
+    checks: [test('direct-platform')]
+  },
+  {
+    name: 'direct: digest of a chunk',
+    file: 'src/filling/library.ts',
+    text: 'if (Core.Hash.sha256(bytes) !== volume.manifest.digests[index]) return false',
+    replacement: '',
+    checks: [test('direct-filling')]
+  },
+  {
+    name: 'direct: shares of free places',
+    file: 'src/routing/choice.ts',
+    text: 'Math.floor(freeCount * share + row.loadDraw)',
+    replacement: 'freeCount',
+    checks: [test('direct-routing')]
   }
 ]
