--- /dev/null
+++ b/test/direct-filler.test.ts
@@ -0,0 +1,133 @@
+import * as Crypto from 'node:crypto'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Neverthrow from 'neverthrow'
+import * as Core from '../src/core/index.ts'
+import * as Metrics from '../src/edge/metrics.ts'
+import * as Filling from '../src/filling/index.ts'
+import * as Pacer from '../src/weights/edge/pacer.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const LIMIT_MS = 5_000
+const COUNT = 8
+const TICK_MS = 5
+const chunkOf = (version: number, index: number): Buffer => Buffer.from(`weights ${version} ${index}`)
+const manifestOf = (version: number): Filling.Ports.WeightManifest => ({
+  model: 'm',
+  version,
+  digests: Array.from({ length: COUNT }, (_, index) => Crypto.createHash('sha256').update(chunkOf(version, index)).digest('hex'))
+})
+
+interface Stage {
+  readonly staged: Map<number, Buffer>
+  readonly orders: Array<{ readonly version: number, readonly mode: string, readonly staged: string[] }>
+  readonly drawn: number[]
+  /** The version that the engine holds; 0 for none. */
+  version: number
+  activeCount: number
+  /** Bytes that the origin sends in place of a chunk, once each. */
+  readonly wrong: Map<number, Buffer>
+  stop: () => void
+}
+
+/** Runs a filler against an engine and an origin in memory. */
+function start (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (stage: Stage) => void } = {}): Stage {
+  const stage: Stage = { staged: new Map(), orders: [], drawn: [], version: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrong: new Map(), stop: () => { clearInterval(timer) } }
+  const report = (): Filling.Ports.EngineReport => ({ activeCount: stage.activeCount, queuedCount: 0, pace: 1, loading: false, weights: stage.version === 0 ? [] : [{ model: 'm', version: stage.version }], bornAtMs: 1 })
+  let tampered = false
+  /** Moves with the ticks, so that a busy machine changes nothing. */
+  let clockMs = 0
+  const filler = Filling.Filler.createFiller({
+    name: 'own',
+    region: 'r',
+    engine: {
+      report: async () => report(),
+      listStaged: async () => [...stage.staged.keys()],
+      readStaged: async (_model, index) => {
+        if (!tampered && stage.staged.size === COUNT && changes.beforeOrder !== undefined) {
+          tampered = true
+          changes.beforeOrder(stage)
+        }
+        return stage.staged.get(index)
+      },
+      stage: async (_model, index, bytes) => { stage.staged.set(index, bytes); return true },
+      start: async (_model, ordered, mode) => {
+        stage.orders.push({ version: ordered, mode, staged: [...stage.staged].sort((a, b) => a[0] - b[0]).map(([, bytes]) => bytes.toString()) })
+        stage.version = ordered
+        return 'accepted'
+      }
+    },
+    origin: () => ({
+      manifest: async (_model, asked) => Neverthrow.ok(manifestOf(asked)),
+      chunk: async (_model, asked, index) => {
+        stage.drawn.push(index)
+        const wrong = stage.wrong.get(index)
+        stage.wrong.delete(index)
+        return Neverthrow.ok(wrong ?? chunkOf(asked, index))
+      }
+    }),
+    library: Filling.Library.createLibrary(),
+    members: () => [],
+    callRoll: () => {},
+    versionMs: 400,
+    isResumable: () => true,
+    download: Pacer.createPacer(Infinity),
+    setServing: () => {},
+    announce: () => {},
+    clock: () => clockMs,
+    random: Core.Random.createRandom(1),
+    metrics: Metrics.createMetrics(),
+    log: () => {}
+  })
+  const timer = setInterval(() => {
+    clockMs += TICK_MS
+    void filler.advance([{ model: 'm', version, namedAtMs: 0 }], report())
+  }, TICK_MS)
+  return stage
+}
+
+const wholeOf = (version: number): string[] => Array.from({ length: COUNT }, (_, index) => chunkOf(version, index).toString())
+
+describe('Filler', () => {
+  it('fills an empty engine and orders it once', async () => {
+    const stage = start(1)
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    await TestKit.Wait.sleep(50)
+    stage.stop()
+    expect(stage.orders).toEqual([{ version: 1, mode: 'afterRunning', staged: wholeOf(1) }])
+  })
+
+  it('never stages a chunk with a wrong digest', async () => {
+    const stage = start(1)
+    stage.wrong.set(3, Buffer.from('spoilt'))
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    expect([stage.orders[0]?.staged, stage.drawn.filter(index => index === 3).length]).toEqual([wholeOf(1), 2])
+  })
+
+  it('orders nothing while a staged chunk is spoilt or of another version', async () => {
+    const stage = start(2, { beforeOrder: seen => { seen.staged.set(5, chunkOf(1, 5)); seen.staged.set(6, Buffer.from('rotten')) } })
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    expect(stage.orders.map(order => order.staged)).toEqual([wholeOf(2)])
+  })
+
+  it('draws nothing that already lies at the engine', async () => {
+    const stage = start(1)
+    for (let index = 0; index < COUNT; index++) stage.staged.set(index, chunkOf(1, index))
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    expect(stage.drawn).toEqual([])
+  })
+
+  it('lets a serving engine end what runs before it is told to cut', async () => {
+    const stage = start(2, { engineVersion: 1, activeCount: 6 })
+    await TestKit.Wait.until('all is staged', LIMIT_MS, () => stage.staged.size === COUNT)
+    await TestKit.Wait.sleep(250)
+    expect(stage.orders).toEqual([])
+    stage.activeCount = 2
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    expect(stage.orders.map(order => order.mode)).toEqual(['cutting'])
+  })
+})
