--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -50,7 +50,9 @@
 const BITS_PER_BYTE = 8
 /** Chunks verified within this time are told of together, in milliseconds. */
 const ANNOUNCE_MS = 20
+/** Reads of operators' changes are held back for so long, in milliseconds: gateways and agents tell of newer ones. */
 const OPERATORS_WAIT_MS = 8_000
+/** The same for the system's own processes, which change seldom. */
 const MEMBERS_WAIT_MS = 20_000
 /** Named versions that are remembered: the origin has no older ones. */
 const KEPT_GOAL_COUNT = 2
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -68,11 +68,11 @@
 const BUSY_MS = 60
 /** An agent that was told of no chunk that it lacks asks for one every so often, in milliseconds: news get lost. */
 const BLIND_EVERY_MS = 120
-/** The spread of a version is on its way to every agent within so long, in milliseconds; no agent asks unasked before. */
+/** News of the first chunks reach every agent within so long after a version was named, in milliseconds; no agent asks without news before. */
 const BLIND_AFTER_MS = 1_200
 /** Size by which fetches are paced before the first chunk is known, in bytes. */
 const FIRST_CHUNK_BYTES = 32_768
-/** A chunk that all agents asked are still fetching themselves is taken from the origin after so long, in milliseconds. */
+/** A chunk that other agents are still fetching is taken from the origin after so long, in milliseconds: half of the usual time that a version has. */
 const PENDING_LIMIT_MS = 4_000
 /** Agents that say nothing for so long after the roll was called are not counted on, in milliseconds: the store's news and a datagram over the regions. */
 const ROLL_CALL_MS = 500
@@ -80,7 +80,7 @@
 const DOWN_MS = 5_000
 /** An agent that lacked a chunk is asked for it again after so long, in milliseconds. */
 const REFUSED_MS = 1_500
-/** The origin is asked again after so long, in milliseconds. */
+/** The origin is asked again after so long, spread at random, in milliseconds: it resets callers that come together. */
 const ORIGIN_BACK_OFF_MS = 300
 const ORIGIN_NAME = 'origin'
 /** Agents of the region that are asked for a chunk before the origin is. */
@@ -90,7 +90,7 @@
 /** Connections to the origin that all agents share: the origin resets those beyond a few dozen. */
 const ORIGIN_CONNECTION_COUNT = 32
 const ORIGIN: Sources.Source = { kind: 'origin' }
-/** A chunk that fits from so many sources in a row points to a wrong manifest. */
+/** So many chunks in a row with a wrong digest, from whatever source, point to a wrong manifest. */
 const MISFIT_LIMIT_COUNT = 4
 /** An order that shows no effect is given again after so long, in milliseconds: reports are fresh on the engine's own machine. */
 const ORDER_PATIENCE_MS = 1_500
@@ -112,6 +112,7 @@
   /** Chunks that lie at the engine, as far as this process has put or read them. */
   let staged = new Set<number>()
   let stagedVersion: number | undefined
+  /** When the engine was started, by its own report; a new start forgets what was staged. */
   let bornAtMs: number | undefined
   let manifestPending = false
   let stagingPending = false
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -48,12 +48,16 @@
 
 /** Reads of operators' changes are held back for so long, in milliseconds: other processes tell when one went silent. */
 const OPERATORS_WAIT_MS = 8_000
+/** The same for entries of endpoints, of which only gateways tell one another. */
 const ENDPOINTS_WAIT_MS = 4_000
+/** The same for the system's own processes, which change seldom; most that the store allows is 30 s. */
 const MEMBERS_WAIT_MS = 20_000
 /** The largest head of a call, in bytes, as operators' limits usually have it; Node fixes it when the server is made. */
 const HEAD_LIMIT_BYTES = 16_384
+/** Limits until operators' own are known, in milliseconds; the usual ones of a deployment. */
 const FIRST_HEADER_TIMEOUT_MS = 3_000
 const FIRST_IDLE_TIMEOUT_MS = 15_000
+/** Callers whose heads take too long are looked for so often, in milliseconds. */
 const CHECK_INTERVAL_MS = 500
 /** New connections may still come for so long after a stop was asked for, in milliseconds: the balancer leaves an instance out after two probes a second apart. */
 const ROTATION_MS = 2_600
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -47,6 +47,7 @@
 const QUEUED_FACTOR = 1.5
 /** Calls that would wait with less time left than this are refused, in milliseconds: no answer fits into it. */
 const MIN_LEFT_MS = 100
+
 /**
  * Decides what is done with a call.
  *
