--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -205,7 +205,22 @@
   })
 }
 
-async function freePort (): Promise<number> {
+/**
+ * Makes what operators write for a deployment.
+ *
+ * @param options - Where weights come from.
+ * @returns The value of the row.
+ */
+export function deploymentOf (options: { readonly origin: string }): object {
+  return { ...DEPLOYMENT, backends: [...DEPLOYMENT.backends, { name: 'origin', origin: options.origin }] }
+}
+
+/**
+ * Finds a free port on loopback.
+ *
+ * @returns The port.
+ */
+export async function freePort (): Promise<number> {
   const server = Http.createServer()
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as { port: number }
