Fetch chunks whether an engine answers or not

Cause: an agent fetched only upon its engine's reports. Change: what fetches (fetcher.ts) is apart from what stages and starts (filler.ts); the agent advances it without a report once 3 s have passed since its start, within which engines that start with it answer.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -8,6 +8,7 @@
 import type * as Routing from '../routing/index.ts'
 import * as Pacer from '../weights/edge/pacer.ts'
 import * as Exchange from './exchange.ts'
+import * as Fetcher from './fetcher.ts'
 import * as Filler from './filler.ts'
 import * as Library from './library.ts'
 import type * as Ports from './ports.ts'
@@ -39,6 +40,8 @@
   stop: () => Promise<void>
 }
 
+/** An engine that has not answered yet is waited for so long before chunks are fetched, in milliseconds: engines that start with the agent hold the first version. */
+const ENGINE_GRACE_MS = 3_000
 /** Time between two reports of the engine, in milliseconds: shorter than the time in which a batch ends a call. */
 const REPORT_MS = 100
 /** Gateways in other zones hear of the load less often, in reports: they send here only what their own zone cannot take. */
@@ -67,8 +70,9 @@
  */
 export async function open (options: AgentOptions): Promise<Agent> {
   const { clock, log } = options
+  const openedAtMs = clock()
   const library = Library.createLibrary()
-  const named = new Map<string, Filler.Goal[]>()
+  const named = new Map<string, Fetcher.Goal[]>()
   let deployment: Routing.Deployment.Deployment | undefined
   let origin: { readonly address: string, readonly client: Ports.Origin } | undefined
   let reachable: boolean | undefined
@@ -83,12 +87,12 @@
   const download = Pacer.createPacer(chunkBytesPerSecond, 0)
   const onNews = (news: Follow.News.News): void => {
     operators.hint(news.revisions[options.operatorsTable] ?? 0)
-    filler.noteHeard(news.sender)
+    fetcher.noteHeard(news.sender)
     if (news.rollCall === true) node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
-    if (news.held !== undefined) filler.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
+    if (news.held !== undefined) fetcher.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
   }
   const node = await Follow.Node.open(options, 'agent', onNews, [
-    Exchange.createRoute(library, (model, version) => filler.isFetching(model, version), upload)
+    Exchange.createRoute(library, (model, version) => fetcher.isFetching(model, version), upload)
   ])
   const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
   const flushAnnouncements = (): void => {
@@ -104,26 +108,37 @@
       announcements.set(key, entry)
     }
   }
-  const filler = Filler.createFiller({
+  const otherAgents = (): readonly Follow.Members.Member[] => node.members().filter(member => member.kind === 'agent')
+  const fetcher = Fetcher.createFetcher({
     name: options.name,
     region: options.region,
-    engine: options.engine,
     origin: () => origin?.client,
     library,
-    members: () => node.members().filter(member => member.kind === 'agent'),
+    members: otherAgents,
     callRoll: () => { node.tell({ revisions: {}, rollCall: true }, 'agent') },
     versionMs: options.versionMs,
-    isResumable: () => (deployment?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
     download,
-    setServing: serving => {
-      for (const pacer of [download, upload]) pacer.setRate(serving ? chunkBytesPerSecond : linkBytesPerSecond)
-    },
+    adopt: async volume => { await filler.adopt(volume) },
     announce,
     random: options.random,
     clock,
     metrics: options.metrics,
     log
   })
+  const filler = Filler.createFiller({
+    name: options.name,
+    engine: options.engine,
+    library,
+    members: otherAgents,
+    versionMs: options.versionMs,
+    isResumable: () => (deployment?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
+    progressOf: fetcher.progressOf,
+    setServing: serving => {
+      for (const pacer of [download, upload]) pacer.setRate(serving ? chunkBytesPerSecond : linkBytesPerSecond)
+    },
+    clock,
+    log
+  })
   /** Whether changes are taken that were made before this process started. */
   let catchingUp = false
   const takeChange: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
@@ -157,7 +172,7 @@
   node.relay(options.operatorsTable, operators)
   node.followMembers(MEMBERS_WAIT_MS)
 
-  const goalsOf = (): readonly Filler.Goal[] => {
+  const goalsOf = (): readonly Fetcher.Goal[] => {
     const model = deployment?.services.find(service => service.name === options.service)?.engine?.models[0]
     if (model === undefined) return []
     return named.get(model) ?? [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
@@ -192,9 +207,12 @@
     busy = true
     void options.engine.report().then(async report => {
       noteReachable(report !== undefined)
-      if (report === undefined) return
-      tellLoad(report)
-      void filler.advance(goalsOf(), report)
+      const goals = goalsOf()
+      if (report !== undefined) {
+        tellLoad(report)
+        void filler.advance(goals, report)
+      }
+      if (report !== undefined || clock() - openedAtMs > ENGINE_GRACE_MS) void fetcher.advance(goals, filler.loadedVersionOf(goals.at(-1)?.model ?? ''))
     }).finally(() => { busy = false })
   }, REPORT_MS)
   log('agent', 'Agent started.', { endpoint: options.endpoint, service: options.service, incarnation: node.incarnation })
--- a/src/filling/index.ts
+++ b/src/filling/index.ts
@@ -5,6 +5,7 @@
  */
 export * as Agent from './agent.ts'
 export * as Exchange from './exchange.ts'
+export * as Fetcher from './fetcher.ts'
 export * as Filler from './filler.ts'
 export * as Library from './library.ts'
 export type * as Ports from './ports.ts'
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -37,9 +37,33 @@
   let tampered = false
   /** Moves with the ticks, so that a busy machine changes nothing. */
   let clockMs = 0
-  const filler = Filling.Filler.createFiller({
+  const library = Filling.Library.createLibrary()
+  const fetcher = Filling.Fetcher.createFetcher({
     name: 'own',
     region: 'r',
+    origin: () => ({
+      manifest: async (_model, asked) => Neverthrow.ok(manifestOf(asked)),
+      chunk: async (_model, asked, index) => {
+        stage.drawn.push(index)
+        const wrong = stage.wrong.get(index)
+        stage.wrong.delete(index)
+        return Neverthrow.ok(wrong ?? chunkOf(asked, index))
+      }
+    }),
+    library,
+    members: () => [],
+    callRoll: () => {},
+    versionMs: 400,
+    download: Pacer.createPacer(Infinity),
+    adopt: async volume => { await filler.adopt(volume) },
+    announce: () => {},
+    clock: () => clockMs,
+    random: Core.Random.createRandom(1),
+    metrics: Metrics.createMetrics(),
+    log: () => {}
+  })
+  const filler = Filling.Filler.createFiller({
+    name: 'own',
     engine: {
       report: async () => report(),
       listStaged: async () => [...stage.staged.keys()],
@@ -57,31 +81,20 @@
         return 'accepted'
       }
     },
-    origin: () => ({
-      manifest: async (_model, asked) => Neverthrow.ok(manifestOf(asked)),
-      chunk: async (_model, asked, index) => {
-        stage.drawn.push(index)
-        const wrong = stage.wrong.get(index)
-        stage.wrong.delete(index)
-        return Neverthrow.ok(wrong ?? chunkOf(asked, index))
-      }
-    }),
-    library: Filling.Library.createLibrary(),
+    library,
     members: () => [],
-    callRoll: () => {},
     versionMs: 400,
     isResumable: () => true,
-    download: Pacer.createPacer(Infinity),
+    progressOf: fetcher.progressOf,
     setServing: () => {},
-    announce: () => {},
     clock: () => clockMs,
-    random: Core.Random.createRandom(1),
-    metrics: Metrics.createMetrics(),
     log: () => {}
   })
   const timer = setInterval(() => {
     clockMs += TICK_MS
-    void filler.advance([{ model: 'm', version, namedAtMs: 0 }], report())
+    const goals = [{ model: 'm', version, namedAtMs: 0 }]
+    void filler.advance(goals, report())
+    void fetcher.advance(goals, filler.loadedVersionOf('m'))
   }, TICK_MS)
   return stage
 }
