Follow settings while a process runs; follow operators in one place

Cause: a changed settings file was logged and not taken over, so bounds of retries and of version changes, the link's rate, seeds and the store's address stayed as they were at the start. Gateway and agent each decoded what operators write. Ruled out: a restart on change; calls in flight would be cut. Change: settings are watched (SIGHUP, and each second for silent changes) and read through functions; src/follow/operators.ts is what gateways and agents follow operators with. An unreadable file changes nothing.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-import * as Core from '../core/index.ts'
 import * as Follow from '../follow/index.ts'
 import type * as Routing from '../routing/index.ts'
 import * as Pacer from '../weights/edge/pacer.ts'
@@ -13,15 +12,21 @@
 import * as Library from './library.ts'
 import type * as Ports from './ports.ts'
 
+/** Bounds that the deployment sets; they may change while the agent runs. */
+export interface AgentBounds {
+  /** Time by which a named version has to be everywhere, in milliseconds. */
+  readonly versionMs: number
+  /** What the instance's link carries, in bits a second. */
+  readonly linkBitsPerSecond: number
+}
+
 /** What an agent needs. */
 export interface AgentOptions extends Follow.Node.NodeOptions {
   /** The engine beside the agent. */
   readonly endpoint: { readonly host: string, readonly port: number }
   /** The engine's service. */
   readonly service: string
-  readonly versionMs: number
-  /** What the instance's link carries, in bits a second. */
-  readonly linkBitsPerSecond: number
+  readonly bounds: () => AgentBounds
   readonly engine: Ports.Engine
   readonly originAt: (address: string) => Ports.Origin
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
@@ -53,9 +58,7 @@
 const BITS_PER_BYTE = 8
 /** Chunks verified within this time are told of together, in milliseconds. */
 const ANNOUNCE_MS = 20
-/** Reads of operators' changes are held back for so long, in milliseconds: gateways and agents tell of newer ones. */
-const OPERATORS_WAIT_MS = 8_000
-/** The same for the system's own processes, which change seldom. */
+/** Reads of the system's own processes, which change seldom, are held back for so long, in milliseconds. */
 const MEMBERS_WAIT_MS = 20_000
 /** Named versions that are remembered: the origin has no older ones. */
 const KEPT_GOAL_COUNT = 2
@@ -73,7 +76,6 @@
   const openedAtMs = clock()
   const library = Library.createLibrary()
   const named = new Map<string, Fetcher.Goal[]>()
-  let deployment: Routing.Deployment.Deployment | undefined
   let origin: { readonly address: string, readonly client: Ports.Origin } | undefined
   let reachable: boolean | undefined
   let busy = false
@@ -81,12 +83,11 @@
   let toldNear: Told = { text: '', atCount: 0 }
   let toldFar: Told = { text: '', atCount: 0 }
 
-  const linkBytesPerSecond = options.linkBitsPerSecond / BITS_PER_BYTE
-  const chunkBytesPerSecond = linkBytesPerSecond * LINK_SHARE
-  const upload = Pacer.createPacer(chunkBytesPerSecond, 0)
-  const download = Pacer.createPacer(chunkBytesPerSecond, 0)
+  const linkBytesPerSecond = (): number => options.bounds().linkBitsPerSecond / BITS_PER_BYTE
+  const upload = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
+  const download = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
   const onNews = (news: Follow.News.News): void => {
-    operators.hint(news.revisions[options.operatorsTable] ?? 0)
+    operators.follower.hint(news.revisions[options.operatorsTable] ?? 0)
     fetcher.noteHeard(news.sender)
     if (news.rollCall === true) node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
     if (news.held !== undefined) fetcher.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
@@ -116,7 +117,7 @@
     library,
     members: otherAgents,
     callRoll: () => { node.tell({ revisions: {}, rollCall: true }, 'agent') },
-    versionMs: options.versionMs,
+    versionMs: () => options.bounds().versionMs,
     download,
     adopt: async volume => { await filler.adopt(volume) },
     announce,
@@ -130,50 +131,35 @@
     engine: options.engine,
     library,
     members: otherAgents,
-    versionMs: options.versionMs,
-    isResumable: () => (deployment?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
+    versionMs: () => options.bounds().versionMs,
+    isResumable: () => (operators.deployment()?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
     progressOf: fetcher.progressOf,
     setServing: serving => {
-      for (const pacer of [download, upload]) pacer.setRate(serving ? chunkBytesPerSecond : linkBytesPerSecond)
+      for (const pacer of [download, upload]) pacer.setRate(linkBytesPerSecond() * (serving ? LINK_SHARE : 1))
     },
     clock,
     log
   })
-  /** Whether changes are taken that were made before this process started. */
-  let catchingUp = false
-  const takeChange: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
-    deployed: change => {
-      if (deployment !== undefined && change.deployment.version <= deployment.version) return
-      deployment = change.deployment
+  const operators = Follow.Operators.followOperators({
+    ...node.followerOptions,
+    table: options.operatorsTable,
+    changeOf: options.changeOf,
+    onDeployed: deployment => {
       const address = deployment.services.find(service => service.originAddress !== undefined)?.originAddress
       if (address !== undefined && address !== origin?.address) origin = { address, client: options.originAt(address) }
     },
-    zoneDrained: () => {},
-    versionNamed: ({ model, version }) => {
+    onVersionNamed: (model, version, namedAtMs) => {
       const before = named.get(model) ?? []
-      if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return
-      named.set(model, [...before, { model, version, namedAtMs: catchingUp ? -Infinity : clock() }].slice(-KEPT_GOAL_COUNT))
-      log('weights', 'Version named.', { model, version })
-    },
-    unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
-  }
-  const operators = Follow.Follower.createFollower({
-    ...node.followerOptions,
-    table: options.operatorsTable,
-    waitMs: OPERATORS_WAIT_MS,
-    onRows: (rows, { isFirst }) => {
-      catchingUp = isFirst
-      for (const row of rows) {
-        const change = options.changeOf(row)
-        if (change !== undefined) Core.Loop.dispatch(takeChange, change)
-      }
+      if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return false
+      named.set(model, [...before, { model, version, namedAtMs: namedAtMs ?? -Infinity }].slice(-KEPT_GOAL_COUNT))
+      return true
     }
   })
-  node.relay(options.operatorsTable, operators)
+  node.relay(options.operatorsTable, operators.follower)
   node.followMembers(MEMBERS_WAIT_MS)
 
   const goalsOf = (): readonly Fetcher.Goal[] => {
-    const model = deployment?.services.find(service => service.name === options.service)?.engine?.models[0]
+    const model = operators.deployment()?.services.find(service => service.name === options.service)?.engine?.models[0]
     if (model === undefined) return []
     return named.get(model) ?? [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
   }
@@ -195,7 +181,7 @@
     if (near) toldNear = { text, atCount: reportCount }
     if (far) toldFar = { text, atCount: reportCount }
     if (!near && !far) return
-    node.tell({ revisions: { [options.operatorsTable]: operators.mirror.rowRevision() }, load }, 'gateway', member => member.zone === options.zone ? near : far)
+    node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, load }, 'gateway', member => member.zone === options.zone ? near : far)
   }
   const noteReachable = (now: boolean): void => {
     if (now === reachable) return
@@ -219,7 +205,7 @@
   return {
     stop: async () => {
       clearInterval(beat)
-      operators.stop()
+      operators.follower.stop()
       await node.close()
       log('agent', 'Agent stopped.')
     }
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -26,7 +26,8 @@
   readonly members: () => readonly Follow.Members.Member[]
   /** Tells the other agents that this one is there, and asks who else is. */
   readonly callRoll: () => void
-  readonly versionMs: number
+  /** Time by which a named version has to be everywhere, in milliseconds. */
+  readonly versionMs: () => number
   /** Paces what is fetched, so that calls to the engine on the same link are not held up. */
   readonly download: Pacer.Pacer
   /** Takes over chunks that need not be fetched, before the first one of a version is. */
@@ -264,7 +265,7 @@
   }
   return {
     advance: async (goals, loadedVersion) => {
-      const version = Switching.versionToFetch(progressOf(goals, loadedVersion), options.versionMs, clock())
+      const version = Switching.versionToFetch(progressOf(goals, loadedVersion), options.versionMs(), clock())
       fetchGoal = goals.find(goal => goal.version === version)
       if (fetchGoal === undefined) return
       const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -17,7 +17,8 @@
   readonly library: Library.Library
   /** The other agents. */
   readonly members: () => readonly Follow.Members.Member[]
-  readonly versionMs: number
+  /** Time by which a named version has to be everywhere, in milliseconds. */
+  readonly versionMs: () => number
   /** Whether every stream of the engine's service may go on at another endpoint. */
   readonly isResumable: () => boolean
   readonly progressOf: Fetcher.Fetcher['progressOf']
@@ -108,7 +109,7 @@
     const nowMs = clock()
     if (nowMs - startedAtMs < ORDER_PATIENCE_MS || report.loading || stagingPending) return
     const serves = (report.weights ?? []).some(held => held.model === goal.model)
-    const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs, own: options.name, names: options.members().map(agent => agent.name) })
+    const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs(), own: options.name, names: options.members().map(agent => agent.name) })
     if (serves && nowMs < dueAtMs) return
     if (serves) retiredAtMs ??= nowMs
     const mode = serves ? Switching.loadMode(report.activeCount, nowMs - (retiredAtMs ?? nowMs), options.isResumable()) : 'afterRunning'
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -22,7 +22,7 @@
   readonly zone: string
   readonly region: string
   /** Processes that may be asked before the store has named any. */
-  readonly seeds: ReadonlyArray<{ readonly host: string, readonly port: number }>
+  readonly seeds: () => ReadonlyArray<{ readonly host: string, readonly port: number }>
   readonly store: Rows.RowSource
   readonly clock: () => number
   readonly random: Core.Random.Random
@@ -66,7 +66,7 @@
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
   let closed = false
-  const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds
+  const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
   const channel = await News.openChannel({ host, port }, onNews, reason => {
     metrics.count('news_faults_total')
--- /dev/null
+++ b/src/follow/operators.ts
@@ -0,0 +1,84 @@
+/**
+ * Follows what operators have in force.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+import type * as Routing from '../routing/index.ts'
+import * as Follower from './follower.ts'
+import type * as Rows from './rows.ts'
+
+/** What following operators needs. */
+export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'random' | 'log'> {
+  /** Name of the table that operators write. */
+  readonly table: string
+  readonly changeOf: (row: Rows.Row) => Routing.Deployment.OperatorChange | undefined
+  /** Takes a deployment that is newer than the one in force. */
+  readonly onDeployed?: (deployment: Routing.Deployment.Deployment) => void
+  /** Takes a named version; it returns whether that changes anything. `namedAtMs` is undefined where it was named before this process could know. */
+  readonly onVersionNamed: (model: string, version: number, namedAtMs: number | undefined) => boolean
+  /** Told after each batch of rows. */
+  readonly onChanged?: () => void
+}
+
+/** What operators have in force. */
+export interface Operators {
+  readonly follower: Follower.Follower
+  /** Undefined before any is known. */
+  deployment: () => Routing.Deployment.Deployment | undefined
+  readonly drainedZones: ReadonlySet<string>
+}
+
+/** Reads of operators' changes are held back for so long, in milliseconds: other processes tell when one went silent. */
+const WAIT_MS = 8_000
+
+/**
+ * Starts following the operators' table. Deployments and versions never go back.
+ *
+ * @param options - The table, its decoder and who takes the changes.
+ * @returns What is in force, kept up to date.
+ */
+export function followOperators (options: OperatorsOptions): Operators {
+  const { clock, log, table } = options
+  const drainedZones = new Set<string>()
+  let deploymentInForce: Routing.Deployment.Deployment | undefined
+  /** Whether changes are taken that were made before this process started. */
+  let catchingUp = false
+
+  const handlers: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
+    deployed: ({ deployment }) => {
+      const versionInForce = deploymentInForce?.version
+      if (versionInForce !== undefined && deployment.version <= versionInForce) return
+      deploymentInForce = deployment
+      options.onDeployed?.(deployment)
+      log('control', 'Deployment in force.', { version: deployment.version, versionBefore: versionInForce, routeCount: deployment.routes.length, workspaceCount: deployment.workspaces?.length })
+    },
+    zoneDrained: ({ zone, drained }) => {
+      if (drained) drainedZones.add(zone)
+      else drainedZones.delete(zone)
+      log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
+    },
+    versionNamed: ({ model, version }) => {
+      if (options.onVersionNamed(model, version, catchingUp ? undefined : clock())) log('weights', 'Version named.', { model, version, catchingUp })
+    },
+    unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
+  }
+  const follower = Follower.createFollower({
+    store: options.store,
+    askPeer: options.askPeer,
+    clock,
+    random: options.random,
+    log,
+    table,
+    waitMs: WAIT_MS,
+    onRows: (rows, { isFirst }) => {
+      catchingUp = isFirst
+      for (const row of rows) {
+        const change = options.changeOf(row)
+        if (change !== undefined) Core.Loop.dispatch(handlers, change)
+      }
+      options.onChanged?.()
+    }
+  })
+  return { follower, deployment: () => deploymentInForce, drainedZones }
+}
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -19,7 +19,7 @@
   readonly port: number
 }
 
-/** Bounds that the deployment sets. */
+/** Bounds that the deployment sets; they may change while the gateway runs. */
 export interface GatewayBounds {
   readonly retries: Routing.Budgets.BudgetBound
   /** Time by which a named version has to be everywhere, in milliseconds. */
@@ -32,7 +32,7 @@
 export interface GatewayOptions extends Node.NodeOptions {
   readonly callers: Address
   readonly readiness: Address
-  readonly bounds: GatewayBounds
+  readonly bounds: () => GatewayBounds
   readonly dialect: Dialect.Dialect
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
   readonly listingOf: (row: Follow.Rows.Row) => Routing.Endpoints.Listing | undefined
@@ -46,9 +46,7 @@
   stop: () => Promise<void>
 }
 
-/** Reads of operators' changes are held back for so long, in milliseconds: other processes tell when one went silent. */
-const OPERATORS_WAIT_MS = 8_000
-/** The same for entries of endpoints, of which only gateways tell one another. */
+/** Reads of endpoints' entries, of which only gateways tell one another, are held back for so long, in milliseconds. */
 const ENDPOINTS_WAIT_MS = 4_000
 /** The same for the system's own processes, which change seldom; most that the store allows is 30 s. */
 const MEMBERS_WAIT_MS = 20_000
@@ -82,17 +80,16 @@
   const { clock, log, metrics, random } = options
   const endpoints: Routing.Endpoints.Endpoints = Core.Table.createTable('endpoints')
   const idByAddress = new Map<string, string>()
-  const versions = Routing.Versions.createVersions(options.bounds.versionMs - VERSION_RESERVE_MS)
-  const drainedZones = new Set<string>()
+  const versions = Routing.Versions.createVersions(() => options.bounds().versionMs - VERSION_RESERVE_MS)
   const upstream = Upstream.createUpstream()
-  const budget = Routing.Budgets.createBudget(options.bounds.retries)
+  const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   let index: Routing.Deployment.DeploymentIndex | undefined
   let stopping = false
 
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
     for (const { model, version, agoMs } of news.named ?? []) versions.date(model, version, clock() - agoMs)
-    operators.hint(news.revisions[options.tables.operators] ?? 0)
+    operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
   const members = (): readonly Follow.Members.Member[] => node.members()
@@ -104,29 +101,6 @@
     Routing.Endpoints.report(row, load, clock(), random.next())
     ingress.wake()
   }
-  const deploy = (deployment: Routing.Deployment.Deployment): void => {
-    if (index !== undefined && deployment.version <= index.deployment.version) return
-    const before = index?.deployment.version
-    index = Routing.Deployment.createIndex(deployment)
-    server.headersTimeout = deployment.limits.headerTimeoutMs
-    server.keepAliveTimeout = deployment.limits.idleTimeoutMs
-    metrics.gauge('deployment_version', deployment.version)
-    log('control', 'Deployment in force.', { version: deployment.version, versionBefore: before, routeCount: deployment.routes.length, workspaceCount: deployment.workspaces?.length })
-  }
-  /** Whether changes are taken that were made before this process started. */
-  let catchingUp = false
-  const takeChange: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
-    deployed: ({ deployment }) => { deploy(deployment) },
-    zoneDrained: ({ zone, drained }) => {
-      if (drained) drainedZones.add(zone)
-      else drainedZones.delete(zone)
-      log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
-    },
-    versionNamed: ({ model, version }) => {
-      if (versions.name(model, version, catchingUp ? undefined : clock())) log('weights', 'Version named.', { model, version, catchingUp })
-    },
-    unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
-  }
   const takeListing = (row: Follow.Rows.Row): void => {
     const nowMs = clock()
     const before = endpoints.get(row.key)
@@ -144,18 +118,18 @@
     log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, revision: row.revision })
   }
 
-  const operators = Follow.Follower.createFollower({
+  const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
     table: options.tables.operators,
-    waitMs: OPERATORS_WAIT_MS,
-    onRows: (rows, { isFirst }) => {
-      catchingUp = isFirst
-      for (const row of rows) {
-        const change = options.changeOf(row)
-        if (change !== undefined) Core.Loop.dispatch(takeChange, change)
-      }
-      ingress.wake()
-    }
+    changeOf: options.changeOf,
+    onDeployed: deployment => {
+      index = Routing.Deployment.createIndex(deployment)
+      server.headersTimeout = deployment.limits.headerTimeoutMs
+      server.keepAliveTimeout = deployment.limits.idleTimeoutMs
+      metrics.gauge('deployment_version', deployment.version)
+    },
+    onVersionNamed: versions.name,
+    onChanged: () => { ingress.wake() }
   })
   const listed = Follow.Follower.createFollower({
     ...node.followerOptions,
@@ -166,7 +140,7 @@
       ingress.wake()
     }
   })
-  node.relay(options.tables.operators, operators)
+  node.relay(options.tables.operators, operators.follower)
   node.relay(options.tables.endpoints, listed)
   node.followMembers(MEMBERS_WAIT_MS)
 
@@ -178,7 +152,7 @@
       endpoints,
       zone: options.zone,
       region: options.region,
-      drainedZones,
+      drainedZones: operators.drainedZones,
       oldestVersionOf: model => versions.oldestOf(model, clock()),
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone))
@@ -199,12 +173,12 @@
   let toldRevision = 0
   let toldAtMs = 0
   const tellRevisions = (nowMs: number): void => {
-    const revision = Math.max(operators.mirror.rowRevision(), listed.mirror.rowRevision())
+    const revision = Math.max(operators.follower.mirror.rowRevision(), listed.mirror.rowRevision())
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
     const named = versions.dated().map(({ model, version, namedAtMs }) => ({ model, version, agoMs: Math.round(nowMs - namedAtMs) }))
-    node.tell({ named, revisions: { [options.tables.operators]: operators.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
+    node.tell({ named, revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
   const beat = setInterval(() => {
     const nowMs = clock()
@@ -221,7 +195,7 @@
       log('gateway', 'Gateway stops.', { activeCount: ingress.activeCount() })
       await pause(ROTATION_MS)
       server.close()
-      const untilMs = startedMs + options.bounds.graceMs - STOP_RESERVE_MS
+      const untilMs = startedMs + options.bounds().graceMs - STOP_RESERVE_MS
       do {
         // An answer that began before the stop did not tell its caller to use another connection.
         server.closeIdleConnections()
@@ -231,7 +205,7 @@
       server.closeIdleConnections()
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(beat)
-      operators.stop()
+      operators.follower.stop()
       listed.stop()
       ingress.stop()
       upstream.close()
--- a/src/routing/budgets.ts
+++ b/src/routing/budgets.ts
@@ -39,17 +39,18 @@
 /**
  * Creates a budget.
  *
- * @param bound - The shared bound.
+ * @param bound - The shared bound, which may change.
  * @returns The budget.
  */
-export function createBudget (bound: BudgetBound): Budget {
+export function createBudget (bound: () => BudgetBound): Budget {
   const windows = new Map<string, Window>()
   const windowOf = (service: string, nowMs: number): Window => {
     const window = windows.get(service) ?? { calls: [], repeats: [] }
     windows.set(service, window)
+    const { windowMs } = bound()
     for (const times of [window.calls, window.repeats]) {
       let staleCount = 0
-      while (staleCount < times.length && (times[staleCount] ?? 0) <= nowMs - bound.windowMs) staleCount++
+      while (staleCount < times.length && (times[staleCount] ?? 0) <= nowMs - windowMs) staleCount++
       if (staleCount > 0) times.splice(0, staleCount)
     }
     return window
@@ -58,7 +59,8 @@
     noteCall: (service, nowMs) => { windowOf(service, nowMs).calls.push(nowMs) },
     take: (service, gatewayCount, nowMs) => {
       const window = windowOf(service, nowMs)
-      const limitCount = USED_SHARE * (bound.ratio * window.calls.length + bound.slackCount / Math.max(1, gatewayCount))
+      const { ratio, slackCount } = bound()
+      const limitCount = USED_SHARE * (ratio * window.calls.length + slackCount / Math.max(1, gatewayCount))
       if (window.repeats.length + 1 > limitCount) return false
       window.repeats.push(nowMs)
       return true
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -35,7 +35,7 @@
  * @param graceMs - Time for which the version before is still served, in milliseconds.
  * @returns The versions.
  */
-export function createVersions (graceMs: number): Versions {
+export function createVersions (graceMs: () => number): Versions {
   const named = new Map<string, Array<{ readonly version: number, namedAtMs: number | undefined }>>()
   const newestOf = (model: string): number => named.get(model)?.at(-1)?.version ?? FIRST_VERSION
   return {
@@ -51,7 +51,7 @@
     dated: () => [...named].flatMap(([model, entries]) => entries.flatMap(({ version, namedAtMs }) => namedAtMs === undefined ? [] : [{ model, version, namedAtMs }])),
     newestOf,
     oldestOf: (model, nowMs) => {
-      const due = (named.get(model) ?? []).filter(entry => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs)
+      const due = (named.get(model) ?? []).filter(entry => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs())
       return due.at(-1)?.version ?? FIRST_VERSION
     }
   }
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -1,4 +1,7 @@
-import { describe, it } from 'node:test'
+import * as Fs from 'node:fs'
+import * as Os from 'node:os'
+import * as Path from 'node:path'
+import { after, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Neverthrow from 'neverthrow'
 import * as Core from '../src/core/index.ts'
@@ -12,6 +15,20 @@
 
 const row = (key: string, value: unknown, deleted = false): Follow.Rows.Row => ({ key, revision: 1, value, deleted })
 
+const settingsText = (slackCount: number): string => `
+node_name = "n1"
+ip = "127.0.0.1"
+zone = "a"
+region = "r"
+internal_ports = [7000]
+seeds = []
+zones = { a = "r" }
+listen = {}
+limits = { link_mbps = 5.0 }
+bounds = { retry_budget_ratio = 0.2, retry_slack = ${slackCount}, budget_window_s = 10, version_ms = 8000, grace_s = 8 }
+platform = { address = "127.0.0.1:1" }
+`
+
 describe('platform', () => {
   describe('listingOf', () => {
     const entry = { backend: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', models: [{ name: 'm', version: 2 }], layers: { from: 0, target: 4, version: 2 } }
@@ -61,6 +78,41 @@
       expect(Settings.parse('node_name = 1').isErr()).toEqual(true)
       expect(Settings.parse('= broken').isErr()).toEqual(true)
     })
+
+    describe('of a running process', () => {
+      const folder = Fs.mkdtempSync(Path.join(Os.tmpdir(), 'settings-'))
+      const file = Path.join(folder, 'node.toml')
+      const write = (slackCount: number, more = ''): void => { Fs.writeFileSync(file, settingsText(slackCount) + more) }
+      const watched = (): { settings: Settings.Watched, lines: string[] } => {
+        const lines: string[] = []
+        write(10)
+        return { settings: Settings.watch(file, Settings.read(file)._unsafeUnwrap(), (_prefix, sentence, fields) => { lines.push(`${sentence} ${JSON.stringify(fields)}`) }), lines }
+      }
+      after(() => { Fs.rmSync(folder, { recursive: true }) })
+
+      it('follow a signal and tell what changed', () => {
+        const { settings, lines } = watched()
+        write(20)
+        settings.check('SIGHUP')
+        settings.close()
+        expect([settings.now().retries.slackCount, lines]).toEqual([20, ['Settings read again. {"cause":"SIGHUP","changed":["retries"]}']])
+      })
+
+      it('follow a change without a signal', async () => {
+        const { settings } = watched()
+        write(30)
+        await TestKit.Wait.until('the change', 5_000, () => settings.now().retries.slackCount === 30)
+        settings.close()
+      })
+
+      it('stay as they are while the file cannot be read', () => {
+        const { settings, lines } = watched()
+        write(20, '= broken')
+        settings.check('SIGHUP')
+        settings.close()
+        expect([settings.now().retries.slackCount, lines.length]).toEqual([10, 1])
+      })
+    })
   })
 })
 
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -266,7 +266,7 @@
   it('keeps the repeats of all gateways within the shared bound when every call fails', () => {
     const gatewayCount = 6
     const bound = { ratio: 0.2, slackCount: 106, windowMs: 10_000 }
-    const budgets = Array.from({ length: gatewayCount }, () => Routing.Budgets.createBudget(bound))
+    const budgets = Array.from({ length: gatewayCount }, () => Routing.Budgets.createBudget(() => bound))
     let repeatCount = 0
     for (let index = 0; index < 1_000; index++) {
       const budget = budgets[index % gatewayCount] as Routing.Budgets.Budget
@@ -276,17 +276,25 @@
     expect(repeatCount <= 0.2 * 1_000 + 106).toEqual(true)
     expect(repeatCount > 100).toEqual(true)
   })
+
+  it('follow a bound that changes while calls fail', () => {
+    let slackCount = 100
+    const budget = Routing.Budgets.createBudget(() => ({ ratio: 0, slackCount, windowMs: 10_000 }))
+    expect(budget.take('s', 1, 0)).toEqual(true)
+    slackCount = 1
+    expect(budget.take('s', 1, 1)).toEqual(false)
+  })
 })
 
 describe('Versions', () => {
   it('serves the version before until the new one has to be everywhere', () => {
-    const versions = Routing.Versions.createVersions(7_000)
+    const versions = Routing.Versions.createVersions(() => 7_000)
     versions.name('m', 2, 1_000)
     expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000)]).toEqual([1, 2])
   })
 
   it('takes a version that was named before the start for overdue until another process dates it', () => {
-    const versions = Routing.Versions.createVersions(7_000)
+    const versions = Routing.Versions.createVersions(() => 7_000)
     versions.name('m', 2, undefined)
     expect(versions.oldestOf('m', 0)).toEqual(2)
     versions.date('m', 2, 0)
@@ -294,7 +302,7 @@
   })
 
   it('never goes back', () => {
-    const versions = Routing.Versions.createVersions(7_000)
+    const versions = Routing.Versions.createVersions(() => 7_000)
     versions.name('m', 3, 0)
     expect([versions.name('m', 2, 10), versions.newestOf('m')]).toEqual([false, 3])
   })
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -356,8 +356,8 @@
   },
   {
     name: 'direct: deployments never go back',
-    file: 'src/ingress/gateway.ts',
-    text: 'if (index !== undefined && deployment.version <= index.deployment.version) return',
+    file: 'src/follow/operators.ts',
+    text: 'if (versionInForce !== undefined && deployment.version <= versionInForce) return',
     replacement: '',
     checks: [test('direct-path')]
   },
