Describe every log line in one schema; explain a call from logs

Cause: log lines were documented by hand, not checked against the code, and finding the cause of a failed call took grep over every process's log. An endpoint seen as failing, cold or well again had no line. Lines for endpoints left out, working again and cold; ends of calls carry the goal and the deployment's version.

--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -6,6 +6,7 @@
 import type * as Yargs from 'yargs'
 import * as Client from './client.ts'
 import * as Limits from './limits.ts'
+import * as Logs from './logs.ts'
 import * as Manifests from './manifests.ts'
 import * as Operations from './operations.ts'
 
@@ -24,9 +25,15 @@
     .command('manifest', 'Work with manifests', sub => manifestCommands(sub, run))
     .command('zone', 'Take availability zones out of service and back', sub => drainCommands(sub, run, 'zone'))
     .command('instance', 'Take instances out of service and back', sub => drainCommands(sub, run, 'instance'))
-    .command('explain', 'Show limits, shares and why calls are refused', sub => sub
+    .command('explain [call-id]', 'Show limits, shares and why calls are refused; with a call\'s id and logs, what became of it', sub => sub
+      .positional('call-id', { type: 'string', describe: 'Id of the caller\'s attempt; needs --logs' })
+      .option('logs', { type: 'string', array: true, default: [], describe: 'Log files of gateways and agents' })
       .option('service', { type: 'string', describe: 'Only this service' })
-      .option('workspace', { type: 'string', describe: 'Only this workspace' }), argv => { run(async () => await Limits.explain(argv)) })
+      .option('workspace', { type: 'string', describe: 'Only this workspace' })
+      .check(argv => (argv['call-id'] === undefined) === (argv.logs.length === 0) || 'a call\'s id and --logs go together'), argv => {
+      const { callId } = argv
+      run(async () => callId === undefined ? await Limits.explain(argv) : Logs.explain({ ...argv, callId }))
+    })
     .command('quarantine', 'Work with calls that crash endpoints', sub => quarantineCommands(sub, run))
     .command('status', 'Show endpoints, versions, drains and who lags', sub => sub
       .option('watch', { type: 'boolean', default: false, describe: 'Print again every second' }), argv => { run(async () => await Operations.status(argv)) })
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -119,7 +119,7 @@
       if (!await verifyStaged(volume)) return
       startedAtMs = clock()
       const answer = await engine.start(goal.model, goal.version, mode)
-      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, sinceNamedMs: Math.round(startedAtMs - goal.namedAtMs) })
+      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, sinceNamedMs: Switching.sinceNamedMs(goal.namedAtMs, startedAtMs) })
     } finally {
       stagingPending = false
     }
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -95,3 +95,14 @@
 export function versionToLoad (named: readonly Progress[]): number | undefined {
   return named.filter(progress => progress.heldShare === 1).at(-1)?.version
 }
+
+/**
+ * Tells how long ago a version was named, for the log.
+ *
+ * @param namedAtMs - When it was named, in milliseconds; -Infinity when that was before the process started.
+ * @param nowMs - The time.
+ * @returns Whole milliseconds; undefined where it is not known.
+ */
+export function sinceNamedMs (namedAtMs: number | undefined, nowMs: number): number | undefined {
+  return namedAtMs === undefined || namedAtMs === -Infinity ? undefined : Math.round(nowMs - namedAtMs)
+}
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -109,7 +109,7 @@
       Routing.Endpoints.list(endpoints, listing, nowMs)
       idByAddress.set(`${listing.host}:${listing.port}`, listing.endpointId)
       if (before?.listing.draining !== listing.draining || before.listing.bornAtMs !== listing.bornAtMs || before.weights?.[0]?.version !== listing.weights?.[0]?.version) {
-        log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, revision: row.revision })
+        log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, host: listing.host, port: listing.port, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, revision: row.revision })
       }
       return
     }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -50,6 +50,14 @@
 const DEADLINE_SLACK_MS = 20
 /** Methods whose calls have no length where they have no body. */
 const BODILESS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
+/** What the log says of the ends of calls. */
+const END_SENTENCES = {
+  answered: 'Call answered.',
+  refused: 'Call refused.',
+  failed: 'Call failed.',
+  failedByEndpoint: 'Failure passed on.',
+  cancelled: 'Call cancelled.'
+} as const
 /** Statuses by which a caller is promised that its call was not run. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -165,12 +173,12 @@
       waiting.remove(call)
       send(call, verdict.candidate, nowMs)
     } else if (verdict.kind === 'wait') {
-      if (asking.waitedMs === 0) log('routing', 'Call waits.', { callId: call.callId, service: call.service, aheadCount: waiting.aheadCount(call), bestMs: Math.round(best?.firstMs ?? -1), goalMs: call.route.goalMs })
+      if (asking.waitedMs === 0) log('routing', 'Call waits.', { callId: call.callId, service: call.service, aheadCount: waiting.aheadCount(call), bestMs: best === undefined ? undefined : Math.round(best.firstMs), goalMs: call.route.goalMs })
       waiting.add(call)
     } else {
       waiting.remove(call)
       if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, verdict.reason)
-      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: Math.round(best?.firstMs ?? -1), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs) })
+      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs) })
     }
   }
 
@@ -193,6 +201,7 @@
     Routing.Choice.noteSent(row, call.placing.promptTokens, nowMs)
     log('routing', 'Call sent.', {
       callId: call.callId,
+      service: call.service,
       endpointId: listing.endpointId,
       predictedMs: Math.round(candidate.firstMs),
       busyCount: Routing.Endpoints.busyCount(row, nowMs) - 1,
@@ -215,7 +224,7 @@
       onEnd: () => { onEnd(call, attempt) },
       onFailed: (stage, reason) => {
         const end: Routing.Retries.AttemptEnd = stage === 'connecting' ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
-        Routing.Endpoints.blame(row, clock())
+        blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
         endAttempt(call, attempt, end, `${stage}: ${reason}`)
       }
@@ -235,6 +244,11 @@
     call.attempt = attempt
   }
 
+  const blame = (row: Routing.Endpoints.EndpointRow, reason: string, call: Calls.Call): void => {
+    const avoidMs = Routing.Endpoints.blame(row, clock())
+    log('endpoints', 'Endpoint left out.', { callId: call.callId, endpointId: row.listing.endpointId, reason, failureCount: row.failureCount, avoidMs })
+  }
+
   const markRead = (attempt: Calls.Attempt): void => {
     attempt.row.unreadTokens = Math.max(0, attempt.row.unreadTokens - attempt.unreadTokens)
     attempt.unreadTokens = 0
@@ -255,6 +269,7 @@
     const facts = dialect.readAnswer(status, headers)
     const { row } = attempt
     attempt.heardAtMs = nowMs
+    if (row.failureCount > 0) log('endpoints', 'Endpoint works again.', { endpointId: row.listing.endpointId, failureCount: row.failureCount })
     Routing.Endpoints.clear(row, nowMs)
     learn(row, facts, nowMs)
     const isOk = status >= 200 && status < 300
@@ -271,7 +286,10 @@
   }
 
   const learn = (row: Routing.Endpoints.EndpointRow, facts: Dialect.AnswerFacts, nowMs: number): void => {
-    if (facts.coldForMs !== undefined && facts.coldForMs > 0) row.coldUntilMs = nowMs + facts.coldForMs
+    if (facts.coldForMs !== undefined && facts.coldForMs > 0) {
+      if (row.coldUntilMs <= nowMs) log('endpoints', 'Endpoint cold.', { endpointId: row.listing.endpointId, coldForMs: facts.coldForMs })
+      row.coldUntilMs = nowMs + facts.coldForMs
+    }
     const isReported = row.load !== undefined && nowMs - row.loadAtMs < Routing.Endpoints.LOAD_MAX_AGE_MS
     if (facts.load !== undefined && !isReported) {
       Routing.Endpoints.report(row, { ...facts.load, pace: row.load?.pace ?? 1, loading: false, weights: undefined }, nowMs, random.next())
@@ -313,7 +331,7 @@
     if (head.isStream) { endStream(call, attempt); return }
     const body = Buffer.concat(attempt.parts)
     if (head.facts.notRun) {
-      Routing.Endpoints.blame(attempt.row, clock())
+      blame(attempt.row, `refused with ${head.status}`, call)
       endAttempt(call, attempt, 'notRun', `endpoint refused with ${head.status}`)
     } else if (head.status >= 500 || PROMISES.has(head.status)) {
       call.failure = { status: head.status, rawHeaders: head.rawHeaders, isFramed: head.isFramed, body }
@@ -392,7 +410,7 @@
   const refuse = (call: Calls.Call, reason: Routing.Admission.RefusalReason, inputs: object): void => {
     const returnMs = Routing.Refusals.returnAfterMs(reason, call.deadlineAtMs - clock(), random)
     metrics.count('calls_refused_total', { reason })
-    finish(call, 'refused', { reason, returnAfterMs: Math.round(returnMs), waitingCount: waiting.count(), goalMs: call.route.goalMs, ...inputs })
+    finish(call, 'refused', { reason, returnAfterMs: Math.round(returnMs), waitingCount: waiting.count(), ...inputs })
     write(call.response, 503, dialect.refusal(call.callId, returnMs), reason)
   }
 
@@ -411,7 +429,7 @@
     finish(call, 'cancelled', { answering: call.answering })
   }
 
-  const finish = (call: Calls.Call, outcome: string, fields: object): void => {
+  const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
     call.done = true
     clearTimeout(call.timer)
     waiting.remove(call)
@@ -419,7 +437,7 @@
     const tookMs = clock() - call.arrivedAtMs
     metrics.count('calls_ended_total', { outcome })
     metrics.observeSeconds('call_seconds', tookMs / 1000, { outcome })
-    log('routing', `Call ${outcome}.`, { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.sentCount, eventCount: call.eventCount, ...fields })
+    log('routing', END_SENTENCES[outcome], { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.sentCount, eventCount: call.eventCount, goalMs: call.route.goalMs, deploymentVersion: options.index()?.deployment.version, ...fields })
   }
 
   const withConnection = (rawHeaders: string[]): string[] => options.isStopping() ? [...rawHeaders, 'Connection', 'close'] : rawHeaders
@@ -444,7 +462,7 @@
     const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs) return
     attempt.exchange.abort()
-    if (Routing.Silence.isSilent(endpointQuietMs)) Routing.Endpoints.blame(attempt.row, nowMs)
+    if (Routing.Silence.isSilent(endpointQuietMs)) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
   }
--- a/test/direct-logs.test.ts
+++ b/test/direct-logs.test.ts
@@ -3,6 +3,7 @@
 import * as Fs from 'node:fs'
 import * as Path from 'node:path'
 import * as LogLimits from '../src/edge/logLimits.ts'
+import * as Schemas from '../src/schema/index.ts'
 
 /** Names that only the platform's pages use, and that only the adapter may know. */
 const PLATFORM_NAMES = [
@@ -26,6 +27,25 @@
   })
 })
 
+describe('LogLines', () => {
+  it('describe every line that the direct path writes', () => {
+    const sources = ['src/ingress', 'src/follow', 'src/filling', 'platform'].flatMap(filesOf).map(file => Fs.readFileSync(file, 'utf8')).join('\n')
+    const written = [...sources.matchAll(/log\('(\w+)', (?:[^'{]*'[^']+\.'(?: :)?){1,2}/g)].flatMap(([text, prefix]) =>
+      [...text.matchAll(/'([A-Z][^']+\.)'/g)].map(([, sentence]) => `${prefix ?? ''}: ${sentence ?? ''}`))
+    expect(written.length > 30).toEqual(true)
+    expect(written.filter(line => Schemas.LogLines.LINES[line] === undefined)).toEqual([])
+  })
+
+  it('refuse a field that is not described', () => {
+    expect(Schemas.LogLines.problemsOf('agent: Agent stopped.', { more: 1 }).length).toEqual(1)
+    expect(Schemas.LogLines.problemsOf('agent: Agent sleeps.', {}).length).toEqual(1)
+  })
+
+  it('are documented as they are', () => {
+    expect(Fs.readFileSync('docs/LOGS.md', 'utf8')).toEqual(Schemas.LogLines.describe())
+  })
+})
+
 describe('the platform\'s names', () => {
   it('stand in the adapter only', () => {
     const found = filesOf('src').flatMap(file => {
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -8,6 +8,7 @@
 import * as Metrics from '../src/edge/metrics.ts'
 import * as Ingress from '../src/ingress/index.ts'
 import * as Routing from '../src/routing/index.ts'
+import * as Schemas from '../src/schema/index.ts'
 import * as Dialect from '../platform/dialect.ts'
 import * as Endpoints from '../platform/endpoints.ts'
 import * as Operators from '../platform/operators.ts'
@@ -67,7 +68,9 @@
   readonly port: number
   readonly readyPort: number
   /** Lines of the decision log. */
-  readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>> }>
+  readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>>, readonly line: Schemas.LogLines.LogLine }>
+  /** The gateway's metrics, as its metrics address serves them. */
+  metrics: () => Promise<string>
   list: (runner: Runner.Runner, changes?: object) => void
   deploy: (changes?: object) => void
   call: (options?: CallOptions) => Promise<CallAnswer>
@@ -142,7 +145,7 @@
     clock: () => performance.now(),
     random: Core.Random.createRandom(SEED),
     metrics: Metrics.createMetrics(),
-    log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields }) },
+    log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields, line: lineOf('gateway', 'g1', prefix, sentence, fields) }) },
     callers: { host: '127.0.0.1', port },
     readiness: { host: '127.0.0.1', port: readyPort },
     bounds: () => ({ retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: 8_000, graceMs: 8_000 }),
@@ -157,6 +160,7 @@
     await gateway.stop()
     await Promise.all(started.map(async runner => { await runner.close() }))
     await store.close()
+    checkLines(lines.map(entry => entry.line))
   }
   return {
     store,
@@ -166,6 +170,7 @@
     lines,
     list,
     deploy,
+    metrics: async () => await (await fetch(`http://127.0.0.1:${peerPort}/metrics`)).text(),
     call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
     stop: async () => {
       stopped ??= stop()
@@ -205,6 +210,32 @@
   })
 }
 
+/**
+ * Makes a line as a process writes it.
+ *
+ * @param program - The program.
+ * @param instanceId - The instance.
+ * @param prefix - The part.
+ * @param sentence - What was decided.
+ * @param fields - What it was decided from.
+ * @param time - The time of day, in milliseconds.
+ * @returns The line as it is read back.
+ */
+export function lineOf (program: string, instanceId: string, prefix: string, sentence: string, fields: object, time = performance.timeOrigin + performance.now()): Schemas.LogLines.LogLine {
+  return JSON.parse(JSON.stringify({ level: 30, time, program, instanceId, ...fields, msg: `${prefix}: ${sentence}` }))
+}
+
+/**
+ * Checks that lines are as the schema describes them.
+ *
+ * @param lines - The lines.
+ * @throws When one is not.
+ */
+export function checkLines (lines: readonly Schemas.LogLines.LogLine[]): void {
+  const problems = lines.flatMap(({ level, time, program, instanceId, msg, ...fields }) => Schemas.LogLines.problemsOf(msg, fields))
+  if (problems.length > 0) throw new Error(`log lines: ${[...new Set(problems)].join('; ')}`)
+}
+
 /**
  * Makes what operators write for a deployment.
  *
