Ask holders what they have; leave the origin to one agent after the other

Ruled out: the final fault itself (the other regions were back within a second), the origin, the store's news (all heard of the version at 26.1 s). Change: agents answer a roll call with the chunks they have, and tell of chunks found at their engine after a restart; which source is asked is a pure module (choosing.ts): holders of the region, then of others for the agent at the head of its region, a busy holder is waited for, the origin is left to one agent of a region after the other. Asking that brings no bytes gives its pace back. A holder that left no longer turns into a draw from the origin.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -89,7 +89,10 @@
   const onNews = (news: Follow.News.News): void => {
     operators.follower.hint(news.revisions[options.operatorsTable] ?? 0)
     fetcher.noteHeard(news.sender)
-    if (news.rollCall === true) node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
+    if (news.rollCall === true) {
+      node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
+      fetcher.answerRoll(news.sender)
+    }
     if (news.held !== undefined) fetcher.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
   }
   const node = await Follow.Node.open(options, 'agent', onNews, [
@@ -100,12 +103,12 @@
     for (const { receiver, ...held } of announcements.values()) node.tell({ revisions: {}, held }, 'agent', member => member.name === receiver)
     announcements.clear()
   }
-  const announce = (model: string, version: number, index: number, receivers: readonly string[]): void => {
+  const announce = (model: string, version: number, indexes: readonly number[], receivers: readonly string[]): void => {
     if (announcements.size === 0 && receivers.length > 0) setTimeout(flushAnnouncements, ANNOUNCE_MS)
     for (const receiver of receivers) {
       const key = `${receiver} ${model}/${version}`
       const entry = announcements.get(key) ?? { model, version, indexes: [], receiver }
-      entry.indexes.push(index)
+      entry.indexes.push(...indexes)
       announcements.set(key, entry)
     }
   }
--- a/src/filling/index.ts
+++ b/src/filling/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Agent from './agent.ts'
+export * as Choosing from './choosing.ts'
 export * as Exchange from './exchange.ts'
 export * as Fetcher from './fetcher.ts'
 export * as Filler from './filler.ts'
--- a/src/filling/library.ts
+++ b/src/filling/library.ts
@@ -16,6 +16,7 @@
 /** The chunks in memory, by model and version. */
 export interface Library {
   volumeOf: (model: string, version: number) => Volume | undefined
+  volumes: () => readonly Volume[]
   open: (manifest: Ports.WeightManifest) => Volume
   /** Takes a chunk if it is the one that the manifest names. */
   put: (volume: Volume, index: number, bytes: Buffer) => boolean
@@ -36,6 +37,7 @@
   const keyOf = (model: string, version: number): string => `${model}/${version}`
   return {
     volumeOf: (model, version) => volumes.get(keyOf(model, version)),
+    volumes: () => [...volumes.values()],
     open: manifest => {
       const volume: Volume = { manifest, chunks: new Array(manifest.digests.length).fill(undefined), heldCount: 0 }
       volumes.set(keyOf(manifest.model, manifest.version), volume)
--- a/src/filling/sources.ts
+++ b/src/filling/sources.ts
@@ -28,6 +28,16 @@
 /** Where a chunk is fetched: the origin, or another agent. */
 export type Source = { readonly kind: 'origin' } | { readonly kind: 'agent', readonly name: string }
 
+/** An agent's part in the spread of a chunk. */
+export type Part = 'drawer' | 'head' | 'follower'
+
+/** An agent's place in the spread of a chunk. */
+export interface Place {
+  readonly part: Part
+  /** Its place among the agents of its region, from 1. */
+  readonly rank: number
+}
+
 /** The agents in line for each chunk. */
 export interface Lines {
   /**
@@ -38,6 +48,14 @@
    * @returns The sources; the origin alone for the agent that draws the chunk, the origin last for others.
    */
   sourcesOf: (chunk: Chunk, own: string) => Source[]
+  /**
+   * Tells an agent's place in the spread of a chunk.
+   *
+   * @param chunk - The chunk.
+   * @param own - The name of the agent.
+   * @returns Its place.
+   */
+  placeOf: (chunk: Chunk, own: string) => Place
   /**
    * Lists the agents that may fetch a chunk from one that has it: some of its region, and for the agent that drew it the heads of the other regions.
    *
@@ -46,6 +64,14 @@
    * @returns The names of the agents to tell.
    */
   receiversOf: (chunk: Chunk, own: string) => string[]
+  /**
+   * Whether an agent tells another one, when it asks, of all chunks that it has: some of each region do.
+   *
+   * @param own - The name of the agent that has chunks.
+   * @param asker - The name of the agent that asks.
+   * @returns Whether it does.
+   */
+  tells: (own: string, asker: string) => boolean
   /**
    * Orders the chunks of a version for an agent: first those that others wait for.
    *
@@ -61,7 +87,7 @@
 const OTHER_LIMIT_COUNT = 4
 /** Agents of the region that are told of each chunk: enough for every one to hear of it from several. */
 const TOLD_LIMIT_COUNT = 8
-/** An agent's parts in the spread of a chunk, in the order in which its chunks are fetched. */
+/** An agent's parts in the spread of a chunk, in the order in which its chunks are fetched: from the origin, over the border for its region, within the region. */
 const PARTS = ['drawer', 'head', 'follower'] as const
 const ORIGIN: Source = { kind: 'origin' }
 
@@ -80,6 +106,7 @@
   const there = spreaders.filter(spreader => spreader.isThere).map(spreader => spreader.name)
   const lines = new Map<string, string[]>()
   const orders = new Map<string, readonly number[]>()
+  const places = new Map<string, Place>()
 
   const ringOf = (version: string): readonly string[] => {
     const ring = rings.get(version) ?? Core.Hash.rendezvous(version, spreaders.map(spreader => spreader.name))
@@ -98,10 +125,10 @@
     return line
   }
   const headOf = (line: readonly string[], region: string): string | undefined => line.find(name => regionOf.get(name) === region)
-  const partOf = (chunk: Chunk, own: string): number => {
+  const partOf = (chunk: Chunk, own: string): Part => {
     const line = lineOf(chunk)
-    if (line[0] === own) return PARTS.indexOf('drawer')
-    return PARTS.indexOf(headOf(line, regionOf.get(own) ?? '') === own ? 'head' : 'follower')
+    if (line[0] === own) return 'drawer'
+    return headOf(line, regionOf.get(own) ?? '') === own ? 'head' : 'follower'
   }
   return {
     sourcesOf: (chunk, own) => {
@@ -114,6 +141,16 @@
       const names = new Set([head, drawer, ...others].filter((name): name is string => name !== undefined))
       return [...[...names].map(name => ({ kind: 'agent' as const, name })), ORIGIN]
     },
+    placeOf: (chunk, own) => {
+      const key = `${own}/${chunk.version}/${chunk.index}`
+      const place = places.get(key) ?? { part: partOf(chunk, own), rank: lineOf(chunk).filter(name => regionOf.get(name) === regionOf.get(own)).indexOf(own) + 1 }
+      places.set(key, place)
+      return place
+    },
+    tells: (own, asker) => {
+      const regional = there.filter(name => regionOf.get(name) === regionOf.get(own))
+      return regional.length <= TOLD_LIMIT_COUNT || Core.Hash.rendezvous(asker, regional).indexOf(own) < TOLD_LIMIT_COUNT
+    },
     receiversOf: (chunk, own) => {
       const line = lineOf(chunk)
       const regional = line.filter(name => regionOf.get(name) === regionOf.get(own) && name !== own)
@@ -125,7 +162,7 @@
       const key = `${version}/${count}/${own}`
       const known = orders.get(key)
       if (known !== undefined) return known
-      const order = Array.from({ length: count }, (_, index) => ({ index, part: partOf({ version, index }, own), rank: Core.Hash.rankOf(`${own}/${version}/${index}`) }))
+      const order = Array.from({ length: count }, (_, index) => ({ index, part: PARTS.indexOf(partOf({ version, index }, own)), rank: Core.Hash.rankOf(`${own}/${version}/${index}`) }))
         .sort((a, b) => a.part - b.part || a.rank - b.rank)
         .map(entry => entry.index)
       orders.set(key, order)
--- a/src/weights/edge/pacer.ts
+++ b/src/weights/edge/pacer.ts
@@ -8,6 +8,8 @@
 export interface Pacer {
   /** Waits until so many bytes may pass; urgent bytes pass before others that wait. */
   pass: (sizeBytes: number, urgent?: boolean) => Promise<void>
+  /** Gives back what passed and was not used. */
+  refund: (sizeBytes: number) => void
   setRate: (bytesPerSecond: number) => void
   /** Passages that wait. */
   waitingCount: () => number
@@ -55,6 +57,12 @@
         if (timer === undefined) pump()
       })
     },
+    refund: sizeBytes => {
+      if (rate === Infinity) return
+      freeAtMs -= sizeBytes * 1000 / rate
+      clearTimeout(timer)
+      pump()
+    },
     setRate: next => { rate = next },
     waitingCount: () => urgentQueue.length + queue.length
   }
--- a/test/direct-filling.test.ts
+++ b/test/direct-filling.test.ts
@@ -56,6 +56,42 @@
   })
 })
 
+describe('Choosing', () => {
+  const situation: Filling.Choosing.Situation = { isDrawer: false, isHead: false, rank: 2, nearHolders: [], farHolders: [], isHeld: false, others: ['x', 'y'], sinceMs: 100, isSettled: false, mayAskOthers: true, tryCount: 0 }
+  const choose = (changes: Partial<Filling.Choosing.Situation>): string => {
+    const choice = Filling.Choosing.choose({ ...situation, ...changes }, 0.5)
+    return choice.kind === 'agent' ? choice.name : choice.kind
+  }
+
+  it('takes a chunk of a new version from a holder of its region, and waits for one', () => {
+    expect([choose({}), choose({ isHeld: true, nearHolders: ['n1', 'n2', 'n3'], farHolders: ['f'] }), choose({ isDrawer: true })]).toEqual(['wait', 'n2', 'origin'])
+  })
+
+  it('crosses the border for the region, or once the one that should is overdue', () => {
+    const known = { isHeld: true, farHolders: ['f'] }
+    expect([choose(known), choose({ ...known, isHead: true }), choose({ ...known, sinceMs: 1_300 })]).toEqual(['wait', 'f', 'f'])
+  })
+
+  it('waits for holders that are busy rather than asking agents that lack the chunk', () => {
+    expect(choose({ isHeld: true, sinceMs: 1_300 })).toEqual('wait')
+  })
+
+  it('hears who holds an older version before it draws', () => {
+    const settled = { isDrawer: true, isSettled: true }
+    expect([choose(settled), choose({ ...settled, sinceMs: 600 }), choose({ ...settled, nearHolders: ['n'], isHeld: true })]).toEqual(['wait', 'origin', 'n'])
+  })
+
+  it('asks one agent after the other when news were lost', () => {
+    const late = { sinceMs: 1_300 }
+    expect([choose(late), choose({ ...late, tryCount: 1 }), choose({ ...late, mayAskOthers: false }), choose({ ...late, others: [] })]).toEqual(['x', 'y', 'wait', 'origin'])
+  })
+
+  it('leaves the origin to one agent of a region after the other', () => {
+    const ranks = [1, 2, 3].map(rank => choose({ rank, sinceMs: 4_500, mayAskOthers: false }))
+    expect(ranks).toEqual(['origin', 'wait', 'wait'])
+  })
+})
+
 describe('Switching', () => {
   const names = agents.map(agent => agent.name)
   const timeOf = (own: string): number => Filling.Switching.startAtMs({ model: 'm', version: 2, namedAtMs: 1_000, versionMs: 8_000, own, names })
--- /dev/null
+++ b/test/direct-spread.test.ts
@@ -0,0 +1,60 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as PlatformStore from '../standins/platformStore.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as Fleet from '../testkit/fleet.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const MODEL = 'm'
+const CHUNK_COUNT = 64
+const CHUNK_BYTES = 2_048
+/** A version takes 0.26 s of such a link. */
+const LINK_BITS_PER_SECOND = 4_000_000
+const VERSION_MS = 8_000
+const LIMIT_MS = 6_000
+const stops: Array<() => Promise<void>> = []
+
+async function createFleet (isOriginUp: () => boolean = () => true): Promise<{ fleet: Fleet.Fleet, store: PlatformStore.PlatformStore }> {
+  const store = await PlatformStore.startPlatformStore()
+  stops.push(store.close)
+  store.put('op', 'config', Direct.deploymentOf({ origin: '127.0.0.1:1' }))
+  const fleet = Fleet.createFleet({ store, model: MODEL, chunkCount: CHUNK_COUNT, chunkBytes: CHUNK_BYTES, linkBitsPerSecond: LINK_BITS_PER_SECOND, versionMs: VERSION_MS, isOriginUp })
+  return { fleet, store }
+}
+
+describe('Spread of a version', () => {
+  afterEach(async () => {
+    await Promise.all(stops.splice(1).map(async stop => { await stop() }))
+    for (const stop of stops.splice(0)) await stop()
+  })
+
+  describe('after all instances restarted', () => {
+    it('fills a region in which no instance holds anything from the others', async () => {
+      const { fleet, store } = await createFleet()
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      const full = (): Map<number, Buffer> => new Map(Array.from({ length: CHUNK_COUNT }, (_, index) => [index, fleet.chunkOf(2, index)]))
+      const agents = await Promise.all([
+        ...['a1', 'a2', 'a3'].map(async name => await fleet.start(name, 'ra', { staged: full() })),
+        ...['b1', 'b2', 'b3'].map(async name => await fleet.start(name, 'rb', {}))
+      ])
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.until('every engine serves the version', LIMIT_MS, () => agents.every(agent => agent.version === 2))
+      const drawnCount = [...fleet.drawnCounts.values()].reduce((sum, count) => sum + count, 0)
+      expect(drawnCount <= CHUNK_COUNT / 4).toEqual(true)
+    })
+  })
+
+  describe('that was just named', () => {
+    it('draws each chunk from the origin once, also while an engine is gone', async () => {
+      const { fleet, store } = await createFleet()
+      const names = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3']
+      const agents = await Promise.all(names.map(async name => await fleet.start(name, name.startsWith('a') ? 'ra' : 'rb', { version: 1, isEngineUp: name !== 'b3' })))
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.sleep(4_000)
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      await TestKit.Wait.until('every living engine serves the version', VERSION_MS, () => agents.every(agent => agent.version === 2 || !agent.isEngineUp))
+      console.error([...fleet.drawnCounts].filter(([, c]) => c > 1), agents.map(a => a.name + JSON.stringify(a.lines.filter(l => /held whole|being|not had|told/.test(l.sentence)).map(l => [l.sentence.slice(0, 14), l.fields])))); const counts = [...fleet.drawnCounts].flatMap(([chunk, count]) => chunk.startsWith('2/') ? [count] : [])
+      expect([counts.length, Math.max(...counts)]).toEqual([CHUNK_COUNT, 1])
+    })
+  })
+})
