Undo the four circles of imports

Cause: agent shares and tables, control node and peers, gateway operators, survey, reads and changes, and the systems routing, asking and hedging imported one another. Change: what two of them need lies below both: sending attempts apart from routing, what operators' procedures need and the procedure that reports apart from the router, what a peer is answered beside the procedures, the fairness row beside the other rows. No behaviour changed.

--- a/src/agent/shares.ts
+++ b/src/agent/shares.ts
@@ -11,14 +11,6 @@
 import type * as Attempts from './attempts.ts'
 import type * as Tables from './tables.ts'
 
-/** The clock that the workspaces' virtual clocks are compared with. */
-export interface FairnessRow {
-  /** The start time of the attempt that was admitted last, in virtual milliseconds. */
-  virtualMs: number
-  /** The mean time that the endpoint takes for an attempt, in milliseconds; 0 while unknown. */
-  meanServiceMs: number
-}
-
 const MEAN_SHARE = 0.1
 const DEFAULT_WEIGHT = 1
 /** Attempts, for each unit of weight, that a workspace may catch up on after using less than its share. */
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -10,7 +10,6 @@
 import * as Attempts from './attempts.ts'
 import * as Limiter from './limiter.ts'
 import type * as Messages from './messages.ts'
-import type * as Shares from './shares.ts'
 
 /** An attempt that was offered to this agent and is not finished. */
 export type AttemptRow = Attempts.AttemptRow
@@ -93,6 +92,14 @@
 /** Why an endpoint takes no new work. */
 export type DrainReason = 'the agent is stopping' | 'an operator took it out of service' | 'the platform lists it as leaving'
 
+/** The clock that the workspaces' virtual clocks are compared with. */
+export interface FairnessRow {
+  /** The start time of the attempt that was admitted last, in virtual milliseconds. */
+  virtualMs: number
+  /** The mean time that the endpoint takes for an attempt, in milliseconds; 0 while unknown. */
+  meanServiceMs: number
+}
+
 /** Everything that an agent's systems decide from. */
 export interface Tables {
   readonly identity: AgentIdentity
@@ -109,7 +116,7 @@
   /** Returns wall-clock time in milliseconds since 1970. */
   readonly wallClock: () => number
   readonly limiter: Limiter.LimiterRow
-  readonly fairness: Shares.FairnessRow
+  readonly fairness: FairnessRow
   /** What the endpoint reported last. */
   reported: Messages.EndpointLoad | undefined
   /** The newest crashes of the endpoint. */
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -40,7 +40,7 @@
 }
 
 /** A process's part in control. */
-export interface ControlNode {
+export interface ControlNode extends Peers.PeerHandlers {
   /** The documents held; no manifest until the process has learnt the newest one. */
   readonly held: Documents.Held
   instances: () => readonly Schemas.Platform.Instance[]
@@ -58,26 +58,9 @@
   announce: (address: { readonly host: string, readonly port: number, readonly service?: string }) => void
   /** Tells the other processes that this one is leaving. */
   leave: () => void
-  /** Answers a peer: what it holds that the peer does not, and the versions held. */
-  exchange: (request: ExchangeRequest) => ExchangeAnswer
-  /** Takes a peer's message and answers it. */
-  gossip: (message: Schemas.Membership.Gossip) => Promise<Schemas.Membership.Gossip>
-  /** Probes another process for a peer. */
-  probe: (request: Schemas.Membership.ProbeRequest) => Promise<Schemas.Membership.ProbeAnswer>
   stop: () => void
 }
 
-/** What a peer holds, and what it brings. */
-export const ExchangeRequest = Schemas.Control.Versions
-/** What a peer holds. */
-export type ExchangeRequest = Schemas.Control.Versions
-
-/** What the peer did not hold. */
-export interface ExchangeAnswer {
-  readonly versions: Schemas.Control.Versions
-  readonly documents: readonly Schemas.Control.Document[]
-}
-
 const LIST_TIMEOUT_MS = 2_000
 const BEAT_MS = 100
 /** Addresses that a process may listen on and cannot be reached at; its place is then what the list says. */
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -5,26 +5,44 @@
  */
 import * as Edge from '../edge/index.ts'
 import * as Schemas from '../schema/index.ts'
-import type * as Node from './node.ts'
+
+/** What a peer holds. */
+export type ExchangeRequest = Schemas.Control.Versions
+
+/** What the peer did not hold. */
+export interface ExchangeAnswer {
+  readonly versions: Schemas.Control.Versions
+  readonly documents: readonly Schemas.Control.Document[]
+}
+
+/** How a process answers the others. */
+export interface PeerHandlers {
+  /** Answers a peer: what it holds that the peer does not, and the versions held. */
+  exchange: (request: ExchangeRequest) => ExchangeAnswer
+  /** Takes a peer's message and answers it. */
+  gossip: (message: Schemas.Membership.Gossip) => Promise<Schemas.Membership.Gossip>
+  /** Probes another process for a peer. */
+  probe: (request: Schemas.Membership.ProbeRequest) => Promise<Schemas.Membership.ProbeAnswer>
+}
 
 /**
  * Makes the procedures, to be made part of a process's router.
  *
- * @param node - The process's part in control.
+ * @param handlers - How the process answers.
  * @returns The procedures by name.
  */
-export function createProcedures (node: Node.ControlNode) {
+export function createProcedures (handlers: PeerHandlers) {
   const { peerProcedure } = Edge.Rpc
   return {
     exchange: peerProcedure
       .input(Schemas.Decode.parser(Schemas.Control.Versions))
-      .mutation(({ input }) => node.exchange(input)),
+      .mutation(({ input }) => handlers.exchange(input)),
     gossip: peerProcedure
       .input(Schemas.Decode.parser(Schemas.Membership.Gossip))
-      .mutation(async ({ input }) => await node.gossip(input)),
+      .mutation(async ({ input }) => await handlers.gossip(input)),
     probe: peerProcedure
       .input(Schemas.Decode.parser(Schemas.Membership.ProbeRequest))
-      .mutation(async ({ input }) => await node.probe(input))
+      .mutation(async ({ input }) => await handlers.probe(input))
   }
 }
 
@@ -38,7 +56,7 @@
   /** Asks one process to probe another; undefined when the first does not answer. */
   relay: (via: Edge.HttpClient.Target, request: Schemas.Membership.ProbeRequest) => Promise<Schemas.Membership.ProbeAnswer | undefined>
   /** Fetches the documents that are newer than some versions. */
-  pull: (target: Edge.HttpClient.Target, versions: Schemas.Control.Versions) => Promise<Node.ExchangeAnswer | undefined>
+  pull: (target: Edge.HttpClient.Target, versions: Schemas.Control.Versions) => Promise<ExchangeAnswer | undefined>
 }
 
 const GOSSIP_TIMEOUT_MS = 800
--- a/src/gateway/changes.ts
+++ b/src/gateway/changes.ts
@@ -8,7 +8,7 @@
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Schemas from '../schema/index.ts'
-import type * as Operators from './operators.ts'
+import type * as OperatorOptions from './operatorOptions.ts'
 import * as Survey from './survey.ts'
 
 /** The answer to an operator's change. */
@@ -39,7 +39,7 @@
  * @param expectedVersion - Refuses unless this version is in force.
  * @returns The answer.
  */
-export async function commitManifest (options: Operators.OperatorOptions, data: unknown, expectedVersion: number | undefined): Promise<ChangeAnswer> {
+export async function commitManifest (options: OperatorOptions.OperatorOptions, data: unknown, expectedVersion: number | undefined): Promise<ChangeAnswer> {
   const manifest = decodeManifest(data)
   if (manifest.isErr()) return refused('manifestInvalid', Schemas.Decode.describe(manifest.error))
   const problems = Control.ManifestRules.check(manifest.value)
@@ -60,7 +60,7 @@
  * @param input - What to change.
  * @returns The answer; without force it refuses what would make callers be refused.
  */
-export async function changeDrain (options: Operators.OperatorOptions, input: DrainRequest): Promise<ChangeAnswer> {
+export async function changeDrain (options: OperatorOptions.OperatorOptions, input: DrainRequest): Promise<ChangeAnswer> {
   const manifest = options.node.held.manifest()
   if (manifest === undefined) return refused('notReady', 'no manifest is in force here')
   if (!isKnown(options, manifest, input)) return refused('notFound', `there is no ${input.what} "${input.name}"`)
@@ -84,19 +84,19 @@
  * @param digest - The start of an entry's digest, or `all`.
  * @returns The answer.
  */
-export async function liftQuarantine (options: Operators.OperatorOptions, digest: string): Promise<ChangeAnswer> {
+export async function liftQuarantine (options: OperatorOptions.OperatorOptions, digest: string): Promise<ChangeAnswer> {
   const known = options.node.held.quarantine().entries.map(entry => entry.digest)
   const lift = digest === 'all' ? known : known.filter(entry => entry.startsWith(digest))
   if (lift.length === 0 || digest === '') return refused('notFound', `no entry starts with "${digest}"`)
   return conclude(options, await Control.Quarantines.commit(options.tables, { put: [], lift }))
 }
 
-function isKnown (options: Operators.OperatorOptions, manifest: Schemas.Manifest.Manifest, input: DrainRequest): boolean {
+function isKnown (options: OperatorOptions.OperatorOptions, manifest: Schemas.Manifest.Manifest, input: DrainRequest): boolean {
   const names = input.what === 'zone' ? manifest.zones.map(zone => zone.name) : options.node.instances().map(instance => instance.instanceId)
   return !input.drained || names.includes(input.name)
 }
 
-function conclude (options: Operators.OperatorOptions, committed: Neverthrow.Result<Schemas.Control.Document, Control.Commits.CommitFailure>): ChangeAnswer {
+function conclude (options: OperatorOptions.OperatorOptions, committed: Neverthrow.Result<Schemas.Control.Document, Control.Commits.CommitFailure>): ChangeAnswer {
   if (committed.isErr()) {
     const { code, message, current } = committed.error
     options.log.warn('control', 'Change refused.', { code, reason: message })
--- a/src/gateway/operators.ts
+++ b/src/gateway/operators.ts
@@ -6,21 +6,13 @@
 import * as Schema from 'effect/Schema'
 import * as Control from '../control/index.ts'
 import * as Edge from '../edge/index.ts'
-import type * as Platform from '../platform/index.ts'
 import * as Schemas from '../schema/index.ts'
 import * as Changes from './changes.ts'
+import type * as OperatorOptions from './operatorOptions.ts'
 import * as Reads from './reads.ts'
+import * as Reporting from './reporting.ts'
 import * as Survey from './survey.ts'
 
-/** What the procedures need. */
-export interface OperatorOptions {
-  readonly node: Control.Node.ControlNode
-  readonly tables: Platform.TableClient.TableClient
-  readonly report: () => Schemas.Control.GatewayReport
-  readonly peerKey: () => string
-  readonly log: Edge.Log.Log
-}
-
 const CommitInput = Schema.Struct({ manifest: Schema.Unknown, expectedVersion: Schema.optional(Schema.Int) })
 const ShowInput = Schema.Struct({ version: Schema.optional(Schema.Int) })
 const DrainInput = Schema.Struct({ what: Schema.Literals(['zone', 'instance']), name: Schema.String, drained: Schema.Boolean, force: Schema.Boolean })
@@ -34,10 +26,10 @@
  * @param options - What the procedures need.
  * @returns The router.
  */
-export function createProcedures (options: OperatorOptions) {
-  const { operatorProcedure, peerProcedure } = Edge.Rpc
+export function createProcedures (options: OperatorOptions.OperatorOptions) {
+  const { operatorProcedure } = Edge.Rpc
   return Edge.Rpc.router({
-    report: peerProcedure.mutation(() => options.report()),
+    ...Reporting.createProcedures(options.report),
     ...Control.Peers.createProcedures(options.node),
     commit: operatorProcedure
       .input(Schemas.Decode.parser(CommitInput))
--- a/src/gateway/reads.ts
+++ b/src/gateway/reads.ts
@@ -5,7 +5,7 @@
  */
 import * as Control from '../control/index.ts'
 import * as Schemas from '../schema/index.ts'
-import type * as Operators from './operators.ts'
+import type * as OperatorOptions from './operatorOptions.ts'
 import * as Survey from './survey.ts'
 
 /** A manifest and its version. */
@@ -23,7 +23,7 @@
  * @param options - What the procedures need.
  * @returns Reports, drains, and who lags or is silent.
  */
-export async function readStatus (options: Operators.OperatorOptions) {
+export async function readStatus (options: OperatorOptions.OperatorOptions) {
   const { agents, gateways, silentInstanceIds } = await Survey.survey(options.node.instances(), options.peerKey)
   const newest = Math.max(options.node.held.versions().manifest, ...[...agents, ...gateways].map(report => report.versions.manifest))
   return {
@@ -39,7 +39,7 @@
 }
 
 /** Tells of each assigned instance whether it holds what the plan in force wants. */
-function assignedOf (options: Operators.OperatorOptions, agents: readonly Schemas.Control.AgentReport[]): Array<{ instanceId: string, state: string, upToDate: boolean }> {
+function assignedOf (options: OperatorOptions.OperatorOptions, agents: readonly Schemas.Control.AgentReport[]): Array<{ instanceId: string, state: string, upToDate: boolean }> {
   const { placement, versions } = options.node.held
   const plan = placement()
   return (plan?.assignments ?? []).map(assignment => {
@@ -57,7 +57,7 @@
  * @returns Versions and names.
  * @throws When the table service does not answer.
  */
-export async function readHistory (options: Operators.OperatorOptions, limitCount: number): Promise<Array<{ version: number, name: string }>> {
+export async function readHistory (options: OperatorOptions.OperatorOptions, limitCount: number): Promise<Array<{ version: number, name: string }>> {
   const rows = await options.tables.scan(Control.Commits.HISTORY_TABLE, '', HISTORY_SCAN_COUNT)
   if (rows.isErr()) throw new Error(rows.error.message)
   return rows.value.slice(-limitCount).map(row => {
@@ -72,7 +72,7 @@
  * @param options - What the procedures need.
  * @returns The manifest and its version.
  */
-export async function readNewest (options: Operators.OperatorOptions): Promise<VersionedManifest> {
+export async function readNewest (options: OperatorOptions.OperatorOptions): Promise<VersionedManifest> {
   const documents = await Control.Commits.readDocuments(options.tables)
   if (documents.isOk()) documents.value.forEach(options.node.adopt)
   return { version: options.node.held.versions().manifest, manifest: options.node.held.manifest() }
@@ -86,7 +86,7 @@
  * @returns The manifest; undefined for a version that is not in the history.
  * @throws When the table service does not answer.
  */
-export async function readVersion (options: Operators.OperatorOptions, version: number): Promise<VersionedManifest> {
+export async function readVersion (options: OperatorOptions.OperatorOptions, version: number): Promise<VersionedManifest> {
   const rows = await options.tables.read([{ table: Control.Commits.HISTORY_TABLE, key: Control.Commits.historyKeyOf(version) }])
   if (rows.isErr()) throw new Error(rows.error.message)
   const stored = rows.value[0]?.value as { body?: unknown } | undefined
--- a/src/gateway/survey.ts
+++ b/src/gateway/survey.ts
@@ -6,7 +6,7 @@
 import type * as AgentProcedures from '../agent/procedures.ts'
 import * as Edge from '../edge/index.ts'
 import type * as Schemas from '../schema/index.ts'
-import type * as Operators from './operators.ts'
+import type * as Reporting from './reporting.ts'
 
 /** What every process reports of itself. */
 export interface Survey {
@@ -38,7 +38,7 @@
   const agents = await askEach(instances.filter(instance => instance.kind === 'agent'), async instance =>
     await Edge.Rpc.createClient<AgentProcedures.AgentRouter>(instance, peerKey, TIMEOUT_MS).report.mutate())
   const gateways = await askEach(instances.filter(instance => instance.kind === 'gateway'), async instance =>
-    await Edge.Rpc.createClient<Operators.GatewayRouter>(instance, peerKey, TIMEOUT_MS).report.mutate())
+    await Edge.Rpc.createClient<Reporting.ReportingRouter>(instance, peerKey, TIMEOUT_MS).report.mutate())
   return { agents: agents.answers, gateways: gateways.answers, silentInstanceIds: [...agents.silentInstanceIds, ...gateways.silentInstanceIds].sort() }
 }
 
--- a/src/gateway/systems/asking.ts
+++ b/src/gateway/systems/asking.ts
@@ -8,7 +8,7 @@
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
 import type * as Tables from '../tables.ts'
-import * as Routing from './routing.ts'
+import * as Sending from './sending.ts'
 
 /** An attempt without an answer for so long is asked about, in milliseconds. */
 const SILENT_AFTER_MS = 1_500
@@ -95,7 +95,7 @@
   Finish.clearAttempt(tables, row)
   row.ask = undefined
   row.answering = false
-  Routing.wait(tables, row)
+  Sending.wait(tables, row)
   if (row.detached) Finish.finish(tables, tick, row, 'callerGone', { reason: 'The caller was answered before the call was run.' })
 }
 
--- a/src/gateway/systems/calls.ts
+++ b/src/gateway/systems/calls.ts
@@ -11,7 +11,7 @@
 import type * as Schemas from '../../schema/index.ts'
 import * as Outliers from '../outliers.ts'
 import * as Suspicion from '../suspicion.ts'
-import * as Routing from './routing.ts'
+import * as Sending from './sending.ts'
 import * as Asking from './asking.ts'
 
 const RETRY_AFTER_MS = 1_000
@@ -125,7 +125,7 @@
   tables.calls.set(call.callId, row)
   tables.deadlines.set(call.callId, row.deadlineMs)
   if (call.idempotencyKey !== undefined || !row.idempotent) tables.covered.add(call.callId)
-  Routing.wait(tables, row)
+  Sending.wait(tables, row)
 }
 
 function settle (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, end: Messages.AttemptEnd): void {
--- a/src/gateway/systems/claims.ts
+++ b/src/gateway/systems/claims.ts
@@ -10,6 +10,7 @@
 import type * as Tables from '../tables.ts'
 import * as Asking from './asking.ts'
 import * as Routing from './routing.ts'
+import * as Sending from './sending.ts'
 
 const RETRY_AFTER_MS = 1_000
 
@@ -36,7 +37,7 @@
     row.claimRecord = result.record
     row.claimedAttemptId = result.record.attemptId
     if (tick.nowMs >= row.deadlineMs) { refuse(tables, tick, row, 'deadlinePassed', { reason: 'The deadline passed while the key was claimed.' }); return }
-    if (!isCurrent(tables, row)) { row.current = undefined; Routing.wait(tables, row); return }
+    if (!isCurrent(tables, row)) { row.current = undefined; Sending.wait(tables, row); return }
     Routing.send(tables, tick, row)
   },
   held: (tables, tick, row, result) => { resolveHeld(tables, tick, row, result) },
--- a/src/gateway/systems/hedging.ts
+++ b/src/gateway/systems/hedging.ts
@@ -6,7 +6,7 @@
 import * as Choice from '../choice.ts'
 import * as Finish from '../finish.ts'
 import type * as Tables from '../tables.ts'
-import * as Routing from './routing.ts'
+import * as Sending from './sending.ts'
 
 const MEAN_SHARE = 0.05
 /** The delay in mean absolute deviations above the mean. */
@@ -50,9 +50,9 @@
     endpoint.endpointId !== row.current?.endpointId && !row.refusedBy.has(endpoint.endpointId) && Choice.spareOf(endpoint) > 0)
   const choice = Choice.choose(tables, tick.random, row, others)
   if (choice === undefined || !tables.budgets.withdraw(row.call.workspace, tick.nowMs)) return
-  row.hedge = Routing.attemptAt(tables, choice.endpoint)
+  row.hedge = Sending.attemptAt(tables, choice.endpoint)
   tick.log('routing', 'Call hedged.', { callId: row.call.callId, endpointId: choice.endpoint.endpointId, waitedMs: Math.round(tick.nowMs - row.sentAtMs), reason: 'the answer is late' })
-  Routing.dispatch(tables, tick, row, row.hedge, choice.endpoint)
+  Sending.dispatch(tables, tick, row, row.hedge, choice.endpoint)
 }
 
 /** An answer began: the other attempt is dropped; the edge has cancelled it. */
--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -12,6 +12,7 @@
 import * as Asking from './asking.ts'
 import * as Clocks from './clocks.ts'
 import * as Hedging from './hedging.ts'
+import * as Sending from './sending.ts'
 
 /** The most attempts of one call. */
 const MAX_ATTEMPT_COUNT = 4
@@ -45,17 +46,6 @@
   }
 }
 
-/**
- * Puts a call among those that wait for an endpoint.
- *
- * @param tables - The gateway's tables.
- * @param row - The call.
- */
-export function wait (tables: Tables.Tables, row: Tables.CallRow): void {
-  row.state = 'routing'
-  tables.waiting.add(row.call.callId)
-}
-
 /**
  * Sends a call's chosen attempt to its agent.
  *
@@ -68,7 +58,7 @@
   const endpoint = current === undefined ? undefined : tables.endpoints.get(current.endpointId)
   if (current === undefined || endpoint === undefined || !Choice.takesNewWork(tables, endpoint)) {
     row.current = undefined
-    wait(tables, row)
+    Sending.wait(tables, row)
     return
   }
   const { call } = row
@@ -77,80 +67,10 @@
   row.state = 'running'
   row.sentAtMs = tick.nowMs
   Asking.expectAnswer(tick, row)
-  dispatch(tables, tick, row, current, endpoint)
+  Sending.dispatch(tables, tick, row, current, endpoint)
   Hedging.plan(tables, row)
 }
 
-/**
- * Chooses an attempt at an endpoint.
- *
- * @param tables - The gateway's tables.
- * @param endpoint - The endpoint.
- * @returns The attempt, not sent yet.
- */
-export function attemptAt (tables: Tables.Tables, endpoint: Tables.EndpointRow): Tables.CurrentAttempt {
-  return {
-    attemptId: tables.makeId(),
-    endpointId: endpoint.endpointId,
-    agentIncarnation: endpoint.report?.incarnation ?? '',
-    modelVersion: endpoint.report?.modelVersion,
-    endpointIncarnation: endpoint.report?.endpointIncarnation
-  }
-}
-
-/**
- * Sends an attempt to the agent of an endpoint.
- *
- * @param tables - The gateway's tables.
- * @param tick - The current tick.
- * @param row - The call.
- * @param attempt - The attempt.
- * @param endpoint - The endpoint.
- */
-export function dispatch (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, attempt: Tables.CurrentAttempt, endpoint: Tables.EndpointRow): void {
-  const { call } = row
-  const { endpointId } = endpoint
-  attempt.expiresAtMs ??= Clocks.expiryOf(tables, tick, row, attempt)
-  row.openAttempts.add(attempt.attemptId)
-  Finish.occupy(endpoint, call.workspace)
-  const drained = !Choice.takesNewWork(tables, endpoint)
-  tick.check('drainedZone', !drained, () => ({ callId: call.callId, endpointId, zone: endpoint.zone }))
-  tick.check('leavingEndpoint', endpoint.listedState !== 'leaving', () => ({ callId: call.callId, endpointId }))
-  tick.emit({
-    kind: 'dispatch',
-    dispatch: {
-      callId: call.callId,
-      endpointId,
-      target: { host: endpoint.host, port: endpoint.port },
-      envelope: {
-        callId: call.callId,
-        attemptId: attempt.attemptId,
-        gatewayId: tables.identity.instanceId,
-        workspace: call.workspace,
-        service: row.service,
-        method: call.method,
-        path: call.path,
-        contentType: call.contentType,
-        modelVersion: attempt.modelVersion,
-        adapter: call.adapter,
-        timeLeftMs: row.deadlineMs - tick.nowMs,
-        priority: row.priority,
-        idempotent: row.idempotent,
-        stream: call.stream,
-        resumeFromIndex: row.nextIndex,
-        digest: call.digest,
-        claimKey: call.idempotencyKey === undefined ? undefined : ClaimRecords.claimKeyOf(call.workspace, call.idempotencyKey),
-        idempotencyKey: call.idempotencyKey,
-        agentIncarnation: attempt.agentIncarnation,
-        prefixKey: call.prefixKey,
-        supersedes: row.again?.endpointId === endpointId ? row.again.attemptId : undefined,
-        suspect: row.suspect ? true : undefined,
-        expiresAtMs: attempt.expiresAtMs
-      }
-    }
-  })
-}
-
 function route (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
   if (Suspicion.isQuarantined(tables, row.call.digest)) { refuse(tables, tick, row, 'quarantined'); return }
   if (row.attemptCount >= MAX_ATTEMPT_COUNT || row.failureCount >= (row.nextIndex > 0 ? MAX_STREAM_FAILURE_COUNT : MAX_FAILURE_COUNT)) { refuse(tables, tick, row); return }
@@ -162,7 +82,7 @@
   if (!mayRepeat(tables, tick, row)) { refuse(tables, tick, row); return }
   const { endpoint, candidateCount, reason } = choice
   row.attemptCount++
-  row.current = attemptAt(tables, endpoint)
+  row.current = Sending.attemptAt(tables, endpoint)
   Choice.rememberPrefix(tables, row.call.prefixKey, endpoint.endpointId)
   tick.log('routing', 'Endpoint chosen.', { callId: row.call.callId, endpointId: endpoint.endpointId, zone: endpoint.zone, spareCount: Choice.spareOf(endpoint), candidateCount, reason: again === undefined ? reason : 'asked again over a new connection' })
   row.current.expiresAtMs = Clocks.expiryOf(tables, tick, row, row.current)
@@ -188,7 +108,7 @@
   row.backOffCount++
   row.refusedBy.clear()
   row.notBeforeMs = tick.nowMs + delayMs
-  wait(tables, row)
+  Sending.wait(tables, row)
 }
 
 function refuse (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, notRunCode?: Core.Codes.CodeName): void {
