Stage chunks before all are held; a chunk that the origin refuses goes behind

Staged chunks of another version ended the look through what lies at the engine. A chunk that the origin does not give took both of the agent's places there again and again, before all others. Ruled out: keeping chunks on the agent's own instance; there is no disk. Change: chunks of the oldest version under way are staged as they come, verified again before the engine is told to load; after a restart the chunks that fit are taken from among others; a refused chunk waits 0.6 s, twice the back-off.

--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -82,6 +82,8 @@
 const REFUSED_MS = 1_500
 /** The origin is asked again after so long, spread at random, in milliseconds: it resets callers that come together. */
 const ORIGIN_BACK_OFF_MS = 300
+/** A chunk that the origin did not give goes behind the others for so long, in milliseconds: twice the back-off, so that another one has its turn. */
+const ORIGIN_CHUNK_BACK_OFF_MS = 600
 const ORIGIN_NAME = 'origin'
 /** Chunks that one agent draws from the origin at once, where its connections allow. */
 const ORIGIN_LIMIT_COUNT = 2
@@ -202,10 +204,11 @@
       refusedAtMs.set(`${agent.name} ${key}`, clock())
       if (bytes === 'absent') holdersOf.get(key)?.delete(agent.name)
     } else {
+      refusedAtMs.set(`${ORIGIN_NAME} ${key}`, clock())
       originAfterMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACK_OFF_MS)
     }
   }
-  const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < REFUSED_MS
+  const hasRefused = (name: string, key: string, nowMs: number): boolean => nowMs - (refusedAtMs.get(`${name} ${key}`) ?? -Infinity) < (name === ORIGIN_NAME ? ORIGIN_CHUNK_BACK_OFF_MS : REFUSED_MS)
   /** Chooses where a chunk is fetched now; undefined when it has to wait. */
   const sourceOf = (chunk: Sources.Chunk, key: string, lines: Sources.Lines, regions: ReadonlyMap<string, string>, sinceMs: number, isSettled: boolean): Exclude<Choosing.Choice, { kind: 'wait' }> | undefined => {
     const nowMs = clock()
@@ -227,7 +230,7 @@
       mayAskOthers: nowMs - blindAtMs >= BLIND_EVERY_MS,
       tryCount: tryCounts.get(key) ?? 0
     }, options.random.next())
-    if (choice.kind === 'wait' || (choice.kind === 'origin' && !isOriginFree(nowMs))) return undefined
+    if (choice.kind === 'wait' || (choice.kind === 'origin' && (!isOriginFree(nowMs) || hasRefused(ORIGIN_NAME, key, nowMs)))) return undefined
     if (choice.kind === 'agent' && !choice.told) blindAtMs = nowMs
     return choice
   }
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -68,8 +68,7 @@
     for (const index of await engine.listStaged(model) ?? []) {
       const bytes = await engine.readStaged(model, index)
       if (bytes === undefined) continue
-      if (!library.put(volume, index, bytes)) break
-      found.add(index)
+      if (library.put(volume, index, bytes)) found.add(index)
     }
     if (found.size === 0) return
     staged = found
@@ -139,12 +138,13 @@
       const loaded = (report.weights ?? []).find(held => held.model === model)?.version ?? 0
       options.setServing(loaded > 0)
       if (loaded !== (loadedVersions.get(model) ?? 0)) {
-        if (retiredAtMs !== undefined) log('weights', 'Engine loaded.', { model, version: loaded, tookMs: Math.round(clock() - retiredAtMs) })
+        if (loaded > 0 && startedAtMs !== -Infinity) log('weights', 'Engine loaded.', { model, version: loaded, tookMs: Math.round(clock() - startedAtMs) })
         retiredAtMs = undefined
         loadedVersions.set(model, loaded)
       }
       if (loaded >= newest.version) return
-      const version = Switching.versionToLoad(options.progressOf(goals, loaded))
+      const progress = options.progressOf(goals, loaded)
+      const version = Switching.versionToLoad(progress) ?? Switching.versionToStage(progress)
       const goal = goals.find(other => other.version === version)
       const volume = goal === undefined ? undefined : library.volumeOf(model, goal.version)
       if (goal === undefined || volume === undefined) return
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -96,6 +96,16 @@
   return named.filter(progress => progress.heldShare === 1).at(-1)?.version
 }
 
+/**
+ * Chooses the version of which chunks are staged before all are held, so that an agent that is restarted meanwhile finds them at the engine.
+ *
+ * @param named - The named versions that are not loaded, the oldest first.
+ * @returns The version; undefined when no chunk is held.
+ */
+export function versionToStage (named: readonly Progress[]): number | undefined {
+  return named.find(progress => progress.heldShare > 0)?.version
+}
+
 /**
  * Tells how long ago a version was named, for the log.
  *
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -31,7 +31,7 @@
 }
 
 /** Runs a filler against an engine and an origin in memory. */
-function start (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (stage: Stage) => void } = {}): Stage {
+function start (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (stage: Stage) => void, readonly originHas?: (index: number) => boolean } = {}): Stage {
   const stage: Stage = { staged: new Map(), orders: [], drawn: [], version: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrong: new Map(), stop: () => { clearInterval(timer) } }
   const report = (): Filling.Ports.EngineReport => ({ activeCount: stage.activeCount, queuedCount: 0, pace: 1, loading: false, weights: stage.version === 0 ? [] : [{ model: 'm', version: stage.version }], bornAtMs: 1 })
   let tampered = false
@@ -44,6 +44,7 @@
     origin: () => ({
       manifest: async (_model, asked) => Neverthrow.ok(manifestOf(asked)),
       chunk: async (_model, asked, index) => {
+        if (changes.originHas?.(index) === false) return Neverthrow.err('absent')
         stage.drawn.push(index)
         const wrong = stage.wrong.get(index)
         stage.wrong.delete(index)
@@ -125,6 +126,22 @@
     expect(stage.orders.map(order => order.staged)).toEqual([wholeOf(2)])
   })
 
+  it('stages chunks while others are still to come, so that a restart finds them', async () => {
+    const stage = start(1, { originHas: index => index < 5 })
+    await TestKit.Wait.until('the chunks that the origin gives', LIMIT_MS, () => stage.staged.size === 5)
+    await TestKit.Wait.sleep(50)
+    stage.stop()
+    expect(stage.orders).toEqual([])
+  })
+
+  it('takes the chunks of the version from among others that lie at the engine', async () => {
+    const stage = start(2)
+    for (let index = 0; index < COUNT; index++) stage.staged.set(index, chunkOf(index % 2 === 0 ? 1 : 2, index))
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    expect([stage.orders.map(order => order.staged), stage.drawn.every(index => index % 2 === 0)]).toEqual([[wholeOf(2)], true])
+  })
+
   it('draws nothing that already lies at the engine', async () => {
     const stage = start(1)
     for (let index = 0; index < COUNT; index++) stage.staged.set(index, chunkOf(1, index))
