--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -25,14 +25,16 @@
     .command('manifest', 'Work with manifests', sub => manifestCommands(sub, run))
     .command('zone', 'Take availability zones out of service and back', sub => drainCommands(sub, run, 'zone'))
     .command('instance', 'Take instances out of service and back', sub => drainCommands(sub, run, 'instance'))
-    .command('explain [call-id]', 'Show limits, shares and why calls are refused; with a call\'s id and logs, what became of it', sub => sub
+    .command('explain [call-id]', 'Show limits, shares and why calls are refused; with logs, what became of a call or of all that failed', sub => sub
       .positional('call-id', { type: 'string', describe: 'Id of the caller\'s attempt; needs --logs' })
-      .option('logs', { type: 'string', array: true, default: [], describe: 'Log files of gateways and agents' })
+      .option('logs', { type: 'string', array: true, default: [] as string[], describe: 'Log files of gateways and agents' })
+      .option('sample', { type: 'number', default: 0, describe: 'Without a call\'s id: so many failed calls drawn at random' })
+      .option('seed', { type: 'number', default: 1, describe: 'Draws the sample' })
       .option('service', { type: 'string', describe: 'Only this service' })
       .option('workspace', { type: 'string', describe: 'Only this workspace' })
-      .check(argv => (argv['call-id'] === undefined) === (argv.logs.length === 0) || 'a call\'s id and --logs go together'), argv => {
+      .check(argv => argv.callId === undefined || argv.logs.length > 0 || 'a call\'s id needs --logs'), argv => {
       const { callId } = argv
-      run(async () => callId === undefined ? await Limits.explain(argv) : Logs.explain({ ...argv, callId }))
+      run(async () => argv.logs.length === 0 ? await Limits.explain(argv) : callId === undefined ? Logs.survey(argv) : Logs.explain({ ...argv, callId }))
     })
     .command('quarantine', 'Work with calls that crash endpoints', sub => quarantineCommands(sub, run))
     .command('status', 'Show endpoints, versions, drains and who lags', sub => sub
--- a/src/ctl/story.ts
+++ b/src/ctl/story.ts
@@ -34,23 +34,49 @@
 const NEAR_MS = 3_000
 /** Beliefs that leave a call without an endpoint may be so old, in milliseconds: a version has about so long to be everywhere. */
 const BELIEF_MS = 10_000
-const END_LINES: ReadonlySet<string> = new Set(['Call answered.', 'Call refused.', 'Call failed.', 'Failure passed on.', 'Call cancelled.', 'Call denied.'].map(sentence => `routing: ${sentence}`))
+const UNSERVED_LINES: ReadonlySet<string> = new Set(['Call refused.', 'Call failed.', 'Failure passed on.', 'Call cancelled.', 'Call denied.'].map(sentence => `routing: ${sentence}`))
+const END_LINES: ReadonlySet<string> = new Set([...UNSERVED_LINES, 'routing: Call answered.'])
 const BELIEF_LINE = /^(endpoints|control|weights|store): /
 
+/** Tells stories from one set of lines. */
+export interface Teller {
+  /**
+   * Tells the story of a call.
+   *
+   * @param callId - The id of the caller's attempt.
+   * @returns The story; undefined when no line is about the call.
+   */
+  tell: (callId: string) => Story | undefined
+  /** The calls that were not answered, by id in order. */
+  unservedIds: () => readonly string[]
+}
+
 /**
- * Tells the story of a call.
+ * Creates a teller.
  *
  * @param all - Lines of all processes, in any order.
- * @param callId - The id of the caller's attempt.
- * @returns The story; undefined when no line is about the call.
+ * @returns The teller.
  */
-export function tell (all: readonly Line[], callId: string): Story | undefined {
-  const lines = all.filter(line => line.callId === callId).sort(byTime)
-  const [first] = lines
-  if (first === undefined) return undefined
-  const end = lines.filter(line => END_LINES.has(line.msg)).at(-1)
-  const around = linesAround(all, lines, end)
-  return { callId, lines, around, ...findCause({ lines, around, end }), missing: missingOf(all, lines, end) }
+export function createTeller (all: readonly Line[]): Teller {
+  const byCall = new Map<string, Line[]>()
+  /** Lines about no call: beliefs, starts and stops. */
+  const others: Line[] = []
+  for (const line of [...all].sort(byTime)) {
+    const { callId } = line
+    if (typeof callId !== 'string') others.push(line)
+    else byCall.set(callId, [...byCall.get(callId) ?? [], line])
+  }
+  const endOf = (lines: readonly Line[]): Line | undefined => lines.filter(line => END_LINES.has(line.msg)).at(-1)
+  return {
+    tell: callId => {
+      const lines = byCall.get(callId)
+      if (lines === undefined) return undefined
+      const end = endOf(lines)
+      const around = linesAround(others, lines, end)
+      return { callId, lines, around, ...findCause({ lines, around, end }), missing: missingOf(others, lines, end) }
+    },
+    unservedIds: () => [...byCall].flatMap(([callId, lines]) => UNSERVED_LINES.has(endOf(lines)?.msg ?? '') ? [callId] : []).sort()
+  }
 }
 
 /**
@@ -69,24 +95,24 @@
   return a.time - b.time
 }
 
-function linesAround (all: readonly Line[], lines: readonly Line[], end: Line | undefined): readonly Line[] {
+function linesAround (others: readonly Line[], lines: readonly Line[], end: Line | undefined): readonly Line[] {
   const endpointIds = new Set(lines.flatMap(line => typeof line.endpointId === 'string' ? [line.endpointId] : []))
   const from = (lines[0]?.time ?? 0) - NEAR_MS
   const until = (lines.at(-1)?.time ?? 0) + NEAR_MS
-  const agentIds = agentsBeside(all, endpointIds)
-  const ofEndpoints = all.filter(line => line.time >= from && line.time <= until && line.callId === undefined && (endpointIds.has(String(line.endpointId)) || agentIds.has(line.instanceId)))
-  if (endpointIds.size > 0 || end === undefined) return ofEndpoints.sort(byTime)
-  return all.filter(line => line.instanceId === end.instanceId && line.time <= end.time && line.time >= end.time - BELIEF_MS && line.callId === undefined && BELIEF_LINE.test(line.msg)).sort(byTime)
+  const agentIds = agentsBeside(others, endpointIds)
+  const ofEndpoints = others.filter(line => line.time >= from && line.time <= until && (endpointIds.has(String(line.endpointId)) || agentIds.has(line.instanceId)))
+  if (endpointIds.size > 0 || end === undefined) return ofEndpoints
+  return others.filter(line => line.instanceId === end.instanceId && line.time <= end.time && line.time >= end.time - BELIEF_MS && BELIEF_LINE.test(line.msg))
 }
 
 /** Finds the agents beside endpoints by the addresses that gateways and agents tell. */
-function agentsBeside (all: readonly Line[], endpointIds: ReadonlySet<string>): ReadonlySet<string> {
-  const addresses = new Set(all.filter(line => line.msg === 'endpoints: Endpoint listed.' && endpointIds.has(String(line.endpointId))).map(line => `${String(line.host)}:${String(line.port)}`))
+function agentsBeside (others: readonly Line[], endpointIds: ReadonlySet<string>): ReadonlySet<string> {
+  const addresses = new Set(others.filter(line => line.msg === 'endpoints: Endpoint listed.' && endpointIds.has(String(line.endpointId))).map(line => `${String(line.host)}:${String(line.port)}`))
   const addressOf = (endpoint: unknown): string => {
     const { host, port } = endpoint as { host: string, port: number }
     return `${host}:${port}`
   }
-  return new Set(all.filter(line => line.msg === 'agent: Agent started.' && addresses.has(addressOf(line.endpoint))).map(line => line.instanceId))
+  return new Set(others.filter(line => line.msg === 'agent: Agent started.' && addresses.has(addressOf(line.endpoint))).map(line => line.instanceId))
 }
 
 function findCause (evidence: Evidence): Found {
@@ -115,9 +141,9 @@
 /** Says what refused a call, by the reason of the refusal. */
 const REFUSALS: Readonly<Record<string, (end: Line, around: readonly Line[], lines: readonly Line[]) => Found>> = {
   overCapacity: end => ({ cause: 'overCapacity', because: `${String(end.candidateCount)} endpoints could serve the call; the best, ${String(end.bestId)} with ${String(end.busyCount)} calls, would have begun after ${String(end.bestMs)} ms, the goal being ${String(end.goalMs)} ms and ${String(end.ageMs)} ms gone` }),
-  noEndpoint: (_end, around) => {
-    const beliefs = around.filter(line => !line.msg.startsWith('store: ')).slice(-3).map(line => line.msg)
-    return { cause: 'noEndpoint', because: `no endpoint could serve the call${beliefs.length === 0 ? '' : `; before: ${beliefs.join(' ')}`}` }
+  noEndpoint: end => {
+    const ruledOut = Object.entries((end.ruledOut ?? {}) as Readonly<Record<string, number>>).map(([hurdle, count]) => `${count} ${hurdle}`)
+    return { cause: 'noEndpoint', because: `no endpoint could serve the call: ${ruledOut.join(', ') || 'none is listed'}` }
   },
   notReady: () => ({ cause: 'notReady', because: 'the gateway knew no deployment yet' }),
   outOfTime: end => ({ cause: 'outOfTime', because: `no endpoint had room within the deadline; the call waited ${String(end.tookMs)} ms` }),
@@ -158,11 +184,11 @@
   { cause: 'answerLost', because: 'the connection broke though the endpoint stayed', holds: reasonHas(/^(answering|waiting|sending)|reset|closed|hang up/i) }
 ]
 
-function missingOf (all: readonly Line[], lines: readonly Line[], end: Line | undefined): string[] {
+function missingOf (others: readonly Line[], lines: readonly Line[], end: Line | undefined): string[] {
   const sentCount = lines.filter(line => line.msg === 'routing: Call sent.').length
   const attemptCount = Number(end?.attemptCount ?? sentCount)
   const gatewayIds = new Set(lines.map(line => line.instanceId))
-  const leftOut = all.filter(line => line.msg === 'log: Lines left out.' && gatewayIds.has(line.instanceId) && Math.abs(line.time - (lines.at(-1)?.time ?? 0)) <= NEAR_MS)
+  const leftOut = others.filter(line => line.msg === 'log: Lines left out.' && gatewayIds.has(line.instanceId) && Math.abs(line.time - (lines.at(-1)?.time ?? 0)) <= NEAR_MS)
   return [
     ...(end === undefined ? ['the line that tells how the call ended'] : []),
     ...(sentCount < attemptCount ? [`${attemptCount - sentCount} lines of attempts that were sent`] : []),
--- a/src/edge/log.ts
+++ b/src/edge/log.ts
@@ -7,6 +7,7 @@
 import pino from 'pino'
 import type * as Core from '../core/index.ts'
 import * as LogLimits from './logLimits.ts'
+import type * as Metrics from './metrics.ts'
 
 /** Writes log lines. */
 export interface Log {
@@ -40,11 +41,19 @@
  * @param program - The program's name.
  * @param instanceId - The instance.
  * @param level - The lowest level written.
+ * @param metrics - Counts lines and bytes, where given.
  * @returns The log.
  */
-export function createLog (program: string, instanceId: string, level: Level): Log {
+export function createLog (program: string, instanceId: string, level: Level, metrics?: Metrics.Metrics): Log {
   const output = pino.destination({ dest: 1, sync: false, minLength: BUFFER_BYTES, maxLength: QUEUE_LIMIT_BYTES })
-  const logger = pino({ level, base: { program, instanceId } }, output)
+  const counted = {
+    write: (line: string): void => {
+      metrics?.count('log_lines_total')
+      metrics?.count('log_bytes_total', {}, line.length)
+      output.write(line)
+    }
+  }
+  const logger = pino({ level, base: { program, instanceId } }, counted)
   const limits = LogLimits.createLogLimits(DECISION_LIMIT_COUNT)
   let droppedCount = 0
   output.on('drop', () => { droppedCount++ })
@@ -52,6 +61,8 @@
   const flush = (): void => { output.flush() }
   const tellLosses = (): void => {
     const leftOut = limits.takeLeftOut(performance.now())
+    for (const [kind, count] of Object.entries(leftOut ?? {})) metrics?.count('log_lines_left_out_total', { kind }, count)
+    if (droppedCount > 0) metrics?.count('log_lines_dropped_total', {}, droppedCount)
     if (leftOut !== undefined) logger.info({ leftOut }, 'log: Lines left out.')
     if (droppedCount > 0) logger.warn({ droppedCount }, 'log: Lines dropped, since nothing takes them.')
     droppedCount = 0
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -38,6 +38,8 @@
   isKnown: () => boolean
   /** When the store answered again after an outage, in milliseconds; undefined without one. */
   regainedAtMs: () => number | undefined
+  /** When the rows were last known to be the newest, in milliseconds: the last answer of the store or of a process asked in its place; -Infinity before the first. */
+  freshAtMs: () => number
   /** Whether the store answers. */
   isInTouch: () => boolean
   /** Told that another process holds a newer revision: reads at once over a new connection if this one stays behind. */
@@ -65,6 +67,7 @@
   let whole = false
   let lostAtMs: number | undefined
   let regainedAtMs: number | undefined
+  let freshAtMs = -Infinity
   let stopped = false
   let hintedRevision = 0
   let generation = 0
@@ -76,6 +79,7 @@
     if (rows.length > 0 || first) options.onRows(rows, { fromStore, isFirst: first })
   }
   const noteAnswer = (): void => {
+    freshAtMs = clock()
     if (lostAtMs === undefined) return
     regainedAtMs = clock()
     log('store', 'Store regained.', { table, lostForMs: Math.round(regainedAtMs - lostAtMs), revision: mirror.revision() })
@@ -90,6 +94,7 @@
     const page = await options.askPeer(table, mirror.revision())
     if (page === undefined) return
     const rows = mirror.take(page)
+    if (rows.length > 0) freshAtMs = clock()
     if (rows.length > 0) log('store', 'Rows taken from another process.', { table, rowCount: rows.length, revision: page.revision })
     accept(rows, false)
   }
@@ -139,6 +144,7 @@
     mirror,
     isKnown: () => known,
     regainedAtMs: () => regainedAtMs,
+    freshAtMs: () => freshAtMs,
     isInTouch: () => lostAtMs === undefined,
     hint: revision => {
       if (revision <= Math.max(mirror.rowRevision(), hintedRevision) || stopped) return
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -60,6 +60,9 @@
   lastEventId: string | undefined
   eventCount: number
   firstEventAtMs: number
+  lastEventAtMs: number
+  /** The longest time between two events, in milliseconds. */
+  longestPauseMs: number
   done: boolean
   timer: NodeJS.Timeout | undefined
 }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -69,6 +69,9 @@
 /** Revisions are told again after so long without a change, in milliseconds, in case a datagram was lost. */
 const RETELL_MS = 1_000
 const BACKLOG_COUNT = 1_024
+/** Ages and counts of beliefs are set so often for whoever reads the metrics, in milliseconds. */
+const GAUGE_MS = 1_000
+const MS_PER_SECOND = 1_000
 
 /**
  * Opens a gateway.
@@ -180,6 +183,13 @@
     const named = versions.dated().map(({ model, version, namedAtMs }) => ({ model, version, agoMs: Math.round(nowMs - namedAtMs) }))
     node.tell({ named, revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
+  const tellBeliefs = setInterval(() => {
+    const nowMs = clock()
+    const ages = { operators: operators.follower.freshAtMs(), endpoints: listed.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
+    for (const [belief, atMs] of Object.entries(ages)) metrics.gauge('belief_age_seconds', Math.max(0, nowMs - Math.min(atMs, nowMs)) / MS_PER_SECOND, { belief })
+    for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs))) metrics.gauge('endpoints', count, { state })
+    for (const { model, version } of versions.newest()) metrics.gauge('weights_version', version, { model })
+  }, GAUGE_MS)
   const beat = setInterval(() => {
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
@@ -205,6 +215,7 @@
       server.closeIdleConnections()
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(beat)
+      clearInterval(tellBeliefs)
       operators.follower.stop()
       listed.stop()
       ingress.stop()
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -143,6 +143,8 @@
       lastEventId: facts.lastEventId,
       eventCount: 0,
       firstEventAtMs: 0,
+      lastEventAtMs: 0,
+      longestPauseMs: 0,
       done: false,
       timer: undefined
     }
@@ -178,7 +180,7 @@
     } else {
       waiting.remove(call)
       if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, verdict.reason)
-      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs) })
+      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs) } : {}) })
     }
   }
 
@@ -196,6 +198,7 @@
     const { row } = candidate
     const { listing } = row
     const leftMs = Math.max(1, Math.floor(call.deadlineAtMs - nowMs))
+    metrics.observeSeconds('call_waited_seconds', (nowMs - call.waitingSinceMs) / 1000)
     call.sentCount++
     call.placing.triedIds.add(listing.endpointId)
     Routing.Choice.noteSent(row, call.placing.promptTokens, nowMs)
@@ -308,6 +311,8 @@
     if (whole === undefined) return
     if (attempt.unreadTokens > 0) markRead(attempt)
     beginStream(call, attempt)
+    if (call.eventCount > 0) call.longestPauseMs = Math.max(call.longestPauseMs, attempt.heardAtMs - call.lastEventAtMs)
+    call.lastEventAtMs = attempt.heardAtMs
     call.eventCount++
     if (whole.lastEventId !== undefined) call.lastEventId = whole.lastEventId
     if (!call.response.write(whole.bytes)) {
@@ -369,8 +374,9 @@
     }
     const step = Routing.Retries.next(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, options.surroundings().gatewayCount, nowMs)
-    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next: isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step })
-    metrics.count('attempts_ended_total', { end, next: isRetry ? 'retry' : 'none' })
+    const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
+    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next })
+    metrics.count('attempts_ended_total', { end, next })
     if (isRetry) {
       call.resuming = call.answering
       call.waitingSinceMs = nowMs
@@ -437,6 +443,7 @@
     const tookMs = clock() - call.arrivedAtMs
     metrics.count('calls_ended_total', { outcome })
     metrics.observeSeconds('call_seconds', tookMs / 1000, { outcome })
+    if (call.eventCount > 1) metrics.observeSeconds('longest_pause_seconds', call.longestPauseMs / 1000)
     log('routing', END_SENTENCES[outcome], { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.sentCount, eventCount: call.eventCount, goalMs: call.route.goalMs, deploymentVersion: options.index()?.deployment.version, ...fields })
   }
 
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -129,19 +129,46 @@
   if (row.coldUntilMs > nowMs) row.coldSentAtMs.push(nowMs)
 }
 
+type Hurdle = (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number) => boolean
+
+/** What rules an endpoint of the service out, the cheapest to find first. */
+const HURDLES: ReadonlyArray<readonly [string, Hurdle]> = Object.entries<Hurdle>({
+  unlisted: (row, _placing, _known, nowMs) => (row.keptUntilMs ?? Infinity) <= nowMs,
+  draining: row => row.listing.draining,
+  leftOut: (row, _placing, _known, nowMs) => row.avoidUntilMs > nowMs,
+  silent: (row, _placing, _known, nowMs) => row.ownCount > 0 && nowMs - row.heardAtMs > QUIET_MS,
+  tried: (row, placing) => placing.triedIds.has(row.listing.endpointId),
+  zoneDrained: (row, _placing, known) => known.drainedZones.has(row.listing.zone),
+  region: (row, placing) => placing.regions.some(regions => regions.length > 0 && !regions.includes(row.listing.region)),
+  loading: (row, placing) => placing.service.engine !== undefined && row.load?.loading === true,
+  weights: (row, placing, known) => placing.service.engine !== undefined && !holdsModel(row, placing, known),
+  cold: (row, placing, known, nowMs) => !bearsCold(row, placing.service, known, nowMs)
+})
+
 function isUsable (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): boolean {
-  const { listing } = row
-  if ((row.keptUntilMs ?? Infinity) <= nowMs) return false
-  if (listing.service !== placing.service.name || listing.draining || row.avoidUntilMs > nowMs) return false
-  if (row.ownCount > 0 && nowMs - row.heardAtMs > QUIET_MS) return false
-  if (placing.triedIds.has(listing.endpointId) || known.drainedZones.has(listing.zone)) return false
-  if (placing.regions.some(regions => regions.length > 0 && !regions.includes(listing.region))) return false
-  if (placing.service.engine !== undefined && !holdsModel(row, placing, known)) return false
-  return bearsCold(row, placing.service, known, nowMs)
+  if (row.listing.service !== placing.service.name) return false
+  return !HURDLES.some(([, blocks]) => blocks(row, placing, known, nowMs))
+}
+
+/**
+ * Counts what rules the endpoints of a call's service out, for the log.
+ *
+ * @param placing - The call.
+ * @param known - What the gateway knows.
+ * @param nowMs - The time.
+ * @returns Endpoints by the first thing that rules them out; empty when the service has none.
+ */
+export function countRuledOut (placing: Placing, known: Surroundings, nowMs: number): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {}
+  for (const row of known.endpoints.rows()) {
+    if (row.listing.service !== placing.service.name) continue
+    const hurdle = HURDLES.find(([, blocks]) => blocks(row, placing, known, nowMs))
+    if (hurdle !== undefined) counts[hurdle[0]] = (counts[hurdle[0]] ?? 0) + 1
+  }
+  return counts
 }
 
 function holdsModel (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings): boolean {
-  if (row.load?.loading === true) return false
   return (row.weights ?? []).some(held =>
     (placing.model === undefined || held.model === placing.model) && held.version >= known.oldestVersionOf(held.model))
 }
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -179,6 +179,32 @@
   row.failureCount = 0
 }
 
+/** States of an endpoint as a gateway sees it, the first that holds. */
+const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number) => boolean }> = [
+  { state: 'unlisted', holds: row => row.keptUntilMs !== undefined },
+  { state: 'draining', holds: row => row.listing.draining },
+  { state: 'leftOut', holds: (row, nowMs) => row.avoidUntilMs > nowMs },
+  { state: 'cold', holds: (row, nowMs) => row.coldUntilMs > nowMs },
+  { state: 'loading', holds: row => row.load?.loading === true },
+  { state: 'serving', holds: () => true }
+]
+
+/**
+ * Counts endpoints by state, for the metrics.
+ *
+ * @param endpoints - The endpoints.
+ * @param nowMs - The time.
+ * @returns The count of every state.
+ */
+export function countStates (endpoints: Endpoints, nowMs: number): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = Object.fromEntries(STATES.map(({ state }) => [state, 0]))
+  for (const row of endpoints.rows()) {
+    const state = STATES.find(({ holds }) => holds(row, nowMs))?.state ?? ''
+    counts[state] = (counts[state] ?? 0) + 1
+  }
+  return counts
+}
+
 function createRow (listing: Listing, nowMs: number): EndpointRow {
   return {
     listing,
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -20,6 +20,8 @@
   date: (model: string, version: number, namedAtMs: number) => void
   /** The versions of each model with the time for which they are known to be named. */
   dated: () => Array<{ readonly model: string, readonly version: number, readonly namedAtMs: number }>
+  /** The newest version of each model that was named. */
+  newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
   newestOf: (model: string) => number
   /** The oldest version on which a call may begin. */
@@ -49,6 +51,7 @@
       if (entry !== undefined && entry.namedAtMs === undefined) entry.namedAtMs = namedAtMs
     },
     dated: () => [...named].flatMap(([model, entries]) => entries.flatMap(({ version, namedAtMs }) => namedAtMs === undefined ? [] : [{ model, version, namedAtMs }])),
+    newest: () => [...named.keys()].map(model => ({ model, version: newestOf(model) })),
     newestOf,
     oldestOf: (model, nowMs) => {
       const due = (named.get(model) ?? []).filter(entry => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs())
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -262,6 +262,22 @@
   })
 })
 
+describe('What rules endpoints out', () => {
+  it('is counted by endpoint of the service', () => {
+    const known = Direct.surroundingsOf([
+      Direct.listingOf('well'),
+      Direct.listingOf('leaving', { draining: true }),
+      Direct.listingOf('bare', { weights: [] }),
+      Direct.listingOf('old'),
+      Direct.listingOf('away', { zone: 'b' }),
+      Direct.listingOf('other', { service: 'plain' })
+    ], { drainedZones: new Set(['b']) })
+    const placing: Routing.Choice.Placing = { service: Direct.ENGINE_SERVICE, model: 'm', promptTokens: 10, regions: [], triedIds: new Set(['old']) }
+    expect(Routing.Choice.countRuledOut(placing, known, 0)).toEqual({ draining: 1, weights: 1, tried: 1, zoneDrained: 1 })
+    expect(Routing.Choice.candidates(placing, known, 0).map(candidate => candidate.row.listing.endpointId)).toEqual(['well'])
+  })
+})
+
 describe('Budgets', () => {
   it('keeps the repeats of all gateways within the shared bound when every call fails', () => {
     const gatewayCount = 6
--- a/test/direct-story.test.ts
+++ b/test/direct-story.test.ts
@@ -14,9 +14,9 @@
 const END = { route: 'r', tookMs: 500, attemptCount: 1, eventCount: 0, goalMs: 400, deploymentVersion: 1 }
 const SENT = { callId: 'c', service: 's', endpointId: 'e1', predictedMs: 100, busyCount: 3, loadAgeMs: 20, leftMs: 2_000, attemptCount: 1 }
 const ENDED = { callId: 'c', endpointId: 'e1', end: 'broken', reason: 'answering: read ECONNRESET', tookMs: 400, next: 'fail' }
-const causeOf = (lines: Parameters<typeof Story.tell>[0]): Story.Cause | undefined => {
+const causeOf = (lines: Parameters<typeof Story.createTeller>[0]): Story.Cause | undefined => {
   Direct.checkLines(lines)
-  return Story.tell(lines, 'c')?.cause
+  return Story.createTeller(lines).tell('c')?.cause
 }
 
 describe('Story', () => {
@@ -41,12 +41,12 @@
     })
 
     it('shows what the gateway believed when it found no endpoint', () => {
-      const story = Story.tell([
+      const story = Story.createTeller([
         line(500, 'g1', 'control: Zone taken out of service.', { zone: 'z' }),
         line(600, 'g2', 'control: Zone taken out of service.', { zone: 'y' }),
-        line(1_000, 'g1', 'routing: Call refused.', { ...END, callId: 'c', reason: 'noEndpoint', returnAfterMs: 1_000, candidateCount: 0 })
-      ], 'c')
-      expect([story?.cause, story?.around.map(near => near.zone), story?.because]).toEqual(['noEndpoint', ['z'], 'no endpoint could serve the call; before: control: Zone taken out of service.'])
+        line(1_000, 'g1', 'routing: Call refused.', { ...END, callId: 'c', reason: 'noEndpoint', returnAfterMs: 1_000, candidateCount: 0, ruledOut: { zoneDrained: 2, cold: 1 } })
+      ]).tell('c')
+      expect([story?.cause, story?.around.map(near => near.zone), story?.because]).toEqual(['noEndpoint', ['z'], 'no endpoint could serve the call: 2 zoneDrained, 1 cold'])
     })
 
     it('tells a late answer from one in time', () => {
@@ -56,9 +56,17 @@
 
     it('says what is missing', () => {
       const leftOut = line(2_600, 'g1', 'log: Lines left out.', { leftOut: { 'routing: Call sent.': 7 } })
-      expect(Story.tell([attempt[1] as typeof failed, failed, leftOut], 'c')?.missing).toEqual(['1 lines of attempts that were sent', 'lines left out by g1: {"routing: Call sent.":7}'])
-      expect(Story.tell([attempt[0] as typeof failed], 'c')?.missing).toEqual(['the line that tells how the call ended'])
-      expect(Story.tell(attempt, 'other')).toEqual(undefined)
+      expect(Story.createTeller([attempt[1] as typeof failed, failed, leftOut]).tell('c')?.missing).toEqual(['1 lines of attempts that were sent', 'lines left out by g1: {"routing: Call sent.":7}'])
+      expect(Story.createTeller([attempt[0] as typeof failed]).tell('c')?.missing).toEqual(['the line that tells how the call ended'])
+      expect(Story.createTeller(attempt).tell('other')).toEqual(undefined)
+    })
+
+    it('draws the same failed calls with the same seed', () => {
+      const ends = ['c1', 'c2', 'c3', 'c4'].map((callId, index) => line(index, 'g1', index === 3 ? 'routing: Call answered.' : 'routing: Call cancelled.', { ...END, callId, ...(index === 3 ? { status: 200, endpointId: 'e1' } : { answering: false }) }))
+      const teller = Story.createTeller(ends)
+      expect(teller.unservedIds()).toEqual(['c1', 'c2', 'c3'])
+      expect(Logs.draw(teller.unservedIds(), 2, 5)).toEqual(Logs.draw([...teller.unservedIds()].reverse(), 2, 5))
+      expect(Logs.draw(teller.unservedIds(), 9, 5).length).toEqual(3)
     })
 
     it('reads lines behind what a collector put before them, and counts those cut short', () => {
@@ -70,7 +78,7 @@
 
   describe('of a failed call on the stand-ins', () => {
     let stage: Direct.DirectStage
-    const tell = (callId: string): Story.Story | undefined => Story.tell(stage.lines.map(entry => entry.line), callId)
+    const tell = (callId: string): Story.Story | undefined => Story.createTeller(stage.lines.map(entry => entry.line)).tell(callId)
     const counter = async (name: string): Promise<number> => {
       const found = (await stage.metrics()).split('\n').find(row => row.startsWith(`fescuespread_${name} `))
       return Number(found?.split(' ').at(-1) ?? 0)
@@ -108,7 +116,7 @@
       const sent = story?.lines.filter(told => told.msg === 'routing: Call sent.')
       expect([answer.status, story?.cause, sent?.length, sent?.[0]?.endpointId]).toEqual([502, 'answerLost', 1, 'p1'])
       expect(story?.lines.find(told => told.msg === 'routing: Attempt ended.')?.end).toEqual('unknown')
-      expect(await counter('attempts_ended_total{end="unknown",next="none"}')).toEqual(1)
+      expect(await counter('attempts_ended_total{end="unknown",next="fail"}')).toEqual(1)
     })
   })
 })
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -322,22 +322,22 @@
   {
     name: 'direct: zone out of service',
     file: 'src/routing/choice.ts',
-    text: ' || known.drainedZones.has(listing.zone)',
-    replacement: '',
+    text: 'zoneDrained: (row, _placing, known) => known.drainedZones.has(row.listing.zone)',
+    replacement: 'zoneDrained: () => false',
     checks: [test('direct-routing')]
   },
   {
     name: 'direct: regions',
     file: 'src/routing/choice.ts',
-    text: 'if (placing.regions.some(regions => regions.length > 0 && !regions.includes(listing.region))) return false',
-    replacement: '',
+    text: 'region: (row, placing) => placing.regions.some(regions => regions.length > 0 && !regions.includes(row.listing.region))',
+    replacement: 'region: () => false',
     checks: [test('direct-routing')]
   },
   {
     name: 'direct: cold endpoints',
     file: 'src/routing/choice.ts',
-    text: 'return bearsCold(row, placing.service, known, nowMs)',
-    replacement: 'return true',
+    text: 'cold: (row, placing, known, nowMs) => !bearsCold(row, placing.service, known, nowMs)',
+    replacement: 'cold: () => false',
     checks: [test('direct-routing')]
   },
   {
@@ -375,6 +375,34 @@
     replacement: '',
     checks: [test('direct-filling')]
   },
+  {
+    name: 'direct: a busy holder is waited for',
+    file: 'src/filling/choosing.ts',
+    text: "if (isHeld) return { kind: 'wait' }",
+    replacement: '',
+    checks: [test('direct-filling')]
+  },
+  {
+    name: 'direct: the origin is left to one agent after the other',
+    file: 'src/filling/choosing.ts',
+    text: 'sinceMs >= PENDING_LIMIT_MS * rank',
+    replacement: 'sinceMs >= PENDING_LIMIT_MS',
+    checks: [test('direct-filling')]
+  },
+  {
+    name: 'direct: an agent answers the roll with what it has',
+    file: 'src/filling/agent.ts',
+    text: 'fetcher.answerRoll(news.sender)',
+    replacement: '',
+    checks: [test('direct-spread')]
+  },
+  {
+    name: 'direct: a chunk that the origin did not give goes behind',
+    file: 'src/filling/fetcher.ts',
+    text: ' || hasRefused(ORIGIN_NAME, key, nowMs)',
+    replacement: '',
+    checks: [test('direct-filler')]
+  },
   {
     name: 'direct: shares of free places',
     file: 'src/routing/choice.ts',
