--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -119,7 +119,7 @@
     origin: () => origin?.client,
     library,
     members: otherAgents,
-    callRoll: () => { node.tell({ revisions: {}, rollCall: true }, 'agent') },
+    callRoll: () => { node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, rollCall: true }, 'agent') },
     versionMs: () => options.bounds().versionMs,
     download,
     adopt: async volume => { await filler.adopt(volume) },
--- a/test/direct-path.test.ts
+++ b/test/direct-path.test.ts
@@ -142,7 +142,7 @@
 
   describe('a caller that leaves', () => {
     it('ends the work at the endpoint at once', async () => {
-      await stage.call({ id: 'leaves', leaveAfterMs: 12 })
+      await stage.call({ id: 'leaves', leavesAtFirstBytes: true })
       await TestKit.Wait.until('the endpoint sees the end', LIMIT_MS, () => stage.runners.some(each => each.abandoned.includes('leaves')))
     })
   })
--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -56,5 +56,16 @@
       console.error([...fleet.drawnCounts].filter(([, c]) => c > 1), agents.map(a => a.name + JSON.stringify(a.lines.filter(l => /held whole|being|not had|told/.test(l.sentence)).map(l => [l.sentence.slice(0, 14), l.fields])))); const counts = [...fleet.drawnCounts].flatMap(([chunk, count]) => chunk.startsWith('2/') ? [count] : [])
       expect([counts.length, Math.max(...counts)]).toEqual([CHUNK_COUNT, 1])
     })
+
+    it('reaches an agent whose feed of the store fell silent, through the others', async () => {
+      const { fleet, store } = await createFleet()
+      let silent = false
+      const agents = await Promise.all(['a1', 'a2', 'a3'].map(async name => await fleet.start(name, 'ra', { version: 1 }, { isFeedSilent: () => silent && name === 'a3' })))
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.sleep(4_000)
+      silent = true
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      await TestKit.Wait.until('the agent without a feed holds the version', 3_000, () => agents[2]?.lines.some(entry => entry.sentence === 'Version held whole.' && entry.fields.version === 2) === true)
+    })
   })
 })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -84,8 +84,8 @@
   readonly key?: string
   readonly deadlineMs?: number
   readonly body?: string
-  /** Leaves after so long, in milliseconds. */
-  readonly leaveAfterMs?: number
+  /** Leaves when the first bytes of the answer come. */
+  readonly leavesAtFirstBytes?: boolean
 }
 
 /** What a caller got. */
@@ -180,7 +180,7 @@
 }
 
 async function call (port: number, options: CallOptions): Promise<CallAnswer> {
-  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leaveAfterMs } = options
+  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leavesAtFirstBytes = false } = options
   return await new Promise(resolve => {
     const parts: Buffer[] = []
     let answer: Http.IncomingMessage | undefined
@@ -200,12 +200,14 @@
       }
     }, response => {
       answer = response
-      response.on('data', (part: Buffer) => { parts.push(part) })
+      response.on('data', (part: Buffer) => {
+        parts.push(part)
+        if (leavesAtFirstBytes) request.destroy()
+      })
       response.on('error', () => { finish(false) })
       response.on('end', () => { finish(response.complete) })
     })
     request.on('error', () => { finish(false) })
-    if (leaveAfterMs !== undefined) setTimeout(() => { request.destroy() }, leaveAfterMs)
     request.end(body)
   })
 }
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -37,13 +37,19 @@
   stop: () => Promise<void>
 }
 
+/** What an agent does not get. */
+export interface FleetFaults {
+  /** Whether reads of the store that wait for changes stay without an answer. */
+  readonly isFeedSilent?: () => boolean
+}
+
 /** A fleet of agents. */
 export interface Fleet {
   /** How often each chunk was drawn from the origin, by `version/index`. */
   readonly drawnCounts: Map<string, number>
   /** The bytes of a chunk. */
   chunkOf: (version: number, index: number) => Buffer
-  start: (name: string, region: string, engine: Partial<Pick<FleetAgent, 'staged' | 'version' | 'isEngineUp'>>) => Promise<FleetAgent>
+  start: (name: string, region: string, engine: Partial<Pick<FleetAgent, 'staged' | 'version' | 'isEngineUp'>>, faults?: FleetFaults) => Promise<FleetAgent>
 }
 
 /**
@@ -68,7 +74,9 @@
       return Neverthrow.ok(chunkOf(version, index))
     }
   }
-  const start: Fleet['start'] = async (name, region, engine) => {
+  const start: Fleet['start'] = async (name, region, engine, faults = {}) => {
+    const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port }))
+    const silence = new Promise<never>(() => {})
     const lines: FleetAgent['lines'] = []
     const own: Omit<FleetAgent, 'stop'> = { name, staged: engine.staged ?? new Map(), version: engine.version ?? 0, isEngineUp: engine.isEngineUp ?? true, lines }
     const agent = await Filling.Agent.open({
@@ -78,7 +86,13 @@
       zone: region,
       region,
       seeds: () => [],
-      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
+      store: {
+        ...source,
+        readSince: async (...asked) => {
+          const answer = await source.readSince(...asked)
+          return faults.isFeedSilent?.() === true ? await silence : answer
+        }
+      },
       clock: () => performance.now(),
       random: Core.Random.createRandom(Core.Hash.rankOf(name)),
       metrics: Metrics.createMetrics(),
