Leave the last free place to calls in time while such calls are turned away

Cause: under sustained overload callers that come back outnumber new ones by two to one and more; they are late already and took most of the places. Change: a service counts as crowded for 0.6 s after a call in time was turned away; meanwhile a late call is refused at once unless a place stays free beside its own (routing/crowding.ts, admission.ts). Streams that have begun go on. The same arrivals are replayed under other decisions (test/direct-load.test.ts). Answers are written by a module of their own.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -13,6 +13,7 @@
 import type * as Calls from './calls.ts'
 import type * as Dialect from './dialect.ts'
 import * as Events from './events.ts'
+import * as Replies from './replies.ts'
 import type * as Upstream from './upstream.ts'
 
 /** What the ingress needs. */
@@ -72,6 +73,8 @@
   const calls = new Set<Calls.Call>()
   const waiting = Routing.Waiting.createWaiting<Calls.Call>()
   const ages = Routing.Ages.createAges()
+  const crowding = Routing.Crowding.createCrowding()
+  const { write, writeWhole, withConnection } = Replies.createReplies(options.isStopping)
   let pumpScheduled = false
 
   const handle = (request: Http.IncomingMessage, response: Http.ServerResponse): void => {
@@ -167,7 +170,8 @@
       waitedMs: nowMs - call.waitingSinceMs,
       goalMs: call.route.goalMs,
       leftMs: call.deadlineAtMs - nowMs,
-      resuming: call.resuming
+      resuming: call.resuming,
+      isCrowded: crowding.isCrowded(call.service, nowMs)
     }
     const turnMs = Routing.Choice.turnMs(call.placing.service, found.length, known.gatewayCount)
     const verdict = Routing.Admission.decide(asking, best, { aheadCount: waiting.aheadCount(call), turnMs }, found.length > 0)
@@ -179,8 +183,9 @@
       waiting.add(call)
     } else {
       waiting.remove(call)
+      if (verdict.reason === 'overCapacity' && !call.late) crowding.noteTurnedAway(call.service, nowMs)
       if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, verdict.reason)
-      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs) } : {}) })
+      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), isCrowded: asking.isCrowded, freeCount: best?.freeCount, ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs) } : {}) })
     }
   }
 
@@ -447,20 +452,6 @@
     log('routing', END_SENTENCES[outcome], { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.sentCount, eventCount: call.eventCount, goalMs: call.route.goalMs, deploymentVersion: options.index()?.deployment.version, ...fields })
   }
 
-  const withConnection = (rawHeaders: string[]): string[] => options.isStopping() ? [...rawHeaders, 'Connection', 'close'] : rawHeaders
-  const write = (response: Http.ServerResponse, status: number, headers: Record<string, string>, reason: string): void => {
-    if (response.headersSent || response.destroyed) return
-    const body = JSON.stringify({ error: reason })
-    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers, ...(options.isStopping() ? { connection: 'close' } : {}) })
-    response.end(body)
-  }
-  const writeWhole = (response: Http.ServerResponse, status: number, rawHeaders: string[], body: Buffer, isFramed: boolean): void => {
-    if (response.headersSent || response.destroyed) return
-    if (!isFramed) Bodies.endWithConnection(response)
-    response.writeHead(status, withConnection(isFramed ? [...rawHeaders, 'Content-Length', String(body.length)] : rawHeaders))
-    response.end(body)
-  }
-
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
     const { attempt, route } = call
     if (attempt === undefined || route.kind === 'nonIdempotent') return
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -21,6 +21,8 @@
   readonly leftMs: number
   /** Whether a stream that has begun goes on. */
   readonly resuming: boolean
+  /** Whether calls in time are being turned away, so that places are left to them. */
+  readonly isCrowded: boolean
 }
 
 /** The calls that wait before one. */
@@ -45,6 +47,8 @@
 const LATE_WAIT_SHARE = 0.1
 /** A call that would queue at an endpoint takes up to so many times its prediction: other gateways send there meanwhile. */
 const QUEUED_FACTOR = 1.5
+/** A late call goes to a crowded service only where so many places are free: its own and one for a call in time. */
+const LEFT_FREE_COUNT = 2
 /** Calls that would wait with less time left than this are refused, in milliseconds: no answer fits into it. */
 const MIN_LEFT_MS = 100
 
@@ -60,6 +64,8 @@
 export function decide (asking: Asking, best: Choice.Candidate | undefined, queue: Queue, existsEndpoint: boolean): Verdict {
   if (asking.leftMs < MIN_LEFT_MS) return { kind: 'refuse', reason: 'outOfTime' }
   const late = asking.ageMs > asking.goalMs
+  const leavesPlace = best !== undefined && best.freeCount >= LEFT_FREE_COUNT
+  if (late && asking.isCrowded && !asking.resuming && !leavesPlace) return refuse(best, existsEndpoint)
   if (best !== undefined && queue.aheadCount === 0) {
     if (asking.resuming && best.firstMs < asking.leftMs) return { kind: 'send', candidate: best }
     if (best.hasPlace || (!late && asking.ageMs + best.firstMs * QUEUED_FACTOR <= asking.goalMs)) return { kind: 'send', candidate: best }
@@ -68,5 +74,9 @@
   const expectedMs = asking.waitedMs + (queue.aheadCount + 1) * queue.turnMs
   const fits = asking.waitedMs < waitLimitMs && (asking.waitedMs > 0 || expectedMs < waitLimitMs)
   if (fits && (best !== undefined || asking.resuming)) return { kind: 'wait' }
+  return refuse(best, existsEndpoint)
+}
+
+function refuse (best: Choice.Candidate | undefined, existsEndpoint: boolean): Verdict {
   return { kind: 'refuse', reason: best !== undefined || existsEndpoint ? 'overCapacity' : 'noEndpoint' }
 }
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -48,6 +48,8 @@
   readonly firstMs: number
   /** Whether a place of the endpoint is free. */
   readonly hasPlace: boolean
+  /** How many places of the endpoint this gateway may still fill. */
+  readonly freeCount: number
   /** How far away the endpoint is, in milliseconds of prediction that a nearer one may be slower. */
   readonly distanceMs: number
 }
@@ -207,9 +209,9 @@
   const freeCount = placeCount(row, known, nowMs)
   const waitingCount = Math.max(0, 1 - freeCount)
   const { engine } = placing.service
-  if (engine === undefined) return { row, firstMs: PLAIN_MS * (busyCount + 1) * (1 + waitingCount), hasPlace: waitingCount === 0, distanceMs }
+  if (engine === undefined) return { row, firstMs: PLAIN_MS * (busyCount + 1) * (1 + waitingCount), hasPlace: waitingCount === 0, freeCount, distanceMs }
   const othersTokens = engine.usualPromptTokens * Math.min(1, busyCount / engine.slotCount)
   const tokensAheadCount = othersTokens + Math.max(row.unreadTokens, (row.load?.queuedCount ?? 0) * engine.usualPromptTokens)
   const firstMs = EngineModel.firstTokenMs(engine, { busyCount, waitingCount, tokensAheadCount, pace: row.load?.pace ?? 1 }, placing.promptTokens)
-  return { row, firstMs, hasPlace: waitingCount === 0, distanceMs }
+  return { row, firstMs, hasPlace: waitingCount === 0, freeCount, distanceMs }
 }
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -160,15 +160,33 @@
 })
 
 describe('Admission', () => {
-  const asking = (changes: Partial<Routing.Admission.Asking> = {}): Routing.Admission.Asking => ({ ageMs: 0, waitedMs: 0, goalMs: 400, leftMs: 6_000, resuming: false, ...changes })
+  const asking = (changes: Partial<Routing.Admission.Asking> = {}): Routing.Admission.Asking => ({ ageMs: 0, waitedMs: 0, goalMs: 400, leftMs: 6_000, resuming: false, isCrowded: false, ...changes })
   const candidate = (firstMs: number, hasPlace = true): Routing.Choice.Candidate =>
-    ({ row: surroundingsOf([listingOf('e')]).endpoints.get('e') as Routing.Endpoints.EndpointRow, firstMs, hasPlace, distanceMs: 0 })
+    ({ row: surroundingsOf([listingOf('e')]).endpoints.get('e') as Routing.Endpoints.EndpointRow, firstMs, hasPlace, freeCount: hasPlace ? 1 : 0, distanceMs: 0 })
   const empty = { aheadCount: 0, turnMs: 50 }
 
   it('sends what begins in time', () => {
     expect(Routing.Admission.decide(asking(), candidate(300), empty, true).kind).toEqual('send')
   })
 
+  it('leaves the last place to calls in time while such calls are turned away', () => {
+    const late = { ageMs: 900, isCrowded: true }
+    const kinds = [
+      Routing.Admission.decide(asking(late), candidate(100), empty, true).kind,
+      Routing.Admission.decide(asking(late), { ...candidate(100), freeCount: 2 }, empty, true).kind,
+      Routing.Admission.decide(asking({ ...late, resuming: true }), candidate(100), empty, true).kind,
+      Routing.Admission.decide(asking({ ...late, isCrowded: false }), candidate(100), empty, true).kind,
+      Routing.Admission.decide(asking({ isCrowded: true }), candidate(100), empty, true).kind
+    ]
+    expect(kinds).toEqual(['refuse', 'send', 'send', 'send', 'send'])
+  })
+
+  it('counts a service as crowded for a while after it turned a call in time away', () => {
+    const crowding = Routing.Crowding.createCrowding()
+    crowding.noteTurnedAway('s', 1_000)
+    expect([crowding.isCrowded('s', 1_599), crowding.isCrowded('s', 1_600), crowding.isCrowded('other', 1_000)]).toEqual([true, false, false])
+  })
+
   it('refuses at once what would wait longer than it may', () => {
     expect(Routing.Admission.decide(asking(), candidate(900, false), { aheadCount: 5, turnMs: 50 }, true)).toEqual({ kind: 'refuse', reason: 'overCapacity' })
   })
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -24,6 +24,8 @@
   /** How many gateways each one believes to share the endpoints with. */
   readonly gatewayCount?: number
   readonly returnAfterMs?: typeof Routing.Refusals.returnAfterMs
+  /** Whether late calls take the last place although calls in time are turned away. */
+  readonly ignoresCrowding?: boolean
   readonly compare?: typeof Routing.Waiting.compare
 }
 
@@ -55,7 +57,7 @@
   firstMs: number | undefined
 }
 interface Engine { readonly id: string, readonly zone: string, readonly active: Call[], readonly queue: Call[], busy: boolean }
-interface Gateway { readonly zone: string, readonly endpoints: Routing.Endpoints.Endpoints, readonly waiting: Set<Call>, readonly random: Core.Random.Random }
+interface Gateway { readonly zone: string, readonly endpoints: Routing.Endpoints.Endpoints, readonly waiting: Set<Call>, readonly random: Core.Random.Random, crowding: Routing.Crowding.Crowding }
 interface Sent { readonly gateway: Gateway, readonly row: Routing.Endpoints.EndpointRow }
 
 const ZONES = ['a', 'b', 'c']
@@ -68,6 +70,8 @@
 const FAR_EVERY_COUNT = 3
 const HOP_MS = 5
 const PUMP_MS = 25
+/** Keeps the balancer's draws apart from those of arrivals. */
+const BALANCER_SEED = 1_000
 const SERVICE = Direct.ENGINE_SERVICE
 const ENGINE = Direct.ENGINE
 
@@ -79,7 +83,9 @@
  * @returns What became of the calls.
  */
 export function play (load: Load, changes: Changes = {}): Outcome {
-  const random = Core.Random.createRandom(load.seed)
+  /** Draws the calls alone, so that other decisions meet the same load. */
+  const arrivals = Core.Random.createRandom(load.seed)
+  const balancer = Core.Random.createRandom(load.seed + BALANCER_SEED)
   const decide = changes.decide ?? Routing.Admission.decide
   const compare = changes.compare ?? Routing.Waiting.compare
   const returnAfterMs = changes.returnAfterMs ?? Routing.Refusals.returnAfterMs
@@ -90,7 +96,7 @@
   const later = (delayMs: number, run: () => void): void => { push(events, { atMs: nowMs + delayMs, order: order++, run }) }
   const engines: Engine[] = ZONES.flatMap(zone => Array.from({ length: ENGINES_PER_ZONE }, (_, index) => ({ id: `${zone}${index}`, zone, active: [], queue: [], busy: false })))
   const listings = engines.map(engine => Direct.listingOf(engine.id, { zone: engine.zone, region: `r${engine.zone}` }))
-  const gateways: Gateway[] = ZONES.flatMap(zone => Array.from({ length: GATEWAYS_PER_ZONE }, (_, index) => ({ zone, endpoints: Direct.surroundingsOf(listings).endpoints, waiting: new Set<Call>(), random: Core.Random.createRandom(load.seed + index + 1) })))
+  const gateways: Gateway[] = ZONES.flatMap(zone => Array.from({ length: GATEWAYS_PER_ZONE }, (_, index) => ({ zone, endpoints: Direct.surroundingsOf(listings).endpoints, waiting: new Set<Call>(), random: Core.Random.createRandom(load.seed + index + 1), crowding: Routing.Crowding.createCrowding() })))
   const sent = new Map<Call, Sent>()
   const calls: Call[] = []
   let refusalCount = 0
@@ -112,7 +118,7 @@
     const best = Routing.Choice.choose(found, gateway.random)
     const aheadCount = [...gateway.waiting].filter(other => other !== call && compare(other, call) < 0).length
     const turnMs = Routing.Choice.turnMs(SERVICE, found.length, gatewayTotal)
-    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: GOAL_MS, leftMs, resuming: false }, best, { aheadCount, turnMs }, found.length > 0)
+    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: GOAL_MS, leftMs, resuming: false, isCrowded: changes.ignoresCrowding !== true && gateway.crowding.isCrowded(SERVICE.name, nowMs) }, best, { aheadCount, turnMs }, found.length > 0)
     if (verdict.kind === 'wait') { gateway.waiting.add(call); return }
     gateway.waiting.delete(call)
     if (verdict.kind === 'refuse') { refuse(gateway, call, verdict.reason, leftMs); return }
@@ -123,12 +129,13 @@
   }
   const refuse = (gateway: Gateway, call: Call, reason: Routing.Admission.RefusalReason, leftMs: number): void => {
     refusalCount++
+    if (reason === 'overCapacity' && !call.late) gateway.crowding.noteTurnedAway(SERVICE.name, nowMs)
     call.refusedCount++
     const delayMs = returnAfterMs(reason, leftMs, gateway.random)
     if (leftMs - delayMs < GOAL_MS) return
     later(delayMs, () => {
       call.arrivedAtMs = nowMs
-      place(gateways[random.below(gateways.length)] as Gateway, call)
+      place(gateways[balancer.below(gateways.length)] as Gateway, call)
     })
   }
   const enqueue = (engine: Engine, call: Call): void => {
@@ -195,16 +202,16 @@
       firstAtMs: nowMs,
       arrivedAtMs: nowMs,
       late: false,
-      promptTokens: Math.round(load.promptTokens(random.next())),
-      answerTokens: Math.round(ENGINE.usualAnswerTokens * (0.5 + random.next())),
+      promptTokens: Math.round(load.promptTokens(arrivals.next())),
+      answerTokens: Math.round(ENGINE.usualAnswerTokens * (0.5 + arrivals.next())),
       unreadTokens: 0,
       writtenCount: 0,
       refusedCount: 0,
       firstMs: undefined
     }
     calls.push(call)
-    place(gateways[random.below(gateways.length)] as Gateway, call)
-    const gapMs = -Math.log(1 - random.next()) * 1_000 / load.callsPerSecond(nowMs)
+    place(gateways[balancer.below(gateways.length)] as Gateway, call)
+    const gapMs = -Math.log(1 - arrivals.next()) * 1_000 / load.callsPerSecond(nowMs)
     if (nowMs + gapMs < load.durationMs) later(gapMs, arrive)
   }
   for (const [index, engine] of engines.entries()) later(index * REPORT_MS / engines.length, () => { report(engine, index) })
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -375,6 +375,13 @@
     replacement: '',
     checks: [test('direct-filling')]
   },
+  {
+    name: 'direct: late calls leave the last place',
+    file: 'src/routing/admission.ts',
+    text: 'late && asking.isCrowded && !asking.resuming && !leavesPlace',
+    replacement: 'false',
+    checks: [test('direct-routing')]
+  },
   {
     name: 'direct: a busy holder is waited for',
     file: 'src/filling/choosing.ts',
