--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -44,6 +44,22 @@
     })
   })
 
+  describe('that the others hold', () => {
+    it('reaches an instance that is added, without the origin', async () => {
+      const { fleet, store } = await createFleet()
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      const full = (): Map<number, Buffer> => new Map(Array.from({ length: CHUNK_COUNT }, (_, index) => [index, fleet.chunkOf(2, index)]))
+      const agents = await Promise.all(['a1', 'a2', 'a3'].map(async name => await fleet.start(name, 'ra', { staged: full() })))
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.until('the others serve the version', LIMIT_MS, () => agents.every(agent => agent.version === 2))
+      await TestKit.Wait.sleep(2_000)
+      const added = await fleet.start('b1', 'rb', {})
+      stops.push(added.stop)
+      await TestKit.Wait.until('the added engine serves the version', LIMIT_MS, () => added.version === 2)
+      expect(fleet.drawnCounts.size).toEqual(0)
+    })
+  })
+
   describe('that was just named', () => {
     it('draws each chunk from the origin once, also while an engine is gone', async () => {
       const { fleet, store } = await createFleet()
