--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -181,6 +181,13 @@
     expect(kinds).toEqual(['refuse', 'send', 'send', 'send', 'send'])
   })
 
+  it('sends a late call to an idle endpoint of another zone although calls in time were turned away', () => {
+    const known = surroundingsOf([listingOf('far', { zone: 'b' })], { gatewayCount: 6, zoneGatewayCount: 2 })
+    Routing.Endpoints.report(known.endpoints.get('far') as Routing.Endpoints.EndpointRow, { activeCount: 0, queuedCount: 0, pace: 1, loading: false, weights: undefined }, NOW_MS, 0)
+    const [idle] = Routing.Choice.candidates({ service: ENGINE_SERVICE, model: 'm', promptTokens: 900, regions: [], triedIds: new Set() }, known, NOW_MS)
+    expect(Routing.Admission.decide(asking({ ageMs: 900, isCrowded: true }), idle, empty, true).kind).toEqual('send')
+  })
+
   it('counts a service as crowded for a while after it turned a call in time away', () => {
     const crowding = Routing.Crowding.createCrowding()
     crowding.noteTurnedAway('s', 1_000)
