--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -91,6 +91,7 @@
 const ORIGIN_CONNECTION_COUNT = 32
 /** So many chunks in a row with a wrong digest, from whatever source, point to a wrong manifest. */
 const MISFIT_LIMIT_COUNT = 4
+
 /**
  * Creates a fetcher.
  *
--- a/src/routing/crowding.ts
+++ b/src/routing/crowding.ts
@@ -15,7 +15,7 @@
   isCrowded: (service: string, nowMs: number) => boolean
 }
 
-/** A service counts as crowded for so long after a call in time was turned away, in milliseconds: about the time in which a batch ends half of its answers. */
+/** A service counts as crowded for so long after a call in time was turned away, in milliseconds: replays with 300 answer fewer calls in time, with 1,000 fewer calls at all in bursts. */
 const CROWDED_MS = 600
 
 /**
--- a/test/direct-load.test.ts
+++ b/test/direct-load.test.ts
@@ -7,8 +7,8 @@
 /** Prompts around the usual size. */
 const usual = (draw: number): number => 400 + 1_154 * draw
 const sustained = (callsPerSecond: number): LoadReplay.Load => ({ seed: 1, durationMs: SECONDS * 1_000, callsPerSecond: () => callsPerSecond, promptTokens: usual })
-/** The endpoints bear about 85 calls a second. */
 const CALM = sustained(60)
+/** More calls than the endpoints bear. */
 const OVERLOAD = sustained(120)
 const BURSTS: LoadReplay.Load = { ...OVERLOAD, callsPerSecond: atMs => atMs % 4_000 < 1_000 ? 200 : 60 }
 
