Tell which version calls begin on, and why

Adds the lines Version dated. and Oldest version changed., the fields version and oldestVersion of Call sent. and the metric weights_oldest_version. No decision changes.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -87,11 +87,15 @@
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   let index: Routing.Deployment.DeploymentIndex | undefined
+  /** The oldest version of each model on which calls begin, as logged last. */
+  const oldestLogged = new Map<string, number>()
   let stopping = false
 
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
-    for (const { model, version, agoMs } of news.named ?? []) versions.date(model, version, clock() - agoMs)
+    for (const { model, version, agoMs } of news.named ?? []) {
+      if (versions.date(model, version, clock() - agoMs)) log('weights', 'Version dated.', { model, version, sinceNamedMs: agoMs, source: news.sender })
+    }
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
@@ -188,12 +192,26 @@
     const ages = { operators: operators.follower.freshAtMs(), endpoints: listed.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
     for (const [belief, atMs] of Object.entries(ages)) metrics.gauge('belief_age_seconds', Math.max(0, nowMs - Math.min(atMs, nowMs)) / MS_PER_SECOND, { belief })
     for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs))) metrics.gauge('endpoints', count, { state })
-    for (const { model, version } of versions.newest()) metrics.gauge('weights_version', version, { model })
+    for (const { model, version } of versions.newest()) {
+      metrics.gauge('weights_version', version, { model })
+      metrics.gauge('weights_oldest_version', versions.oldestOf(model, nowMs), { model })
+    }
   }, GAUGE_MS)
+  const logOldestVersions = (nowMs: number): void => {
+    for (const { model } of versions.newest()) {
+      const version = versions.oldestOf(model, nowMs)
+      const versionBefore = oldestLogged.get(model)
+      if (version === versionBefore) continue
+      oldestLogged.set(model, version)
+      const named = versions.namedOf(model).map(entry => ({ version: entry.version, ...(entry.namedAtMs === undefined ? {} : { sinceNamedMs: Math.round(nowMs - entry.namedAtMs) }) }))
+      log('weights', 'Oldest version changed.', { model, version, versionBefore, named })
+    }
+  }
   const beat = setInterval(() => {
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     tellRevisions(nowMs)
+    logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
   log('gateway', 'Gateway started.', { callers: options.callers, incarnation: node.incarnation })
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -216,6 +216,7 @@
       loadAgeMs: Math.round(nowMs - row.loadAtMs),
       leftMs,
       attemptCount: call.sentCount,
+      ...(call.placing.service.engine === undefined ? {} : versionsAt(row, call.placing.model)),
       ...(call.resuming ? { lastEventId: call.lastEventId } : {})
     })
     const exchange = upstream.send({
@@ -252,6 +253,12 @@
     call.attempt = attempt
   }
 
+  /** The version that the endpoint is believed to hold, and the oldest one on which calls begin. */
+  const versionsAt = (row: Routing.Endpoints.EndpointRow, model: string | undefined): object => {
+    const held = (row.weights ?? []).find(weights => model === undefined || weights.model === model)
+    return held === undefined ? {} : { version: held.version, oldestVersion: options.surroundings().oldestVersionOf(held.model) }
+  }
+
   const blame = (row: Routing.Endpoints.EndpointRow, reason: string, call: Calls.Call): void => {
     const avoidMs = Routing.Endpoints.blame(row, clock())
     log('endpoints', 'Endpoint left out.', { callId: call.callId, endpointId: row.listing.endpointId, reason, failureCount: row.failureCount, avoidMs })
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -16,10 +16,16 @@
    * @param namedAtMs - When it was named; undefined where this process has just started and cannot know.
    */
   name: (model: string, version: number, namedAtMs: number | undefined) => boolean
-  /** Takes from another process when a version was named. */
-  date: (model: string, version: number, namedAtMs: number) => void
+  /**
+   * Takes from another process when a version was named.
+   *
+   * @returns Whether that changes anything.
+   */
+  date: (model: string, version: number, namedAtMs: number) => boolean
   /** The versions of each model with the time for which they are known to be named. */
   dated: () => Array<{ readonly model: string, readonly version: number, readonly namedAtMs: number }>
+  /** The versions of a model that are known to be named, the oldest first. */
+  namedOf: (model: string) => ReadonlyArray<{ readonly version: number, readonly namedAtMs: number | undefined }>
   /** The newest version of each model that was named. */
   newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
@@ -48,9 +54,12 @@
     },
     date: (model, version, namedAtMs) => {
       const entry = named.get(model)?.find(other => other.version === version)
-      if (entry !== undefined && entry.namedAtMs === undefined) entry.namedAtMs = namedAtMs
+      if (entry === undefined || entry.namedAtMs !== undefined) return false
+      entry.namedAtMs = namedAtMs
+      return true
     },
     dated: () => [...named].flatMap(([model, entries]) => entries.flatMap(({ version, namedAtMs }) => namedAtMs === undefined ? [] : [{ model, version, namedAtMs }])),
+    namedOf: model => named.get(model) ?? [],
     newest: () => [...named.keys()].map(model => ({ model, version: newestOf(model) })),
     newestOf,
     oldestOf: (model, nowMs) => {
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -68,7 +68,9 @@
   mode: text('Whether the engine ends what runs before it loads (afterRunning) or cuts it off (cutting)'),
   model: text('The model'),
   name: text('The process\'s name'),
+  named: { schema: Schema.Array(Schema.Struct({ version: Schema.Int, sinceNamedMs: Schema.optional(Schema.Number) })), about: 'The versions known to be named, with the time since; without it where the process cannot know' },
   next: text('What follows: retry, budgetUsedUp, refuse, answerFailure or fail'),
+  oldestVersion: number('The oldest version of the model on which a call may begin'),
   path: text('Path of the request'),
   port: number('Port'),
   predictedMs: number('Predicted time until the first event'),
@@ -81,7 +83,7 @@
   ruledOut: { schema: Schema.Record(Schema.String, Schema.Number), about: 'Endpoints of the service by what rules them out: unlisted, draining, leftOut, silent, tried, zoneDrained, region, loading, weights (none or too old), cold' },
   service: text('The service'),
   sinceNamedMs: number('Time since the version was named; absent where it was named before the start'),
-  source: text('Where a chunk was asked for'),
+  source: text('Where a chunk was asked for, or the process that told'),
   spoiltCount: number('Staged chunks with a wrong digest'),
   status: number('HTTP status'),
   table: text('The table of the store'),
@@ -113,7 +115,7 @@
 
 /** The kinds of lines, by their `msg`. */
 export const LINES: Readonly<Record<string, Line>> = {
-  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId'] },
+  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion'] },
   'routing: Call waits.': { about: 'No endpoint would begin in time now; the call waits for one', fields: ['service', 'aheadCount', 'goalMs'], optional: ['callId', 'bestMs'] },
   'routing: Attempt ended.': { about: 'An attempt ended without a whole answer', fields: ['endpointId', 'end', 'reason', 'tookMs', 'next'], optional: ['callId'] },
   'routing: Call answered.': { about: 'The caller has a whole answer', fields: [...END, 'status', 'endpointId'], optional: [...END_OPTIONAL, 'firstMs', 'version'] },
@@ -134,6 +136,8 @@
   'control: Zone back in service.': { about: 'Operators ended the drain', fields: ['zone'] },
   'control: Change not readable.': { about: 'An operator\'s row does not fit; what was in force stays', fields: ['key', 'reason'] },
   'weights: Version named.': { about: 'A new version is to be everywhere', fields: ['model', 'version', 'catchingUp'] },
+  'weights: Version dated.': { about: 'Another process tells when a version was named', fields: ['model', 'version', 'sinceNamedMs', 'source'] },
+  'weights: Oldest version changed.': { about: 'Calls begin on this version or a newer one from now on', fields: ['model', 'version', 'named'], optional: ['versionBefore'] },
   'weights: Version being fetched.': { about: 'The manifest is here', fields: ['model', 'version', 'chunkCount', 'agentCount'] },
   'weights: Version held whole.': { about: 'All chunks are verified', fields: ['model', 'version', 'fetchedFrom'], optional: ['sinceNamedMs'] },
   'weights: Chunk not had.': { about: 'A source did not give a chunk', fields: ['model', 'version', 'index', 'source', 'reason', 'tryCount'] },
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -71,12 +71,27 @@
   readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>>, readonly line: Schemas.LogLines.LogLine }>
   /** The gateway's metrics, as its metrics address serves them. */
   metrics: () => Promise<string>
+  /** Starts another gateway. */
+  addGateway: (name: string) => Promise<StartedGateway>
+  /** Lets time pass for all gateways, in milliseconds. */
+  pass: (ms: number) => void
   list: (runner: Runner.Runner, changes?: object) => void
   deploy: (changes?: object) => void
   call: (options?: CallOptions) => Promise<CallAnswer>
   stop: () => Promise<void>
 }
 
+/** A gateway of a stage. */
+export interface StartedGateway {
+  readonly name: string
+  readonly port: number
+  readonly readyPort: number
+  readonly peerPort: number
+  readonly lines: DirectStage['lines']
+  call: (options?: CallOptions) => Promise<CallAnswer>
+  stop: () => Promise<void>
+}
+
 /** A caller's call. */
 export interface CallOptions {
   readonly path?: string
@@ -114,6 +129,8 @@
   tenants: [{ name: 'w1', api_keys: ['key-1'] }, { name: 'w2', api_keys: ['key-2'], allowed_regions: ['elsewhere'] }]
 }
 const SEED = 7
+/** Time by which a named version has to be everywhere, in milliseconds. */
+export const VERSION_MS = 8_000
 
 /**
  * Starts the stand-ins and a gateway.
@@ -125,53 +142,70 @@
   const store = await PlatformStore.startPlatformStore()
   const started = await Promise.all(runners.map(async options => await Runner.startRunner(options)))
   const services = new Map(runners.map(options => [options.instanceId, options.service]))
-  const lines: DirectStage['lines'] = []
-  const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+  let passedMs = 0
+  let callCount = 0
   const list = (runner: Runner.Runner, changes: object = {}): void => {
     const models = [{ name: 'm', version: runner.version, adapters: [] }]
     store.put('servers', runner.instanceId, { backend: services.get(runner.instanceId), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: 1, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
   }
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
+  const addGateway = async (name: string): Promise<StartedGateway> => {
+    const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+    const lines: DirectStage['lines'] = []
+    const gateway = await Ingress.Gateway.open({
+      name,
+      host: '127.0.0.1',
+      port: peerPort,
+      zone: 'a',
+      region: 'ra',
+      seeds: () => [],
+      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
+      clock: () => performance.now() + passedMs,
+      random: Core.Random.createRandom(SEED),
+      metrics: Metrics.createMetrics(),
+      log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields, line: lineOf('gateway', name, prefix, sentence, fields) }) },
+      callers: { host: '127.0.0.1', port },
+      readiness: { host: '127.0.0.1', port: readyPort },
+      bounds: () => ({ retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: VERSION_MS, graceMs: 8_000 }),
+      dialect: Dialect.createDialect(),
+      changeOf: Operators.changeOf,
+      listingOf: row => Endpoints.listingOf(row, () => 'ra'),
+      tables: { operators: 'op', endpoints: 'servers' }
+    })
+    return {
+      name,
+      port,
+      readyPort,
+      peerPort,
+      lines,
+      call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
+      stop: async () => {
+        await gateway.stop()
+        checkLines(lines.map(entry => entry.line))
+      }
+    }
+  }
   deploy()
   for (const runner of started) list(runner)
-  const gateway = await Ingress.Gateway.open({
-    name: 'g1',
-    host: '127.0.0.1',
-    port: peerPort,
-    zone: 'a',
-    region: 'ra',
-    seeds: () => [],
-    store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
-    clock: () => performance.now(),
-    random: Core.Random.createRandom(SEED),
-    metrics: Metrics.createMetrics(),
-    log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields, line: lineOf('gateway', 'g1', prefix, sentence, fields) }) },
-    callers: { host: '127.0.0.1', port },
-    readiness: { host: '127.0.0.1', port: readyPort },
-    bounds: () => ({ retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: 8_000, graceMs: 8_000 }),
-    dialect: Dialect.createDialect(),
-    changeOf: Operators.changeOf,
-    listingOf: row => Endpoints.listingOf(row, () => 'ra'),
-    tables: { operators: 'op', endpoints: 'servers' }
-  })
-  let callCount = 0
+  const first = await addGateway('g1')
   let stopped: Promise<void> | undefined
   const stop = async (): Promise<void> => {
-    await gateway.stop()
+    await first.stop()
     await Promise.all(started.map(async runner => { await runner.close() }))
     await store.close()
-    checkLines(lines.map(entry => entry.line))
   }
   return {
     store,
     runners: started,
-    port,
-    readyPort,
-    lines,
+    port: first.port,
+    readyPort: first.readyPort,
+    lines: first.lines,
+    addGateway,
+    pass: ms => { passedMs += ms },
     list,
     deploy,
-    metrics: async () => await (await fetch(`http://127.0.0.1:${peerPort}/metrics`)).text(),
-    call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
+    metrics: async () => await (await fetch(`http://127.0.0.1:${first.peerPort}/metrics`)).text(),
+    call: first.call,
     stop: async () => {
       stopped ??= stop()
       await stopped
