--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -4,6 +4,8 @@
 import * as TestKit from '../testkit/index.ts'
 
 const LIMIT_MS = 5_000
+/** Calls stop beginning on the version before within this time after a version was named, in milliseconds. */
+const DUE_MS = Direct.VERSION_MS
 let stage: Direct.DirectStage
 
 const nameVersion = (version: number): void => { stage.store.put('op', 'version/m', { model: 'm', version }) }
@@ -26,4 +28,15 @@
     const sent = stage.lines.find(line => line.sentence === 'Call sent.' && line.fields.callId === 'told')
     expect([sent?.fields.version, sent?.fields.oldestVersion]).toEqual([1, 1])
   })
+
+  it('a gateway that started after a version was superseded begins no calls on the one before once the superseded one is due', async () => {
+    stage.pass(3_000)
+    nameVersion(3)
+    await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(stage, 'Version named.', 3))
+    const restarted = await stage.addGateway('g2')
+    await TestKit.Wait.until('the restarted gateway hears when it was named', LIMIT_MS, () => hasLine(restarted, 'Version dated.', 3))
+    await TestKit.Wait.until('the restarted gateway is ready', LIMIT_MS, async () => (await restarted.call()).status === 200)
+    stage.pass(DUE_MS - 3_000)
+    expect([(await stage.call()).status, (await restarted.call()).status]).toEqual([503, 503])
+  })
 })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -144,6 +144,7 @@
   const services = new Map(runners.map(options => [options.instanceId, options.service]))
   let passedMs = 0
   let callCount = 0
+  const gateways: StartedGateway[] = []
   const list = (runner: Runner.Runner, changes: object = {}): void => {
     const models = [{ name: 'm', version: runner.version, adapters: [] }]
     store.put('servers', runner.instanceId, { backend: services.get(runner.instanceId), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: 1, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
@@ -172,7 +173,7 @@
       listingOf: row => Endpoints.listingOf(row, () => 'ra'),
       tables: { operators: 'op', endpoints: 'servers' }
     })
-    return {
+    const added: StartedGateway = {
       name,
       port,
       readyPort,
@@ -184,13 +185,15 @@
         checkLines(lines.map(entry => entry.line))
       }
     }
+    gateways.push(added)
+    return added
   }
   deploy()
   for (const runner of started) list(runner)
   const first = await addGateway('g1')
   let stopped: Promise<void> | undefined
   const stop = async (): Promise<void> => {
-    await first.stop()
+    await Promise.all(gateways.map(async gateway => { await gateway.stop() }))
     await Promise.all(started.map(async runner => { await runner.close() }))
     await store.close()
   }
