Begin no calls on a version older than one that was superseded and is due

Callers' work began on version 1 up to 8.8 s after version 2 was named, at gateways that had started after version 3 took version 2's row in the store.

Cause: a gateway worked out the oldest version it may use from the rows that it had read itself. The store keeps one row a model, so a version superseded before a start was never seen. Other gateways did tell of it, with its time, but only the time of versions already held was taken from them, and versions without a known time were not told at all.

Ruled out: a late time of version 2 (it was never known: no line names it), and a wrong belief about endpoints (answers carried version 1 as listed).

Change: processes tell one another every version that binds calls now or later, known time or not, and take those they lack. The class is state worked out from the latest row where earlier rows still bind.

A property test holds that whoever is told comes to the teller's bound. The test 'never goes back' now also checks the bound: a lower version is taken, and lowers neither the newest version nor the bound.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -151,7 +151,7 @@
       const address = deployment.services.find(service => service.originAddress !== undefined)?.originAddress
       if (address !== undefined && address !== origin?.address) origin = { address, client: options.originAt(address) }
     },
-    onVersionNamed: (model, version, namedAtMs) => {
+    onVersionNamed: ({ model, version, namedAtMs }) => {
       const before = named.get(model) ?? []
       if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return false
       named.set(model, [...before, { model, version, namedAtMs: namedAtMs ?? -Infinity }].slice(-KEPT_GOAL_COUNT))
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -35,8 +35,8 @@
   /** The newest revisions that the sender holds, by table. */
   revisions: Schema.Record(Schema.String, Schema.Int),
   load: Schema.optional(LoadNews),
-  /** How long ago versions of weights were named, in milliseconds. */
-  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, agoMs: Schema.Number }))),
+  /** Versions of weights that were named, superseded ones too, and how long ago, in milliseconds, where the sender knows. */
+  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, agoMs: Schema.optional(Schema.Number) }))),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
   rollCall: Schema.optional(Schema.Boolean)
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -16,7 +16,7 @@
   /** Takes a deployment that is newer than the one in force. */
   readonly onDeployed?: (deployment: Routing.Deployment.Deployment) => void
   /** Takes a named version; it returns whether that changes anything. `namedAtMs` is undefined where it was named before this process could know. */
-  readonly onVersionNamed: (model: string, version: number, namedAtMs: number | undefined) => boolean
+  readonly onVersionNamed: (naming: Routing.Versions.Naming) => boolean
   /** Told after each batch of rows. */
   readonly onChanged?: () => void
 }
@@ -59,7 +59,7 @@
       log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
     },
     versionNamed: ({ model, version }) => {
-      if (options.onVersionNamed(model, version, catchingUp ? undefined : clock())) log('weights', 'Version named.', { model, version, catchingUp })
+      if (options.onVersionNamed({ model, version, namedAtMs: catchingUp ? undefined : clock() })) log('weights', 'Version named.', { model, version, catchingUp })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
   }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -94,7 +94,8 @@
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
     for (const { model, version, agoMs } of news.named ?? []) {
-      if (versions.date(model, version, clock() - agoMs)) log('weights', 'Version dated.', { model, version, sinceNamedMs: agoMs, source: news.sender })
+      const namedAtMs = agoMs === undefined ? undefined : clock() - agoMs
+      if (versions.learn({ model, version, namedAtMs })) log('weights', 'Version told of.', { model, version, sinceNamedMs: agoMs, source: news.sender })
     }
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
@@ -135,7 +136,7 @@
       server.keepAliveTimeout = deployment.limits.idleTimeoutMs
       metrics.gauge('deployment_version', deployment.version)
     },
-    onVersionNamed: versions.name,
+    onVersionNamed: versions.learn,
     onChanged: () => { ingress.wake() }
   })
   const listed = Follow.Follower.createFollower({
@@ -184,7 +185,7 @@
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
-    const named = versions.dated().map(({ model, version, namedAtMs }) => ({ model, version, agoMs: Math.round(nowMs - namedAtMs) }))
+    const named = versions.binding(nowMs).map(({ model, version, namedAtMs }) => ({ model, version, ...(namedAtMs === undefined ? {} : { agoMs: Math.round(nowMs - namedAtMs) }) }))
     node.tell({ named, revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
   const tellBeliefs = setInterval(() => {
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -2,30 +2,37 @@
  * Which versions of a model calls may begin on.
  *
  * Answers a new version that is still spreading: old and new are both served until the time by which
- * the new one has to be everywhere, and only the new one from then on. A process that has just started
- * takes the newest version for overdue until another one tells when it was named.
+ * the new one has to be everywhere, and only the new one from then on. That holds for every version
+ * that was named, also for one that was superseded before it was due: the store keeps the newest only,
+ * so processes tell one another of the others. A version whose time nobody knows counts as overdue.
  *
  * @packageDocumentation
  */
 
+/** A version that was named. */
+export interface NamedVersion {
+  readonly version: number
+  /** When it was named, in milliseconds; undefined where that is not known. */
+  readonly namedAtMs: number | undefined
+}
+
+/** A version that was named, with its model. */
+export interface Naming extends NamedVersion {
+  readonly model: string
+}
+
 /** The versions that operators named. */
 export interface Versions {
   /**
-   * Takes a named version; lower ones than the newest change nothing.
+   * Takes that a version was named.
    *
-   * @param namedAtMs - When it was named; undefined where this process has just started and cannot know.
+   * @returns Whether the version is new here, or its time is or has moved by more than a message takes.
    */
-  name: (model: string, version: number, namedAtMs: number | undefined) => boolean
-  /**
-   * Takes from another process when a version was named.
-   *
-   * @returns Whether that changes anything.
-   */
-  date: (model: string, version: number, namedAtMs: number) => boolean
-  /** The versions of each model with the time for which they are known to be named. */
-  dated: () => Array<{ readonly model: string, readonly version: number, readonly namedAtMs: number }>
+  learn: (naming: Naming) => boolean
+  /** The versions that other processes have to know of: those by which calls are bound now or later. */
+  binding: (nowMs: number) => Naming[]
   /** The versions of a model that are known to be named, the oldest first. */
-  namedOf: (model: string) => ReadonlyArray<{ readonly version: number, readonly namedAtMs: number | undefined }>
+  namedOf: (model: string) => readonly NamedVersion[]
   /** The newest version of each model that was named. */
   newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
@@ -44,27 +51,26 @@
  * @returns The versions.
  */
 export function createVersions (graceMs: () => number): Versions {
-  const named = new Map<string, Array<{ readonly version: number, namedAtMs: number | undefined }>>()
-  const newestOf = (model: string): number => named.get(model)?.at(-1)?.version ?? FIRST_VERSION
+  const named = new Map<string, readonly NamedVersion[]>()
+  const namedOf = (model: string): readonly NamedVersion[] => named.get(model) ?? []
+  const newestOf = (model: string): number => namedOf(model).at(-1)?.version ?? FIRST_VERSION
+  const isDue = (entry: NamedVersion, nowMs: number): boolean => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs()
+  const oldestOf = (model: string, nowMs: number): number => namedOf(model).filter(entry => isDue(entry, nowMs)).at(-1)?.version ?? FIRST_VERSION
   return {
-    name: (model, version, namedAtMs) => {
-      if (version <= newestOf(model)) return false
-      named.set(model, [...named.get(model) ?? [], { version, namedAtMs }])
-      return true
-    },
-    date: (model, version, namedAtMs) => {
-      const entry = named.get(model)?.find(other => other.version === version)
-      if (entry === undefined || entry.namedAtMs !== undefined) return false
-      entry.namedAtMs = namedAtMs
-      return true
+    learn: ({ model, version, namedAtMs }) => {
+      if (version <= FIRST_VERSION) return false
+      const before = namedOf(model).find(entry => entry.version === version)
+      const entry: NamedVersion = { version, namedAtMs: before?.namedAtMs ?? namedAtMs }
+      named.set(model, [...namedOf(model).filter(other => other.version !== version), entry].sort((a, b) => a.version - b.version))
+      return before === undefined || before.namedAtMs !== entry.namedAtMs
     },
-    dated: () => [...named].flatMap(([model, entries]) => entries.flatMap(({ version, namedAtMs }) => namedAtMs === undefined ? [] : [{ model, version, namedAtMs }])),
-    namedOf: model => named.get(model) ?? [],
+    binding: nowMs => [...named].flatMap(([model, entries]) => {
+      const oldest = oldestOf(model, nowMs)
+      return entries.filter(entry => entry.version >= oldest).map(entry => ({ model, ...entry }))
+    }),
+    namedOf,
     newest: () => [...named.keys()].map(model => ({ model, version: newestOf(model) })),
     newestOf,
-    oldestOf: (model, nowMs) => {
-      const due = (named.get(model) ?? []).filter(entry => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs())
-      return due.at(-1)?.version ?? FIRST_VERSION
-    }
+    oldestOf
   }
 }
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as FastCheck from 'fast-check'
 import * as Core from '../src/core/index.ts'
 import * as Routing from '../src/routing/index.ts'
 import * as Direct from '../testkit/direct.ts'
@@ -328,24 +329,53 @@
 })
 
 describe('Versions', () => {
+  const GRACE_MS = 7_000
+  const create = (): Routing.Versions.Versions => Routing.Versions.createVersions(() => GRACE_MS)
+  const naming = (version: number, namedAtMs: number | undefined): Routing.Versions.Naming => ({ model: 'm', version, namedAtMs })
+
   it('serves the version before until the new one has to be everywhere', () => {
-    const versions = Routing.Versions.createVersions(() => 7_000)
-    versions.name('m', 2, 1_000)
+    const versions = create()
+    versions.learn(naming(2, 1_000))
     expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000)]).toEqual([1, 2])
   })
 
   it('takes a version that was named before the start for overdue until another process dates it', () => {
-    const versions = Routing.Versions.createVersions(() => 7_000)
-    versions.name('m', 2, undefined)
+    const versions = create()
+    versions.learn(naming(2, undefined))
     expect(versions.oldestOf('m', 0)).toEqual(2)
-    versions.date('m', 2, 0)
+    versions.learn(naming(2, 0))
     expect([versions.oldestOf('m', 100), versions.oldestOf('m', 7_000)]).toEqual([1, 2])
   })
 
   it('never goes back', () => {
-    const versions = Routing.Versions.createVersions(() => 7_000)
-    versions.name('m', 3, 0)
-    expect([versions.name('m', 2, 10), versions.newestOf('m')]).toEqual([false, 3])
+    const versions = create()
+    versions.learn(naming(3, 0))
+    versions.learn(naming(2, 10))
+    expect([versions.newestOf('m'), versions.oldestOf('m', 7_005)]).toEqual([3, 3])
+  })
+
+  it('is bound by a superseded version that it hears of after the newest', () => {
+    const versions = create()
+    versions.learn(naming(3, 2_000))
+    versions.learn(naming(2, 0))
+    expect([versions.oldestOf('m', 6_999), versions.oldestOf('m', 7_000), versions.oldestOf('m', 9_000)]).toEqual([1, 2, 3])
+  })
+
+  it('tells others of every version that binds calls now or later, also of those without a time', () => {
+    const versions = create()
+    for (const [version, namedAtMs] of [[2, undefined], [3, 0], [4, 5_000]] as const) versions.learn(naming(version, namedAtMs))
+    const told = (nowMs: number): number[] => versions.binding(nowMs).map(({ version }) => version)
+    expect([told(6_000), told(7_000)]).toEqual([[2, 3, 4], [3, 4]])
+  })
+
+  it('comes to the same bound as any process that told it of its versions', () => {
+    FastCheck.assert(FastCheck.property(FastCheck.array(FastCheck.tuple(FastCheck.integer({ min: 2, max: 6 }), FastCheck.option(FastCheck.integer({ min: 0, max: 20_000 }), { nil: undefined }))), FastCheck.integer({ min: 0, max: 20_000 }), FastCheck.integer({ min: 0, max: 20_000 }), (events, toldAtMs, laterMs) => {
+      const first = create()
+      for (const [version, namedAtMs] of events) first.learn(naming(version, namedAtMs))
+      const second = create()
+      for (const told of first.binding(toldAtMs)) second.learn(told)
+      expect(second.oldestOf('m', toldAtMs + laterMs)).toEqual(first.oldestOf('m', toldAtMs + laterMs))
+    }))
   })
 })
 
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -34,7 +34,7 @@
     nameVersion(3)
     await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(stage, 'Version named.', 3))
     const restarted = await stage.addGateway('g2')
-    await TestKit.Wait.until('the restarted gateway hears when it was named', LIMIT_MS, () => hasLine(restarted, 'Version dated.', 3))
+    await TestKit.Wait.until('the restarted gateway hears when it was named', LIMIT_MS, () => hasLine(restarted, 'Version told of.', 3))
     await TestKit.Wait.until('the restarted gateway is ready', LIMIT_MS, async () => (await restarted.call()).status === 200)
     stage.pass(DUE_MS - 3_000)
     expect([(await stage.call()).status, (await restarted.call()).status]).toEqual([503, 503])
