Correct the time of a version that a process heard of late

A gateway that stood still while a version was named took the time at which it read of it for the time of naming, kept that against what all others told, and passed it on.

Cause: the time of an event was taken from its receipt, and the first one counted. Such a time errs towards late only, so the earliest one known is the best one.

Before: the new test fails (a told time changes nothing). After: it passes.

--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -4,7 +4,9 @@
  * Answers a new version that is still spreading: old and new are both served until the time by which
  * the new one has to be everywhere, and only the new one from then on. That holds for every version
  * that was named, also for one that was superseded before it was due: the store keeps the newest only,
- * so processes tell one another of the others. A version whose time nobody knows counts as overdue.
+ * so processes tell one another of the others. The earliest time that any of them knows is taken: one
+ * that stood still or read late knows a later time than the true one, never an earlier. A version whose
+ * time nobody knows counts as overdue.
  *
  * @packageDocumentation
  */
@@ -12,7 +14,7 @@
 /** A version that was named. */
 export interface NamedVersion {
   readonly version: number
-  /** When it was named, in milliseconds; undefined where that is not known. */
+  /** When it was named, in milliseconds, as early as any process knows; undefined where none does. */
   readonly namedAtMs: number | undefined
 }
 
@@ -43,6 +45,8 @@
 
 /** Versions count from 1. */
 const FIRST_VERSION = 1
+/** Times that differ by less are the same, in milliseconds: messages between regions take a few. */
+const SAME_TIME_MS = 50
 
 /**
  * Creates the versions.
@@ -60,9 +64,10 @@
     learn: ({ model, version, namedAtMs }) => {
       if (version <= FIRST_VERSION) return false
       const before = namedOf(model).find(entry => entry.version === version)
-      const entry: NamedVersion = { version, namedAtMs: before?.namedAtMs ?? namedAtMs }
+      const entry: NamedVersion = { version, namedAtMs: earliest(before?.namedAtMs, namedAtMs) }
       named.set(model, [...namedOf(model).filter(other => other.version !== version), entry].sort((a, b) => a.version - b.version))
-      return before === undefined || before.namedAtMs !== entry.namedAtMs
+      if (before === undefined) return true
+      return entry.namedAtMs !== undefined && (before.namedAtMs ?? Infinity) - entry.namedAtMs > SAME_TIME_MS
     },
     binding: nowMs => [...named].flatMap(([model, entries]) => {
       const oldest = oldestOf(model, nowMs)
@@ -74,3 +79,8 @@
     oldestOf
   }
 }
+
+function earliest (one: number | undefined, other: number | undefined): number | undefined {
+  if (one === undefined || other === undefined) return one ?? other
+  return Math.min(one, other)
+}
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -361,6 +361,13 @@
     expect([versions.oldestOf('m', 6_999), versions.oldestOf('m', 7_000), versions.oldestOf('m', 9_000)]).toEqual([1, 2, 3])
   })
 
+  it('corrects the time of a version that was heard of late', () => {
+    const versions = create()
+    versions.learn(naming(2, 4_000))
+    expect([versions.learn(naming(2, 30)), versions.oldestOf('m', 7_030)]).toEqual([true, 2])
+    expect([versions.learn(naming(2, 900)), versions.oldestOf('m', 7_030)]).toEqual([false, 2])
+  })
+
   it('tells others of every version that binds calls now or later, also of those without a time', () => {
     const versions = create()
     for (const [version, namedAtMs] of [[2, undefined], [3, 0], [4, 5_000]] as const) versions.learn(naming(version, namedAtMs))
