Leave an old version in the time of the first one that followed it

While version 3 superseded version 2, engines changed in the time of version 3, and gateways stopped beginning calls on version 1 in that of version 2: in between nobody could be served.

Agents now keep the named versions as gateways do (routing/versions) and take their turn by the oldest one that their engine lacks. The fetcher still works on the two newest, since the origin has no others.

Before: the new test in test/direct-filler.test.ts fails, the order comes in the time of version 3. After: it passes.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import * as Follow from '../follow/index.ts'
-import type * as Routing from '../routing/index.ts'
+import * as Routing from '../routing/index.ts'
 import * as Pacer from '../weights/edge/pacer.ts'
 import * as Exchange from './exchange.ts'
 import * as Fetcher from './fetcher.ts'
@@ -60,8 +60,6 @@
 const ANNOUNCE_MS = 20
 /** Reads of the system's own processes, which change seldom, are held back for so long, in milliseconds. */
 const MEMBERS_WAIT_MS = 20_000
-/** Named versions that are remembered: the origin has no older ones. */
-const KEPT_GOAL_COUNT = 2
 /** Versions count from 1. */
 const FIRST_VERSION = 1
 
@@ -75,7 +73,7 @@
   const { clock, log } = options
   const openedAtMs = clock()
   const library = Library.createLibrary()
-  const named = new Map<string, Fetcher.Goal[]>()
+  const versions = Routing.Versions.createVersions(() => options.bounds().versionMs)
   let origin: { readonly address: string, readonly client: Ports.Origin } | undefined
   let reachable: boolean | undefined
   let busy = false
@@ -151,12 +149,7 @@
       const address = deployment.services.find(service => service.originAddress !== undefined)?.originAddress
       if (address !== undefined && address !== origin?.address) origin = { address, client: options.originAt(address) }
     },
-    onVersionNamed: ({ model, version, namedAtMs }) => {
-      const before = named.get(model) ?? []
-      if (version <= (before.at(-1)?.version ?? FIRST_VERSION)) return false
-      named.set(model, [...before, { model, version, namedAtMs: namedAtMs ?? -Infinity }].slice(-KEPT_GOAL_COUNT))
-      return true
-    }
+    onVersionNamed: versions.learn
   })
   node.relay(options.operatorsTable, operators.follower)
   node.followMembers(MEMBERS_WAIT_MS)
@@ -164,7 +157,9 @@
   const goalsOf = (): readonly Fetcher.Goal[] => {
     const model = operators.deployment()?.services.find(service => service.name === options.service)?.engine?.models[0]
     if (model === undefined) return []
-    return named.get(model) ?? [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
+    const named = versions.namedOf(model)
+    if (named.length === 0) return [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
+    return named.map(({ version, namedAtMs }) => ({ model, version, namedAtMs: namedAtMs ?? -Infinity }))
   }
   const tellLoad = (report: Ports.EngineReport): void => {
     reportCount++
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -85,6 +85,8 @@
 /** A chunk that the origin did not give goes behind the others for so long, in milliseconds: twice the back-off, so that another one has its turn. */
 const ORIGIN_CHUNK_BACK_OFF_MS = 600
 const ORIGIN_NAME = 'origin'
+/** Named versions that are fetched: the origin has no older ones. */
+const KEPT_GOAL_COUNT = 2
 /** Chunks that one agent draws from the origin at once, where its connections allow. */
 const ORIGIN_LIMIT_COUNT = 2
 /** Connections to the origin that all agents share: the origin resets those beyond a few dozen. */
@@ -263,7 +265,7 @@
     const newest = goals.at(-1)
     if (newest === undefined) return []
     const wanted = loadedVersion >= newest.version ? [newest] : goals.filter(goal => goal.version > loadedVersion)
-    return wanted.map(({ model, version, namedAtMs }) => {
+    return wanted.slice(-KEPT_GOAL_COUNT).map(({ model, version, namedAtMs }) => {
       const volume = library.volumeOf(model, version)
       return { version, namedAtMs, heldShare: volume === undefined ? 0 : volume.heldCount / volume.manifest.digests.length }
     })
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -104,11 +104,11 @@
     if (spoiltCount > 0) log('weights', 'Staged chunks spoilt.', { model: volume.manifest.model, version: volume.manifest.version, spoiltCount })
     return spoiltCount === 0
   }
-  const start = async (goal: Fetcher.Goal, volume: Library.Volume, report: Ports.EngineReport): Promise<void> => {
+  const start = async (goal: Fetcher.Goal, owedSinceMs: number, volume: Library.Volume, report: Ports.EngineReport): Promise<void> => {
     const nowMs = clock()
     if (nowMs - startedAtMs < ORDER_PATIENCE_MS || report.loading || stagingPending) return
     const serves = (report.weights ?? []).some(held => held.model === goal.model)
-    const dueAtMs = Switching.startAtMs({ ...goal, versionMs: options.versionMs(), own: options.name, names: options.members().map(agent => agent.name) })
+    const dueAtMs = Switching.startAtMs({ model: goal.model, version: goal.version, owedSinceMs, versionMs: options.versionMs(), own: options.name, names: options.members().map(agent => agent.name) })
     if (serves && nowMs < dueAtMs) return
     if (serves) retiredAtMs ??= nowMs
     const mode = serves ? Switching.loadMode(report.activeCount, nowMs - (retiredAtMs ?? nowMs), options.isResumable()) : 'afterRunning'
@@ -149,7 +149,9 @@
       const volume = goal === undefined ? undefined : library.volumeOf(model, goal.version)
       if (goal === undefined || volume === undefined) return
       await stageHeld(volume)
-      if (staged.size === volume.manifest.digests.length && stagedVersion === goal.version) await start(goal, volume, report)
+      if (staged.size !== volume.manifest.digests.length || stagedVersion !== goal.version) return
+      const owedSinceMs = Math.min(...goals.filter(other => other.version > loaded).map(other => other.namedAtMs))
+      await start(goal, owedSinceMs, volume, report)
     },
     loadedVersionOf: model => loadedVersions.get(model) ?? 0,
     isRetiring: () => retiredAtMs !== undefined
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -13,9 +13,9 @@
 export interface Switch {
   readonly model: string
   readonly version: number
-  /** When the version was named, in milliseconds. */
-  readonly namedAtMs: number
-  /** Time by which the version has to be everywhere, in milliseconds. */
+  /** When the first version after the loaded one was named, in milliseconds: calls are bound by it also where it was superseded. */
+  readonly owedSinceMs: number
+  /** Time by which a version has to be everywhere, in milliseconds. */
   readonly versionMs: number
   readonly own: string
   readonly names: readonly string[]
@@ -36,7 +36,7 @@
   const names = change.names.includes(change.own) ? change.names : [...change.names, change.own]
   const rank = Core.Hash.rendezvous(`${change.model}/${change.version}`, names).indexOf(change.own)
   const share = names.length === 1 ? FIRST_SHARE : FIRST_SHARE + (LAST_SHARE - FIRST_SHARE) * rank / (names.length - 1)
-  return change.namedAtMs + share * change.versionMs
+  return change.owedSinceMs + share * change.versionMs
 }
 
 /** An engine that takes no new calls is given so long to end what runs, in milliseconds: most answers of a batch end within it. */
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -11,6 +11,7 @@
 const LIMIT_MS = 5_000
 const COUNT = 8
 const TICK_MS = 5
+const VERSION_MS = 400
 const chunkOf = (version: number, index: number): Buffer => Buffer.from(`weights ${version} ${index}`)
 const manifestOf = (version: number): Filling.Ports.WeightManifest => ({
   model: 'm',
@@ -21,6 +22,8 @@
 interface Stage {
   readonly staged: Map<number, Buffer>
   readonly orders: Array<{ readonly version: number, readonly mode: string, readonly staged: string[] }>
+  /** When the orders were given, in milliseconds. */
+  readonly orderedAtMs: number[]
   readonly drawn: number[]
   /** The version that the engine holds; 0 for none. */
   version: number
@@ -31,8 +34,8 @@
 }
 
 /** Runs a filler against an engine and an origin in memory. */
-function start (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (stage: Stage) => void, readonly originHas?: (index: number) => boolean } = {}): Stage {
-  const stage: Stage = { staged: new Map(), orders: [], drawn: [], version: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrong: new Map(), stop: () => { clearInterval(timer) } }
+function start (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (stage: Stage) => void, readonly originHas?: (index: number) => boolean, readonly supersededVersions?: ReadonlyArray<{ readonly version: number, readonly namedAtMs: number }>, readonly namedAtMs?: number } = {}): Stage {
+  const stage: Stage = { staged: new Map(), orders: [], orderedAtMs: [], drawn: [], version: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrong: new Map(), stop: () => { clearInterval(timer) } }
   const report = (): Filling.Ports.EngineReport => ({ activeCount: stage.activeCount, queuedCount: 0, pace: 1, loading: false, weights: stage.version === 0 ? [] : [{ model: 'm', version: stage.version }], bornAtMs: 1 })
   let tampered = false
   /** Moves with the ticks, so that a busy machine changes nothing. */
@@ -54,7 +57,7 @@
     library,
     members: () => [],
     callRoll: () => {},
-    versionMs: () => 400,
+    versionMs: () => VERSION_MS,
     download: Pacer.createPacer(Infinity),
     adopt: async volume => { await filler.adopt(volume) },
     announce: () => {},
@@ -78,13 +81,14 @@
       stage: async (_model, index, bytes) => { stage.staged.set(index, bytes); return true },
       start: async (_model, ordered, mode) => {
         stage.orders.push({ version: ordered, mode, staged: [...stage.staged].sort((a, b) => a[0] - b[0]).map(([, bytes]) => bytes.toString()) })
+        stage.orderedAtMs.push(clockMs)
         stage.version = ordered
         return 'accepted'
       }
     },
     library,
     members: () => [],
-    versionMs: () => 400,
+    versionMs: () => VERSION_MS,
     isResumable: () => true,
     progressOf: fetcher.progressOf,
     setServing: () => {},
@@ -93,7 +97,7 @@
   })
   const timer = setInterval(() => {
     clockMs += TICK_MS
-    const goals = [{ model: 'm', version, namedAtMs: 0 }]
+    const goals = [...changes.supersededVersions ?? [], { version, namedAtMs: changes.namedAtMs ?? 0 }].map(goal => ({ model: 'm', ...goal }))
     void filler.advance(goals, report())
     void fetcher.advance(goals, filler.loadedVersionOf('m'))
   }, TICK_MS)
@@ -160,4 +164,13 @@
     stage.stop()
     expect(stage.orders.map(order => order.mode)).toEqual(['cutting'])
   })
+
+  it('leaves an old version in the time of the first version that followed it, also where that one was superseded', async () => {
+    const namedAtMs = 0.3 * VERSION_MS
+    const stage = start(3, { engineVersion: 1, supersededVersions: [{ version: 2, namedAtMs: 0 }], namedAtMs })
+    await TestKit.Wait.until('the order', LIMIT_MS, () => stage.orders.length > 0)
+    stage.stop()
+    const soonestMs = Filling.Switching.startAtMs({ model: 'm', version: 3, owedSinceMs: 0, versionMs: VERSION_MS, own: 'own', names: [] })
+    expect([stage.orders[0]?.version, (stage.orderedAtMs[0] ?? 0) >= soonestMs, (stage.orderedAtMs[0] ?? 0) < soonestMs + namedAtMs]).toEqual([3, true, true])
+  })
 })
--- a/test/direct-filling.test.ts
+++ b/test/direct-filling.test.ts
@@ -94,7 +94,7 @@
 
 describe('Switching', () => {
   const names = agents.map(agent => agent.name)
-  const timeOf = (own: string): number => Filling.Switching.startAtMs({ model: 'm', version: 2, namedAtMs: 1_000, versionMs: 8_000, own, names })
+  const timeOf = (own: string): number => Filling.Switching.startAtMs({ model: 'm', version: 2, owedSinceMs: 1_000, versionMs: 8_000, own, names })
 
   it('spreads the changes of all endpoints over the time, the last one before its end', () => {
     const times = names.map(timeOf).sort((a, b) => a - b)
