Drop news that are sent after the channel is closed

An agent that stopped in the middle of a fetch sent news 20 ms later on a closed socket, and the process ended with an uncaught error (ERR_SOCKET_DGRAM_NOT_RUNNING). Found by a test of agents that stop early.

Before: the new test throws. After: it passes.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -68,11 +68,16 @@
     socket.once('error', reject)
     socket.bind(address.port, address.host, () => { resolve() })
   })
+  let closed = false
   return {
     send: (news, targets) => {
+      if (closed) return
       const bytes = Buffer.from(JSON.stringify(news))
       for (const target of targets) socket.send(bytes, target.port, target.host, error => { if (error !== null) onFault(error.message) })
     },
-    close: () => { socket.close() }
+    close: () => {
+      closed = true
+      socket.close()
+    }
   }
 }
