Tell agents of superseded versions and of the times of naming

An agent that started after a version was named took it for named long ago: it began to load out of its turn, and where a version before it was still being fetched by the others it did not join. One that reads the store late dated a version late.

Agents now tell one another what gateways tell, with a roll call, its answers, and once to each agent that joins. A version that was named before the process started still counts as one that others may hold, also where its time is known.

Before: the new test of test/direct-spread.test.ts fails (the late agent is not told). After: it passes, with the other tests of the spread.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -80,15 +80,17 @@
   let reportCount = 0
   let toldNear: Told = { text: '', atCount: 0 }
   let toldFar: Told = { text: '', atCount: 0 }
+  const toldIncarnations = new Set<string>()
 
   const linkBytesPerSecond = (): number => options.bounds().linkBitsPerSecond / BITS_PER_BYTE
   const upload = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
   const download = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
   const onNews = (news: Follow.News.News): void => {
+    Follow.News.learnNamed(versions, news, clock(), log)
     operators.follower.hint(news.revisions[options.operatorsTable] ?? 0)
     fetcher.noteHeard(news.sender)
     if (news.rollCall === true) {
-      node.tell({ revisions: {}, rollCall: false }, 'agent', member => member.name === news.sender)
+      node.tell({ revisions: {}, rollCall: false, named: Follow.News.tellNamed(versions, clock()) }, 'agent', member => member.name === news.sender)
       fetcher.answerRoll(news.sender)
     }
     if (news.held !== undefined) fetcher.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
@@ -117,7 +119,7 @@
     origin: () => origin?.client,
     library,
     members: otherAgents,
-    callRoll: () => { node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, rollCall: true }, 'agent') },
+    callRoll: () => { node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, rollCall: true, named: Follow.News.tellNamed(versions, clock()) }, 'agent') },
     versionMs: () => options.bounds().versionMs,
     download,
     adopt: async volume => { await filler.adopt(volume) },
@@ -181,12 +183,21 @@
     if (!near && !far) return
     node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, load }, 'gateway', member => member.zone === options.zone ? near : far)
   }
+  /** Tells agents that have just joined of the versions that they cannot read from the store any more. */
+  const tellJoined = (): void => {
+    const joined = otherAgents().filter(member => !toldIncarnations.has(member.incarnation))
+    if (joined.length === 0) return
+    for (const { incarnation } of joined) toldIncarnations.add(incarnation)
+    const named = Follow.News.tellNamed(versions, clock())
+    if (named.length > 0) node.tell({ revisions: {}, named }, 'agent', member => joined.includes(member))
+  }
   const noteReachable = (now: boolean): void => {
     if (now === reachable) return
     reachable = now
     log('weights', now ? 'Engine answers.' : 'Engine does not answer.', options.endpoint)
   }
   const beat = setInterval(() => {
+    tellJoined()
     if (busy) return
     busy = true
     void options.engine.report().then(async report => {
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -103,6 +103,7 @@
 export function createFetcher (options: FetcherOptions): Fetcher {
   const { library, clock, log, metrics } = options
   const own = options.name
+  const createdAtMs = clock()
   /** When an agent said that it lacks a chunk, as `agent chunk`. */
   const refusedAtMs = new Map<string, number>()
   const tryCounts = new Map<string, number>()
@@ -246,7 +247,7 @@
     const regions = new Map(agents.map(agent => [agent.name, agent.region]))
     const lines = linesNow()
     const namedAtMs = fetchGoal?.namedAtMs ?? clock()
-    const isSettled = namedAtMs === -Infinity
+    const isSettled = namedAtMs < createdAtMs
     const sinceMs = clock() - (isSettled ? rollCalledAtMs : namedAtMs)
     for (const index of lines.fetchOrder(set, digests.length, own)) {
       if (fetching.size >= FETCH_LIMIT_COUNT) return
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -7,6 +7,8 @@
  */
 import * as Dgram from 'node:dgram'
 import * as Schema from 'effect/Schema'
+import type * as Core from '../core/index.ts'
+import type * as Routing from '../routing/index.ts'
 import * as Decode from '../schema/decode.ts'
 
 /** What an agent tells gateways of the endpoint beside it. */
@@ -52,6 +54,32 @@
 
 const decode = Decode.json(News)
 
+/**
+ * Says which versions bind calls, for other processes.
+ *
+ * @param versions - The versions that this process knows.
+ * @param nowMs - The time.
+ * @returns The part of a message.
+ */
+export function tellNamed (versions: Routing.Versions.Versions, nowMs: number): NonNullable<News['named']> {
+  return versions.binding(nowMs).map(({ model, version, namedAtMs }) => ({ model, version, ...(namedAtMs === undefined ? {} : { agoMs: Math.round(nowMs - namedAtMs) }) }))
+}
+
+/**
+ * Takes the versions that another process tells of.
+ *
+ * @param versions - The versions that this process knows.
+ * @param news - The message.
+ * @param nowMs - The time at which it came.
+ * @param log - Told of what is new.
+ */
+export function learnNamed (versions: Routing.Versions.Versions, news: News, nowMs: number, log: Core.Loop.Tick<never, never>['log']): void {
+  for (const { model, version, agoMs } of news.named ?? []) {
+    const namedAtMs = agoMs === undefined ? undefined : nowMs - agoMs
+    if (versions.learn({ model, version, namedAtMs })) log('weights', 'Version told of.', { model, version, sinceNamedMs: agoMs, source: news.sender })
+  }
+}
+
 /**
  * Opens the channel.
  *
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -93,10 +93,7 @@
 
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
-    for (const { model, version, agoMs } of news.named ?? []) {
-      const namedAtMs = agoMs === undefined ? undefined : clock() - agoMs
-      if (versions.learn({ model, version, namedAtMs })) log('weights', 'Version told of.', { model, version, sinceNamedMs: agoMs, source: news.sender })
-    }
+    Follow.News.learnNamed(versions, news, clock(), log)
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
@@ -185,8 +182,7 @@
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
-    const named = versions.binding(nowMs).map(({ model, version, namedAtMs }) => ({ model, version, ...(namedAtMs === undefined ? {} : { agoMs: Math.round(nowMs - namedAtMs) }) }))
-    node.tell({ named, revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
+    node.tell({ named: Follow.News.tellNamed(versions, nowMs), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
   const tellBeliefs = setInterval(() => {
     const nowMs = clock()
--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -69,10 +69,26 @@
       await TestKit.Wait.sleep(4_000)
       store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
       await TestKit.Wait.until('every living engine serves the version', VERSION_MS, () => agents.every(agent => agent.version === 2 || !agent.isEngineUp))
-      console.error([...fleet.drawnCounts].filter(([, c]) => c > 1), agents.map(a => a.name + JSON.stringify(a.lines.filter(l => /held whole|being|not had|told/.test(l.sentence)).map(l => [l.sentence.slice(0, 14), l.fields])))); const counts = [...fleet.drawnCounts].flatMap(([chunk, count]) => chunk.startsWith('2/') ? [count] : [])
+      const counts = [...fleet.drawnCounts].flatMap(([chunk, count]) => chunk.startsWith('2/') ? [count] : [])
       expect([counts.length, Math.max(...counts)]).toEqual([CHUNK_COUNT, 1])
     })
 
+    it('is known with its time, and the version that it superseded, to an agent that starts afterwards', async () => {
+      const { fleet, store } = await createFleet()
+      const agents = await Promise.all(['a1', 'a2'].map(async name => await fleet.start(name, 'ra', { version: 1 })))
+      stops.push(...agents.map(agent => agent.stop))
+      const isNamed = (version: number): boolean => agents.every(agent => agent.lines.some(line => line.sentence === 'Version named.' && line.fields.version === version))
+      await TestKit.Wait.until('the agents follow the operators', LIMIT_MS, () => agents.every(agent => agent.lines.some(line => line.sentence === 'Deployment in force.')))
+      for (const version of [2, 3]) {
+        store.put('op', `version/${MODEL}`, { model: MODEL, version })
+        await TestKit.Wait.until('the version is named', LIMIT_MS, () => isNamed(version))
+      }
+      const late = await fleet.start('a3', 'ra', { version: 1 })
+      stops.push(late.stop)
+      const isTold = (version: number): boolean => late.lines.some(line => line.sentence === 'Version told of.' && line.fields.version === version && line.fields.sinceNamedMs !== undefined)
+      await TestKit.Wait.until('the late agent is told', LIMIT_MS, () => isTold(2) && isTold(3))
+    })
+
     it('reaches an agent whose feed of the store fell silent, through the others', async () => {
       const { fleet, store } = await createFleet()
       let silent = false
