Date versions by the store's clock, not by the receipt of a message

The store tells its steady clock with each answer. Processes now keep what their clock is ahead of it, by the answer that was the shortest time on its way, and tell one another times of naming by the store's clock: message delay, frozen processes and suspended instances no longer move them, and rounding does not drift. A row has the time of its page where the store held the read, that of the page before where pages follow closely, and else only a lower bound, which counts until another process knows better. A version that another process tells of without a time was named after the own rows were complete.

Fetching stays with the two newest versions, loading may take any that is held whole. Agents also tell gateways that join.

'never goes back' now asks past the time of the lower version, where the replaced form could not fail.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -86,11 +86,11 @@
   const upload = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
   const download = Pacer.createPacer(linkBytesPerSecond() * LINK_SHARE, 0)
   const onNews = (news: Follow.News.News): void => {
-    Follow.News.learnNamed(versions, news, clock(), log)
+    Follow.News.learnNamed(versions, news, operators.follower, node.storeClock, log)
     operators.follower.hint(news.revisions[options.operatorsTable] ?? 0)
     fetcher.noteHeard(news.sender)
     if (news.rollCall === true) {
-      node.tell({ revisions: {}, rollCall: false, named: Follow.News.tellNamed(versions, clock()) }, 'agent', member => member.name === news.sender)
+      node.tell({ revisions: {}, rollCall: false, named: namedNews() }, 'agent', member => member.name === news.sender)
       fetcher.answerRoll(news.sender)
     }
     if (news.held !== undefined) fetcher.noteHeld(news.sender, news.held.model, news.held.version, news.held.indexes)
@@ -112,6 +112,8 @@
       announcements.set(key, entry)
     }
   }
+  const revisions = (): Follow.News.News['revisions'] => ({ [options.operatorsTable]: operators.follower.mirror.rowRevision() })
+  const namedNews = (): NonNullable<Follow.News.News['named']> => Follow.News.namedNews(versions, node.storeClock.now())
   const otherAgents = (): readonly Follow.Members.Member[] => node.members().filter(member => member.kind === 'agent')
   const fetcher = Fetcher.createFetcher({
     name: options.name,
@@ -119,7 +121,7 @@
     origin: () => origin?.client,
     library,
     members: otherAgents,
-    callRoll: () => { node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, rollCall: true, named: Follow.News.tellNamed(versions, clock()) }, 'agent') },
+    callRoll: () => { node.tell({ revisions: revisions(), rollCall: true, named: namedNews() }, 'agent') },
     versionMs: () => options.bounds().versionMs,
     download,
     adopt: async volume => { await filler.adopt(volume) },
@@ -161,7 +163,7 @@
     if (model === undefined) return []
     const named = versions.namedOf(model)
     if (named.length === 0) return [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
-    return named.map(({ version, namedAtMs }) => ({ model, version, namedAtMs: namedAtMs ?? -Infinity }))
+    return named.map(({ version, namedAtMs, notBeforeMs }) => ({ model, version, namedAtMs: node.storeClock.toOwn(namedAtMs ?? notBeforeMs) }))
   }
   const tellLoad = (report: Ports.EngineReport): void => {
     reportCount++
@@ -181,15 +183,16 @@
     if (near) toldNear = { text, atCount: reportCount }
     if (far) toldFar = { text, atCount: reportCount }
     if (!near && !far) return
-    node.tell({ revisions: { [options.operatorsTable]: operators.follower.mirror.rowRevision() }, load }, 'gateway', member => member.zone === options.zone ? near : far)
+    node.tell({ revisions: revisions(), load }, 'gateway', member => member.zone === options.zone ? near : far)
   }
-  /** Tells agents that have just joined of the versions that they cannot read from the store any more. */
+  /** Tells processes that have just joined of the versions that they cannot read from the store any more. */
   const tellJoined = (): void => {
-    const joined = otherAgents().filter(member => !toldIncarnations.has(member.incarnation))
+    const joined = node.members().filter(member => !toldIncarnations.has(member.incarnation))
     if (joined.length === 0) return
     for (const { incarnation } of joined) toldIncarnations.add(incarnation)
-    const named = Follow.News.tellNamed(versions, clock())
-    if (named.length > 0) node.tell({ revisions: {}, named }, 'agent', member => joined.includes(member))
+    const named = namedNews()
+    if (named.length === 0) return
+    for (const kind of ['agent', 'gateway'] as const) node.tell({ revisions: revisions(), named }, kind, member => joined.includes(member))
   }
   const noteReachable = (now: boolean): void => {
     if (now === reachable) return
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -266,7 +266,7 @@
     const newest = goals.at(-1)
     if (newest === undefined) return []
     const wanted = loadedVersion >= newest.version ? [newest] : goals.filter(goal => goal.version > loadedVersion)
-    return wanted.slice(-KEPT_GOAL_COUNT).map(({ model, version, namedAtMs }) => {
+    return wanted.map(({ model, version, namedAtMs }) => {
       const volume = library.volumeOf(model, version)
       return { version, namedAtMs, heldShare: volume === undefined ? 0 : volume.heldCount / volume.manifest.digests.length }
     })
@@ -280,7 +280,7 @@
   }
   return {
     advance: async (goals, loadedVersion) => {
-      const version = Switching.versionToFetch(progressOf(goals, loadedVersion), options.versionMs(), clock())
+      const version = Switching.versionToFetch(progressOf(goals, loadedVersion).slice(-KEPT_GOAL_COUNT), options.versionMs(), clock())
       fetchGoal = goals.find(goal => goal.version === version)
       if (fetchGoal === undefined) return
       const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -5,6 +5,7 @@
  */
 import type * as Core from '../core/index.ts'
 import * as Rows from './rows.ts'
+import type * as StoreClock from './storeClock.ts'
 
 /** How rows came. */
 export interface RowsContext {
@@ -12,6 +13,10 @@
   readonly fromStore: boolean
   /** Whether the rows are the first ones, so that they may be of any age. */
   readonly isFirst: boolean
+  /** When the rows were written, by the store's clock in milliseconds; undefined where that is not known closely. */
+  readonly writtenAtMs: number | undefined
+  /** The rows were not written before, by the store's clock in milliseconds; -Infinity for the first ones. */
+  readonly notBeforeMs: number
 }
 
 /** What a follower needs. */
@@ -25,6 +30,7 @@
   /** Time between an answer and the next read, in which changes gather, in milliseconds; 0 without one. */
   readonly gatherMs?: number
   readonly clock: () => number
+  readonly storeClock: StoreClock.StoreClock
   readonly random: Core.Random.Random
   /** Takes changed rows. */
   readonly onRows: (rows: readonly Rows.Row[], context: RowsContext) => void
@@ -40,6 +46,8 @@
   regainedAtMs: () => number | undefined
   /** When the rows were last known to be the newest, in milliseconds: the last answer of the store or of a process asked in its place; -Infinity before the first. */
   freshAtMs: () => number
+  /** As of when the store has told all rows, by its clock in milliseconds; -Infinity before its first page. */
+  completeAtMs: () => number
   /** Whether the store answers. */
   isInTouch: () => boolean
   /** Told that another process holds a newer revision: reads at once over a new connection if this one stays behind. */
@@ -54,6 +62,11 @@
 /** A read that may have gone silent is replaced at most so often, in milliseconds. */
 const RESTART_MS = 1_000
 
+/** An answer that the store made this much after it was asked was held until a row changed, in milliseconds: the way there and its own time are far less. */
+const HELD_MS = 500
+/** Rows written within so short a time have its beginning as their time, in milliseconds. */
+const CLOSE_MS = 250
+
 /**
  * Starts following a table.
  *
@@ -61,22 +74,34 @@
  * @returns The follower.
  */
 export function createFollower (options: FollowerOptions): Follower {
-  const { table, store, clock, log } = options
+  const { table, store, clock, storeClock, log } = options
   const mirror = Rows.createMirror()
   let known = false
   let whole = false
   let lostAtMs: number | undefined
   let regainedAtMs: number | undefined
   let freshAtMs = -Infinity
+  /** When the store made its last page, by its own clock. */
+  let completeAtMs = -Infinity
   let stopped = false
   let hintedRevision = 0
   let generation = 0
   let restartedAtMs = -Infinity
 
-  const accept = (rows: readonly Rows.Row[], fromStore: boolean): void => {
+  const accept = (rows: readonly Rows.Row[], fromStore: boolean, times: Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'>): void => {
     const first = !known
     known = true
-    if (rows.length > 0 || first) options.onRows(rows, { fromStore, isFirst: first })
+    if (rows.length > 0 || first) options.onRows(rows, first ? { fromStore, isFirst: true, writtenAtMs: undefined, notBeforeMs: -Infinity } : { fromStore, isFirst: false, ...times })
+  }
+  /** Works out when the rows of a page of the store were written: it may have been on its way for long, and so may the page before. */
+  const timesOf = (page: Rows.Page, askedAtMs: number): Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'> => {
+    const notBeforeMs = completeAtMs
+    const { madeAtMs } = page
+    if (madeAtMs === undefined) return { writtenAtMs: undefined, notBeforeMs }
+    storeClock.observe(madeAtMs)
+    completeAtMs = madeAtMs
+    const wasHeld = madeAtMs - storeClock.ofOwn(askedAtMs) > HELD_MS
+    return { writtenAtMs: wasHeld ? madeAtMs : madeAtMs - notBeforeMs <= CLOSE_MS ? notBeforeMs : undefined, notBeforeMs }
   }
   const noteAnswer = (): void => {
     freshAtMs = clock()
@@ -96,17 +121,18 @@
     const rows = mirror.take(page)
     if (rows.length > 0) freshAtMs = clock()
     if (rows.length > 0) log('store', 'Rows taken from another process.', { table, rowCount: rows.length, revision: page.revision })
-    accept(rows, false)
+    accept(rows, false, { writtenAtMs: undefined, notBeforeMs: completeAtMs })
   }
   const readOnce = async (): Promise<void> => {
     const asked = generation
+    const askedAtMs = clock()
     const answer = whole ? await store.readSince(table, mirror.revision(), options.waitMs) : await store.readAll(table)
     if (asked !== generation) return
     if (answer.isOk()) {
       noteAnswer()
       const rows = whole ? mirror.take(answer.value) : mirror.replace(answer.value)
       whole = true
-      accept(rows, true)
+      accept(rows, true, timesOf(answer.value, askedAtMs))
       if (options.gatherMs !== undefined) await pause(options.gatherMs)
       return
     }
@@ -145,6 +171,7 @@
     isKnown: () => known,
     regainedAtMs: () => regainedAtMs,
     freshAtMs: () => freshAtMs,
+    completeAtMs: () => completeAtMs,
     isInTouch: () => lostAtMs === undefined,
     hint: revision => {
       if (revision <= Math.max(mirror.rowRevision(), hintedRevision) || stopped) return
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -10,6 +10,8 @@
 import type * as Core from '../core/index.ts'
 import type * as Routing from '../routing/index.ts'
 import * as Decode from '../schema/decode.ts'
+import type * as Follower from './follower.ts'
+import type * as StoreClock from './storeClock.ts'
 
 /** What an agent tells gateways of the endpoint beside it. */
 export const LoadNews = Schema.Struct({
@@ -37,8 +39,10 @@
   /** The newest revisions that the sender holds, by table. */
   revisions: Schema.Record(Schema.String, Schema.Int),
   load: Schema.optional(LoadNews),
-  /** Versions of weights that were named, superseded ones too, and how long ago, in milliseconds, where the sender knows. */
-  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, agoMs: Schema.optional(Schema.Number) }))),
+  /** The store's time when the news was sent, as the sender knows it, in milliseconds. */
+  storeMs: Schema.optional(Schema.Number),
+  /** Versions of weights that were named, superseded ones too; times are the store's. */
+  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, namedAtMs: Schema.optional(Schema.Number), notBeforeMs: Schema.optional(Schema.Number) }))),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
   rollCall: Schema.optional(Schema.Boolean)
@@ -55,14 +59,14 @@
 const decode = Decode.json(News)
 
 /**
- * Says which versions bind calls, for other processes.
+ * Makes news of the versions that bind calls.
  *
  * @param versions - The versions that this process knows.
- * @param nowMs - The time.
+ * @param storeMs - The store's time, in milliseconds.
  * @returns The part of a message.
  */
-export function tellNamed (versions: Routing.Versions.Versions, nowMs: number): NonNullable<News['named']> {
-  return versions.binding(nowMs).map(({ model, version, namedAtMs }) => ({ model, version, ...(namedAtMs === undefined ? {} : { agoMs: Math.round(nowMs - namedAtMs) }) }))
+export function namedNews (versions: Routing.Versions.Versions, storeMs: number): NonNullable<News['named']> {
+  return versions.binding(storeMs).map(({ notBeforeMs, ...naming }) => Number.isFinite(notBeforeMs) ? { ...naming, notBeforeMs } : naming)
 }
 
 /**
@@ -70,13 +74,15 @@
  *
  * @param versions - The versions that this process knows.
  * @param news - The message.
- * @param nowMs - The time at which it came.
+ * @param own - Where the operators' rows are followed: what they lack was named after they were complete.
+ * @param storeClock - The store's clock.
  * @param log - Told of what is new.
  */
-export function learnNamed (versions: Routing.Versions.Versions, news: News, nowMs: number, log: Core.Loop.Tick<never, never>['log']): void {
-  for (const { model, version, agoMs } of news.named ?? []) {
-    const namedAtMs = agoMs === undefined ? undefined : nowMs - agoMs
-    if (versions.learn({ model, version, namedAtMs })) log('weights', 'Version told of.', { model, version, sinceNamedMs: agoMs, source: news.sender })
+export function learnNamed (versions: Routing.Versions.Versions, news: News, own: Pick<Follower.Follower, 'completeAtMs'>, storeClock: StoreClock.StoreClock, log: Core.Loop.Tick<never, never>['log']): void {
+  for (const { model, version, namedAtMs, notBeforeMs = -Infinity } of news.named ?? []) {
+    const lackedUntilMs = version > versions.newestOf(model) ? own.completeAtMs() : -Infinity
+    if (!versions.learn({ model, version, namedAtMs, notBeforeMs: Math.max(notBeforeMs, lackedUntilMs) })) continue
+    log('weights', 'Version told of.', { model, version, ...(namedAtMs === undefined ? {} : { sinceNamedMs: Math.round(storeClock.now() - namedAtMs) }), source: news.sender })
   }
 }
 
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -12,6 +12,7 @@
 import * as News from './news.ts'
 import * as Relay from './relay.ts'
 import type * as Rows from './rows.ts'
+import * as StoreClock from './storeClock.ts'
 
 /** What a process needs to take part. */
 export interface NodeOptions {
@@ -33,14 +34,15 @@
 /** A process that takes part. */
 export interface Node {
   readonly incarnation: string
-  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'random' | 'log'>
+  readonly storeClock: StoreClock.StoreClock
+  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'>
   members: () => readonly Members.Member[]
   /** Follows the entries of the other processes. */
   followMembers: (waitMs: number) => void
   /** Hands a table on to processes that ask. */
   relay: (table: string, relayed: Relay.Relayed) => void
   /** Sends news to the other processes of a kind. */
-  tell: (news: Omit<News.News, 'sender'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
+  tell: (news: Omit<News.News, 'sender' | 'storeMs'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
   /** Removes the process's entry and leaves. */
   close: () => Promise<void>
 }
@@ -68,7 +70,12 @@
   let closed = false
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
-  const channel = await News.openChannel({ host, port }, onNews, reason => {
+  const storeClock = StoreClock.createStoreClock(options.clock)
+  const takeNews = (news: News.News): void => {
+    if (news.storeMs !== undefined) storeClock.observe(news.storeMs)
+    onNews(news)
+  }
+  const channel = await News.openChannel({ host, port }, takeNews, reason => {
     metrics.count('news_faults_total')
     log('news', 'News lost.', { reason })
   })
@@ -78,7 +85,7 @@
     headersTimeoutMs: 2_000,
     routes: [Relay.createRelayRoute(table => relayed.get(table)), metrics.route, ...routes]
   })
-  const followerOptions = { store, askPeer, clock: options.clock, random, log }
+  const followerOptions = { store, askPeer, clock: options.clock, storeClock, random, log }
 
   const enter = async (): Promise<void> => {
     const entry: Members.Member = { name, kind, host, port, zone, region, incarnation }
@@ -91,8 +98,13 @@
     }
   }
   void enter()
+  const storeTime = (): Pick<News.News, 'storeMs'> => {
+    const storeMs = Math.floor(storeClock.now())
+    return Number.isFinite(storeMs) ? { storeMs } : {}
+  }
   return {
     incarnation,
+    storeClock,
     followerOptions,
     members: () => members,
     followMembers: waitMs => {
@@ -108,7 +120,7 @@
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
     relay: (table, entry) => { relayed.set(table, entry) },
-    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, ...news }, members.filter(member => member.kind === toKind && choose(member))) },
+    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, ...storeTime(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: async () => {
       closed = true
       follower?.stop()
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -9,13 +9,13 @@
 import type * as Rows from './rows.ts'
 
 /** What following operators needs. */
-export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'random' | 'log'> {
+export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'> {
   /** Name of the table that operators write. */
   readonly table: string
   readonly changeOf: (row: Rows.Row) => Routing.Deployment.OperatorChange | undefined
   /** Takes a deployment that is newer than the one in force. */
   readonly onDeployed?: (deployment: Routing.Deployment.Deployment) => void
-  /** Takes a named version; it returns whether that changes anything. `namedAtMs` is undefined where it was named before this process could know. */
+  /** Takes a named version; it returns whether that changes anything. */
   readonly onVersionNamed: (naming: Routing.Versions.Naming) => boolean
   /** Told after each batch of rows. */
   readonly onChanged?: () => void
@@ -39,11 +39,11 @@
  * @returns What is in force, kept up to date.
  */
 export function followOperators (options: OperatorsOptions): Operators {
-  const { clock, log, table } = options
+  const { clock, storeClock, log, table } = options
   const drainedZones = new Set<string>()
   let deploymentInForce: Routing.Deployment.Deployment | undefined
-  /** Whether changes are taken that were made before this process started. */
-  let catchingUp = false
+  /** How the changes that are being taken came. */
+  let context: Follower.RowsContext = { fromStore: true, isFirst: true, writtenAtMs: undefined, notBeforeMs: -Infinity }
 
   const handlers: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
     deployed: ({ deployment }) => {
@@ -59,7 +59,9 @@
       log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
     },
     versionNamed: ({ model, version }) => {
-      if (options.onVersionNamed({ model, version, namedAtMs: catchingUp ? undefined : clock() })) log('weights', 'Version named.', { model, version, catchingUp })
+      const { isFirst, writtenAtMs, notBeforeMs } = context
+      if (!options.onVersionNamed({ model, version, namedAtMs: writtenAtMs, notBeforeMs })) return
+      log('weights', 'Version named.', { model, version, catchingUp: isFirst, ...(writtenAtMs === undefined ? {} : { sinceNamedMs: Math.round(storeClock.now() - writtenAtMs) }) })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
   }
@@ -67,12 +69,13 @@
     store: options.store,
     askPeer: options.askPeer,
     clock,
+    storeClock,
     random: options.random,
     log,
     table,
     waitMs: WAIT_MS,
-    onRows: (rows, { isFirst }) => {
-      catchingUp = isFirst
+    onRows: (rows, rowsContext) => {
+      context = rowsContext
       for (const row of rows) {
         const change = options.changeOf(row)
         if (change !== undefined) Core.Loop.dispatch(handlers, change)
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -19,6 +19,8 @@
 export interface Page {
   readonly rows: readonly Row[]
   readonly revision: number
+  /** The source's own steady clock when it made the page, in milliseconds, where it tells. */
+  readonly madeAtMs?: number | undefined
 }
 
 /** Why rows could not be read: the source lacks the history asked for, or does not answer. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -93,7 +93,7 @@
 
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
-    Follow.News.learnNamed(versions, news, clock(), log)
+    Follow.News.learnNamed(versions, news, operators.follower, node.storeClock, log)
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
@@ -158,7 +158,7 @@
       zone: options.zone,
       region: options.region,
       drainedZones: operators.drainedZones,
-      oldestVersionOf: model => versions.oldestOf(model, clock()),
+      oldestVersionOf: model => versions.oldestOf(model, node.storeClock.now()),
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone))
     }),
@@ -182,7 +182,7 @@
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
-    node.tell({ named: Follow.News.tellNamed(versions, nowMs), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
+    node.tell({ named: Follow.News.namedNews(versions, node.storeClock.now()), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
   const tellBeliefs = setInterval(() => {
     const nowMs = clock()
@@ -191,16 +191,17 @@
     for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs))) metrics.gauge('endpoints', count, { state })
     for (const { model, version } of versions.newest()) {
       metrics.gauge('weights_version', version, { model })
-      metrics.gauge('weights_oldest_version', versions.oldestOf(model, nowMs), { model })
+      metrics.gauge('weights_oldest_version', versions.oldestOf(model, node.storeClock.now()), { model })
     }
   }, GAUGE_MS)
-  const logOldestVersions = (nowMs: number): void => {
+  const logOldestVersions = (): void => {
+    const storeMs = node.storeClock.now()
     for (const { model } of versions.newest()) {
-      const version = versions.oldestOf(model, nowMs)
+      const version = versions.oldestOf(model, storeMs)
       const versionBefore = oldestLogged.get(model)
       if (version === versionBefore) continue
       oldestLogged.set(model, version)
-      const named = versions.namedOf(model).map(entry => ({ version: entry.version, ...(entry.namedAtMs === undefined ? {} : { sinceNamedMs: Math.round(nowMs - entry.namedAtMs) }) }))
+      const named = versions.namedOf(model).map(entry => ({ version: entry.version, ...(entry.namedAtMs === undefined || storeMs === Infinity ? {} : { sinceNamedMs: Math.round(storeMs - entry.namedAtMs) }) }))
       log('weights', 'Oldest version changed.', { model, version, versionBefore, named })
     }
   }
@@ -208,7 +209,7 @@
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     tellRevisions(nowMs)
-    logOldestVersions(nowMs)
+    logOldestVersions()
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
   log('gateway', 'Gateway started.', { callers: options.callers, incarnation: node.incarnation })
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -4,9 +4,10 @@
  * Answers a new version that is still spreading: old and new are both served until the time by which
  * the new one has to be everywhere, and only the new one from then on. That holds for every version
  * that was named, also for one that was superseded before it was due: the store keeps the newest only,
- * so processes tell one another of the others. The earliest time that any of them knows is taken: one
- * that stood still or read late knows a later time than the true one, never an earlier. A version whose
- * time nobody knows counts as overdue.
+ * so processes tell one another of the others. A version whose time nobody knows counts as named at the
+ * earliest time possible; where a process has just started, as overdue.
+ *
+ * All times are of the store's clock, so that every process means the same by them.
  *
  * @packageDocumentation
  */
@@ -16,6 +17,8 @@
   readonly version: number
   /** When it was named, in milliseconds, as early as any process knows; undefined where none does. */
   readonly namedAtMs: number | undefined
+  /** It was not named before this time, in milliseconds, which counts where the time itself is not known; -Infinity where nothing is. */
+  readonly notBeforeMs: number
 }
 
 /** A version that was named, with its model. */
@@ -32,7 +35,7 @@
    */
   learn: (naming: Naming) => boolean
   /** The versions that other processes have to know of: those by which calls are bound now or later. */
-  binding: (nowMs: number) => Naming[]
+  binding: (storeMs: number) => Naming[]
   /** The versions of a model that are known to be named, the oldest first. */
   namedOf: (model: string) => readonly NamedVersion[]
   /** The newest version of each model that was named. */
@@ -40,13 +43,11 @@
   /** The newest version named; 1 where none was. */
   newestOf: (model: string) => number
   /** The oldest version on which a call may begin. */
-  oldestOf: (model: string, nowMs: number) => number
+  oldestOf: (model: string, storeMs: number) => number
 }
 
 /** Versions count from 1. */
 const FIRST_VERSION = 1
-/** Times that differ by less are the same, in milliseconds: messages between regions take a few. */
-const SAME_TIME_MS = 50
 
 /**
  * Creates the versions.
@@ -58,19 +59,22 @@
   const named = new Map<string, readonly NamedVersion[]>()
   const namedOf = (model: string): readonly NamedVersion[] => named.get(model) ?? []
   const newestOf = (model: string): number => namedOf(model).at(-1)?.version ?? FIRST_VERSION
-  const isDue = (entry: NamedVersion, nowMs: number): boolean => nowMs - (entry.namedAtMs ?? -Infinity) >= graceMs()
-  const oldestOf = (model: string, nowMs: number): number => namedOf(model).filter(entry => isDue(entry, nowMs)).at(-1)?.version ?? FIRST_VERSION
+  const isDue = (entry: NamedVersion, storeMs: number): boolean => storeMs - (entry.namedAtMs ?? entry.notBeforeMs) >= graceMs()
+  const oldestOf = (model: string, storeMs: number): number => namedOf(model).filter(entry => isDue(entry, storeMs)).at(-1)?.version ?? FIRST_VERSION
   return {
-    learn: ({ model, version, namedAtMs }) => {
+    learn: ({ model, version, namedAtMs, notBeforeMs }) => {
       if (version <= FIRST_VERSION) return false
       const before = namedOf(model).find(entry => entry.version === version)
-      const entry: NamedVersion = { version, namedAtMs: earliest(before?.namedAtMs, namedAtMs) }
+      const entry: NamedVersion = {
+        version,
+        namedAtMs: earliest(before?.namedAtMs, namedAtMs),
+        notBeforeMs: Math.max(before?.notBeforeMs ?? -Infinity, notBeforeMs)
+      }
       named.set(model, [...namedOf(model).filter(other => other.version !== version), entry].sort((a, b) => a.version - b.version))
-      if (before === undefined) return true
-      return entry.namedAtMs !== undefined && (before.namedAtMs ?? Infinity) - entry.namedAtMs > SAME_TIME_MS
+      return before === undefined || before.namedAtMs !== entry.namedAtMs
     },
-    binding: nowMs => [...named].flatMap(([model, entries]) => {
-      const oldest = oldestOf(model, nowMs)
+    binding: storeMs => [...named].flatMap(([model, entries]) => {
+      const oldest = oldestOf(model, storeMs)
       return entries.filter(entry => entry.version >= oldest).map(entry => ({ model, ...entry }))
     }),
     namedOf,
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -135,7 +135,7 @@
   'control: Zone taken out of service.': { about: 'Operators drain a zone', fields: ['zone'] },
   'control: Zone back in service.': { about: 'Operators ended the drain', fields: ['zone'] },
   'control: Change not readable.': { about: 'An operator\'s row does not fit; what was in force stays', fields: ['key', 'reason'] },
-  'weights: Version named.': { about: 'A new version is to be everywhere', fields: ['model', 'version', 'catchingUp'] },
+  'weights: Version named.': { about: 'A new version is to be everywhere', fields: ['model', 'version', 'catchingUp'], optional: ['sinceNamedMs'] },
   'weights: Version told of.': { about: 'Another process tells of a named version, or since when it is named', fields: ['model', 'version', 'source'], optional: ['sinceNamedMs'] },
   'weights: Oldest version changed.': { about: 'Calls begin on this version or a newer one from now on', fields: ['model', 'version', 'named'], optional: ['versionBefore'] },
   'weights: Version being fetched.': { about: 'The manifest is here', fields: ['model', 'version', 'chunkCount', 'agentCount'] },
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -40,9 +40,10 @@
 /**
  * Starts the stand-in on loopback.
  *
+ * @param nowMs - Its steady clock, in milliseconds.
  * @returns The store.
  */
-export async function startPlatformStore (): Promise<PlatformStore> {
+export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
   const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
   const waiting = new Set<() => void>()
@@ -65,7 +66,7 @@
     const finish = (): void => {
       clearTimeout(timer)
       waiting.delete(check)
-      answer(200, { rows: changed(), schema_version: revision, now_ms: 0 })
+      answer(200, { rows: changed(), schema_version: revision, now_ms: nowMs() })
     }
     const check = (): void => { if (changed().length > 0) finish() }
     const timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0))
@@ -76,7 +77,7 @@
     const body = JSON.parse(text) as { write: Array<{ table: string, key: string, value: string }>, remove: Array<{ table: string, key: string }> }
     for (const write of body.write) set(write.table, write.key, write.value, false)
     for (const removed of body.remove) set(removed.table, removed.key, undefined, true)
-    answer(200, { schema_version: revision, now_ms: 0 })
+    answer(200, { schema_version: revision, now_ms: nowMs() })
   }
   const server = Http.createServer((request, response) => {
     const url = new URL(request.url ?? '/', 'http://store')
@@ -90,7 +91,7 @@
       if (faults.silent) return
       if (faults.down) { answer(503, {}); return }
       const handlers: Record<string, () => void> = {
-        '/rows-get': () => { answer(200, { rows: live(url.searchParams.get('table') ?? ''), has_more: false, schema_version: revision, now_ms: 0 }) },
+        '/rows-get': () => { answer(200, { rows: live(url.searchParams.get('table') ?? ''), has_more: false, schema_version: revision, now_ms: nowMs() }) },
         '/rows-feed': () => { feed(url.searchParams, answer) },
         '/rows-tx': () => { transact(Buffer.concat(parts).toString(), answer) }
       }
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -1,12 +1,13 @@
 import * as Fs from 'node:fs'
 import * as Os from 'node:os'
 import * as Path from 'node:path'
-import { after, describe, it } from 'node:test'
+import { after, afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Neverthrow from 'neverthrow'
 import * as Core from '../src/core/index.ts'
 import * as Follow from '../src/follow/index.ts'
 import * as Ingress from '../src/ingress/index.ts'
+import * as Routing from '../src/routing/index.ts'
 import * as Dialect from '../platform/dialect.ts'
 import * as Endpoints from '../platform/endpoints.ts'
 import * as Operators from '../platform/operators.ts'
@@ -135,6 +136,7 @@
     askPeer,
     waitMs: 10,
     clock: () => performance.now(),
+    storeClock: Follow.StoreClock.createStoreClock(() => performance.now()),
     random: Core.Random.createRandom(1),
     onRows: rows => { seen.push(...rows.map(entry => entry.key)) },
     log: () => {}
@@ -168,6 +170,146 @@
     expect(seen).toEqual(['a', 'c', 'a'])
     follower.stop()
   })
+
+  describe('times of rows', () => {
+    /** The store's clock began this much earlier, in milliseconds. */
+    const STORE_AHEAD_MS = 50_000
+    type Answer = Awaited<ReturnType<Follow.Rows.RowSource['readSince']>>
+    let nowMs = 0
+    let contexts: Follow.Follower.RowsContext[] = []
+    let answer: ((given: Answer) => void) | undefined
+    let follower: Follow.Follower.Follower
+
+    const made = (revision: number, madeAtMs: number): Answer => Neverthrow.ok({ ...page(revision, `k${revision}`), madeAtMs: madeAtMs + STORE_AHEAD_MS })
+    const asked = async (): Promise<void> => { await TestKit.Wait.until('the read', 2_000, () => answer !== undefined) }
+    /** Answers the read under way at a time of this process. */
+    const receive = async (atMs: number, given: Answer): Promise<void> => {
+      await asked()
+      nowMs = atMs
+      const give = answer
+      answer = undefined
+      give?.(given)
+      await asked()
+    }
+    const lastTimes = (): unknown => contexts.slice(-1).map(({ writtenAtMs, notBeforeMs }) => [writtenAtMs, notBeforeMs].map(time => time === undefined ? undefined : time - STORE_AHEAD_MS))[0]
+
+    beforeEach(() => {
+      nowMs = 1_000
+      contexts = []
+      answer = undefined
+      follower = Follow.Follower.createFollower({
+        table: 't',
+        store: {
+          readAll: async () => Neverthrow.ok({ ...page(1, 'a'), madeAtMs: 1_000 + STORE_AHEAD_MS }),
+          readSince: async () => await new Promise<Answer>(resolve => { answer = resolve }),
+          write: hang,
+          remove: hang
+        },
+        askPeer: async () => undefined,
+        waitMs: 10,
+        clock: () => nowMs,
+        storeClock: Follow.StoreClock.createStoreClock(() => nowMs),
+        random: Core.Random.createRandom(1),
+        onRows: (_rows, context) => { contexts.push(context) },
+        log: () => {}
+      })
+    })
+    afterEach(() => { follower.stop() })
+
+    it('are not known for the first ones', async () => {
+      await asked()
+      expect(lastTimes()).toEqual([undefined, -Infinity])
+    })
+
+    it('are those of the answer where the store held the read', async () => {
+      await receive(5_000, made(2, 5_000))
+      expect(lastTimes()).toEqual([5_000, 1_000])
+    })
+
+    it('are those of the answer also where it was long on its way', async () => {
+      await receive(9_000, made(2, 5_000))
+      expect(lastTimes()).toEqual([5_000, 1_000])
+    })
+
+    it('lie after the page before where the rows waited behind a large one', async () => {
+      await receive(7_000, made(2, 2_000))
+      await receive(7_010, made(3, 7_005))
+      expect(lastTimes()).toEqual([undefined, 2_000])
+    })
+
+    it('lie after the last answer where the read had gone silent', async () => {
+      await receive(9_000, Neverthrow.err({ kind: 'unavailable', reason: 'timed out' }))
+      await receive(9_010, made(2, 9_005))
+      expect(lastTimes()).toEqual([undefined, 1_000])
+    })
+
+    it('are those of the page before where reads follow one another closely', async () => {
+      await receive(5_000, made(2, 5_000))
+      await receive(5_040, made(3, 5_030))
+      expect(lastTimes()).toEqual([5_000, 5_000])
+    })
+  })
+})
+
+describe('StoreClock', () => {
+  let ownMs = 0
+  const create = (): Follow.StoreClock.StoreClock => Follow.StoreClock.createStoreClock(() => ownMs)
+
+  it('is not known before any time was told', () => {
+    const storeClock = create()
+    expect([storeClock.now(), storeClock.toOwn(5)]).toEqual([Infinity, -Infinity])
+  })
+
+  it('goes by the answer that was the shortest time on its way', () => {
+    ownMs = 1_000
+    const storeClock = create()
+    storeClock.observe(10_900)
+    ownMs = 1_100
+    storeClock.observe(11_098)
+    ownMs = 5_000
+    storeClock.observe(12_000)
+    expect([storeClock.now(), storeClock.ofOwn(1_100), storeClock.toOwn(11_098)]).toEqual([14_998, 11_098, 1_100])
+  })
+
+  it('stays right when its own clock stood still', () => {
+    ownMs = 1_000
+    const storeClock = create()
+    storeClock.observe(11_000)
+    ownMs = 1_010
+    storeClock.observe(16_008)
+    expect(storeClock.now()).toEqual(16_008)
+  })
+
+  it('forgets old answers, since clocks drift', () => {
+    ownMs = 0
+    const storeClock = create()
+    storeClock.observe(10_000)
+    for (const atMs of [11_000, 22_000, 33_000]) {
+      ownMs = atMs
+      storeClock.observe(9_990 + atMs)
+    }
+    expect(storeClock.now()).toEqual(9_990 + 33_000)
+  })
+})
+
+describe('learnNamed', () => {
+  const storeClock = Follow.StoreClock.createStoreClock(() => 0)
+  const GRACE_MS = 7_000
+  const learn = (versions: Routing.Versions.Versions, named: Follow.News.News['named'], completeAtMs: number): void => {
+    Follow.News.learnNamed(versions, { sender: 'other', revisions: {}, named }, { completeAtMs: () => completeAtMs }, storeClock, () => {})
+  }
+
+  it('takes a version without a time for named after its own rows were complete', () => {
+    const versions = Routing.Versions.createVersions(() => GRACE_MS)
+    learn(versions, [{ model: 'm', version: 2 }], 3_000)
+    expect([versions.oldestOf('m', 9_999), versions.oldestOf('m', 10_000)]).toEqual([1, 2])
+  })
+
+  it('takes a superseded version without a time for overdue', () => {
+    const versions = Routing.Versions.createVersions(() => GRACE_MS)
+    learn(versions, [{ model: 'm', version: 3, namedAtMs: 3_000 }, { model: 'm', version: 2 }], 3_000)
+    expect(versions.oldestOf('m', 3_100)).toEqual(2)
+  })
 })
 
 describe('Splitter', () => {
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -37,6 +37,7 @@
     await TestKit.Wait.until('the restarted gateway hears when it was named', LIMIT_MS, () => hasLine(restarted, 'Version told of.', 3))
     await TestKit.Wait.until('the restarted gateway is ready', LIMIT_MS, async () => (await restarted.call()).status === 200)
     stage.pass(DUE_MS - 3_000)
-    expect([(await stage.call()).status, (await restarted.call()).status]).toEqual([503, 503])
+    expect([(await stage.call()).status, (await restarted.call({ id: 'late' })).status]).toEqual([503, 503])
+    expect(restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')?.fields.ruledOut).toEqual({ weights: 1 })
   })
 })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -139,10 +139,11 @@
  * @returns The stage.
  */
 export async function startDirectStage (runners: ReadonlyArray<Runner.RunnerOptions & { readonly service: string }>): Promise<DirectStage> {
-  const store = await PlatformStore.startPlatformStore()
+  let passedMs = 0
+  const clock = (): number => performance.now() + passedMs
+  const store = await PlatformStore.startPlatformStore(clock)
   const started = await Promise.all(runners.map(async options => await Runner.startRunner(options)))
   const services = new Map(runners.map(options => [options.instanceId, options.service]))
-  let passedMs = 0
   let callCount = 0
   const gateways: StartedGateway[] = []
   const list = (runner: Runner.Runner, changes: object = {}): void => {
@@ -161,7 +162,7 @@
       region: 'ra',
       seeds: () => [],
       store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
-      clock: () => performance.now() + passedMs,
+      clock,
       random: Core.Random.createRandom(SEED),
       metrics: Metrics.createMetrics(),
       log: (prefix, sentence, fields = {}) => { lines.push({ prefix, sentence, fields, line: lineOf('gateway', name, prefix, sentence, fields) }) },
