Keep the best reading of the store's clock for a minute or two

With 10 s a window the readings from before a deployment filled the links for 15 s would be forgotten, and the late ones count.

--- a/src/follow/storeClock.ts
+++ b/src/follow/storeClock.ts
@@ -20,8 +20,8 @@
   toOwn: (storeMs: number) => number
 }
 
-/** Older answers than of two such windows are not counted, in milliseconds: steady clocks drift apart by less than a millisecond in it. */
-const WINDOW_MS = 10_000
+/** Older answers than of two such windows are not counted, in milliseconds: links may be full for seconds, and steady clocks drift apart by a few milliseconds in it. */
+const WINDOW_MS = 60_000
 
 /**
  * Creates the clock.
