Ask the store for all changes since its own last answer after a relay

A process cut from the store that asked another one took that one's revision for its own, and later read the store from there on. The other one may have started after a row was removed and then has no trace of it: the row stayed, a drained zone out of service, an endpoint or a member that is gone in use.

The own revision now rises with answers of the store only; what others told is remembered apart, so that they are not asked for the same rows again.

Before: the new test fails, the removal never comes. After: it passes.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -85,6 +85,8 @@
   let completeAtMs = -Infinity
   let stopped = false
   let hintedRevision = 0
+  /** Up to which revision other processes have told rows. */
+  let peerRevision = 0
   let generation = 0
   let restartedAtMs = -Infinity
 
@@ -116,9 +118,11 @@
     log('store', 'Store lost.', { table, reason, revision: mirror.revision() })
   }
   const readPeer = async (): Promise<void> => {
-    const page = await options.askPeer(table, mirror.revision())
+    const page = await options.askPeer(table, Math.max(mirror.revision(), peerRevision))
     if (page === undefined) return
-    const rows = mirror.take(page)
+    peerRevision = Math.max(peerRevision, page.revision)
+    // The other process may lack removals, so the store is still asked for all that came after its own last answer.
+    const rows = mirror.take({ rows: page.rows, revision: 0 })
     if (rows.length > 0) freshAtMs = clock()
     if (rows.length > 0) log('store', 'Rows taken from another process.', { table, rowCount: rows.length, revision: page.revision })
     accept(rows, false, { writtenAtMs: undefined, notBeforeMs: completeAtMs })
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -159,6 +159,25 @@
     follower.stop()
   })
 
+  it('hears from the store of rows that were removed meanwhile although another process that does not know of them was asked', async () => {
+    const seen: string[] = []
+    const live = (): string[] => follower.mirror.live().map(entry => entry.key)
+    let isDown = true
+    const follower = create({
+      readAll: async () => Neverthrow.ok(page(6, 'a', 'gone')),
+      readSince: async (_table, revision) => {
+        if (isDown) return Neverthrow.err({ kind: 'unavailable', reason: 'status 503' })
+        await TestKit.Wait.sleep(20)
+        return revision >= 8 ? Neverthrow.ok({ rows: [], revision: 9 }) : Neverthrow.ok({ rows: [{ key: 'gone', revision: 8, value: undefined, deleted: true }], revision: 9 })
+      }
+    }, async (_table, revision) => revision >= 9 ? undefined : page(9, 'b'), seen)
+    await TestKit.Wait.until('rows of the peer', 2_000, () => seen.includes('b'))
+    isDown = false
+    await TestKit.Wait.until('the store', 2_000, () => follower.isInTouch())
+    await TestKit.Wait.until('the removal', 2_000, () => !live().includes('gone'))
+    follower.stop()
+  })
+
   it('reads the whole table where the history is gone', async () => {
     const seen: string[] = []
     let readCount = 0
