Take calls back that have not begun on a version before it is overdue

A gateway now takes back, 100 ms before the version is due everywhere, each call that may be repeated and of which nothing has come, unless its endpoint holds or loads a newer version by then; the call goes on elsewhere or ends with 502. What must not be repeated is left alone.

Before: the new test fails, the call ends by silence alone. After: it passes.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -73,7 +73,7 @@
   const { clock, log } = options
   const openedAtMs = clock()
   const library = Library.createLibrary()
-  const versions = Routing.Versions.createVersions(() => options.bounds().versionMs)
+  const versions = Routing.Versions.createVersions(() => ({ sendMs: options.bounds().versionMs, beginMs: options.bounds().versionMs }))
   let origin: { readonly address: string, readonly client: Ports.Origin } | undefined
   let reachable: boolean | undefined
   let busy = false
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -15,6 +15,8 @@
   readonly exchange: Upstream.Exchange
   readonly sentAtMs: number
   readonly isResumption: boolean
+  /** Whether the endpoint has sent a part of the answer. */
+  hasBegun: boolean
   /** Prompt tokens counted as unread at the endpoint; 0 once the answer has begun. */
   unreadTokens: number
   /** When bytes of the answer came last, in milliseconds. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -65,6 +65,8 @@
 const STOP_BEAT_MS = 20
 /** Calls stop beginning on an old version so long before the new one has to be everywhere, in milliseconds: queueing and the way there. */
 const VERSION_RESERVE_MS = 600
+/** Calls that have not begun on an old version are taken back so long before the new one has to be everywhere, in milliseconds: a beat and the way there. */
+const WITHDRAW_RESERVE_MS = 100
 const BEAT_MS = 100
 /** Revisions are told again after so long without a change, in milliseconds, in case a datagram was lost. */
 const RETELL_MS = 1_000
@@ -83,7 +85,7 @@
   const { clock, log, metrics, random } = options
   const endpoints: Routing.Endpoints.Endpoints = Core.Table.createTable('endpoints')
   const idByAddress = new Map<string, string>()
-  const versions = Routing.Versions.createVersions(() => options.bounds().versionMs - VERSION_RESERVE_MS)
+  const versions = Routing.Versions.createVersions(() => ({ sendMs: options.bounds().versionMs - VERSION_RESERVE_MS, beginMs: options.bounds().versionMs - WITHDRAW_RESERVE_MS }))
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   let index: Routing.Deployment.DeploymentIndex | undefined
@@ -162,6 +164,7 @@
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone))
     }),
+    oldestBegunOf: model => versions.oldestBegunOf(model, node.storeClock.now()),
     budget,
     clock,
     random,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -23,6 +23,8 @@
   /** What is in force; undefined before anything is known. */
   readonly index: () => Routing.Deployment.DeploymentIndex | undefined
   readonly surroundings: () => Routing.Choice.Surroundings
+  /** The oldest version of a model on which a call that was sent may still begin. */
+  readonly oldestBegunOf: (model: string) => number
   readonly budget: Routing.Budgets.Budget
   readonly clock: () => number
   readonly random: Core.Random.Random
@@ -243,6 +245,7 @@
       exchange,
       sentAtMs: nowMs,
       isResumption: call.resuming,
+      hasBegun: false,
       unreadTokens: call.placing.promptTokens,
       heardAtMs: nowMs,
       head: undefined,
@@ -253,9 +256,11 @@
     call.attempt = attempt
   }
 
+  const heldAt = (row: Routing.Endpoints.EndpointRow, model: string | undefined): Routing.Endpoints.HeldWeights | undefined =>
+    (row.weights ?? []).find(weights => model === undefined || weights.model === model)
   /** The version that the endpoint is believed to hold, and the oldest one on which calls begin. */
   const versionsAt = (row: Routing.Endpoints.EndpointRow, model: string | undefined): object => {
-    const held = (row.weights ?? []).find(weights => model === undefined || weights.model === model)
+    const held = heldAt(row, model)
     return held === undefined ? {} : { version: held.version, oldestVersion: options.surroundings().oldestVersionOf(held.model) }
   }
 
@@ -315,12 +320,14 @@
     attempt.heardAtMs = clock()
     attempt.row.heardAtMs = attempt.heardAtMs
     if (attempt.splitter === undefined) {
+      attempt.hasBegun = true
       attempt.parts.push(bytes)
       attempt.partBytes += bytes.length
       return
     }
     const whole = attempt.splitter.push(bytes)
     if (whole === undefined) return
+    attempt.hasBegun = true
     if (attempt.unreadTokens > 0) markRead(attempt)
     beginStream(call, attempt)
     if (call.eventCount > 0) call.longestPauseMs = Math.max(call.longestPauseMs, attempt.heardAtMs - call.lastEventAtMs)
@@ -472,9 +479,22 @@
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
   }
 
+  /** Takes a call back that still waits at an endpoint for its turn when the endpoint's version may not be begun on any more. */
+  const withdrawOverdue = (call: Calls.Call): void => {
+    const { attempt, placing, route } = call
+    if (attempt === undefined || attempt.hasBegun || placing.service.engine === undefined || !Routing.Retries.isRepeatable(route)) return
+    const held = heldAt(attempt.row, placing.model)
+    if (held === undefined || attempt.row.load?.loading === true || held.version >= options.oldestBegunOf(held.model)) return
+    attempt.exchange.abort()
+    endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `not begun before version ${held.version} was overdue`)
+  }
+
   const beat = setInterval(() => {
     const nowMs = clock()
-    for (const call of calls) checkSilence(call, nowMs)
+    for (const call of calls) {
+      withdrawOverdue(call)
+      checkSilence(call, nowMs)
+    }
     wake()
   }, BEAT_MS)
 
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -42,8 +42,16 @@
   newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
   newestOf: (model: string) => number
-  /** The oldest version on which a call may begin. */
+  /** The oldest version on which a call may be sent to begin. */
   oldestOf: (model: string, storeMs: number) => number
+  /** The oldest version on which a call that was sent may still begin. */
+  oldestBegunOf: (model: string, storeMs: number) => number
+}
+
+/** For how long after a version was named calls may go to the one before, in milliseconds. */
+export interface VersionBounds {
+  readonly sendMs: number
+  readonly beginMs: number
 }
 
 /** Versions count from 1. */
@@ -52,15 +60,16 @@
 /**
  * Creates the versions.
  *
- * @param graceMs - Time for which the version before is still served, in milliseconds.
+ * @param bounds - For how long the version before is served; it may change.
  * @returns The versions.
  */
-export function createVersions (graceMs: () => number): Versions {
+export function createVersions (bounds: () => VersionBounds): Versions {
   const named = new Map<string, readonly NamedVersion[]>()
   const namedOf = (model: string): readonly NamedVersion[] => named.get(model) ?? []
   const newestOf = (model: string): number => namedOf(model).at(-1)?.version ?? FIRST_VERSION
-  const isDue = (entry: NamedVersion, storeMs: number): boolean => storeMs - (entry.namedAtMs ?? entry.notBeforeMs) >= graceMs()
-  const oldestOf = (model: string, storeMs: number): number => namedOf(model).filter(entry => isDue(entry, storeMs)).at(-1)?.version ?? FIRST_VERSION
+  const oldestWithin = (model: string, graceMs: number, storeMs: number): number =>
+    namedOf(model).filter(entry => storeMs - (entry.namedAtMs ?? entry.notBeforeMs) >= graceMs).at(-1)?.version ?? FIRST_VERSION
+  const oldestOf = (model: string, storeMs: number): number => oldestWithin(model, bounds().sendMs, storeMs)
   return {
     learn: ({ model, version, namedAtMs, notBeforeMs }) => {
       if (version <= FIRST_VERSION) return false
@@ -80,7 +89,8 @@
     namedOf,
     newest: () => [...named.keys()].map(model => ({ model, version: newestOf(model) })),
     newestOf,
-    oldestOf
+    oldestOf,
+    oldestBegunOf: (model, storeMs) => oldestWithin(model, bounds().beginMs, storeMs)
   }
 }
 
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -319,13 +319,13 @@
   }
 
   it('takes a version without a time for named after its own rows were complete', () => {
-    const versions = Routing.Versions.createVersions(() => GRACE_MS)
+    const versions = Routing.Versions.createVersions(() => ({ sendMs: GRACE_MS, beginMs: GRACE_MS }))
     learn(versions, [{ model: 'm', version: 2 }], 3_000)
     expect([versions.oldestOf('m', 9_999), versions.oldestOf('m', 10_000)]).toEqual([1, 2])
   })
 
   it('takes a superseded version without a time for overdue', () => {
-    const versions = Routing.Versions.createVersions(() => GRACE_MS)
+    const versions = Routing.Versions.createVersions(() => ({ sendMs: GRACE_MS, beginMs: GRACE_MS }))
     learn(versions, [{ model: 'm', version: 3, namedAtMs: 3_000 }, { model: 'm', version: 2 }], 3_000)
     expect(versions.oldestOf('m', 3_100)).toEqual(2)
   })
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -330,7 +330,7 @@
 
 describe('Versions', () => {
   const GRACE_MS = 7_000
-  const create = (): Routing.Versions.Versions => Routing.Versions.createVersions(() => GRACE_MS)
+  const create = (): Routing.Versions.Versions => Routing.Versions.createVersions(() => ({ sendMs: GRACE_MS, beginMs: GRACE_MS + 500 }))
   const naming = (version: number, namedAtMs: number | undefined, notBeforeMs = -Infinity): Routing.Versions.Naming => ({ model: 'm', version, namedAtMs, notBeforeMs })
 
   it('serves the version before until the new one has to be everywhere', () => {
@@ -339,6 +339,12 @@
     expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000)]).toEqual([1, 2])
   })
 
+  it('lets a call that was sent to the version before begin for longer than one is sent there', () => {
+    const versions = create()
+    versions.learn(naming(2, 1_000))
+    expect([versions.oldestOf('m', 8_000), versions.oldestBegunOf('m', 8_499), versions.oldestBegunOf('m', 8_500)]).toEqual([2, 1, 2])
+  })
+
   it('takes a version that was named before the start for overdue until another process dates it', () => {
     const versions = create()
     versions.learn(naming(2, undefined))
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -41,3 +41,20 @@
     expect(restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')?.fields.ruledOut).toEqual({ weights: 1 })
   })
 })
+
+describe('a call that waits at an endpoint for its turn', () => {
+  it('is taken back before the version there is overdue', async () => {
+    const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
+    after(own.stop)
+    await TestKit.Wait.until('a call is served', LIMIT_MS, async () => (await own.call()).status === 200)
+    own.runners.forEach(runner => { runner.faults.dark = true })
+    const answer = own.call({ id: 'waiting', path: '/slow/1', deadlineMs: 8_500 })
+    await TestKit.Wait.until('the call is sent', LIMIT_MS, () => own.lines.some(line => line.sentence === 'Call sent.' && line.fields.callId === 'waiting'))
+    own.store.put('op', 'version/m', { model: 'm', version: 2 })
+    await TestKit.Wait.until('the version is named', LIMIT_MS, () => hasLine(own, 'Version named.', 2))
+    own.pass(Direct.VERSION_MS)
+    expect((await answer).status).toEqual(502)
+    const ended = own.lines.find(line => line.sentence === 'Attempt ended.' && line.fields.callId === 'waiting')
+    expect(ended?.fields.reason).toEqual('not begun before version 1 was overdue')
+  })
+})
