--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -62,9 +62,9 @@
 /** A read that may have gone silent is replaced at most so often, in milliseconds. */
 const RESTART_MS = 1_000
 
-/** An answer that the store made this much after it was asked was held until a row changed, in milliseconds: the way there and its own time are far less. */
+/** An answer made so long after it was asked for was held until a row changed, in milliseconds: a request arrives, and is worked on, in far less. */
 const HELD_MS = 500
-/** Rows written within so short a time have its beginning as their time, in milliseconds. */
+/** Where two pages are no further apart, rows of the second one have the time of the first one, in milliseconds: well within the reserve of gateways. */
 const CLOSE_MS = 250
 
 /**
--- a/src/follow/storeClock.ts
+++ b/src/follow/storeClock.ts
@@ -12,7 +12,7 @@
 export interface StoreClock {
   /** Takes a time of the store that was told by an answer or by another process and has just arrived, in milliseconds. */
   observe: (storeMs: number) => void
-  /** The store's time now, in milliseconds; never later than it is, but for the drift of a window. Infinity where no time was told yet. */
+  /** The store's time now, in milliseconds, a little early; Infinity where no time was told yet, so that every bound counts as passed. */
   now: () => number
   /** The store's time at a time of this process, in milliseconds. */
   ofOwn: (ownMs: number) => number
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -31,7 +31,7 @@
   /**
    * Takes that a version was named.
    *
-   * @returns Whether the version is new here, or its time is or has moved by more than a message takes.
+   * @returns Whether the version is new here, or its time has become known or earlier.
    */
   learn: (naming: Naming) => boolean
   /** The versions that other processes have to know of: those by which calls are bound now or later. */
@@ -42,7 +42,7 @@
   newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
   newestOf: (model: string) => number
-  /** The oldest version on which a call may be sent to begin. */
+  /** The oldest version to which a call may be sent. */
   oldestOf: (model: string, storeMs: number) => number
   /** The oldest version on which a call that was sent may still begin. */
   oldestBegunOf: (model: string, storeMs: number) => number
@@ -50,7 +50,9 @@
 
 /** For how long after a version was named calls may go to the one before, in milliseconds. */
 export interface VersionBounds {
+  /** Calls may be sent there. */
   readonly sendMs: number
+  /** Calls that were sent there may still begin. */
   readonly beginMs: number
 }
 
