Give a version that is named at the store's return its time

The time that operators' changes have does not run while the store is out, so a refusal moves the bound on; a silent read does so only when a second one over a new connection is silent too, since a connection may fall silent by itself. The bound is never told as a known time.

Tests: times of rows after refusals, after one silent read and after two.

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -38,7 +38,7 @@
 
 /** Why there is no answer, and whether the request may have reached the server. */
 export class TransportError extends Error {
-  constructor (message: string, readonly reachedServer: boolean) {
+  constructor (message: string, readonly reachedServer: boolean, readonly timedOut = false) {
     super(message)
     this.name = 'TransportError'
   }
@@ -91,15 +91,15 @@
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
       agent: request.fresh === true ? false : pool
     })
-    const fail = (message: string): void => {
+    const fail = (message: string, timedOut = false): void => {
       clearTimeout(timer)
       Traffic.count(outgoing.socket, 'client', request.path)
       outgoing.destroy()
-      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected()))
+      reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected(), timedOut))
     }
     const timer = setTimeout(() => {
       dropIdle(request.target)
-      fail('timed out')
+      fail('timed out', true)
     }, request.timeoutMs)
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -46,7 +46,10 @@
   regainedAtMs: () => number | undefined
   /** When the rows were last known to be the newest, in milliseconds: the last answer of the store or of a process asked in its place; -Infinity before the first. */
   freshAtMs: () => number
-  /** As of when the store has told all rows, by its clock in milliseconds; -Infinity before its first page. */
+  /**
+   * As of when the store has told all rows, by its clock in milliseconds; -Infinity before its first page.
+   * The time that operators' changes have does not run while the store is out, so it is moved on by refusals.
+   */
   completeAtMs: () => number
   /** Whether the store answers. */
   isInTouch: () => boolean
@@ -82,6 +85,8 @@
   let regainedAtMs: number | undefined
   let freshAtMs = -Infinity
   /** When the store made its last page, by its own clock. */
+  let pageAtMs = -Infinity
+  /** The same, moved on by refusals. */
   let completeAtMs = -Infinity
   let stopped = false
   let hintedRevision = 0
@@ -98,12 +103,14 @@
   /** Works out when the rows of a page of the store were written: it may have been on its way for long, and so may the page before. */
   const timesOf = (page: Rows.Page, askedAtMs: number): Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'> => {
     const notBeforeMs = completeAtMs
+    const pageBeforeAtMs = pageAtMs
     const { madeAtMs } = page
     if (madeAtMs === undefined) return { writtenAtMs: undefined, notBeforeMs }
     storeClock.observe(madeAtMs)
+    pageAtMs = madeAtMs
     completeAtMs = madeAtMs
     const wasHeld = madeAtMs - storeClock.ofOwn(askedAtMs) > HELD_MS
-    return { writtenAtMs: wasHeld ? madeAtMs : madeAtMs - notBeforeMs <= CLOSE_MS ? notBeforeMs : undefined, notBeforeMs }
+    return { writtenAtMs: wasHeld ? madeAtMs : madeAtMs - pageBeforeAtMs <= CLOSE_MS ? pageBeforeAtMs : undefined, notBeforeMs }
   }
   const noteAnswer = (): void => {
     freshAtMs = clock()
@@ -145,6 +152,8 @@
       whole = false
       return
     }
+    // One read may go silent by itself; a second one over a new connection shows that the store is out.
+    if (completeAtMs !== -Infinity && (answer.error.kind === 'unavailable' || lostAtMs !== undefined)) completeAtMs = Math.max(completeAtMs, storeClock.now())
     noteLoss(answer.error.reason)
     await readPeer()
     await pause(RETRY_MS * (0.5 + options.random.next()))
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -23,8 +23,8 @@
   readonly madeAtMs?: number | undefined
 }
 
-/** Why rows could not be read: the source lacks the history asked for, or does not answer. */
-export type ReadFailure = { readonly kind: 'historyGone' } | { readonly kind: 'unavailable', readonly reason: string }
+/** Why rows could not be read: the source lacks the history asked for, refuses, or does not answer in time. */
+export type ReadFailure = { readonly kind: 'historyGone' } | { readonly kind: 'unavailable' | 'silent', readonly reason: string }
 
 /** Where rows are read. */
 export interface RowSource {
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -257,11 +257,25 @@
     })
 
     it('lie after the last answer where the read had gone silent', async () => {
-      await receive(9_000, Neverthrow.err({ kind: 'unavailable', reason: 'timed out' }))
+      await receive(9_000, Neverthrow.err({ kind: 'silent', reason: 'timed out' }))
       await receive(9_010, made(2, 9_005))
       expect(lastTimes()).toEqual([undefined, 1_000])
     })
 
+    it('lie after the last refusal where the store was out, so that a version named at its return has its time', async () => {
+      await receive(2_000, Neverthrow.err({ kind: 'unavailable', reason: 'status 503' }))
+      await receive(9_000, Neverthrow.err({ kind: 'unavailable', reason: 'status 503' }))
+      await receive(9_110, made(2, 9_105))
+      expect(lastTimes()).toEqual([undefined, 9_000])
+    })
+
+    it('lie after the last silence where a second read was silent too', async () => {
+      await receive(9_000, Neverthrow.err({ kind: 'silent', reason: 'timed out' }))
+      await receive(18_000, Neverthrow.err({ kind: 'silent', reason: 'timed out' }))
+      await receive(18_010, made(2, 18_005))
+      expect(lastTimes()).toEqual([undefined, 18_000])
+    })
+
     it('are those of the page before where reads follow one another closely', async () => {
       await receive(5_000, made(2, 5_000))
       await receive(5_040, made(3, 5_030))
