Tell others the store's time by its own answers alone

What was heard counts until the store answers, and is not told on.

Also from the review: a whole read of the table is never held by the store, so a slow one does not date its rows; and only streams that may be resumed are taken back before a version is overdue, since of another call nothing shows whether it has begun.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -101,7 +101,7 @@
     if (rows.length > 0 || first) options.onRows(rows, first ? { fromStore, isFirst: true, writtenAtMs: undefined, notBeforeMs: -Infinity } : { fromStore, isFirst: false, ...times })
   }
   /** Works out when the rows of a page of the store were written: it may have been on its way for long, and so may the page before. */
-  const timesOf = (page: Rows.Page, askedAtMs: number): Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'> => {
+  const timesOf = (page: Rows.Page, askedAtMs: number, mayBeHeld: boolean): Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'> => {
     const notBeforeMs = completeAtMs
     const pageBeforeAtMs = pageAtMs
     const { madeAtMs } = page
@@ -109,7 +109,7 @@
     storeClock.observe(madeAtMs)
     pageAtMs = madeAtMs
     completeAtMs = madeAtMs
-    const wasHeld = madeAtMs - storeClock.ofOwn(askedAtMs) > HELD_MS
+    const wasHeld = mayBeHeld && madeAtMs - storeClock.ofOwn(askedAtMs) > HELD_MS
     return { writtenAtMs: wasHeld ? madeAtMs : madeAtMs - pageBeforeAtMs <= CLOSE_MS ? pageBeforeAtMs : undefined, notBeforeMs }
   }
   const noteAnswer = (): void => {
@@ -141,9 +141,10 @@
     if (asked !== generation) return
     if (answer.isOk()) {
       noteAnswer()
+      const times = timesOf(answer.value, askedAtMs, whole)
       const rows = whole ? mirror.take(answer.value) : mirror.replace(answer.value)
       whole = true
-      accept(rows, true, timesOf(answer.value, askedAtMs))
+      accept(rows, true, times)
       if (options.gatherMs !== undefined) await pause(options.gatherMs)
       return
     }
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -72,7 +72,7 @@
   const askPeer = Relay.createAsker(peers, random)
   const storeClock = StoreClock.createStoreClock(options.clock)
   const takeNews = (news: News.News): void => {
-    if (news.storeMs !== undefined) storeClock.observe(news.storeMs)
+    if (news.storeMs !== undefined) storeClock.hear(news.storeMs)
     onNews(news)
   }
   const channel = await News.openChannel({ host, port }, takeNews, reason => {
@@ -98,10 +98,6 @@
     }
   }
   void enter()
-  const storeTime = (): Pick<News.News, 'storeMs'> => {
-    const storeMs = Math.floor(storeClock.now())
-    return Number.isFinite(storeMs) ? { storeMs } : {}
-  }
   return {
     incarnation,
     storeClock,
@@ -120,7 +116,7 @@
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
     relay: (table, entry) => { relayed.set(table, entry) },
-    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, ...storeTime(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
+    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, storeMs: storeClock.told(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: async () => {
       closed = true
       follower?.stop()
--- a/src/follow/storeClock.ts
+++ b/src/follow/storeClock.ts
@@ -10,17 +10,21 @@
 
 /** The store's clock. */
 export interface StoreClock {
-  /** Takes a time of the store that was told by an answer or by another process and has just arrived, in milliseconds. */
+  /** Takes the time that an answer of the store told and that has just arrived, in milliseconds. */
   observe: (storeMs: number) => void
+  /** Takes the store's time as another process has just told it, in milliseconds; it counts until the store itself answers. */
+  hear: (storeMs: number) => void
   /** The store's time now, in milliseconds, a little early; Infinity where no time was told yet, so that every bound counts as passed. */
   now: () => number
+  /** The same by answers of the store alone, for other processes; undefined without one. What was heard is not told on: the drift of clocks would add up. */
+  told: () => number | undefined
   /** The store's time at a time of this process, in milliseconds. */
   ofOwn: (ownMs: number) => number
   /** The time of this process at a time of the store, in milliseconds; -Infinity where no time was told yet. */
   toOwn: (storeMs: number) => number
 }
 
-/** Older answers than of two such windows are not counted, in milliseconds: links may be full for seconds, and steady clocks drift apart by a few milliseconds in it. */
+/** Readings older than two such windows are not counted, in milliseconds: links may be full for seconds, and steady clocks drift apart by a few milliseconds in it. */
 const WINDOW_MS = 60_000
 
 /**
@@ -30,22 +34,34 @@
  * @returns The store's clock.
  */
 export function createStoreClock (clock: () => number): StoreClock {
-  let windowAtMs = -Infinity
-  let aheadBeforeMs = Infinity
-  let aheadLatestMs = Infinity
-  const aheadMs = (): number => Math.min(aheadBeforeMs, aheadLatestMs)
+  const answered = createReadings()
+  const heard = createReadings()
+  /** What this clock shows more than the store's. */
+  const aheadMs = (): number => answered.leastMs() === Infinity ? heard.leastMs() : answered.leastMs()
   return {
-    observe: storeMs => {
-      const nowMs = clock()
-      if (nowMs - windowAtMs > WINDOW_MS) {
-        windowAtMs = nowMs
-        aheadBeforeMs = aheadLatestMs
-        aheadLatestMs = Infinity
-      }
-      aheadLatestMs = Math.min(aheadLatestMs, nowMs - storeMs)
-    },
+    observe: storeMs => { answered.add(clock(), storeMs) },
+    hear: storeMs => { heard.add(clock(), storeMs) },
     now: () => aheadMs() === Infinity ? Infinity : clock() - aheadMs(),
+    told: () => answered.leastMs() === Infinity ? undefined : Math.floor(clock() - answered.leastMs()),
     ofOwn: ownMs => aheadMs() === Infinity ? Infinity : ownMs - aheadMs(),
     toOwn: storeMs => aheadMs() === Infinity ? -Infinity : storeMs + aheadMs()
   }
 }
+
+/** The least difference between two clocks in the last two windows with readings. */
+function createReadings (): { add: (ownMs: number, storeMs: number) => void, leastMs: () => number } {
+  let windowAtMs = -Infinity
+  let beforeMs = Infinity
+  let latestMs = Infinity
+  return {
+    add: (ownMs, storeMs) => {
+      if (ownMs - windowAtMs > WINDOW_MS) {
+        windowAtMs = ownMs
+        beforeMs = latestMs
+        latestMs = Infinity
+      }
+      latestMs = Math.min(latestMs, ownMs - storeMs)
+    },
+    leastMs: () => Math.min(beforeMs, latestMs)
+  }
+}
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -15,7 +15,7 @@
   readonly exchange: Upstream.Exchange
   readonly sentAtMs: number
   readonly isResumption: boolean
-  /** Whether the endpoint has sent a part of the answer. */
+  /** Whether the endpoint has sent an event. */
   hasBegun: boolean
   /** Prompt tokens counted as unread at the endpoint; 0 once the answer has begun. */
   unreadTokens: number
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -320,7 +320,6 @@
     attempt.heardAtMs = clock()
     attempt.row.heardAtMs = attempt.heardAtMs
     if (attempt.splitter === undefined) {
-      attempt.hasBegun = true
       attempt.parts.push(bytes)
       attempt.partBytes += bytes.length
       return
@@ -479,10 +478,10 @@
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
   }
 
-  /** Takes a call back that still waits at an endpoint for its turn when the endpoint's version may not be begun on any more. */
+  /** Takes a stream back that still waits at an endpoint for its turn when the endpoint's version may not be begun on any more. */
   const withdrawOverdue = (call: Calls.Call): void => {
     const { attempt, placing, route } = call
-    if (attempt === undefined || attempt.hasBegun || placing.service.engine === undefined || !Routing.Retries.isRepeatable(route)) return
+    if (attempt === undefined || attempt.hasBegun || placing.service.engine === undefined || route.kind !== 'stream' || !route.resumable) return
     const held = heldAt(attempt.row, placing.model)
     if (held === undefined || attempt.row.load?.loading === true || held.version >= options.oldestBegunOf(held.model)) return
     attempt.exchange.abort()
--- a/src/routing/retries.ts
+++ b/src/routing/retries.ts
@@ -47,23 +47,13 @@
  * @returns The next step; a retry is still subject to the budget.
  */
 export function next (end: AttemptEnd, call: CallHistory): NextStep {
-  const repeatable = isRepeatable(call)
+  const repeatable = call.kind === 'idempotent' || (call.kind === 'stream' && call.resumable)
   const mayRun = call.ranCount < call.runLimitCount && call.sentCount < SENT_LIMIT_COUNT && call.leftMs >= MIN_RETRY_LEFT_MS
   if (end === 'notRun' && mayRun && (repeatable || call.ranCount === 0)) return 'retry'
   if (end !== 'notRun' && mayRun && repeatable) return 'retry'
   return giveUp(end, call)
 }
 
-/**
- * Tells whether a call may run more than once.
- *
- * @param call - The call's route, or what the call has behind it.
- * @returns Whether it may.
- */
-export function isRepeatable (call: Pick<CallHistory, 'kind' | 'resumable'>): boolean {
-  return call.kind === 'idempotent' || (call.kind === 'stream' && call.resumable)
-}
-
 /**
  * Decides how a call ends that is not tried again.
  *
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -219,7 +219,11 @@
       follower = Follow.Follower.createFollower({
         table: 't',
         store: {
-          readAll: async () => Neverthrow.ok({ ...page(1, 'a'), madeAtMs: 1_000 + STORE_AHEAD_MS }),
+          readAll: async () => {
+            const isFirst = contexts.length === 0
+            if (!isFirst) nowMs += 1_000
+            return Neverthrow.ok({ ...page(isFirst ? 1 : 9, 'a'), madeAtMs: nowMs + STORE_AHEAD_MS })
+          },
           readSince: async () => await new Promise<Answer>(resolve => { answer = resolve }),
           write: hang,
           remove: hang
@@ -250,6 +254,12 @@
       expect(lastTimes()).toEqual([5_000, 1_000])
     })
 
+    it('are not those of an answer that was slow where the table was read whole', async () => {
+      await receive(2_000, Neverthrow.err({ kind: 'historyGone' }))
+      expect(contexts.length).toEqual(2)
+      expect(lastTimes()).toEqual([undefined, 1_000])
+    })
+
     it('lie after the page before where the rows waited behind a large one', async () => {
       await receive(7_000, made(2, 2_000))
       await receive(7_010, made(3, 7_005))
@@ -313,6 +323,27 @@
     expect(storeClock.now()).toEqual(16_008)
   })
 
+  it('goes by what others tell until the store answers, and does not tell that on', () => {
+    ownMs = 1_000
+    const storeClock = create()
+    storeClock.hear(11_200)
+    expect([storeClock.now(), storeClock.told()]).toEqual([11_200, undefined])
+    storeClock.observe(11_000)
+    expect([storeClock.now(), storeClock.told()]).toEqual([11_000, 11_000])
+  })
+
+  it('does not run away with the fastest clock of processes that tell one another', () => {
+    let storeMs = 0
+    const rates = [1, 1.0001, 0.9999]
+    const clocks = rates.map(rate => Follow.StoreClock.createStoreClock(() => storeMs * rate))
+    for (storeMs = 0; storeMs <= 86_400_000; storeMs += 20_000) {
+      for (const storeClock of clocks) storeClock.observe(storeMs)
+      for (const from of clocks) for (const to of clocks) to.hear(from.told() ?? 0)
+    }
+    storeMs -= 20_000
+    expect(clocks.every(storeClock => Math.abs(storeClock.now() - storeMs) < 50)).toEqual(true)
+  })
+
   it('forgets old answers, since clocks drift', () => {
     ownMs = 0
     const storeClock = create()
