--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -65,7 +65,7 @@
 /** A read that may have gone silent is replaced at most so often, in milliseconds. */
 const RESTART_MS = 1_000
 
-/** An answer made so long after it was asked for was held until a row changed, in milliseconds: a request arrives, and is worked on, in far less. */
+/** An answer made so long after it was asked for counts as held until a row changed, in milliseconds; a request that was on its way for longer is taken for one. */
 const HELD_MS = 500
 /** Where two pages are no further apart, rows of the second one have the time of the first one, in milliseconds: well within the reserve of gateways. */
 const CLOSE_MS = 250
