Say again on which versions a gateway begins calls while one spreads

A gateway repeats them every two seconds while older versions than the newest may be used, with the times that bind each version, and a refusal names the oldest version that calls begin on.

No decision changes.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -74,6 +74,8 @@
 /** Ages and counts of beliefs are set so often for whoever reads the metrics, in milliseconds. */
 const GAUGE_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** While versions change, what calls may begin on is logged again so often, in milliseconds: lines of calls crowd older ones out of a log of bounded length. */
+const VERSIONS_LOG_MS = 2_000
 
 /**
  * Opens a gateway.
@@ -90,7 +92,7 @@
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   let index: Routing.Deployment.DeploymentIndex | undefined
   /** The oldest version of each model on which calls begin, as logged last. */
-  const oldestLogged = new Map<string, number>()
+  const oldestLogged = new Map<string, { readonly version: number, readonly atMs: number }>()
   let stopping = false
 
   const node = await Node.open(options, 'gateway', news => {
@@ -197,22 +199,25 @@
       metrics.gauge('weights_oldest_version', versions.oldestOf(model, node.storeClock.now()), { model })
     }
   }, GAUGE_MS)
-  const logOldestVersions = (): void => {
+  const logOldestVersions = (nowMs: number): void => {
     const storeMs = node.storeClock.now()
-    for (const { model } of versions.newest()) {
+    const sinceMs = (atMs: number | undefined): number | undefined => atMs === undefined || !Number.isFinite(storeMs - atMs) ? undefined : Math.round(storeMs - atMs)
+    for (const { model, version: newest } of versions.newest()) {
       const version = versions.oldestOf(model, storeMs)
-      const versionBefore = oldestLogged.get(model)
-      if (version === versionBefore) continue
-      oldestLogged.set(model, version)
-      const named = versions.namedOf(model).map(entry => ({ version: entry.version, ...(entry.namedAtMs === undefined || storeMs === Infinity ? {} : { sinceNamedMs: Math.round(storeMs - entry.namedAtMs) }) }))
-      log('weights', 'Oldest version changed.', { model, version, versionBefore, named })
+      const before = oldestLogged.get(model)
+      const isChanged = version !== before?.version
+      if (!isChanged && (version === newest || nowMs - before.atMs < VERSIONS_LOG_MS)) continue
+      oldestLogged.set(model, { version, atMs: nowMs })
+      const named = versions.namedOf(model).map(entry => ({ version: entry.version, sinceNamedMs: sinceMs(entry.namedAtMs), sinceNotBeforeMs: sinceMs(entry.notBeforeMs) }))
+      if (isChanged) log('weights', 'Oldest version changed.', { model, version, versionBefore: before?.version, named })
+      else log('weights', 'Version still spreads.', { model, version, named })
     }
   }
   const beat = setInterval(() => {
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     tellRevisions(nowMs)
-    logOldestVersions()
+    logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
   log('gateway', 'Gateway started.', { callers: options.callers, incarnation: node.incarnation })
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -187,7 +187,7 @@
       waiting.remove(call)
       if (verdict.reason === 'overCapacity' && !call.late) crowding.noteTurnedAway(call.service, nowMs)
       if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, verdict.reason)
-      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), isCrowded: asking.isCrowded, freeCount: best?.freeCount, ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs) } : {}) })
+      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), isCrowded: asking.isCrowded, freeCount: best?.freeCount, ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs), ...oldestFor(call, known) } : {}) })
     }
   }
 
@@ -264,6 +264,12 @@
     return held === undefined ? {} : { version: held.version, oldestVersion: options.surroundings().oldestVersionOf(held.model) }
   }
 
+  /** The oldest version on which the call may begin. */
+  const oldestFor = (call: Calls.Call, known: Routing.Choice.Surroundings): { readonly oldestVersion?: number } => {
+    const { service, model = service.engine?.models[0] } = call.placing
+    return service.engine === undefined || model === undefined ? {} : { oldestVersion: known.oldestVersionOf(model) }
+  }
+
   const blame = (row: Routing.Endpoints.EndpointRow, reason: string, call: Calls.Call): void => {
     const avoidMs = Routing.Endpoints.blame(row, clock())
     log('endpoints', 'Endpoint left out.', { callId: call.callId, endpointId: row.listing.endpointId, reason, failureCount: row.failureCount, avoidMs })
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -29,8 +29,16 @@
     expect([sent?.fields.version, sent?.fields.oldestVersion]).toEqual([1, 1])
   })
 
+  it('says it again while a version spreads, with the time before which it was not named', async () => {
+    stage.pass(2_000)
+    const ofSpread = (): Direct.DirectStage['lines'][number] | undefined => stage.lines.find(line => line.sentence === 'Version still spreads.')
+    await TestKit.Wait.until('it is said again', LIMIT_MS, () => ofSpread() !== undefined)
+    const { version, sinceNotBeforeMs } = ofSpread()?.fields.named[0] ?? {}
+    expect([version, sinceNotBeforeMs >= 2_000]).toEqual([2, true])
+  })
+
   it('a gateway that started after a version was superseded begins no calls on the one before once the superseded one is due', async () => {
-    stage.pass(3_000)
+    stage.pass(1_000)
     nameVersion(3)
     await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(stage, 'Version named.', 3))
     const restarted = await stage.addGateway('g2')
@@ -38,7 +46,8 @@
     await TestKit.Wait.until('the restarted gateway is ready', LIMIT_MS, async () => (await restarted.call()).status === 200)
     stage.pass(DUE_MS - 3_000)
     expect([(await stage.call()).status, (await restarted.call({ id: 'late' })).status]).toEqual([503, 503])
-    expect(restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')?.fields.ruledOut).toEqual({ weights: 1 })
+    const refused = restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')
+    expect([refused?.fields.ruledOut, refused?.fields.oldestVersion]).toEqual([{ weights: 1 }, 2])
   })
 })
 
