Failing test: a version superseded while a request was on its way binds nobody

A request of one gateway is on its way to the store while versions 2 and 3 are named. Its answer looks as if the store had held the read, so version 3 is dated by it and nothing tells that version 2 was missed. A gateway that starts afterwards and hears from that one alone takes the same over.

The stand-in of the store can keep requests on their way (faults.arrival).

--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -23,6 +23,8 @@
   silent: boolean
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
+  /** Until then requests are still on their way. */
+  arrival: Promise<void> | undefined
 }
 
 /** A running stand-in. */
@@ -34,6 +36,8 @@
   drop: (table: string, key: string) => number
   /** The rows of a table that are not deleted. */
   rows: (table: string) => Array<{ readonly key: string, readonly value: unknown }>
+  /** Requests that are still on their way. */
+  lateCount: () => number
   close: () => Promise<void>
 }
 
@@ -45,10 +49,11 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
+  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0, arrival: undefined }
   const waiting = new Set<() => void>()
   const sockets = new Set<Net.Socket>()
   let revision = 1
+  let lateCount = 0
 
   const set = (table: string, key: string, value: string | undefined, deleted: boolean): number => {
     revision++
@@ -88,6 +93,14 @@
     const parts: Buffer[] = []
     request.on('data', (part: Buffer) => { parts.push(part) })
     request.on('end', () => {
+      if (faults.arrival === undefined) { take(); return }
+      lateCount++
+      void faults.arrival.then(() => {
+        lateCount--
+        take()
+      })
+    })
+    const take = (): void => {
       if (faults.silent) return
       if (faults.down) { answer(503, {}); return }
       const handlers: Record<string, () => void> = {
@@ -98,7 +111,7 @@
       const handle = handlers[url.pathname]
       if (handle === undefined) answer(404, {})
       else handle()
-    })
+    }
   })
   server.on('connection', socket => {
     sockets.add(socket)
@@ -111,6 +124,7 @@
     put: (table, key, value) => set(table, key, Buffer.isBuffer(value) ? value.toString('base64') : Buffer.from(JSON.stringify(value)).toString('base64'), false),
     drop: (table, key) => set(table, key, undefined, true),
     rows: table => live(table).map(row => ({ key: row.key, value: JSON.parse(Buffer.from(row.value ?? '', 'base64').toString()) })),
+    lateCount: () => lateCount,
     close: async () => {
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => { server.close(resolve) })
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -51,6 +51,30 @@
   })
 })
 
+describe('a version that was superseded while a request to the store was on its way', () => {
+  const GAP_MS = 5_000
+
+  it('binds the gateway that missed it, and one that starts later and hears from that one alone', async () => {
+    const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
+    after(own.stop)
+    await TestKit.Wait.until('a call is served', LIMIT_MS, async () => (await own.call()).status === 200)
+    let arrive = (): void => {}
+    own.store.faults.arrival = new Promise(resolve => { arrive = resolve })
+    own.deploy({ version: 2 })
+    await TestKit.Wait.until('the next read is on its way', LIMIT_MS, () => own.store.lateCount() > 0)
+    own.store.put('op', 'version/m', { model: 'm', version: 2 })
+    own.pass(GAP_MS)
+    own.store.put('op', 'version/m', { model: 'm', version: 3 })
+    own.store.faults.arrival = undefined
+    arrive()
+    await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(own, 'Version named.', 3))
+    const started = await own.addGateway('g2')
+    await TestKit.Wait.until('the started gateway hears of it', LIMIT_MS, () => hasLine(started, 'Version told of.', 3))
+    own.pass(DUE_MS - GAP_MS)
+    expect([(await own.call()).status, (await started.call()).status]).toEqual([503, 503])
+  })
+})
+
 describe('a call that waits at an endpoint for its turn', () => {
   it('is taken back before the version there is overdue', async () => {
     const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
