Allow an old version only as long as claims show that no newer one is due

Callers saw drafts on weights that had been replaced almost nine seconds before.

Cause: what a process knows of versions carried no claim of completeness. It took each version that it had read or was told of by itself, with its time, and held every older one for allowed until that time was over. A version that was named and superseded unseen bound nobody. Dates rested on when a request was sent: over 500 ms on its way it counted as held by the store.

Ruled out: mending the bound of 500 ms (no bound on the way of a request holds); taking every version between two known ones for named (versions need not be consecutive, and the agents would fetch what does not exist).

Change: processes keep and tell claims, 'from this version on none was named before this time' (routing/versions). A version is allowed while a claim shows that nothing newer can be due; without one it is overdue. Claims come from own pages of the operators' table and from readings (follow/readings): pages of any table at any process tell which revision the store had when, so a row lies after the latest reading below its revision, however long a request took. Each claim is true by itself, so they merge in any order. A row written again keeps its first write. Refusals of the store still move the bound of this process, now only up to the time at which the store answered any other process, and are no longer told to others. Waits of held reads are drawn anew, so that reads of processes spread over time and date one another's rows at no further cost. Engines' turns follow the same claims.

Tests: 'Versions' moves to test/version-claims.test.ts. Cases that encoded the old meaning are replaced: 'corrects the time of a version that was heard of late' by the strongest claim and the row written twice; the bound of a version heard of alone is stricter now (the one directly before, not all). The two properties on hearsay become one that plays processes which read, glance, tell and restart with delays against the truth, 2,000 runs.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -139,6 +139,7 @@
     versionMs: () => options.bounds().versionMs,
     isResumable: () => (operators.deployment()?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
     progressOf: fetcher.progressOf,
+    owedSinceMs: (model, loaded) => node.storeClock.toOwn(versions.newestUntilMs(model, loaded)),
     setServing: serving => {
       for (const pacer of [download, upload]) pacer.setRate(linkBytesPerSecond() * (serving ? LINK_SHARE : 1))
     },
@@ -153,7 +154,7 @@
       const address = deployment.services.find(service => service.originAddress !== undefined)?.originAddress
       if (address !== undefined && address !== origin?.address) origin = { address, client: options.originAt(address) }
     },
-    onVersionNamed: versions.learn
+    versions
   })
   node.relay(options.operatorsTable, operators.follower)
   node.followMembers(MEMBERS_WAIT_MS)
@@ -200,6 +201,7 @@
     log('weights', now ? 'Engine answers.' : 'Engine does not answer.', options.endpoint)
   }
   const beat = setInterval(() => {
+    versions.refine(node.readings)
     tellJoined()
     if (busy) return
     busy = true
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -22,6 +22,8 @@
   /** Whether every stream of the engine's service may go on at another endpoint. */
   readonly isResumable: () => boolean
   readonly progressOf: Fetcher.Fetcher['progressOf']
+  /** Since when a newer version than a loaded one may bind calls, in milliseconds. */
+  readonly owedSinceMs: (model: string, loadedVersion: number) => number
   /** Told whether the engine serves, so that an idle link may be filled. */
   readonly setServing: (serving: boolean) => void
   readonly clock: () => number
@@ -150,8 +152,7 @@
       if (goal === undefined || volume === undefined) return
       await stageHeld(volume)
       if (staged.size !== volume.manifest.digests.length || stagedVersion !== goal.version) return
-      const owedSinceMs = Math.min(...goals.filter(other => other.version > loaded).map(other => other.namedAtMs))
-      await start(goal, owedSinceMs, volume, report)
+      await start(goal, options.owedSinceMs(model, loaded), volume, report)
     },
     loadedVersionOf: model => loadedVersions.get(model) ?? 0,
     isRetiring: () => retiredAtMs !== undefined
--- a/src/filling/switching.ts
+++ b/src/filling/switching.ts
@@ -13,7 +13,7 @@
 export interface Switch {
   readonly model: string
   readonly version: number
-  /** When the first version after the loaded one was named, in milliseconds: calls are bound by it also where it was superseded. */
+  /** Until when the loaded version is shown to have been the newest, in milliseconds: calls are bound by the one after it also where that was superseded. */
   readonly owedSinceMs: number
   /** Time by which a version has to be everywhere, in milliseconds. */
   readonly versionMs: number
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 import type * as Core from '../core/index.ts'
+import type * as Routing from '../routing/index.ts'
+import type * as Readings from './readings.ts'
 import * as Rows from './rows.ts'
 import type * as StoreClock from './storeClock.ts'
 
@@ -13,10 +15,10 @@
   readonly fromStore: boolean
   /** Whether the rows are the first ones, so that they may be of any age. */
   readonly isFirst: boolean
-  /** When the rows were written, by the store's clock in milliseconds; undefined where that is not known closely. */
-  readonly writtenAtMs: number | undefined
-  /** The rows were not written before, by the store's clock in milliseconds; -Infinity for the first ones. */
-  readonly notBeforeMs: number
+  /** When the store made the page that brought them, by its clock in milliseconds; undefined for rows that another process handed on. */
+  readonly madeAtMs: number | undefined
+  /** As of when all rows before these had been read. */
+  readonly before: Routing.Versions.Completeness
 }
 
 /** What a follower needs. */
@@ -31,6 +33,7 @@
   readonly gatherMs?: number
   readonly clock: () => number
   readonly storeClock: StoreClock.StoreClock
+  readonly readings: Readings.Readings
   readonly random: Core.Random.Random
   /** Takes changed rows. */
   readonly onRows: (rows: readonly Rows.Row[], context: RowsContext) => void
@@ -46,11 +49,8 @@
   regainedAtMs: () => number | undefined
   /** When the rows were last known to be the newest, in milliseconds: the last answer of the store or of a process asked in its place; -Infinity before the first. */
   freshAtMs: () => number
-  /**
-   * As of when the store has told all rows, by its clock in milliseconds; -Infinity before its first page.
-   * The time that operators' changes have does not run while the store is out, so it is moved on by refusals.
-   */
-  completeAtMs: () => number
+  /** As of when the store has told all rows, and whether it has refused this process since. */
+  completeness: () => Routing.Versions.Completeness
   /** Whether the store answers. */
   isInTouch: () => boolean
   /** Told that another process holds a newer revision: reads at once over a new connection if this one stays behind. */
@@ -64,11 +64,8 @@
 const HINT_PATIENCE_MS = 300
 /** A read that may have gone silent is replaced at most so often, in milliseconds. */
 const RESTART_MS = 1_000
-
-/** An answer made so long after it was asked for counts as held until a row changed, in milliseconds; a request that was on its way for longer is taken for one. */
-const HELD_MS = 500
-/** Where two pages are no further apart, rows of the second one have the time of the first one, in milliseconds: well within the reserve of gateways. */
-const CLOSE_MS = 250
+/** A wait is drawn between this share of the usual one and as much above it, so that processes that read at the same time do not go on doing so: their pages date one another's rows. */
+const LEAST_WAIT_SHARE = 0.5
 
 /**
  * Starts following a table.
@@ -85,9 +82,8 @@
   let regainedAtMs: number | undefined
   let freshAtMs = -Infinity
   /** When the store made its last page, by its own clock. */
-  let pageAtMs = -Infinity
-  /** The same, moved on by refusals. */
   let completeAtMs = -Infinity
+  let outage: Routing.Versions.Outage | undefined
   let stopped = false
   let hintedRevision = 0
   /** Up to which revision other processes have told rows. */
@@ -95,22 +91,21 @@
   let generation = 0
   let restartedAtMs = -Infinity
 
-  const accept = (rows: readonly Rows.Row[], fromStore: boolean, times: Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'>): void => {
-    const first = !known
+  const completeness = (): Routing.Versions.Completeness => ({ completeAtMs, outage })
+  const accept = (rows: readonly Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): void => {
+    const isFirst = !known
     known = true
-    if (rows.length > 0 || first) options.onRows(rows, first ? { fromStore, isFirst: true, writtenAtMs: undefined, notBeforeMs: -Infinity } : { fromStore, isFirst: false, ...times })
+    if (rows.length > 0 || isFirst) options.onRows(rows, { fromStore, isFirst, ...context })
   }
-  /** Works out when the rows of a page of the store were written: it may have been on its way for long, and so may the page before. */
-  const timesOf = (page: Rows.Page, askedAtMs: number, mayBeHeld: boolean): Pick<RowsContext, 'writtenAtMs' | 'notBeforeMs'> => {
-    const notBeforeMs = completeAtMs
-    const pageBeforeAtMs = pageAtMs
-    const { madeAtMs } = page
-    if (madeAtMs === undefined) return { writtenAtMs: undefined, notBeforeMs }
+  /** Notes what a page shows of the store's clock, of its revisions and of how far this process has read. */
+  const notePage = ({ madeAtMs, revision }: Rows.Page): Pick<RowsContext, 'madeAtMs' | 'before'> => {
+    const before = completeness()
+    outage = undefined
+    if (madeAtMs === undefined) return { madeAtMs, before }
     storeClock.observe(madeAtMs)
-    pageAtMs = madeAtMs
+    options.readings.note({ revision, atMs: madeAtMs })
     completeAtMs = madeAtMs
-    const wasHeld = mayBeHeld && madeAtMs - storeClock.ofOwn(askedAtMs) > HELD_MS
-    return { writtenAtMs: wasHeld ? madeAtMs : madeAtMs - pageBeforeAtMs <= CLOSE_MS ? pageBeforeAtMs : undefined, notBeforeMs }
+    return { madeAtMs, before }
   }
   const noteAnswer = (): void => {
     freshAtMs = clock()
@@ -124,6 +119,11 @@
     lostAtMs = clock()
     log('store', 'Store lost.', { table, reason, revision: mirror.revision() })
   }
+  const noteRefusal = (): void => {
+    if (completeAtMs === -Infinity) return
+    const nowMs = storeClock.now()
+    outage = { fromMs: outage?.fromMs ?? nowMs, toMs: nowMs }
+  }
   const readPeer = async (): Promise<void> => {
     const page = await options.askPeer(table, Math.max(mirror.revision(), peerRevision))
     if (page === undefined) return
@@ -132,19 +132,18 @@
     const rows = mirror.take({ rows: page.rows, revision: 0 })
     if (rows.length > 0) freshAtMs = clock()
     if (rows.length > 0) log('store', 'Rows taken from another process.', { table, rowCount: rows.length, revision: page.revision })
-    accept(rows, false, { writtenAtMs: undefined, notBeforeMs: completeAtMs })
+    accept(rows, false, { madeAtMs: undefined, before: completeness() })
   }
   const readOnce = async (): Promise<void> => {
     const asked = generation
-    const askedAtMs = clock()
-    const answer = whole ? await store.readSince(table, mirror.revision(), options.waitMs) : await store.readAll(table)
+    const answer = whole ? await store.readSince(table, mirror.revision(), Math.round(options.waitMs * (LEAST_WAIT_SHARE + options.random.next()))) : await store.readAll(table)
     if (asked !== generation) return
     if (answer.isOk()) {
       noteAnswer()
-      const times = timesOf(answer.value, askedAtMs, whole)
+      const context = notePage(answer.value)
       const rows = whole ? mirror.take(answer.value) : mirror.replace(answer.value)
       whole = true
-      accept(rows, true, times)
+      accept(rows, true, context)
       if (options.gatherMs !== undefined) await pause(options.gatherMs)
       return
     }
@@ -154,7 +153,7 @@
       return
     }
     // One read may go silent by itself; a second one over a new connection shows that the store is out.
-    if (completeAtMs !== -Infinity && (answer.error.kind === 'unavailable' || lostAtMs !== undefined)) completeAtMs = Math.max(completeAtMs, storeClock.now())
+    if (answer.error.kind === 'unavailable' || lostAtMs !== undefined) noteRefusal()
     noteLoss(answer.error.reason)
     await readPeer()
     await pause(RETRY_MS * (0.5 + options.random.next()))
@@ -185,7 +184,7 @@
     isKnown: () => known,
     regainedAtMs: () => regainedAtMs,
     freshAtMs: () => freshAtMs,
-    completeAtMs: () => completeAtMs,
+    completeness,
     isInTouch: () => lostAtMs === undefined,
     hint: revision => {
       if (revision <= Math.max(mirror.rowRevision(), hintedRevision) || stopped) return
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -41,8 +41,10 @@
   load: Schema.optional(LoadNews),
   /** The store's time when the news was sent, as the sender knows it, in milliseconds. */
   storeMs: Schema.optional(Schema.Number),
-  /** Versions of weights that were named, superseded ones too; times are the store's. */
-  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, namedAtMs: Schema.optional(Schema.Number), notBeforeMs: Schema.optional(Schema.Number) }))),
+  /** The latest revision of the store that the sender knows of, with the store's time. */
+  reading: Schema.optional(Schema.Struct({ revision: Schema.Int, atMs: Schema.Number })),
+  /** What the sender knows of versions of weights (`Routing.Versions.Naming`); times are the store's. */
+  named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, revision: Schema.optional(Schema.Int), namedAtMs: Schema.optional(Schema.Number), notBeforeMs: Schema.optional(Schema.Number) }))),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
   rollCall: Schema.optional(Schema.Boolean)
@@ -59,14 +61,14 @@
 const decode = Decode.json(News)
 
 /**
- * Makes news of the versions that bind calls.
+ * Makes news of what binds calls to versions.
  *
  * @param versions - The versions that this process knows.
  * @param storeMs - The store's time, in milliseconds.
  * @returns The part of a message.
  */
 export function namedNews (versions: Routing.Versions.Versions, storeMs: number): NonNullable<News['named']> {
-  return versions.binding(storeMs).map(({ notBeforeMs, ...naming }) => Number.isFinite(notBeforeMs) ? { ...naming, notBeforeMs } : naming)
+  return versions.telling(storeMs).map(({ notBeforeMs, ...naming }) => Number.isFinite(notBeforeMs) ? { ...naming, notBeforeMs } : naming)
 }
 
 /**
@@ -74,14 +76,14 @@
  *
  * @param versions - The versions that this process knows.
  * @param news - The message.
- * @param own - Where the operators' rows are followed: what they lack was named after they were complete.
+ * @param own - Where the operators' rows are followed.
  * @param storeClock - The store's clock.
  * @param log - Told of what is new.
  */
-export function learnNamed (versions: Routing.Versions.Versions, news: News, own: Pick<Follower.Follower, 'completeAtMs'>, storeClock: StoreClock.StoreClock, log: Core.Loop.Tick<never, never>['log']): void {
-  for (const { model, version, namedAtMs, notBeforeMs = -Infinity } of news.named ?? []) {
-    const lackedUntilMs = version > versions.newestOf(model) ? own.completeAtMs() : -Infinity
-    if (!versions.learn({ model, version, namedAtMs, notBeforeMs: Math.max(notBeforeMs, lackedUntilMs) })) continue
+export function learnNamed (versions: Routing.Versions.Versions, news: News, own: Pick<Follower.Follower, 'completeness'>, storeClock: StoreClock.StoreClock, log: Core.Loop.Tick<never, never>['log']): void {
+  for (const { model, version, revision, namedAtMs, notBeforeMs = -Infinity } of news.named ?? []) {
+    if (!versions.learn({ model, version, revision, namedAtMs, notBeforeMs }, own.completeness())) continue
+    if (revision === undefined) continue
     log('weights', 'Version told of.', { model, version, ...(namedAtMs === undefined ? {} : { sinceNamedMs: Math.round(storeClock.now() - namedAtMs) }), source: news.sender })
   }
 }
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -10,6 +10,7 @@
 import * as Follower from './follower.ts'
 import * as Members from './members.ts'
 import * as News from './news.ts'
+import * as Readings from './readings.ts'
 import * as Relay from './relay.ts'
 import type * as Rows from './rows.ts'
 import * as StoreClock from './storeClock.ts'
@@ -35,14 +36,15 @@
 export interface Node {
   readonly incarnation: string
   readonly storeClock: StoreClock.StoreClock
-  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'>
+  readonly readings: Readings.Readings
+  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'log'>
   members: () => readonly Members.Member[]
   /** Follows the entries of the other processes. */
   followMembers: (waitMs: number) => void
   /** Hands a table on to processes that ask. */
   relay: (table: string, relayed: Relay.Relayed) => void
   /** Sends news to the other processes of a kind. */
-  tell: (news: Omit<News.News, 'sender' | 'storeMs'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
+  tell: (news: Omit<News.News, 'sender' | 'storeMs' | 'reading'>, kind: Members.Member['kind'], choose?: (member: Members.Member) => boolean) => void
   /** Removes the process's entry and leaves. */
   close: () => Promise<void>
 }
@@ -71,8 +73,10 @@
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
   const storeClock = StoreClock.createStoreClock(options.clock)
+  const readings = Readings.createReadings()
   const takeNews = (news: News.News): void => {
     if (news.storeMs !== undefined) storeClock.hear(news.storeMs)
+    if (news.reading !== undefined) readings.note(news.reading)
     onNews(news)
   }
   const channel = await News.openChannel({ host, port }, takeNews, reason => {
@@ -85,7 +89,7 @@
     headersTimeoutMs: 2_000,
     routes: [Relay.createRelayRoute(table => relayed.get(table)), metrics.route, ...routes]
   })
-  const followerOptions = { store, askPeer, clock: options.clock, storeClock, random, log }
+  const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, log }
 
   const enter = async (): Promise<void> => {
     const entry: Members.Member = { name, kind, host, port, zone, region, incarnation }
@@ -101,6 +105,7 @@
   return {
     incarnation,
     storeClock,
+    readings,
     followerOptions,
     members: () => members,
     followMembers: waitMs => {
@@ -116,7 +121,7 @@
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
     relay: (table, entry) => { relayed.set(table, entry) },
-    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, storeMs: storeClock.told(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
+    tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, storeMs: storeClock.told(), reading: readings.latest(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: async () => {
       closed = true
       follower?.stop()
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -9,14 +9,13 @@
 import type * as Rows from './rows.ts'
 
 /** What following operators needs. */
-export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'> {
+export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'log'> {
   /** Name of the table that operators write. */
   readonly table: string
   readonly changeOf: (row: Rows.Row) => Routing.Deployment.OperatorChange | undefined
   /** Takes a deployment that is newer than the one in force. */
   readonly onDeployed?: (deployment: Routing.Deployment.Deployment) => void
-  /** Takes a named version; it returns whether that changes anything. */
-  readonly onVersionNamed: (naming: Routing.Versions.Naming) => boolean
+  readonly versions: Routing.Versions.Versions
   /** Told after each batch of rows. */
   readonly onChanged?: () => void
 }
@@ -39,11 +38,11 @@
  * @returns What is in force, kept up to date.
  */
 export function followOperators (options: OperatorsOptions): Operators {
-  const { clock, storeClock, log, table } = options
+  const { clock, storeClock, readings, versions, log, table } = options
   const drainedZones = new Set<string>()
   let deploymentInForce: Routing.Deployment.Deployment | undefined
-  /** How the changes that are being taken came. */
-  let context: Follower.RowsContext = { fromStore: true, isFirst: true, writtenAtMs: undefined, notBeforeMs: -Infinity }
+  /** How the changes that are being taken came, and the revision of the one that is taken now. */
+  let context: Follower.RowsContext & { readonly revision: number } = { fromStore: true, isFirst: true, madeAtMs: undefined, before: { completeAtMs: -Infinity }, revision: 0 }
 
   const handlers: Core.Loop.Handlers<Routing.Deployment.OperatorChange> = {
     deployed: ({ deployment }) => {
@@ -59,9 +58,10 @@
       log('control', drained ? 'Zone taken out of service.' : 'Zone back in service.', { zone })
     },
     versionNamed: ({ model, version }) => {
-      const { isFirst, writtenAtMs, notBeforeMs } = context
-      if (!options.onVersionNamed({ model, version, namedAtMs: writtenAtMs, notBeforeMs })) return
-      log('weights', 'Version named.', { model, version, catchingUp: isFirst, ...(writtenAtMs === undefined ? {} : { sinceNamedMs: Math.round(storeClock.now() - writtenAtMs) }) })
+      const { isFirst, madeAtMs: namedAtMs, before, revision } = context
+      const notBeforeMs = readings.notBeforeMs(revision)
+      if (!versions.learn({ model, version, revision, namedAtMs, notBeforeMs }, before)) return
+      log('weights', 'Version named.', { model, version, catchingUp: isFirst, ...(namedAtMs === undefined ? {} : { sinceNamedMs: Math.round(storeClock.now() - namedAtMs) }) })
     },
     unreadable: ({ key, reason }) => { log('control', 'Change not readable.', { key, reason }) }
   }
@@ -70,13 +70,14 @@
     askPeer: options.askPeer,
     clock,
     storeClock,
+    readings,
     random: options.random,
     log,
     table,
     waitMs: WAIT_MS,
     onRows: (rows, rowsContext) => {
-      context = rowsContext
       for (const row of rows) {
+        context = { ...rowsContext, revision: row.revision }
         const change = options.changeOf(row)
         if (change !== undefined) Core.Loop.dispatch(handlers, change)
       }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -137,7 +137,7 @@
       server.keepAliveTimeout = deployment.limits.idleTimeoutMs
       metrics.gauge('deployment_version', deployment.version)
     },
-    onVersionNamed: versions.learn,
+    versions,
     onChanged: () => { ingress.wake() }
   })
   const listed = Follow.Follower.createFollower({
@@ -208,7 +208,7 @@
       const isChanged = version !== before?.version
       if (!isChanged && (version === newest || nowMs - before.atMs < VERSIONS_LOG_MS)) continue
       oldestLogged.set(model, { version, atMs: nowMs })
-      const named = versions.namedOf(model).map(entry => ({ version: entry.version, sinceNamedMs: sinceMs(entry.namedAtMs), sinceNotBeforeMs: sinceMs(entry.notBeforeMs) }))
+      const named = versions.knownOf(model).map(entry => ({ version: entry.version, revision: entry.revision, sinceNamedMs: sinceMs(entry.namedAtMs), sinceNotBeforeMs: sinceMs(entry.notBeforeMs) }))
       if (isChanged) log('weights', 'Oldest version changed.', { model, version, versionBefore: before?.version, named })
       else log('weights', 'Version still spreads.', { model, version, named })
     }
@@ -216,6 +216,7 @@
   const beat = setInterval(() => {
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
+    versions.refine(node.readings)
     tellRevisions(nowMs)
     logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
--- a/src/routing/versions.ts
+++ b/src/routing/versions.ts
@@ -3,41 +3,75 @@
  *
  * Answers a new version that is still spreading: old and new are both served until the time by which
  * the new one has to be everywhere, and only the new one from then on. That holds for every version
- * that was named, also for one that was superseded before it was due: the store keeps the newest only,
- * so processes tell one another of the others. A version whose time nobody knows counts as named at the
- * earliest time possible; where a process has just started, as overdue.
+ * that was named, also for one that was superseded before it was due and that this process never read of.
+ *
+ * So a version is allowed only as long as it is shown that no newer one can be due: by claims of the
+ * form "from this version on, none was named before this time". Each claim is true by itself, whoever
+ * made it and whatever else that process missed. Claims of several processes are merged in any order;
+ * what no claim shows counts as overdue.
  *
  * All times are of the store's clock, so that every process means the same by them.
  *
  * @packageDocumentation
  */
 
-/** A version that was named. */
-export interface NamedVersion {
+/** What is known of a version. */
+export interface Naming {
+  readonly model: string
   readonly version: number
-  /** When it was named, in milliseconds, as early as any process knows; undefined where none does. */
+  /** The store's revision of the row that named it, the lowest one known; undefined where only a claim is known, so that the version itself may not exist. */
+  readonly revision: number | undefined
+  /** It was named at this time at the latest, in milliseconds; undefined where that is not known. */
   readonly namedAtMs: number | undefined
-  /** It was not named before this time, in milliseconds, which counts where the time itself is not known; -Infinity where nothing is. */
+  /** Neither it nor a newer version was named before this time, in milliseconds; -Infinity where nothing shows that. */
   readonly notBeforeMs: number
 }
 
-/** A version that was named, with its model. */
-export interface Naming extends NamedVersion {
-  readonly model: string
+/** A time in which the store refused this process, in milliseconds; operators' time does not run while the store is out. */
+export interface Outage {
+  readonly fromMs: number
+  readonly toMs: number
+}
+
+/** As of when a process has read all that operators wrote. */
+export interface Completeness {
+  /** When the store made the last page, in milliseconds; -Infinity before the first. */
+  readonly completeAtMs: number
+  /** The store has refused this process since. */
+  readonly outage?: Outage | undefined
+}
+
+/** A version with what this process alone goes by. */
+export interface KnownVersion extends Naming {
+  readonly outage: Outage | undefined
+}
+
+/** What readings of the store show: which revision it had at which time. */
+export interface Evidence {
+  /** The latest time at which the store had not reached a revision, in milliseconds; -Infinity where none is known. */
+  readonly notBeforeMs: (revision: number) => number
+  /** The first time after another one at which the store answered any process, in milliseconds; Infinity where none is known. */
+  readonly answeredAfterMs: (timeMs: number) => number
 }
 
 /** The versions that operators named. */
 export interface Versions {
   /**
-   * Takes that a version was named.
+   * Takes what is known of a version.
    *
-   * @returns Whether the version is new here, or its time has become known or earlier.
+   * @param naming - The version.
+   * @param own - As of when this process had read all rows without it.
+   * @returns Whether it is new that the version was named, or that an older one may still be allowed.
    */
-  learn: (naming: Naming) => boolean
-  /** The versions that other processes have to know of: those by which calls are bound now or later. */
-  binding: (storeMs: number) => Naming[]
+  learn: (naming: Naming, own: Completeness) => boolean
+  /** Takes new evidence of when the versions were named; to be called now and then. */
+  refine: (evidence: Evidence) => void
+  /** What other processes have to know: the newest version, and all claims that still allow an older one. */
+  telling: (storeMs: number) => Naming[]
+  /** What is known of a model's versions, the oldest first. */
+  knownOf: (model: string) => readonly KnownVersion[]
   /** The versions of a model that are known to be named, the oldest first. */
-  namedOf: (model: string) => readonly NamedVersion[]
+  namedOf: (model: string) => readonly KnownVersion[]
   /** The newest version of each model that was named. */
   newest: () => Array<{ readonly model: string, readonly version: number }>
   /** The newest version named; 1 where none was. */
@@ -46,6 +80,8 @@
   oldestOf: (model: string, storeMs: number) => number
   /** The oldest version on which a call that was sent may still begin. */
   oldestBegunOf: (model: string, storeMs: number) => number
+  /** The latest time before which nothing newer than a version was named, in milliseconds; -Infinity where nothing shows one. */
+  newestUntilMs: (model: string, version: number) => number
 }
 
 /** For how long after a version was named calls may go to the one before, in milliseconds. */
@@ -58,6 +94,8 @@
 
 /** Versions count from 1. */
 const FIRST_VERSION = 1
+/** Versions of a model that are remembered; older ones are overdue. */
+const KEPT_COUNT = 16
 
 /**
  * Creates the versions.
@@ -66,33 +104,74 @@
  * @returns The versions.
  */
 export function createVersions (bounds: () => VersionBounds): Versions {
-  const named = new Map<string, readonly NamedVersion[]>()
-  const namedOf = (model: string): readonly NamedVersion[] => named.get(model) ?? []
+  const known = new Map<string, readonly KnownVersion[]>()
+  const knownOf = (model: string): readonly KnownVersion[] => known.get(model) ?? []
+  const namedOf = (model: string): readonly KnownVersion[] => knownOf(model).filter(entry => entry.revision !== undefined)
   const newestOf = (model: string): number => namedOf(model).at(-1)?.version ?? FIRST_VERSION
-  const oldestWithin = (model: string, graceMs: number, storeMs: number): number =>
-    namedOf(model).filter(entry => storeMs - (entry.namedAtMs ?? entry.notBeforeMs) >= graceMs).at(-1)?.version ?? FIRST_VERSION
-  const oldestOf = (model: string, storeMs: number): number => oldestWithin(model, bounds().sendMs, storeMs)
+  const oldestWithin = (model: string, graceMs: number, storeMs: number): number => {
+    const newest = newestOf(model)
+    const shown = knownOf(model).find(entry => storeMs - boundMs(entry) < graceMs)
+    return shown === undefined ? newest : Math.min(newest, Math.max(FIRST_VERSION, shown.version - 1))
+  }
+  /** Merges an entry into those of its model; tells whether it says anything new. */
+  const merge = (entry: KnownVersion): boolean => {
+    const before = knownOf(entry.model).find(other => other.version === entry.version)
+    const merged = before === undefined ? entry : join(before, entry)
+    known.set(entry.model, [...knownOf(entry.model).filter(other => other !== before), merged].sort((a, b) => a.version - b.version).slice(-KEPT_COUNT))
+    return (before?.revision === undefined && merged.revision !== undefined) || ((before?.notBeforeMs ?? -Infinity) === -Infinity && merged.notBeforeMs !== -Infinity)
+  }
   return {
-    learn: ({ model, version, namedAtMs, notBeforeMs }) => {
+    learn: (naming, { completeAtMs, outage }) => {
+      const { model, version, revision } = naming
       if (version <= FIRST_VERSION) return false
-      const before = namedOf(model).find(entry => entry.version === version)
-      const entry: NamedVersion = {
-        version,
-        namedAtMs: earliest(before?.namedAtMs, namedAtMs),
-        notBeforeMs: Math.max(before?.notBeforeMs ?? -Infinity, notBeforeMs)
-      }
-      named.set(model, [...namedOf(model).filter(other => other.version !== version), entry].sort((a, b) => a.version - b.version))
-      return before === undefined || before.namedAtMs !== entry.namedAtMs
+      const newest = newestOf(model)
+      const isNewest = revision !== undefined && version > newest
+      const isNew = merge({ ...naming, outage: undefined })
+      if (isNewest) merge({ model, version: newest + 1, revision: undefined, namedAtMs: undefined, notBeforeMs: completeAtMs, outage })
+      return isNew
     },
-    binding: storeMs => [...named].flatMap(([model, entries]) => {
-      const oldest = oldestOf(model, storeMs)
-      return entries.filter(entry => entry.version >= oldest).map(entry => ({ model, ...entry }))
+    refine: evidence => {
+      for (const [model, entries] of known) known.set(model, entries.map(entry => refined(entry, evidence)))
+    },
+    telling: storeMs => [...known.keys()].flatMap(model => {
+      const newest = newestOf(model)
+      return knownOf(model)
+        .filter(entry => entry.version === newest || storeMs - entry.notBeforeMs < bounds().beginMs)
+        .map(({ outage, ...naming }) => naming)
     }),
+    knownOf,
     namedOf,
-    newest: () => [...named.keys()].map(model => ({ model, version: newestOf(model) })),
+    newest: () => [...known.keys()].map(model => ({ model, version: newestOf(model) })),
     newestOf,
-    oldestOf,
-    oldestBegunOf: (model, storeMs) => oldestWithin(model, bounds().beginMs, storeMs)
+    oldestOf: (model, storeMs) => oldestWithin(model, bounds().sendMs, storeMs),
+    oldestBegunOf: (model, storeMs) => oldestWithin(model, bounds().beginMs, storeMs),
+    newestUntilMs: (model, version) => Math.max(-Infinity, ...knownOf(model).filter(entry => entry.version <= version + 1).map(boundMs))
+  }
+}
+
+/** The time before which nothing from a version on binds this process, in milliseconds. */
+function boundMs ({ notBeforeMs, outage }: KnownVersion): number {
+  return Math.max(notBeforeMs, outage?.toMs ?? -Infinity)
+}
+
+function refined (entry: KnownVersion, evidence: Evidence): KnownVersion {
+  const { revision, notBeforeMs, outage } = entry
+  return {
+    ...entry,
+    notBeforeMs: revision === undefined ? notBeforeMs : Math.max(notBeforeMs, evidence.notBeforeMs(revision)),
+    outage: outage === undefined ? undefined : { ...outage, toMs: Math.min(outage.toMs, evidence.answeredAfterMs(outage.fromMs)) }
+  }
+}
+
+/** Joins what is known of one version. The row may have been written again: claims that follow from the later write do not hold for the first one. */
+function join (one: KnownVersion, other: KnownVersion): KnownVersion {
+  const [first, second] = (one.revision ?? Infinity) <= (other.revision ?? Infinity) ? [one, other] : [other, one]
+  const isSameRow = second.revision === undefined || first.revision === second.revision
+  return {
+    ...first,
+    namedAtMs: earliest(one.namedAtMs, other.namedAtMs),
+    notBeforeMs: isSameRow ? Math.max(one.notBeforeMs, other.notBeforeMs) : first.notBeforeMs,
+    outage: one.outage ?? other.outage
   }
 }
 
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -68,7 +68,7 @@
   mode: text('Whether the engine ends what runs before it loads (afterRunning) or cuts it off (cutting)'),
   model: text('The model'),
   name: text('The process\'s name'),
-  named: { schema: Schema.Array(Schema.Struct({ version: Schema.Int, sinceNamedMs: Schema.optional(Schema.Number), sinceNotBeforeMs: Schema.optional(Schema.Number) })), about: 'The versions known to be named, with the time since, and since when they were certainly not named; without them where the process cannot know' },
+  named: { schema: Schema.Array(Schema.Struct({ version: Schema.Int, revision: Schema.optional(Schema.Int), sinceNamedMs: Schema.optional(Schema.Number), sinceNotBeforeMs: Schema.optional(Schema.Number) })), about: 'What is known of versions: the revision of the row that named one (without it the version may not exist), the time since it was read of first, and since when neither it nor a newer one was named' },
   next: text('What follows: retry, budgetUsedUp, refuse, answerFailure or fail'),
   oldestVersion: number('The oldest version of the model on which a call may begin'),
   path: text('Path of the request'),
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -66,6 +66,7 @@
     metrics: Metrics.createMetrics(),
     log: () => {}
   })
+  const goals = [...changes.supersededVersions ?? [], { version, namedAtMs: changes.namedAtMs ?? 0 }].map(goal => ({ model: 'm', ...goal }))
   const filler = Filling.Filler.createFiller({
     name: 'own',
     engine: {
@@ -91,13 +92,13 @@
     versionMs: () => VERSION_MS,
     isResumable: () => true,
     progressOf: fetcher.progressOf,
+    owedSinceMs: () => Math.min(...goals.map(goal => goal.namedAtMs)),
     setServing: () => {},
     clock: () => clockMs,
     log: () => {}
   })
   const timer = setInterval(() => {
     clockMs += TICK_MS
-    const goals = [...changes.supersededVersions ?? [], { version, namedAtMs: changes.namedAtMs ?? 0 }].map(goal => ({ model: 'm', ...goal }))
     void filler.advance(goals, report())
     void fetcher.advance(goals, filler.loadedVersionOf('m'))
   }, TICK_MS)
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -39,6 +39,9 @@
 
   it('a gateway that started after a version was superseded begins no calls on the one before once the superseded one is due', async () => {
     stage.pass(1_000)
+    // A page of the store shows that version 3 is not named yet.
+    stage.deploy({ version: 2 })
+    await TestKit.Wait.until('the page is read', LIMIT_MS, () => hasLine(stage, 'Deployment in force.', 2))
     nameVersion(3)
     await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(stage, 'Version named.', 3))
     const restarted = await stage.addGateway('g2')
--- /dev/null
+++ b/test/version-claims.test.ts
@@ -0,0 +1,174 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as FastCheck from 'fast-check'
+import * as Follow from '../src/follow/index.ts'
+import * as Routing from '../src/routing/index.ts'
+
+describe('Versions', () => {
+  const GRACE_MS = 7_000
+  const NONE: Routing.Versions.Completeness = { completeAtMs: -Infinity }
+  const create = (): Routing.Versions.Versions => Routing.Versions.createVersions(() => ({ sendMs: GRACE_MS, beginMs: GRACE_MS + 500 }))
+  const naming = (version: number, notBeforeMs = -Infinity, revision = version): Routing.Versions.Naming => ({ model: 'm', version, revision, namedAtMs: undefined, notBeforeMs })
+
+  it('serves the version before until the new one has to be everywhere', () => {
+    const versions = create()
+    versions.learn(naming(2, 1_000), NONE)
+    expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000)]).toEqual([1, 2])
+  })
+
+  it('lets a call that was sent to the version before begin for longer than one is sent there', () => {
+    const versions = create()
+    versions.learn(naming(2, 1_000), NONE)
+    expect([versions.oldestOf('m', 8_000), versions.oldestBegunOf('m', 8_499), versions.oldestBegunOf('m', 8_500)]).toEqual([2, 1, 2])
+  })
+
+  it('takes a version that was named before the start for overdue until another process claims more', () => {
+    const versions = create()
+    versions.learn(naming(2), NONE)
+    expect(versions.oldestOf('m', 0)).toEqual(2)
+    versions.learn(naming(2, 0), NONE)
+    expect([versions.oldestOf('m', 100), versions.oldestOf('m', 7_000)]).toEqual([1, 2])
+  })
+
+  it('never goes back', () => {
+    const versions = create()
+    versions.learn(naming(3, 10), NONE)
+    versions.learn(naming(2, 0), NONE)
+    expect([versions.newestOf('m'), versions.oldestOf('m', 7_000), versions.oldestOf('m', 7_010)]).toEqual([3, 2, 3])
+  })
+
+  it('allows only the version directly before the newest where nothing is claimed of older ones', () => {
+    const versions = create()
+    versions.learn(naming(3, 2_000), NONE)
+    expect([versions.oldestOf('m', 2_000), versions.oldestOf('m', 9_000)]).toEqual([2, 3])
+  })
+
+  it('is bound by a superseded version that it hears of after the newest', () => {
+    const versions = create()
+    versions.learn(naming(3, 2_000), NONE)
+    versions.learn(naming(2, 0), NONE)
+    expect([versions.oldestOf('m', 6_999), versions.oldestOf('m', 7_000), versions.oldestOf('m', 9_000)]).toEqual([1, 2, 3])
+  })
+
+  it('is bound from its own last page on by versions that it may have missed before the newest', () => {
+    const versions = create()
+    versions.learn(naming(4, 6_000), { completeAtMs: 1_000 })
+    expect([versions.oldestOf('m', 7_999), versions.oldestOf('m', 8_000), versions.oldestOf('m', 13_000)]).toEqual([1, 3, 4])
+    expect(versions.namedOf('m').map(({ version }) => version)).toEqual([4])
+  })
+
+  it('goes by the strongest of several claims', () => {
+    const versions = create()
+    versions.learn(naming(2, 4_000), NONE)
+    versions.learn(naming(2, 30), NONE)
+    expect([versions.oldestOf('m', 10_999), versions.oldestOf('m', 11_000)]).toEqual([1, 2])
+  })
+
+  it('drops the claims that follow from a later write of the same version', () => {
+    const versions = create()
+    versions.learn(naming(2, 4_000, 9), NONE)
+    versions.learn(naming(2, 30, 5), NONE)
+    expect([versions.oldestOf('m', 7_029), versions.oldestOf('m', 7_030)]).toEqual([1, 2])
+    versions.learn(naming(2, 4_000, 9), NONE)
+    expect(versions.oldestOf('m', 7_030)).toEqual(2)
+  })
+
+  it('gives a version that is named at the return of the store its time', () => {
+    const versions = create()
+    versions.learn(naming(2), { completeAtMs: 1_000, outage: { fromMs: 2_000, toMs: 10_000 } })
+    expect([versions.oldestOf('m', 16_999), versions.oldestOf('m', 17_000)]).toEqual([1, 2])
+    expect(versions.telling(12_000).map(({ notBeforeMs }) => notBeforeMs)).toEqual([1_000])
+  })
+
+  it('does not go by refusals of the store from the time on at which it answered another process', () => {
+    const versions = create()
+    versions.learn(naming(2), { completeAtMs: 1_000, outage: { fromMs: 2_000, toMs: 10_000 } })
+    versions.refine({ notBeforeMs: () => -Infinity, answeredAfterMs: timeMs => timeMs + 500 })
+    expect([versions.oldestOf('m', 9_499), versions.oldestOf('m', 9_500)]).toEqual([1, 2])
+  })
+
+  it('tells others of the newest version and of every claim that still allows an older one', () => {
+    const versions = create()
+    for (const [version, notBeforeMs] of [[2, -Infinity], [3, 0], [4, 5_000]] as const) versions.learn(naming(version, notBeforeMs), NONE)
+    const told = (nowMs: number): number[] => versions.telling(nowMs).map(({ version }) => version)
+    expect([told(6_000), told(7_500), told(13_000), told(Infinity)]).toEqual([[3, 4], [4], [4], [4]])
+  })
+
+  describe('among processes that read and tell in any order', () => {
+    const PROCESS_COUNT = 3
+    interface Process { readonly versions: Routing.Versions.Versions, readonly readings: Follow.Readings.Readings, completeAtMs: number }
+    const step = FastCheck.record({
+      kind: FastCheck.constantFrom('read', 'glance', 'tell', 'restart'),
+      from: FastCheck.nat(PROCESS_COUNT - 1),
+      to: FastCheck.nat(PROCESS_COUNT - 1),
+      afterMs: FastCheck.nat(3_000),
+      /** An answer of the store, or a message, is on its way for so long. */
+      delayMs: FastCheck.nat(6_000)
+    })
+    const createProcess = (): Process => ({ versions: create(), readings: Follow.Readings.createReadings(), completeAtMs: -Infinity })
+
+    it('never allows a version older than is due', () => {
+      const truth = FastCheck.array(FastCheck.integer({ min: 0, max: 20_000 }), { minLength: 1, maxLength: 5 }).map(times => times.sort((a, b) => a - b))
+      FastCheck.assert(FastCheck.property(truth, FastCheck.array(step, { maxLength: 40 }), (times, steps) => {
+        const revisionAt = (atMs: number): number => Math.floor(atMs / 10) + 1
+        const newestAt = (atMs: number): number => 1 + times.filter(timeMs => timeMs < atMs).length
+        const processes = Array.from({ length: PROCESS_COUNT }, createProcess)
+        const arrivals: Array<{ atMs: number, take: () => void }> = []
+        const read = (process: Process, atMs: number): void => {
+          const version = newestAt(atMs)
+          const revision = revisionAt(atMs)
+          arrivals.push({
+            atMs,
+            take: () => {
+              if (process.completeAtMs >= atMs) return
+              const before = { completeAtMs: process.completeAtMs }
+              process.completeAtMs = atMs
+              process.readings.note({ revision, atMs })
+              const writtenAtMs = times[version - 2]
+              if (writtenAtMs === undefined) return
+              const rowRevision = revisionAt(writtenAtMs) + 1
+              process.versions.learn({ model: 'm', version, revision: rowRevision, namedAtMs: atMs, notBeforeMs: process.readings.notBeforeMs(rowRevision) }, before)
+            }
+          })
+        }
+        let nowMs = 0
+        for (const { kind, from, to, afterMs, delayMs } of steps) {
+          nowMs += afterMs
+          for (const arrival of arrivals.splice(0).sort((a, b) => a.atMs - b.atMs)) {
+            if (arrival.atMs <= nowMs) arrival.take()
+            else arrivals.push(arrival)
+          }
+          const sender = processes[from] ?? createProcess()
+          const receiver = processes[to] ?? sender
+          const handlers: Record<typeof kind, () => void> = {
+            read: () => { read(sender, nowMs + delayMs) },
+            glance: () => { sender.readings.note({ revision: revisionAt(nowMs), atMs: nowMs }) },
+            tell: () => {
+              const named = sender.versions.telling(nowMs)
+              const reading = sender.readings.latest()
+              for (const told of named) receiver.versions.learn(told, { completeAtMs: receiver.completeAtMs })
+              if (reading !== undefined) receiver.readings.note(reading)
+            },
+            restart: () => { processes[from] = createProcess() }
+          }
+          handlers[kind]()
+          for (const { versions, readings } of processes) {
+            versions.refine(readings)
+            const due = Math.min(versions.newestOf('m'), newestAt(nowMs - GRACE_MS))
+            expect(versions.oldestOf('m', nowMs) >= due).toEqual(true)
+          }
+        }
+      }), { numRuns: 2_000 })
+    })
+  })
+
+  it('comes to the same bound as any process that told it of its versions', () => {
+    FastCheck.assert(FastCheck.property(FastCheck.array(FastCheck.tuple(FastCheck.integer({ min: 2, max: 6 }), FastCheck.option(FastCheck.integer({ min: 0, max: 20_000 }), { nil: undefined }))), FastCheck.integer({ min: 0, max: 20_000 }), FastCheck.integer({ min: 0, max: 20_000 }), (events, toldAtMs, laterMs) => {
+      const first = create()
+      for (const [version, notBeforeMs] of events) first.learn(naming(version, notBeforeMs), NONE)
+      const second = create()
+      for (const told of first.telling(toldAtMs)) second.learn(told, NONE)
+      expect(second.oldestOf('m', toldAtMs + laterMs)).toEqual(first.oldestOf('m', toldAtMs + laterMs))
+    }))
+  })
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -416,5 +416,40 @@
     text: 'Math.floor(freeCount * share + row.loadDraw)',
     replacement: 'freeCount',
     checks: [test('direct-routing')]
+  },
+  {
+    name: 'version claims: only from the version that a claim is of',
+    file: 'src/routing/versions.ts',
+    text: 'Math.max(FIRST_VERSION, shown.version - 1)',
+    replacement: 'FIRST_VERSION',
+    checks: [test('version-claims')]
+  },
+  {
+    name: 'version claims: what a process may have missed counts from its own last page',
+    file: 'src/routing/versions.ts',
+    text: 'notBeforeMs: completeAtMs, outage',
+    replacement: 'notBeforeMs: naming.notBeforeMs, outage',
+    checks: [test('version-claims')]
+  },
+  {
+    name: 'version claims: those of a later write of the row are dropped',
+    file: 'src/routing/versions.ts',
+    text: 'isSameRow ? Math.max',
+    replacement: 'true ? Math.max',
+    checks: [test('version-claims')]
+  },
+  {
+    name: 'version claims: an outage ends when the store answers another process',
+    file: 'src/routing/versions.ts',
+    text: 'Math.min(outage.toMs, evidence.answeredAfterMs(outage.fromMs))',
+    replacement: 'outage.toMs',
+    checks: [test('version-claims')]
+  },
+  {
+    name: 'readings: only of revisions below that of the row',
+    file: 'src/follow/readings.ts',
+    text: 'reading.revision < revision',
+    replacement: 'reading.revision <= revision + 1',
+    checks: [test('direct-platform'), test('version-claims')]
   }
 ]
