Gather changes of endpoints' entries, and read them often enough to date versions

Every gateway read each change of any endpoint's entry by itself at once. What callers need of them quickly comes from agents; a leaving endpoint serves on for seconds.

Changes gather for 300 ms. A read is held for 250 ms times the number of gateways, so that all of them together take a page every quarter of a second at any number: versions are dated by the last page before their row.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -27,8 +27,8 @@
   readonly store: Rows.RowSource
   /** Asks another process for the rows that changed after a revision. */
   readonly askPeer: (table: string, revision: number) => Promise<Rows.Page | undefined>
-  /** Longest time that the store holds a read back when nothing changes, in milliseconds. */
-  readonly waitMs: number
+  /** For how long the store usually holds a read back when nothing changes, in milliseconds. */
+  readonly waitMs: () => number
   /** Time between an answer and the next read, in which changes gather, in milliseconds; 0 without one. */
   readonly gatherMs?: number
   readonly clock: () => number
@@ -136,7 +136,7 @@
   }
   const readOnce = async (): Promise<void> => {
     const asked = generation
-    const answer = whole ? await store.readSince(table, mirror.revision(), Math.round(options.waitMs * (LEAST_WAIT_SHARE + options.random.next()))) : await store.readAll(table)
+    const answer = whole ? await store.readSince(table, mirror.revision(), Math.round(options.waitMs() * (LEAST_WAIT_SHARE + options.random.next()))) : await store.readAll(table)
     if (asked !== generation) return
     if (answer.isOk()) {
       noteAnswer()
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -112,7 +112,7 @@
       follower = Follower.createFollower({
         ...followerOptions,
         table: Members.MEMBERS_TABLE,
-        waitMs,
+        waitMs: () => waitMs,
         gatherMs: GATHER_MS,
         onRows: () => {
           members = Members.membersOf(follower?.mirror.live() ?? []).filter(member => member.name !== name)
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -74,7 +74,7 @@
     random: options.random,
     log,
     table,
-    waitMs: WAIT_MS,
+    waitMs: () => WAIT_MS,
     onRows: (rows, rowsContext) => {
       for (const row of rows) {
         context = { ...rowsContext, revision: row.revision }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -46,8 +46,12 @@
   stop: () => Promise<void>
 }
 
-/** Reads of endpoints' entries, of which only gateways tell one another, are held back for so long, in milliseconds. */
-const ENDPOINTS_WAIT_MS = 4_000
+/** Reads of endpoints' entries are held back for so long times the number of gateways, in milliseconds: their pages date versions, so all gateways together take one at least every quarter of a second. */
+const ENDPOINTS_WAIT_MS = 250
+/** The longest such time, in milliseconds: of endpoints' entries only gateways tell one another. */
+const ENDPOINTS_WAIT_LIMIT_MS = 4_000
+/** Changes of endpoints' entries gather for so long before the next read, in milliseconds: agents tell the load in the meantime, and a leaving endpoint serves on for seconds. */
+const ENDPOINTS_GATHER_MS = 300
 /** The same for the system's own processes, which change seldom; most that the store allows is 30 s. */
 const MEMBERS_WAIT_MS = 20_000
 /** The largest head of a call, in bytes, as operators' limits usually have it; Node fixes it when the server is made. */
@@ -143,7 +147,8 @@
   const listed = Follow.Follower.createFollower({
     ...node.followerOptions,
     table: options.tables.endpoints,
-    waitMs: ENDPOINTS_WAIT_MS,
+    waitMs: () => Math.min(ENDPOINTS_WAIT_LIMIT_MS, gatewayCount(members()) * ENDPOINTS_WAIT_MS),
+    gatherMs: ENDPOINTS_GATHER_MS,
     onRows: rows => {
       for (const row of rows) takeListing(row)
       ingress.wake()
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -134,7 +134,7 @@
     table: 't',
     store: { readAll: async () => Neverthrow.ok(page(1, 'a')), readSince: hang, write: hang, remove: hang, ...store },
     askPeer,
-    waitMs: 10,
+    waitMs: () => 10,
     clock: () => performance.now(),
     storeClock: Follow.StoreClock.createStoreClock(() => performance.now()),
     readings: Follow.Readings.createReadings(),
@@ -234,7 +234,7 @@
           remove: hang
         },
         askPeer: async () => undefined,
-        waitMs: 10,
+        waitMs: () => 10,
         clock: () => nowMs,
         storeClock: Follow.StoreClock.createStoreClock(() => nowMs),
         readings,
