Tell agents of the zone before which time a version was not named

Agents read the store every eight seconds, so their own claims lie up to that long before a version's row.

Gateways, whose pages follow each other closely, tell the agents of their zone what they claim whenever that changes: a few datagrams a version.

New test: 'is told by the gateways of its zone before which time a version was not named', which fails without the change (5 s without such a message).

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -194,6 +194,15 @@
     toldAtMs = nowMs
     node.tell({ named: Follow.News.namedNews(versions, node.storeClock.now()), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
+  let toldNamed = ''
+  /** Agents read the store seldom: claims of gateways date versions more closely than their own. */
+  const tellAgents = (): void => {
+    const named = Follow.News.namedNews(versions, node.storeClock.now())
+    const text = JSON.stringify(named)
+    if (text === toldNamed) return
+    toldNamed = text
+    if (named.length > 0) node.tell({ revisions: {}, named }, 'agent', member => member.zone === options.zone)
+  }
   const tellBeliefs = setInterval(() => {
     const nowMs = clock()
     const ages = { operators: operators.follower.freshAtMs(), endpoints: listed.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
@@ -223,6 +232,7 @@
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     versions.refine(node.readings)
     tellRevisions(nowMs)
+    tellAgents()
     logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -1,5 +1,6 @@
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Follow from '../src/follow/index.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as TestKit from '../testkit/index.ts'
 
@@ -78,6 +79,21 @@
   })
 })
 
+describe('an agent', () => {
+  it('is told by the gateways of its zone before which time a version was not named', async () => {
+    const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
+    after(own.stop)
+    const heard: Follow.News.News[] = []
+    const port = await Direct.freePort()
+    const channel = await Follow.News.openChannel({ host: '127.0.0.1', port }, news => { heard.push(news) }, () => {})
+    after(() => { channel.close() })
+    own.store.put(Follow.Members.MEMBERS_TABLE, 'a1', { name: 'a1', kind: 'agent', host: '127.0.0.1', port, zone: 'a', region: 'ra', incarnation: '1' })
+    await TestKit.Wait.until('a call is served', LIMIT_MS, async () => (await own.call()).status === 200)
+    own.store.put('op', 'version/m', { model: 'm', version: 2 })
+    await TestKit.Wait.until('the agent is told', LIMIT_MS, () => heard.some(news => news.named?.some(({ version, notBeforeMs }) => version === 2 && notBeforeMs !== undefined)))
+  })
+})
+
 describe('a call that waits at an endpoint for its turn', () => {
   it('is taken back before the version there is overdue', async () => {
     const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
