Take the store's time from other processes where all own answers were slow

A process knew the store's time by the answer that was the shortest time on its way. Where links were full since its start all of them were slow, its clock was late by as much, and so were the bounds of versions: callers of that gateway get an old version for that much longer. What other processes told counted only until the first answer.

Ruled out: measuring the round trip, since reads are held for seconds.

What another process tells is late as well, never early, so the latest of all counts.

One mutant, caught.

--- a/src/follow/storeClock.ts
+++ b/src/follow/storeClock.ts
@@ -12,11 +12,11 @@
 export interface StoreClock {
   /** Takes the time that an answer of the store told and that has just arrived, in milliseconds. */
   observe: (storeMs: number) => void
-  /** Takes the store's time as another process has just told it, in milliseconds; it counts until the store itself answers. */
+  /** Takes the store's time as another process has just told it, in milliseconds. */
   hear: (storeMs: number) => void
   /** The store's time now, in milliseconds, a little early; Infinity where no time was told yet, so that every bound counts as passed. */
   now: () => number
-  /** The same by answers of the store alone, for other processes; undefined without one. What was heard is not told on: the drift of clocks would add up. */
+  /** The same by answers to this process alone, for others; undefined without one. What was heard is not told on: the drift of clocks would add up. */
   told: () => number | undefined
   /** The store's time at a time of this process, in milliseconds. */
   ofOwn: (ownMs: number) => number
@@ -36,8 +36,8 @@
 export function createStoreClock (clock: () => number): StoreClock {
   const answered = createReadings()
   const heard = createReadings()
-  /** What this clock shows more than the store's. */
-  const aheadMs = (): number => answered.leastMs() === Infinity ? heard.leastMs() : answered.leastMs()
+  /** What this clock shows more than the store's; each reading is late by the time that it was on its way. */
+  const aheadMs = (): number => Math.min(answered.leastMs(), heard.leastMs())
   return {
     observe: storeMs => { answered.add(clock(), storeMs) },
     hear: storeMs => { heard.add(clock(), storeMs) },
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -451,5 +451,12 @@
     text: 'reading.revision < revision',
     replacement: 'reading.revision <= revision + 1',
     checks: [test('direct-platform'), test('version-claims')]
+  },
+  {
+    name: 'store clock: goes by what others tell where its own answers were slow',
+    file: 'src/follow/storeClock.ts',
+    text: 'Math.min(answered.leastMs(), heard.leastMs())',
+    replacement: 'answered.leastMs() === Infinity ? heard.leastMs() : answered.leastMs()',
+    checks: [test('direct-platform')]
   }
 ]
