Never take rows for complete as of an earlier time than before

A page may come from a process that has read less far than this one. Only the comparison is new; no page of the store itself is older than the one before. test/direct-platform passes.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -104,7 +104,7 @@
     if (madeAtMs === undefined) return { madeAtMs, before }
     storeClock.observe(madeAtMs)
     options.readings.note({ revision, atMs: madeAtMs })
-    completeAtMs = madeAtMs
+    completeAtMs = Math.max(completeAtMs, madeAtMs)
     return { madeAtMs, before }
   }
   const noteAnswer = (): void => {
