Read operators' rows from the store twice a region, and from neighbours otherwise

Change: src/follow/shared.ts ranks the gateways of a region; the first two read the store, the others and the agents hold reads at these (relay.ts), agents without routes and keys. A neighbour that fails, is out of touch, does not read the store itself or is behind is passed over; a read begun anew goes to the store, but waits while bytes of the one under way arrive. Differences are told only from the revision at which the neighbour last read the table whole.

Not measured after the change yet.

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -27,6 +27,12 @@
   readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
   readonly maxAnswerBytes?: number
+  /** Time for the head of the answer in milliseconds, where it is shorter. */
+  readonly headMs?: number
+  /** Past its time, the exchange goes on while bytes of the answer come with no longer pause than this, in milliseconds. */
+  readonly arrivingMs?: number
+  /** Told of bytes of the answer. */
+  readonly onArriving?: () => void
 }
 
 /** A whole answer. */
@@ -91,22 +97,34 @@
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
       agent: request.fresh === true ? false : pool
     })
+    let arrivedMs = -Infinity
     const fail = (message: string, timedOut = false): void => {
       clearTimeout(timer)
+      clearTimeout(headTimer)
       Traffic.count(outgoing.socket, 'client', request.path)
       outgoing.destroy()
       reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected(), timedOut))
     }
-    const timer = setTimeout(() => {
+    const expire = (): void => {
+      const leftMs = (request.arrivingMs ?? 0) - (performance.now() - arrivedMs)
+      if (leftMs > 0) { timer = setTimeout(expire, leftMs); return }
       dropIdle(request.target)
       fail('timed out', true)
-    }, request.timeoutMs)
+    }
+    let timer = setTimeout(expire, request.timeoutMs)
+    const headTimer = request.headMs === undefined ? undefined : setTimeout(expire, request.headMs)
+    const arrive = (): void => {
+      arrivedMs = performance.now()
+      request.onArriving?.()
+    }
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
       let sizeBytes = 0
+      clearTimeout(headTimer)
       incoming.on('data', (part: Buffer) => {
+        arrive()
         sizeBytes += part.length
         if (sizeBytes > maxAnswerBytes) { fail('answer too large'); return }
         parts.push(part)
--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -30,6 +30,8 @@
   readonly engine: Ports.Engine
   readonly originAt: (address: string) => Ports.Origin
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
+  /** Cuts an operators' row down to what agents act on. */
+  readonly agentPartOf: (row: Follow.Rows.Row) => Follow.Rows.Row
   /** Name of the table that operators write. */
   readonly operatorsTable: string
 }
@@ -145,8 +147,11 @@
     clock,
     log
   })
+  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.operatorsTable, own: options, members: node.members, knowsMembers: node.knowsMembers, isPart: true })
   const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
+    store: shared,
+    askPeer: shared.askPeer,
     table: options.operatorsTable,
     changeOf: options.changeOf,
     onDeployed: deployment => {
@@ -155,7 +160,7 @@
     },
     onVersionNamed: versions.learn
   })
-  node.relay(options.operatorsTable, operators.follower)
+  node.relay(options.operatorsTable, shared.relayed(operators.follower, options.agentPartOf))
   node.followMembers(MEMBERS_WAIT_MS)
 
   const goalsOf = (): readonly Fetcher.Goal[] => {
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -37,6 +37,8 @@
   readonly storeClock: StoreClock.StoreClock
   readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'>
   members: () => readonly Members.Member[]
+  /** Whether the other processes have been read at least once. */
+  knowsMembers: () => boolean
   /** Follows the entries of the other processes. */
   followMembers: (waitMs: number) => void
   /** Hands a table on to processes that ask. */
@@ -62,7 +64,8 @@
  * @returns The process, once it listens.
  */
 export async function open (options: NodeOptions, kind: Members.Member['kind'], onNews: (news: News.News) => void, routes: readonly HttpServer.Route[] = []): Promise<Node> {
-  const { name, host, port, zone, region, store, random, log, metrics } = options
+  const { name, host, port, zone, region, random, log, metrics } = options
+  const store = countCalls(options.store, metrics)
   const incarnation = Crypto.randomUUID()
   const relayed = new Map<string, Relay.Relayed>()
   let members: readonly Members.Member[] = []
@@ -79,11 +82,12 @@
     metrics.count('news_faults_total')
     log('news', 'News lost.', { reason })
   })
+  const relay = Relay.createRelayRoute(table => relayed.get(table))
   const server = await HttpServer.listen({
     host,
     port,
     headersTimeoutMs: 2_000,
-    routes: [Relay.createRelayRoute(table => relayed.get(table)), metrics.route, ...routes]
+    routes: [relay.route, metrics.route, ...routes]
   })
   const followerOptions = { store, askPeer, clock: options.clock, storeClock, random, log }
 
@@ -103,6 +107,7 @@
     storeClock,
     followerOptions,
     members: () => members,
+    knowsMembers: () => follower?.isKnown() ?? false,
     followMembers: waitMs => {
       follower = Follower.createFollower({
         ...followerOptions,
@@ -120,6 +125,7 @@
     close: async () => {
       closed = true
       follower?.stop()
+      relay.close()
       const removed = await store.remove(Members.MEMBERS_TABLE, name)
       if (removed.isErr()) log('store', 'Entry not removed.', { name, reason: removed.error })
       channel.close()
@@ -127,3 +133,26 @@
     }
   }
 }
+
+/** Counts the calls to the store by what they are for. */
+function countCalls (store: Rows.RowSource, metrics: Metrics.Metrics): Rows.RowSource {
+  const count = (table: string, kind: 'whole' | 'held' | 'write' | 'remove'): void => { metrics.count('store_calls_total', { table, kind }) }
+  return {
+    readAll: async (table, onArriving) => {
+      count(table, 'whole')
+      return await store.readAll(table, onArriving)
+    },
+    readSince: async (table, revision, waitMs, onArriving) => {
+      count(table, 'held')
+      return await store.readSince(table, revision, waitMs, onArriving)
+    },
+    write: async (table, key, value) => {
+      count(table, 'write')
+      return await store.write(table, key, value)
+    },
+    remove: async (table, key) => {
+      count(table, 'remove')
+      return await store.remove(table, key)
+    }
+  }
+}
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -28,10 +28,10 @@
 
 /** Where rows are read. */
 export interface RowSource {
-  /** Reads a whole table as of one moment. */
-  readAll: (table: string) => Promise<Neverthrow.Result<Page, ReadFailure>>
-  /** Reads what changed after a revision, and waits for a change. */
-  readSince: (table: string, revision: number, waitMs: number) => Promise<Neverthrow.Result<Page, ReadFailure>>
+  /** Reads a whole table as of one moment; the last argument is told of bytes of the answer. */
+  readAll: (table: string, onArriving?: () => void) => Promise<Neverthrow.Result<Page, ReadFailure>>
+  /** Reads what changed after a revision, and waits for a change; the last argument is told of bytes of the answer. */
+  readSince: (table: string, revision: number, waitMs: number, onArriving?: () => void) => Promise<Neverthrow.Result<Page, ReadFailure>>
   /** Writes one row whatever it holds. */
   write: (table: string, key: string, value: unknown) => Promise<Neverthrow.Result<void, ReadFailure>>
   /** Removes one row. */
@@ -43,6 +43,10 @@
   readonly revision: () => number
   /** The newest revision of any row; other tables do not raise it. */
   readonly rowRevision: () => number
+  /** Since which revision each removal is known: that of the last page that was a whole table; Infinity before one. */
+  readonly wholeRevision: () => number
+  /** Up to which time of its source the rows are complete, in milliseconds, where the source tells. */
+  readonly madeAtMs: () => number | undefined
   /** Takes changed rows; returns those that are newer than what was held. */
   take: (page: Page) => Row[]
   /** Takes a whole table: rows that it lacks are deleted. */
@@ -50,6 +54,8 @@
   /** The rows changed after a revision, deleted ones included. */
   since: (revision: number) => Page
   live: () => Row[]
+  /** Tells of each page with rows; returns what ends that. */
+  onChange: (listener: () => void) => () => void
 }
 
 /**
@@ -61,10 +67,15 @@
   const rows = new Map<string, Row>()
   let newest = 0
   let newestRow = 0
+  let whole: number | undefined
+  let madeAtMs: number | undefined
+  const listeners = new Set<() => void>()
   const take = (page: Page): Row[] => {
     const changed = page.rows.filter(row => row.revision > (rows.get(row.key)?.revision ?? 0))
     for (const row of changed) rows.set(row.key, row)
     newest = Math.max(newest, page.revision)
+    if (page.madeAtMs !== undefined) madeAtMs = Math.max(madeAtMs ?? -Infinity, page.madeAtMs)
+    if (page.rows.length > 0) for (const listener of [...listeners]) listener()
     return changed
   }
   const noteRows = (page: Page): void => {
@@ -73,19 +84,26 @@
   return {
     revision: () => newest,
     rowRevision: () => newestRow,
+    wholeRevision: () => whole ?? Infinity,
+    madeAtMs: () => madeAtMs,
     take: page => {
       noteRows(page)
       return take(page)
     },
     replace: page => {
       noteRows(page)
+      whole = Math.max(whole ?? 0, page.revision)
       const present = new Set(page.rows.map(row => row.key))
       const gone = [...rows.values()]
         .filter(row => !row.deleted && !present.has(row.key) && row.revision <= page.revision)
         .map(row => ({ key: row.key, revision: page.revision, value: undefined, deleted: true }))
-      return take({ rows: [...page.rows, ...gone], revision: page.revision })
+      return take({ ...page, rows: [...page.rows, ...gone] })
     },
     since: revision => ({ rows: [...rows.values()].filter(row => row.revision > revision), revision: newest }),
-    live: () => [...rows.values()].filter(row => !row.deleted)
+    live: () => [...rows.values()].filter(row => !row.deleted),
+    onChange: listener => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    }
   }
 }
--- /dev/null
+++ b/src/follow/shared.ts
@@ -0,0 +1,240 @@
+/**
+ * Rows of one table, read from the store by a few processes of a region and by the others from these.
+ *
+ * Answers large rows on thin links between regions: who reads the store is worked out by each process
+ * from the members that it knows, so there is no role to hold. Where two processes see it otherwise,
+ * or the process that is read from fails, rows are read from the store once more.
+ *
+ * @packageDocumentation
+ */
+import * as Neverthrow from 'neverthrow'
+import * as Core from '../core/index.ts'
+import type * as Metrics from '../edge/metrics.ts'
+import type * as Follower from './follower.ts'
+import type * as Members from './members.ts'
+import * as Relay from './relay.ts'
+import type * as Rows from './rows.ts'
+
+/** What a shared source needs. */
+export interface SharedOptions {
+  /** The one table that is read through the source. */
+  readonly table: string
+  readonly store: Rows.RowSource
+  readonly own: Pick<Members.Member, 'name' | 'region'>
+  /** The other processes. */
+  readonly members: () => readonly Members.Member[]
+  /** Whether the other processes are known. */
+  readonly knowsMembers: () => boolean
+  /** Processes that may be asked before any is known. */
+  readonly seeds: () => readonly Relay.Peer[]
+  /** Whether the process acts on a part of each row only. */
+  readonly isPart: boolean
+  readonly clock: () => number
+  readonly random: Core.Random.Random
+  readonly metrics: Pick<Metrics.Metrics, 'count'>
+  readonly log: Core.Loop.Tick<never, never>['log']
+}
+
+/** Where rows of one table are read. */
+export interface SharedSource extends Rows.RowSource, Pick<Follower.FollowerOptions, 'askPeer'> {
+  /** Makes what the process hands on of the table. */
+  relayed: (follower: Pick<Follower.Follower, 'mirror' | 'isKnown' | 'isInTouch'>, partOf: (row: Rows.Row) => Rows.Row) => Relay.Relayed
+}
+
+type Answer = Neverthrow.Result<Rows.Page, Rows.ReadFailure>
+
+/** A read that is under way. */
+interface Reading {
+  /** The revision after which rows are asked for; undefined for the whole table. */
+  readonly after: number | undefined
+  readonly waitMs: number
+  answer: Promise<Answer>
+  /** The process that is being asked; undefined for the store. */
+  neighbour: Members.Member | undefined
+  /** When bytes of the answer came last, in milliseconds. */
+  arrivedAtMs: number
+  isReplaced: boolean
+}
+
+/** Processes of a region that read the store: one may fail without a delay for all. */
+export const READER_COUNT = 2
+/** Processes that are asked before the store. */
+const TRY_COUNT = 4
+/** A read is held at another process for so long, in milliseconds: a process that froze in it is noticed at its end, if not by news. */
+const NEIGHBOUR_WAIT_MS = 2_000
+/** A read of the store by a process that would rather read elsewhere is held for so long, in milliseconds. */
+const MAKESHIFT_WAIT_MS = 2_000
+/** A process that failed is passed over for so long at first, and at most, in milliseconds. */
+const PASS_OVER_MS = 3_000
+const PASS_OVER_LIMIT_MS = 12_000
+/** A read that another one is to replace is waited for while its bytes come with no longer pause than this, in milliseconds. */
+const PATIENCE_MS = 500
+const PATIENCE_STEP_MS = 50
+/** A process that hears of newer rows and gets them neither from the store nor in its region asks elsewhere after this time, in milliseconds. */
+const ASK_FAR_AFTER_MS = 1_000
+const STORE = 'store'
+
+/**
+ * Creates the source of one table.
+ *
+ * @param options - The table, the store and the other processes.
+ * @returns The source. A read begun while another is under way replaces it and goes to the store.
+ */
+export function createSharedSource (options: SharedOptions): SharedSource {
+  const { table, store, own, clock, log, metrics } = options
+  const passedOver = new Map<string, { readonly untilMs: number, readonly count: number }>()
+  const listeners = new Set<() => void>()
+  let underWay: Reading | undefined
+  /** Whether the read under way is one of the store. */
+  let isDirect = true
+  let isStoreLost = false
+  let sourceBefore: string | undefined
+  let madeAtMs = -Infinity
+  let mirror: Rows.Mirror | undefined
+
+  const gateways = (): readonly Members.Member[] => options.members().filter(member => member.kind === 'gateway')
+  const near = (): readonly Members.Member[] => gateways().filter(member => member.region === own.region)
+  /** The processes to read from, the first choice first; none where this process reads the store. */
+  const ranked = (): readonly Members.Member[] => rankNeighbours(own.name, own.region, near(), !options.isPart)
+  const neighbours = (): readonly Members.Member[] => ranked().filter(({ name }) => (passedOver.get(name)?.untilMs ?? -Infinity) <= clock()).slice(0, TRY_COUNT)
+
+  const passOver = (neighbour: Members.Member, reason: string): void => {
+    const count = (passedOver.get(neighbour.name)?.count ?? 0) + 1
+    passedOver.set(neighbour.name, { untilMs: clock() + Math.min(PASS_OVER_MS * 2 ** (count - 1), PASS_OVER_LIMIT_MS), count })
+    metrics.count('neighbours_passed_over_total', { table })
+    log('store', 'Neighbour passed over.', { table, neighbour: neighbour.name, reason })
+  }
+  const take = (page: Rows.Page, source: string): Rows.Page => {
+    metrics.count('pages_read_total', { table, source: source === STORE ? STORE : 'neighbour' })
+    if (source !== sourceBefore) log('store', 'Rows come from elsewhere.', { table, source, ...(sourceBefore === undefined ? {} : { sourceBefore }), revision: page.revision })
+    sourceBefore = source
+    if (page.madeAtMs === undefined) return page
+    // What was told before is complete up to a later time than a neighbour may know of.
+    madeAtMs = Math.max(madeAtMs, page.madeAtMs)
+    return { ...page, madeAtMs }
+  }
+  const arrive = (reading: Reading): void => {
+    reading.arrivedAtMs = clock()
+    for (const listener of [...listeners]) listener()
+  }
+  const fromStore = async (reading: Reading): Promise<Answer> => {
+    reading.neighbour = undefined
+    isDirect = true
+    const isMakeshift = !options.knowsMembers() || ranked().length > 0
+    const waitMs = isMakeshift ? Math.min(reading.waitMs, MAKESHIFT_WAIT_MS) : reading.waitMs
+    const onArriving = (): void => { arrive(reading) }
+    const answer = await (reading.after === undefined ? store.readAll(table, onArriving) : store.readSince(table, reading.after, waitMs, onArriving))
+    isStoreLost = answer.isErr() && answer.error.kind !== 'historyGone'
+    return answer.map(page => take(page, STORE))
+  }
+  const fromAny = async (reading: Reading): Promise<Answer> => {
+    for (const neighbour of neighbours()) {
+      reading.neighbour = neighbour
+      isDirect = false
+      const { after } = reading
+      const answer = await Relay.readHeld({ target: neighbour, table, after, waitMs: Math.min(reading.waitMs, NEIGHBOUR_WAIT_MS), isPart: options.isPart, onArriving: () => { arrive(reading) } })
+      if (answer.isOk()) {
+        passedOver.delete(neighbour.name)
+        return answer.map(page => take(page, neighbour.name))
+      }
+      if (answer.error.kind === 'historyGone') return Neverthrow.err(answer.error)
+      if (reading.isReplaced) return Neverthrow.err(answer.error)
+      passOver(neighbour, answer.error.reason)
+    }
+    return await fromStore(reading)
+  }
+  /** Reads the store beside a read that may have gone silent; what comes first is the answer. */
+  const replace = async (before: Reading, reading: Reading): Promise<Answer> => {
+    const earlier = before.answer.then(answer => answer.isOk() ? answer : undefined)
+    const waited = await Promise.race([earlier, outlast(before)])
+    if (waited !== undefined) return waited
+    before.isReplaced = true
+    if (before.neighbour !== undefined) passOver(before.neighbour, 'behind other processes')
+    return await Promise.race([fromStore(reading), earlier.then(async answer => answer ?? await never())])
+  }
+  const outlast = async (before: Reading): Promise<undefined> => {
+    const sinceMs = clock()
+    while (clock() - Math.max(sinceMs, before.arrivedAtMs) < PATIENCE_MS) await pause(PATIENCE_STEP_MS)
+  }
+  const read = async (after: number | undefined, waitMs: number): Promise<Answer> => {
+    const before = underWay
+    const reading: Reading = { after, waitMs, answer: never(), neighbour: undefined, arrivedAtMs: -Infinity, isReplaced: false }
+    reading.answer = before === undefined ? fromAny(reading) : replace(before, reading)
+    underWay = reading
+    try {
+      return await reading.answer
+    } finally {
+      if (underWay === reading) underWay = undefined
+    }
+  }
+  const askNear = Relay.createAsker(near, options.random, options.isPart)
+  const askAny = Relay.createAsker(() => [gateways(), options.members(), options.seeds()].find(peers => peers.length > 0) ?? [], options.random, options.isPart)
+  /** Large rows cross no link between regions for a process that is only a little behind. */
+  const askPeer: SharedSource['askPeer'] = async (_table, revision) => {
+    if (isStoreLost) return await askAny(table, revision)
+    const page = await askNear(table, revision)
+    if (page !== undefined && page.rows.length > 0) return page
+    await pause(ASK_FAR_AFTER_MS)
+    return mirror !== undefined && mirror.revision() > revision ? undefined : await askAny(table, revision)
+  }
+  return {
+    readAll: async () => await read(undefined, 0),
+    readSince: async (_table, revision, waitMs) => await read(revision, waitMs),
+    write: store.write,
+    remove: store.remove,
+    askPeer,
+    relayed: (follower, partOf) => ({
+      mirror: (mirror = follower.mirror),
+      isKnown: follower.isKnown,
+      isPart: options.isPart,
+      partOf: memoize(partOf),
+      shared: {
+        refusal: () => !isDirect ? 'indirect' : follower.isInTouch() ? undefined : 'lost',
+        onArriving: listener => {
+          listeners.add(listener)
+          return () => { listeners.delete(listener) }
+        }
+      }
+    })
+  }
+}
+
+/**
+ * Ranks the processes to read from.
+ *
+ * @param own - The name of the process that reads.
+ * @param region - Its region.
+ * @param gateways - The other gateways of the region.
+ * @param isGateway - Whether the process is one itself.
+ * @returns The processes, the first choice first; none where the process reads the store itself.
+ */
+export function rankNeighbours (own: string, region: string, gateways: readonly Members.Member[], isGateway: boolean): readonly Members.Member[] {
+  const names = gateways.map(member => member.name)
+  const order = Core.Hash.rendezvous(`readers of ${region}`, isGateway ? [...names, own] : names)
+  const ownRank = isGateway ? order.indexOf(own) : order.length
+  if (ownRank < READER_COUNT) return isGateway ? [] : byNames(gateways, order)
+  const ahead = order.slice(0, ownRank)
+  return byNames(gateways, [...Core.Hash.rendezvous(own, ahead.slice(0, READER_COUNT)), ...ahead.slice(READER_COUNT)])
+}
+
+function byNames (members: readonly Members.Member[], names: readonly string[]): readonly Members.Member[] {
+  return names.flatMap(name => members.find(member => member.name === name) ?? [])
+}
+
+/** Cuts each row down once. */
+function memoize (partOf: (row: Rows.Row) => Rows.Row): (row: Rows.Row) => Rows.Row {
+  const parts = new WeakMap<Rows.Row, Rows.Row>()
+  return row => {
+    const part = parts.get(row) ?? partOf(row)
+    parts.set(row, part)
+    return part
+  }
+}
+
+async function pause (delayMs: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, delayMs) })
+}
+
+async function never (): Promise<never> {
+  return await new Promise(() => {})
+}
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -35,6 +35,8 @@
   readonly bounds: () => GatewayBounds
   readonly dialect: Dialect.Dialect
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
+  /** Cuts an operators' row down to what agents act on. */
+  readonly agentPartOf: (row: Follow.Rows.Row) => Follow.Rows.Row
   readonly listingOf: (row: Follow.Rows.Row) => Routing.Endpoints.Listing | undefined
   /** Names of the tables that operators and endpoints write. */
   readonly tables: { readonly operators: string, readonly endpoints: string }
@@ -125,8 +127,11 @@
     log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, revision: row.revision })
   }
 
+  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.tables.operators, own: options, members, knowsMembers: node.knowsMembers, isPart: false })
   const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
+    store: shared,
+    askPeer: shared.askPeer,
     table: options.tables.operators,
     changeOf: options.changeOf,
     onDeployed: deployment => {
@@ -147,7 +152,7 @@
       ingress.wake()
     }
   })
-  node.relay(options.tables.operators, operators.follower)
+  node.relay(options.tables.operators, shared.relayed(operators.follower, options.agentPartOf))
   node.relay(options.tables.endpoints, listed)
   node.followMembers(MEMBERS_WAIT_MS)
 
@@ -180,6 +185,14 @@
 
   let toldRevision = 0
   let toldAtMs = 0
+  let toldAgentsRevision = 0
+  /** Agents of the zone hear of operators' changes, so that one whose source froze reads elsewhere. */
+  const tellAgents = (): void => {
+    const revision = operators.follower.mirror.rowRevision()
+    if (revision === toldAgentsRevision) return
+    toldAgentsRevision = revision
+    node.tell({ revisions: { [options.tables.operators]: revision } }, 'agent', member => member.zone === options.zone)
+  }
   const tellRevisions = (nowMs: number): void => {
     const revision = Math.max(operators.follower.mirror.rowRevision(), listed.mirror.rowRevision())
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
@@ -212,6 +225,7 @@
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     tellRevisions(nowMs)
+    tellAgents()
     logOldestVersions()
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -34,6 +34,8 @@
   drop: (table: string, key: string) => number
   /** The rows of a table that are not deleted. */
   rows: (table: string) => Array<{ readonly key: string, readonly value: unknown }>
+  /** What was read, in order. */
+  readonly reads: ReadonlyArray<{ readonly table: string, readonly keys: readonly string[] }>
   close: () => Promise<void>
 }
 
@@ -47,6 +49,11 @@
   const rows = new Map<string, StoredRow>()
   const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
   const waiting = new Set<() => void>()
+  const reads: Array<{ readonly table: string, readonly keys: readonly string[] }> = []
+  const noteRead = (table: string, found: readonly StoredRow[]): StoredRow[] => {
+    reads.push({ table, keys: found.map(row => row.key) })
+    return [...found]
+  }
   const sockets = new Set<Net.Socket>()
   let revision = 1
 
@@ -66,7 +73,7 @@
     const finish = (): void => {
       clearTimeout(timer)
       waiting.delete(check)
-      answer(200, { rows: changed(), schema_version: revision, now_ms: nowMs() })
+      answer(200, { rows: noteRead(query.get('table') ?? '', changed()), schema_version: revision, now_ms: nowMs() })
     }
     const check = (): void => { if (changed().length > 0) finish() }
     const timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0))
@@ -91,7 +98,7 @@
       if (faults.silent) return
       if (faults.down) { answer(503, {}); return }
       const handlers: Record<string, () => void> = {
-        '/rows-get': () => { answer(200, { rows: live(url.searchParams.get('table') ?? ''), has_more: false, schema_version: revision, now_ms: nowMs() }) },
+        '/rows-get': () => { answer(200, { rows: noteRead(url.searchParams.get('table') ?? '', live(url.searchParams.get('table') ?? '')), has_more: false, schema_version: revision, now_ms: nowMs() }) },
         '/rows-feed': () => { feed(url.searchParams, answer) },
         '/rows-tx': () => { transact(Buffer.concat(parts).toString(), answer) }
       }
@@ -108,6 +115,7 @@
   return {
     port: (server.address() as Net.AddressInfo).port,
     faults,
+    reads,
     put: (table, key, value) => set(table, key, Buffer.isBuffer(value) ? value.toString('base64') : Buffer.from(JSON.stringify(value)).toString('base64'), false),
     drop: (table, key) => set(table, key, undefined, true),
     rows: table => live(table).map(row => ({ key: row.key, value: JSON.parse(Buffer.from(row.value ?? '', 'base64').toString()) })),
--- a/test/direct-agent.test.ts
+++ b/test/direct-agent.test.ts
@@ -42,6 +42,7 @@
         chunk: async () => { drawnCount++; return Neverthrow.err('not needed') }
       }),
       changeOf: Operators.changeOf,
+      agentPartOf: Operators.agentPartOf,
       operatorsTable: Operators.OPERATORS_TABLE
     })
     stops.push(agent.stop)
--- /dev/null
+++ b/test/direct-shared.test.ts
@@ -0,0 +1,351 @@
+import * as Http from 'node:http'
+import type * as Net from 'node:net'
+import { after, afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Neverthrow from 'neverthrow'
+import * as Core from '../src/core/index.ts'
+import * as HttpServer from '../src/edge/httpServer.ts'
+import * as Metrics from '../src/edge/metrics.ts'
+import * as Filling from '../src/filling/index.ts'
+import * as Follow from '../src/follow/index.ts'
+import * as Operators from '../platform/operators.ts'
+import * as Store from '../platform/store.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+
+/** A change has to be in force within this time, in milliseconds. */
+const BOUND_MS = 3_000
+/** Reads that began before the other processes were known end within this time, in milliseconds. */
+const SETTLE_MS = 15_000
+const REGION = 'ra'
+
+const row = (key: string, revision: number, value: unknown = {}, deleted = false): Follow.Rows.Row => ({ key, revision, value, deleted })
+const memberOf = (name: string, port = 1): Follow.Members.Member => ({ name, kind: 'gateway', host: '127.0.0.1', port, zone: 'a', region: REGION, incarnation: name })
+const orderOf = (names: readonly string[]): string[] => Core.Hash.rendezvous(`readers of ${REGION}`, names)
+/** Makes names that come before others in the order of readers. */
+const namesBefore = (count: number, others: readonly string[]): string[] => {
+  const names: string[] = []
+  for (let at = 0; names.length < count; at++) if (orderOf([`before-${at}`, ...others])[0] === `before-${at}`) names.push(`before-${at}`)
+  return names
+}
+
+type Line = { readonly sentence: string, readonly fields: Readonly<Record<string, any>> }
+const versionOf = (lines: readonly Line[]): number => lines.filter(line => line.sentence === 'Deployment in force.').at(-1)?.fields.version ?? 0
+const sourceOf = (lines: readonly Line[]): string => lines.filter(line => line.sentence === 'Rows come from elsewhere.').at(-1)?.fields.source ?? ''
+const inForce = async (version: number, gateways: ReadonlyArray<{ readonly lines: readonly Line[] }>, limitMs = BOUND_MS): Promise<void> => {
+  await TestKit.Wait.until(`version ${version} is in force`, limitMs, () => gateways.every(gateway => versionOf(gateway.lines) === version))
+}
+
+describe('rankNeighbours', () => {
+  const gateways = ['g1', 'g2', 'g3', 'g4', 'g5'].map(name => memberOf(name))
+  const neighboursOf = (own: string): string[] => Follow.Shared.rankNeighbours(own, REGION, gateways.filter(member => member.name !== own), gateways.some(member => member.name === own)).map(member => member.name)
+  const readers = orderOf(gateways.map(member => member.name)).slice(0, Follow.Shared.READER_COUNT)
+
+  it('lets as many gateways read the store as are to, and the others read there first', () => {
+    expect(gateways.map(member => member.name).filter(name => neighboursOf(name).length === 0)).toEqual([...readers].sort())
+    for (const name of ['g1', 'g2', 'g3', 'g4', 'g5', 'agent-1', 'agent-2'].filter(each => !readers.includes(each))) expect(neighboursOf(name).slice(0, 2).sort()).toEqual([...readers].sort())
+  })
+
+  it('spreads agents over the readers', () => {
+    const firsts = Array.from({ length: 40 }, (_, at) => neighboursOf(`agent-${at}`)[0] ?? '')
+    expect(readers.map(name => firsts.filter(first => first === name).length > 10)).toEqual([true, true])
+  })
+
+  it('leaves the store to an agent without gateways', () => {
+    expect(Follow.Shared.rankNeighbours('agent-1', REGION, [], false)).toEqual([])
+  })
+})
+
+describe('Mirror', () => {
+  it('keeps rows that are newer than a whole table that is older than itself', () => {
+    const mirror = Follow.Rows.createMirror()
+    mirror.replace({ rows: [row('a', 5), row('b', 6)], revision: 6, madeAtMs: 60 })
+    mirror.take({ rows: [row('a', 9, { newer: true }), row('c', 8), row('b', 8, undefined, true)], revision: 9, madeAtMs: 90 })
+    expect(mirror.replace({ rows: [row('a', 5), row('b', 6)], revision: 7, madeAtMs: 70 })).toEqual([])
+    expect([mirror.live().map(live => live.key), mirror.revision(), mirror.madeAtMs()]).toEqual([['a', 'c'], 9, 90])
+  })
+})
+
+describe('Relay', () => {
+  const closes: Array<() => Promise<void>> = []
+  const serve = async (changes: Partial<Follow.Relay.Relayed> = {}): Promise<{ mirror: Follow.Rows.Mirror, arrive: () => void, close: () => void, read: (after: number | undefined, waitMs?: number, isPart?: boolean, onArriving?: () => void) => ReturnType<typeof Follow.Relay.readHeld> }> => {
+    const mirror = Follow.Rows.createMirror()
+    const listeners = new Set<() => void>()
+    const entry: Follow.Relay.Relayed = {
+      mirror,
+      isKnown: () => true,
+      partOf: each => ({ ...each, value: 'part' }),
+      shared: { refusal: () => undefined, onArriving: listener => { listeners.add(listener); return () => { listeners.delete(listener) } } },
+      ...changes
+    }
+    const relay = Follow.Relay.createRelayRoute(table => table === 't' ? entry : undefined)
+    const server = await HttpServer.listen({ host: '127.0.0.1', port: 0, headersTimeoutMs: 1_000, routes: [relay.route] })
+    closes.push(async () => { await server.close(0) })
+    return {
+      mirror,
+      arrive: () => { for (const listener of listeners) listener() },
+      close: relay.close,
+      read: async (after, waitMs = 5_000, isPart = false, onArriving = () => {}) => await Follow.Relay.readHeld({ target: { host: '127.0.0.1', port: server.port }, table: 't', after, waitMs, isPart, onArriving })
+    }
+  }
+  afterEach(async () => { for (const close of closes.splice(0)) await close() })
+  const keysOf = async (read: ReturnType<typeof Follow.Relay.readHeld>): Promise<unknown> =>
+    (await read).match(page => [page.rows.map(each => each.key), page.revision, page.madeAtMs], failure => failure.kind === 'historyGone' ? failure.kind : failure.reason)
+
+  it('holds a read until a row changes', async () => {
+    const { mirror, read } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6, madeAtMs: 60 })
+    let arrivedCount = 0
+    const held = read(6, 5_000, false, () => { arrivedCount++ })
+    await TestKit.Wait.until('the read is held', BOUND_MS, () => arrivedCount > 0)
+    mirror.take({ rows: [], revision: 7, madeAtMs: 70 })
+    mirror.take({ rows: [row('b', 8)], revision: 8, madeAtMs: 80 })
+    expect(await keysOf(held)).toEqual([['b'], 8, 80])
+  })
+
+  it('ends a held read without rows when its wait is over', async () => {
+    const { mirror, read } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6, madeAtMs: 60 })
+    expect(await keysOf(read(6, 10))).toEqual([[], 6, 60])
+  })
+
+  it('does not tell as a difference what may lack removals', async () => {
+    const { mirror, read } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6, madeAtMs: 60 })
+    expect(await keysOf(read(5))).toEqual('historyGone')
+    expect(await keysOf(read(undefined))).toEqual([['a'], 6, 60])
+    mirror.replace({ rows: [row('a', 5)], revision: 9, madeAtMs: 90 })
+    expect(await keysOf(read(6))).toEqual('historyGone')
+  })
+
+  it('does not tell rows beyond its time that other processes told it', async () => {
+    const { mirror, read } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6, madeAtMs: 60 })
+    mirror.take({ rows: [row('b', 8)], revision: 0 })
+    const held = read(6)
+    mirror.take({ rows: [row('b', 8)], revision: 8, madeAtMs: 80 })
+    expect(await keysOf(held)).toEqual([['b'], 8, 80])
+  })
+
+  it('says at once that it holds a read, and that rows are arriving', async () => {
+    const { mirror, read, arrive } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6 })
+    let arrivedCount = 0
+    const held = read(6, 1_000, false, () => { arrivedCount++ })
+    await TestKit.Wait.until('the first sign', BOUND_MS, () => arrivedCount === 1)
+    await TestKit.Wait.sleep(200)
+    arrive()
+    await TestKit.Wait.until('the next sign', BOUND_MS, () => arrivedCount === 2)
+    await held
+  })
+
+  it('refuses what it does not know, does not read from the store, or holds parts of only', async () => {
+    const cases: ReadonlyArray<readonly [Partial<Follow.Relay.Relayed>, boolean]> = [
+      [{ isKnown: () => false }, false],
+      [{ shared: { refusal: () => 'indirect', onArriving: () => () => {} } }, false],
+      [{ shared: { refusal: () => 'lost', onArriving: () => () => {} } }, false],
+      [{ isPart: true }, false],
+      [{ isPart: true }, true]
+    ]
+    const answers: unknown[] = []
+    for (const [changes, isPart] of cases) {
+      const { mirror, read } = await serve(changes)
+      mirror.replace({ rows: [row('a', 5)], revision: 6 })
+      answers.push(await keysOf(read(undefined, 0, isPart)))
+    }
+    expect(answers).toEqual(['unknown', 'indirect', 'lost', 'unknown', [['a'], 6, undefined]])
+  })
+
+  it('refuses when it turned away from the store while it held a read', async () => {
+    let refusal: Follow.Relay.Refusal | undefined
+    const { mirror, read } = await serve({ shared: { refusal: () => refusal, onArriving: () => () => {} } })
+    mirror.replace({ rows: [row('a', 5)], revision: 6 })
+    const held = read(6, 200)
+    setTimeout(() => { refusal = 'indirect' }, 50)
+    expect(await keysOf(held)).toEqual('indirect')
+  })
+
+  it('ends held reads when it closes', async () => {
+    const { mirror, read, close } = await serve()
+    mirror.replace({ rows: [row('a', 5)], revision: 6 })
+    let arrivedCount = 0
+    const held = read(6, 5_000, false, () => { arrivedCount++ })
+    await TestKit.Wait.until('the read is held', BOUND_MS, () => arrivedCount > 0)
+    close()
+    expect(await keysOf(held)).toEqual('stopping')
+  })
+})
+
+describe('a change of operators', () => {
+  const stages: Direct.DirectStage[] = []
+  const stops: Array<() => Promise<void>> = []
+  const start = async (): Promise<Direct.DirectStage> => {
+    const stage = await Direct.startDirectStage([])
+    stages.push(stage)
+    return stage
+  }
+  const readsOf = (stage: Direct.DirectStage, key: string): number => stage.store.reads.filter(read => read.table === 'op' && read.keys.includes(key)).length
+  const settle = async (gateways: readonly Direct.StartedGateway[], names: readonly string[]): Promise<void> => {
+    const readers = orderOf(names).slice(0, Follow.Shared.READER_COUNT)
+    await TestKit.Wait.until('the others read there', SETTLE_MS, () => gateways.every(gateway => readers.includes(gateway.name) || readers.includes(sourceOf(gateway.lines))))
+  }
+  const list = (stage: Direct.DirectStage, name: string, port: number): void => { stage.store.put(Follow.Members.MEMBERS_TABLE, name, memberOf(name, port)) }
+  /** Listens like a process that takes requests and answers none, or only says that it holds them. */
+  const startFrozen = async (saysHeld: boolean): Promise<{ readonly port: number, readonly taken: () => number }> => {
+    let takenCount = 0
+    const server = Http.createServer((_request, response) => {
+      takenCount++
+      if (saysHeld) response.write(' ')
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    stops.push(async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => { server.close(resolve) })
+    })
+    return { port: (server.address() as Net.AddressInfo).port, taken: () => takenCount }
+  }
+  after(async () => {
+    await Promise.all(stages.map(async stage => { await stage.stop() }))
+    await Promise.all(stops.map(async stop => { await stop() }))
+  })
+
+  it('is read from the store twice in a region of four gateways, and is in force at all', async () => {
+    const stage = await start()
+    const names = ['g1', 'g2', 'g3', 'g4']
+    const gateways = [stage.first, ...await Promise.all(names.slice(1).map(async name => await stage.addGateway(name)))]
+    await settle(gateways, names)
+    const before = readsOf(stage, 'config')
+    stage.deploy({ version: 2 })
+    await inForce(2, gateways)
+    stage.store.put('op', 'evacuate/a', {})
+    const all = (sentence: string): boolean => gateways.every(gateway => gateway.lines.some(line => line.sentence === sentence))
+    await TestKit.Wait.until('the zone is out of service', BOUND_MS, () => all('Zone taken out of service.'))
+    stage.store.drop('op', 'evacuate/a')
+    await TestKit.Wait.until('the zone is back', BOUND_MS, () => all('Zone back in service.'))
+    expect([readsOf(stage, 'config') - before, readsOf(stage, 'evacuate/a')]).toEqual([2, 4])
+  })
+
+  it('comes to an agent without routes and keys, from a gateway', async () => {
+    const stage = await start()
+    const lines: Line[] = []
+    const origins: string[] = []
+    const agent = await Filling.Agent.open({
+      name: 'a1',
+      host: '127.0.0.1',
+      port: await Direct.freePort(),
+      zone: 'a',
+      region: REGION,
+      seeds: () => [],
+      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port })),
+      clock: () => performance.now(),
+      random: Core.Random.createRandom(1),
+      metrics: Metrics.createMetrics(),
+      log: (_prefix, sentence, fields = {}) => { lines.push({ sentence, fields }) },
+      endpoint: { host: '127.0.0.1', port: 1 },
+      service: 'llm',
+      bounds: () => ({ versionMs: 8_000, linkBitsPerSecond: 1e9 }),
+      engine: { report: async () => undefined, listStaged: async () => undefined, readStaged: async () => undefined, stage: async () => false, start: async () => 'lost' },
+      originAt: address => {
+        origins.push(address)
+        return { manifest: async () => Neverthrow.err('not needed'), chunk: async () => Neverthrow.err('not needed') }
+      },
+      changeOf: Operators.changeOf,
+      agentPartOf: Operators.agentPartOf,
+      operatorsTable: Operators.OPERATORS_TABLE
+    })
+    stops.push(agent.stop)
+    await TestKit.Wait.until('the agent reads at the gateway', SETTLE_MS, () => sourceOf(lines) === 'g1')
+    const readsBefore = readsOf(stage, 'config')
+    const deployment = Direct.deploymentOf({ origin: '127.0.0.1:9' }) as { routes: object[] }
+    const routes = Array.from({ length: 60 }, (_, at) => ({ ...deployment.routes[at % deployment.routes.length], name: `r${at}`, prefix: `/r${at}/` }))
+    stage.deploy({ ...deployment, version: 2, routes })
+    stage.store.put('op', 'version/m', { model: 'm', version: 2 })
+    await TestKit.Wait.until('the origin is known', BOUND_MS, () => origins.includes('127.0.0.1:9'))
+    await TestKit.Wait.until('the version is named', BOUND_MS, () => lines.some(line => line.sentence === 'Version named.' && line.fields.version === 2))
+    const inForceLine = lines.filter(line => line.sentence === 'Deployment in force.').at(-1)
+    expect([inForceLine?.fields.version, inForceLine?.fields.routeCount, inForceLine?.fields.workspaceCount, readsOf(stage, 'config') - readsBefore]).toEqual([2, 2, undefined, 1])
+  })
+
+  describe('where the readers of the region fail', () => {
+    for (const [what, listReaders] of Object.entries<(stage: Direct.DirectStage, names: readonly string[]) => Promise<void>>({
+      'are gone': async (stage, names) => { for (const name of names) list(stage, name, await Direct.freePort()) },
+      'answer nothing': async (stage, names) => { for (const name of names) list(stage, name, (await startFrozen(false)).port) },
+      'froze while they held reads': async (stage, names) => {
+        const frozen = await Promise.all(names.map(async () => await startFrozen(true)))
+        for (const [at, name] of names.entries()) list(stage, name, frozen[at]?.port ?? 0)
+        await TestKit.Wait.until('a read is held', SETTLE_MS, () => frozen.some(each => each.taken() > 0))
+      }
+    })) {
+      it(`since they ${what}, is in force in time at the others`, async () => {
+        const stage = await start()
+        const others = [stage.first, await stage.addGateway('g2'), await stage.addGateway('far', { region: 'rb', zone: 'b' })]
+        await listReaders(stage, namesBefore(2, ['g1', 'g2']))
+        await TestKit.Wait.sleep(1_500)
+        stage.deploy({ version: 2 })
+        await inForce(2, others)
+      })
+    }
+
+    it('since their own reads of the store are silent, is in force in time at all', async () => {
+      const stage = await start()
+      const silence = new Promise<never>(() => {})
+      let isSilent = false
+      const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port }))
+      const store: Follow.Rows.RowSource = {
+        ...source,
+        readSince: async (...asked) => {
+          const answer = await source.readSince(...asked)
+          return isSilent && asked[0] === 'op' ? await silence : answer
+        }
+      }
+      const readers = await Promise.all(namesBefore(2, ['g1']).map(async name => await stage.addGateway(name, { store })))
+      const far = await stage.addGateway('far', { region: 'rb', zone: 'b' })
+      const gateways = [stage.first, ...readers, far]
+      await TestKit.Wait.until('the gateway reads at another one', SETTLE_MS, () => readers.some(reader => reader.name === sourceOf(stage.lines)))
+      isSilent = true
+      stage.deploy({ version: 2 })
+      await inForce(2, gateways)
+      expect(stage.lines.some(line => line.sentence === 'Neighbour passed over.')).toEqual(true)
+    })
+
+    it('since one is stopped, is in force in time at the others', async () => {
+      const stage = await start()
+      const [first = '', second = ''] = namesBefore(2, ['g1'])
+      const readers = [await stage.addGateway(first), await stage.addGateway(second)]
+      const isThere = (reader: Direct.StartedGateway): boolean => reader.name === sourceOf(stage.lines)
+      await TestKit.Wait.until('the gateway reads at another one', SETTLE_MS, () => readers.some(isThere))
+      await readers.find(isThere)?.stop()
+      stage.deploy({ version: 2 })
+      await inForce(2, [stage.first, ...readers.filter(reader => !isThere(reader))])
+    })
+  })
+
+  it('that took a row away before the readers started is not missed', async () => {
+    const stage = await start()
+    const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port }))
+    let isCut = false
+    const cut = async (): ReturnType<Follow.Rows.RowSource['readSince']> => Neverthrow.err({ kind: 'unavailable', reason: 'cut off' })
+    const late = await stage.addGateway('late', {
+      region: 'rc',
+      store: {
+        ...source,
+        readAll: async (...asked) => isCut && asked[0] === 'op' ? await cut() : await source.readAll(...asked),
+        readSince: async (...asked) => {
+          const answer = await source.readSince(...asked)
+          return isCut && asked[0] === 'op' ? await cut() : answer
+        }
+      }
+    })
+    stage.store.put('op', 'evacuate/a', {})
+    await TestKit.Wait.until('the zone is out of service', SETTLE_MS, () => late.lines.some(line => line.sentence === 'Zone taken out of service.'))
+    // It would know of the removal.
+    await stage.first.stop()
+    isCut = true
+    stage.store.drop('op', 'evacuate/a')
+    const names: string[] = []
+    for (let at = 0; names.length < 2; at++) if (Core.Hash.rendezvous('readers of rc', [`early-${at}`, 'late'])[0] === `early-${at}`) names.push(`early-${at}`)
+    for (const name of names) await stage.addGateway(name, { region: 'rc' })
+    await TestKit.Wait.until('the zone is back', SETTLE_MS, () => late.lines.some(line => line.sentence === 'Zone back in service.'))
+    expect([names.includes(sourceOf(late.lines)), versionOf(late.lines)]).toEqual([true, 1])
+  })
+})
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -71,8 +71,10 @@
   readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>>, readonly line: Schemas.LogLines.LogLine }>
   /** The gateway's metrics, as its metrics address serves them. */
   metrics: () => Promise<string>
-  /** Starts another gateway. */
-  addGateway: (name: string) => Promise<StartedGateway>
+  /** The gateway that was started first. */
+  readonly first: StartedGateway
+  /** Starts another gateway, in another place or with another way to the store where that is given. */
+  addGateway: (name: string, changes?: Partial<GatewayPlace>) => Promise<StartedGateway>
   /** Lets time pass for all gateways, in milliseconds. */
   pass: (ms: number) => void
   list: (runner: Runner.Runner, changes?: object) => void
@@ -81,6 +83,9 @@
   stop: () => Promise<void>
 }
 
+/** Where a gateway stands and how it reads. */
+export type GatewayPlace = Pick<Ingress.Gateway.GatewayOptions, 'zone' | 'region' | 'store'>
+
 /** A gateway of a stage. */
 export interface StartedGateway {
   readonly name: string
@@ -151,7 +156,7 @@
     store.put('servers', runner.instanceId, { backend: services.get(runner.instanceId), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: 1, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
   }
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
-  const addGateway = async (name: string): Promise<StartedGateway> => {
+  const addGateway: DirectStage['addGateway'] = async (name, changes = {}) => {
     const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
     const lines: DirectStage['lines'] = []
     const gateway = await Ingress.Gateway.open({
@@ -171,9 +176,12 @@
       bounds: () => ({ retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: VERSION_MS, graceMs: 8_000 }),
       dialect: Dialect.createDialect(),
       changeOf: Operators.changeOf,
+      agentPartOf: Operators.agentPartOf,
       listingOf: row => Endpoints.listingOf(row, () => 'ra'),
-      tables: { operators: 'op', endpoints: 'servers' }
+      tables: { operators: 'op', endpoints: 'servers' },
+      ...changes
     })
+    let stopping: Promise<void> | undefined
     const added: StartedGateway = {
       name,
       port,
@@ -182,7 +190,8 @@
       lines,
       call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
       stop: async () => {
-        await gateway.stop()
+        stopping ??= gateway.stop()
+        await stopping
         checkLines(lines.map(entry => entry.line))
       }
     }
@@ -204,6 +213,7 @@
     port: first.port,
     readyPort: first.readyPort,
     lines: first.lines,
+    first,
     addGateway,
     pass: ms => { passedMs += ms },
     list,
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -116,6 +116,7 @@
       },
       originAt: () => origin,
       changeOf: Operators.changeOf,
+      agentPartOf: Operators.agentPartOf,
       operatorsTable: Operators.OPERATORS_TABLE
     })
     return Object.assign(own, {
