--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -70,8 +70,8 @@
 /** A read that another one is to replace is waited for while its bytes come with no longer pause than this, in milliseconds. */
 const PATIENCE_MS = 500
 const PATIENCE_STEP_MS = 50
-/** A process that hears of newer rows and gets them neither from the store nor in its region asks elsewhere after this time, in milliseconds. */
-const ASK_FAR_AFTER_MS = 1_000
+/** A process that hears of newer rows and gets them neither from the store nor in its region asks elsewhere after each of these times, in milliseconds; another process may be behind too. */
+const ASK_FAR_AFTER_MS = [1_000, 150, 150, 150]
 const STORE = 'store'
 
 /**
@@ -89,7 +89,8 @@
   let isDirect = true
   let isStoreLost = false
   let sourceBefore: string | undefined
-  let madeAtMs = -Infinity
+  /** The latest page that tells its time. */
+  let latest: Rows.Page & { readonly madeAtMs: number } | undefined
   let mirror: Rows.Mirror | undefined
 
   const gateways = (): readonly Members.Member[] => options.members().filter(member => member.kind === 'gateway')
@@ -104,15 +105,15 @@
     metrics.count('neighbours_passed_over_total', { table })
     log('store', 'Neighbour passed over.', { table, neighbour: neighbour.name, reason })
   }
-  const take = (page: Rows.Page, source: string): Rows.Page => {
+  const note = (page: Rows.Page, source: string): void => {
     metrics.count('pages_read_total', { table, source: source === STORE ? STORE : 'neighbour' })
     if (source !== sourceBefore) log('store', 'Rows come from elsewhere.', { table, source, ...(sourceBefore === undefined ? {} : { sourceBefore }), revision: page.revision })
     sourceBefore = source
-    if (page.madeAtMs === undefined) return page
-    // What was told before is complete up to a later time than a neighbour may know of.
-    madeAtMs = Math.max(madeAtMs, page.madeAtMs)
-    return { ...page, madeAtMs }
+    const { madeAtMs } = page
+    if (madeAtMs !== undefined && madeAtMs >= (latest?.madeAtMs ?? -Infinity)) latest = { rows: [], revision: page.revision, madeAtMs }
   }
+  /** Of two pages without rows the later one: a neighbour may have read less far than this process. */
+  const newer = (page: Rows.Page): Rows.Page => page.rows.length === 0 && latest !== undefined && latest.madeAtMs > (page.madeAtMs ?? Infinity) ? latest : page
   const arrive = (reading: Reading): void => {
     reading.arrivedAtMs = clock()
     for (const listener of [...listeners]) listener()
@@ -125,7 +126,8 @@
     const onArriving = (): void => { arrive(reading) }
     const answer = await (reading.after === undefined ? store.readAll(table, onArriving) : store.readSince(table, reading.after, waitMs, onArriving))
     isStoreLost = answer.isErr() && answer.error.kind !== 'historyGone'
-    return answer.map(page => take(page, STORE))
+    if (answer.isOk()) note(answer.value, STORE)
+    return answer
   }
   const fromAny = async (reading: Reading): Promise<Answer> => {
     for (const neighbour of neighbours()) {
@@ -135,7 +137,8 @@
       const answer = await Relay.readHeld({ target: neighbour, table, after, waitMs: Math.min(reading.waitMs, NEIGHBOUR_WAIT_MS), isPart: options.isPart, onArriving: () => { arrive(reading) } })
       if (answer.isOk()) {
         passedOver.delete(neighbour.name)
-        return answer.map(page => take(page, neighbour.name))
+        note(answer.value, neighbour.name)
+        return answer.map(page => after === undefined ? page : newer(page))
       }
       if (answer.error.kind === 'historyGone') return Neverthrow.err(answer.error)
       if (reading.isReplaced) return Neverthrow.err(answer.error)
@@ -168,14 +171,22 @@
     }
   }
   const askNear = Relay.createAsker(near, options.random, options.isPart)
-  const askAny = Relay.createAsker(() => [gateways(), options.members(), options.seeds()].find(peers => peers.length > 0) ?? [], options.random, options.isPart)
+  const all = (): readonly Relay.Peer[] => [gateways(), options.members(), options.seeds()].find(peers => peers.length > 0) ?? []
+  const askAny = Relay.createAsker(all, options.random, options.isPart)
   /** Large rows cross no link between regions for a process that is only a little behind. */
   const askPeer: SharedSource['askPeer'] = async (_table, revision) => {
     if (isStoreLost) return await askAny(table, revision)
     const page = await askNear(table, revision)
     if (page !== undefined && page.rows.length > 0) return page
-    await pause(ASK_FAR_AFTER_MS)
-    return mirror !== undefined && mirror.revision() > revision ? undefined : await askAny(table, revision)
+    const left = [...all()]
+    for (const delayMs of ASK_FAR_AFTER_MS) {
+      await pause(delayMs)
+      const [peer] = left.splice(options.random.below(Math.max(1, left.length)), 1)
+      if (peer === undefined || (mirror !== undefined && mirror.revision() > revision)) return undefined
+      const page = await Relay.createAsker(() => [peer], options.random, options.isPart)(table, revision)
+      if (page !== undefined && page.rows.length > 0) return page
+    }
+    return undefined
   }
   return {
     readAll: async () => await read(undefined, 0),
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -48,8 +48,12 @@
   stop: () => Promise<void>
 }
 
-/** Reads of endpoints' entries, of which only gateways tell one another, are held back for so long, in milliseconds. */
-const ENDPOINTS_WAIT_MS = 4_000
+/** Reads of endpoints' entries are held back for so long times the number of gateways, in milliseconds: their pages date versions, so all gateways together take one at least every quarter of a second. */
+const ENDPOINTS_WAIT_MS = 250
+/** The longest such time, in milliseconds: of endpoints' entries only gateways tell one another. */
+const ENDPOINTS_WAIT_LIMIT_MS = 4_000
+/** Changes of endpoints' entries gather for so long before the next read, in milliseconds: agents tell the load in the meantime, and a leaving endpoint serves on for seconds. */
+const ENDPOINTS_GATHER_MS = 300
 /** The same for the system's own processes, which change seldom; most that the store allows is 30 s. */
 const MEMBERS_WAIT_MS = 20_000
 /** The largest head of a call, in bytes, as operators' limits usually have it; Node fixes it when the server is made. */
@@ -76,6 +80,8 @@
 /** Ages and counts of beliefs are set so often for whoever reads the metrics, in milliseconds. */
 const GAUGE_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** While versions change, what calls may begin on is logged again so often, in milliseconds: lines of calls crowd older ones out of a log of bounded length. */
+const VERSIONS_LOG_MS = 2_000
 
 /**
  * Opens a gateway.
@@ -92,7 +98,7 @@
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   let index: Routing.Deployment.DeploymentIndex | undefined
   /** The oldest version of each model on which calls begin, as logged last. */
-  const oldestLogged = new Map<string, number>()
+  const oldestLogged = new Map<string, { readonly version: number, readonly atMs: number }>()
   let stopping = false
 
   const node = await Node.open(options, 'gateway', news => {
@@ -140,13 +146,14 @@
       server.keepAliveTimeout = deployment.limits.idleTimeoutMs
       metrics.gauge('deployment_version', deployment.version)
     },
-    onVersionNamed: versions.learn,
+    versions,
     onChanged: () => { ingress.wake() }
   })
   const listed = Follow.Follower.createFollower({
     ...node.followerOptions,
     table: options.tables.endpoints,
-    waitMs: ENDPOINTS_WAIT_MS,
+    waitMs: () => Math.min(ENDPOINTS_WAIT_LIMIT_MS, gatewayCount(members()) * ENDPOINTS_WAIT_MS),
+    gatherMs: ENDPOINTS_GATHER_MS,
     onRows: rows => {
       for (const row of rows) takeListing(row)
       ingress.wake()
@@ -185,14 +192,6 @@
 
   let toldRevision = 0
   let toldAtMs = 0
-  let toldAgentsRevision = 0
-  /** Agents of the zone hear of operators' changes, so that one whose source froze reads elsewhere. */
-  const tellAgents = (): void => {
-    const revision = operators.follower.mirror.rowRevision()
-    if (revision === toldAgentsRevision) return
-    toldAgentsRevision = revision
-    node.tell({ revisions: { [options.tables.operators]: revision } }, 'agent', member => member.zone === options.zone)
-  }
   const tellRevisions = (nowMs: number): void => {
     const revision = Math.max(operators.follower.mirror.rowRevision(), listed.mirror.rowRevision())
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
@@ -200,6 +199,16 @@
     toldAtMs = nowMs
     node.tell({ named: Follow.News.namedNews(versions, node.storeClock.now()), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
+  let toldAgents = ''
+  /** Agents read the store seldom: claims of gateways date versions more closely than their own, and the revision shows an agent whose source froze that it is behind. */
+  const tellAgents = (): void => {
+    const named = Follow.News.namedNews(versions, node.storeClock.now())
+    const revisions = { [options.tables.operators]: operators.follower.mirror.rowRevision() }
+    const text = JSON.stringify([named, revisions])
+    if (text === toldAgents) return
+    toldAgents = text
+    node.tell({ revisions, named }, 'agent', member => member.zone === options.zone)
+  }
   const tellBeliefs = setInterval(() => {
     const nowMs = clock()
     const ages = { operators: operators.follower.freshAtMs(), endpoints: listed.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
@@ -210,23 +219,27 @@
       metrics.gauge('weights_oldest_version', versions.oldestOf(model, node.storeClock.now()), { model })
     }
   }, GAUGE_MS)
-  const logOldestVersions = (): void => {
+  const logOldestVersions = (nowMs: number): void => {
     const storeMs = node.storeClock.now()
-    for (const { model } of versions.newest()) {
+    const sinceMs = (atMs: number | undefined): number | undefined => atMs === undefined || !Number.isFinite(storeMs - atMs) ? undefined : Math.round(storeMs - atMs)
+    for (const { model, version: newest } of versions.newest()) {
       const version = versions.oldestOf(model, storeMs)
-      const versionBefore = oldestLogged.get(model)
-      if (version === versionBefore) continue
-      oldestLogged.set(model, version)
-      const named = versions.namedOf(model).map(entry => ({ version: entry.version, ...(entry.namedAtMs === undefined || storeMs === Infinity ? {} : { sinceNamedMs: Math.round(storeMs - entry.namedAtMs) }) }))
-      log('weights', 'Oldest version changed.', { model, version, versionBefore, named })
+      const before = oldestLogged.get(model)
+      const isChanged = version !== before?.version
+      if (!isChanged && (version === newest || nowMs - before.atMs < VERSIONS_LOG_MS)) continue
+      oldestLogged.set(model, { version, atMs: nowMs })
+      const named = versions.knownOf(model).map(entry => ({ version: entry.version, revision: entry.revision, sinceNamedMs: sinceMs(entry.namedAtMs), sinceNotBeforeMs: sinceMs(entry.notBeforeMs) }))
+      if (isChanged) log('weights', 'Oldest version changed.', { model, version, versionBefore: before?.version, named })
+      else log('weights', 'Version still spreads.', { model, version, named })
     }
   }
   const beat = setInterval(() => {
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
+    versions.refine(node.readings)
     tellRevisions(nowMs)
     tellAgents()
-    logOldestVersions()
+    logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
   }, BEAT_MS)
   log('gateway', 'Gateway started.', { callers: options.callers, incarnation: node.incarnation })
--- a/test/direct-versions.test.ts
+++ b/test/direct-versions.test.ts
@@ -1,5 +1,6 @@
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Follow from '../src/follow/index.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as TestKit from '../testkit/index.ts'
 
@@ -29,8 +30,19 @@
     expect([sent?.fields.version, sent?.fields.oldestVersion]).toEqual([1, 1])
   })
 
+  it('says it again while a version spreads, with the time before which it was not named', async () => {
+    stage.pass(2_000)
+    const ofSpread = (): Direct.DirectStage['lines'][number] | undefined => stage.lines.find(line => line.sentence === 'Version still spreads.')
+    await TestKit.Wait.until('it is said again', LIMIT_MS, () => ofSpread() !== undefined)
+    const { version, sinceNotBeforeMs } = ofSpread()?.fields.named[0] ?? {}
+    expect([version, sinceNotBeforeMs >= 2_000]).toEqual([2, true])
+  })
+
   it('a gateway that started after a version was superseded begins no calls on the one before once the superseded one is due', async () => {
-    stage.pass(3_000)
+    stage.pass(1_000)
+    // A page of the store shows that version 3 is not named yet.
+    stage.deploy({ version: 2 })
+    await TestKit.Wait.until('the page is read', LIMIT_MS, () => hasLine(stage, 'Deployment in force.', 2))
     nameVersion(3)
     await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(stage, 'Version named.', 3))
     const restarted = await stage.addGateway('g2')
@@ -38,7 +50,47 @@
     await TestKit.Wait.until('the restarted gateway is ready', LIMIT_MS, async () => (await restarted.call()).status === 200)
     stage.pass(DUE_MS - 3_000)
     expect([(await stage.call()).status, (await restarted.call({ id: 'late' })).status]).toEqual([503, 503])
-    expect(restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')?.fields.ruledOut).toEqual({ weights: 1 })
+    const refused = restarted.lines.find(line => line.sentence === 'Call refused.' && line.fields.callId === 'late')
+    expect([refused?.fields.ruledOut, refused?.fields.oldestVersion]).toEqual([{ weights: 1 }, 2])
+  })
+})
+
+describe('a version that was superseded while a request to the store was on its way', () => {
+  const GAP_MS = 5_000
+
+  it('binds the gateway that missed it, and one that starts later and hears from that one alone', async () => {
+    const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
+    after(own.stop)
+    await TestKit.Wait.until('a call is served', LIMIT_MS, async () => (await own.call()).status === 200)
+    let arrive = (): void => {}
+    own.store.faults.arrival = new Promise(resolve => { arrive = resolve })
+    own.deploy({ version: 2 })
+    await TestKit.Wait.until('the next read is on its way', LIMIT_MS, () => own.store.lateCount() > 0)
+    own.store.put('op', 'version/m', { model: 'm', version: 2 })
+    own.pass(GAP_MS)
+    own.store.put('op', 'version/m', { model: 'm', version: 3 })
+    own.store.faults.arrival = undefined
+    arrive()
+    await TestKit.Wait.until('the next version is named', LIMIT_MS, () => hasLine(own, 'Version named.', 3))
+    const started = await own.addGateway('g2')
+    await TestKit.Wait.until('the started gateway hears of it', LIMIT_MS, () => hasLine(started, 'Version told of.', 3))
+    own.pass(DUE_MS - GAP_MS)
+    expect([(await own.call()).status, (await started.call()).status]).toEqual([503, 503])
+  })
+})
+
+describe('an agent', () => {
+  it('is told by the gateways of its zone before which time a version was not named', async () => {
+    const own = await Direct.startDirectStage([{ instanceId: 'e1', service: 'llm' }])
+    after(own.stop)
+    const heard: Follow.News.News[] = []
+    const port = await Direct.freePort()
+    const channel = await Follow.News.openChannel({ host: '127.0.0.1', port }, news => { heard.push(news) }, () => {})
+    after(() => { channel.close() })
+    own.store.put(Follow.Members.MEMBERS_TABLE, 'a1', { name: 'a1', kind: 'agent', host: '127.0.0.1', port, zone: 'a', region: 'ra', incarnation: '1' })
+    await TestKit.Wait.until('a call is served', LIMIT_MS, async () => (await own.call()).status === 200)
+    own.store.put('op', 'version/m', { model: 'm', version: 2 })
+    await TestKit.Wait.until('the agent is told', LIMIT_MS, () => heard.some(news => news.named?.some(({ version, notBeforeMs }) => version === 2 && notBeforeMs !== undefined)))
   })
 })
 
