--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -35,6 +35,8 @@
   readonly bounds: () => GatewayBounds
   readonly dialect: Dialect.Dialect
   readonly changeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
+  /** Cuts an operators' row down to what agents act on. */
+  readonly agentPartOf: (row: Follow.Rows.Row) => Follow.Rows.Row
   readonly listingOf: (row: Follow.Rows.Row) => Routing.Endpoints.Listing | undefined
   /** Names of the tables that operators and endpoints write. */
   readonly tables: { readonly operators: string, readonly endpoints: string }
@@ -131,8 +133,11 @@
     log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, revision: row.revision })
   }
 
+  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.tables.operators, own: options, members, knowsMembers: node.knowsMembers, isPart: false })
   const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
+    store: shared,
+    askPeer: shared.askPeer,
     table: options.tables.operators,
     changeOf: options.changeOf,
     onDeployed: deployment => {
@@ -154,7 +159,7 @@
       ingress.wake()
     }
   })
-  node.relay(options.tables.operators, operators.follower)
+  node.relay(options.tables.operators, shared.relayed(operators.follower, options.agentPartOf))
   node.relay(options.tables.endpoints, listed)
   node.followMembers(MEMBERS_WAIT_MS)
 
@@ -194,14 +199,15 @@
     toldAtMs = nowMs
     node.tell({ named: Follow.News.namedNews(versions, node.storeClock.now()), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
   }
-  let toldNamed = ''
-  /** Agents read the store seldom: claims of gateways date versions more closely than their own. */
+  let toldAgents = ''
+  /** Agents read the store seldom: claims of gateways date versions more closely than their own, and the revision shows an agent whose source froze that it is behind. */
   const tellAgents = (): void => {
     const named = Follow.News.namedNews(versions, node.storeClock.now())
-    const text = JSON.stringify(named)
-    if (text === toldNamed) return
-    toldNamed = text
-    if (named.length > 0) node.tell({ revisions: {}, named }, 'agent', member => member.zone === options.zone)
+    const revisions = { [options.tables.operators]: operators.follower.mirror.rowRevision() }
+    const text = JSON.stringify([named, revisions])
+    if (text === toldAgents) return
+    toldAgents = text
+    node.tell({ revisions, named }, 'agent', member => member.zone === options.zone)
   }
   const tellBeliefs = setInterval(() => {
     const nowMs = clock()
