--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -23,6 +23,8 @@
   silent: boolean
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
+  /** Takes transactions and neither answers them nor carries them out yet. */
+  holdsTransactions: boolean
 }
 
 /** A running stand-in. */
@@ -32,6 +34,12 @@
   /** Writes a row as an operator or an endpoint would; bytes are written as they are. */
   put: (table: string, key: string, value: unknown) => number
   drop: (table: string, key: string) => number
+  /** Transactions that are held. */
+  heldCount: () => number
+  /** Carries out the transactions that were held, as far as their conditions hold, without an answer; tells how many there were. */
+  carryOutHeld: () => number
+  /** Breaks all connections, as at the start of an outage. */
+  cut: () => void
   /** The rows of a table that are not deleted. */
   rows: (table: string) => Array<{ readonly key: string, readonly value: unknown }>
   close: () => Promise<void>
@@ -45,7 +53,8 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
+  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0, holdsTransactions: false }
+  const held: string[] = []
   const waiting = new Set<() => void>()
   const sockets = new Set<Net.Socket>()
   let revision = 1
@@ -74,7 +83,12 @@
     check()
   }
   const transact = (text: string, answer: (status: number, body: object) => void): void => {
-    const body = JSON.parse(text) as { write: Array<{ table: string, key: string, value: string }>, remove: Array<{ table: string, key: string }> }
+    const body = JSON.parse(text) as { precondition: Array<{ table: string, key: string, schema_version: number }>, write: Array<{ table: string, key: string, value: string }>, remove: Array<{ table: string, key: string }> }
+    const stored = body.precondition.map(({ table, key }) => rows.get(`${table}/${key}`)).map(row => row?.deleted === true ? undefined : row)
+    if (body.precondition.some((condition, at) => condition.schema_version !== (stored[at]?.schema_version ?? 0))) {
+      answer(412, { rows: stored.filter(row => row !== undefined), schema_version: revision, now_ms: nowMs() })
+      return
+    }
     for (const write of body.write) set(write.table, write.key, write.value, false)
     for (const removed of body.remove) set(removed.table, removed.key, undefined, true)
     answer(200, { schema_version: revision, now_ms: nowMs() })
@@ -93,7 +107,11 @@
       const handlers: Record<string, () => void> = {
         '/rows-get': () => { answer(200, { rows: live(url.searchParams.get('table') ?? ''), has_more: false, schema_version: revision, now_ms: nowMs() }) },
         '/rows-feed': () => { feed(url.searchParams, answer) },
-        '/rows-tx': () => { transact(Buffer.concat(parts).toString(), answer) }
+        '/rows-tx': () => {
+          const text = Buffer.concat(parts).toString()
+          if (faults.holdsTransactions) held.push(text)
+          else transact(text, answer)
+        }
       }
       const handle = handlers[url.pathname]
       if (handle === undefined) answer(404, {})
@@ -110,6 +128,13 @@
     faults,
     put: (table, key, value) => set(table, key, Buffer.isBuffer(value) ? value.toString('base64') : Buffer.from(JSON.stringify(value)).toString('base64'), false),
     drop: (table, key) => set(table, key, undefined, true),
+    heldCount: () => held.length,
+    carryOutHeld: () => {
+      const texts = held.splice(0)
+      for (const text of texts) transact(text, () => {})
+      return texts.length
+    },
+    cut: () => { for (const socket of sockets) socket.destroy() },
     rows: table => live(table).map(row => ({ key: row.key, value: JSON.parse(Buffer.from(row.value ?? '', 'base64').toString()) })),
     close: async () => {
       for (const socket of sockets) socket.destroy()
