Bind the writes and removals of a process's entry to the revision of its row

Cause: an entry was written and removed whatever stood there, so one that the store carried out late undid what a later start had done.

Change: a write and a removal carry the revision that the row had, and the store tells the row as it stands where that differs. A row that bears the own incarnation settles what an unanswered write has done; any other one is replaced by a write and left by a removal. A start after a kill costs one more call to the store, others cost none more.

Ruled out: reading the row before each write costs a call more and leaves the time between. A process that looks after its row and writes it again would mend the same, seconds late.

What stays: the entry of a process that stopped before its unanswered first write was carried out is left behind, as that of a killed one is.

--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -7,6 +7,7 @@
 import type * as Core from '../core/index.ts'
 import * as HttpServer from '../edge/httpServer.ts'
 import type * as Metrics from '../edge/metrics.ts'
+import * as Entry from './entry.ts'
 import * as Follower from './follower.ts'
 import * as Members from './members.ts'
 import * as News from './news.ts'
@@ -47,8 +48,6 @@
   close: () => Promise<void>
 }
 
-/** Time until an entry that could not be written is tried again, in milliseconds. */
-const ENTRY_RETRY_MS = 500
 /** Processes often start together; their entries are read together, in milliseconds. */
 const GATHER_MS = 1_000
 
@@ -67,7 +66,6 @@
   const relayed = new Map<string, Relay.Relayed>()
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
-  let closed = false
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
   const storeClock = StoreClock.createStoreClock(options.clock)
@@ -87,17 +85,7 @@
   })
   const followerOptions = { store, askPeer, clock: options.clock, storeClock, random, log }
 
-  const enter = async (): Promise<void> => {
-    const entry: Members.Member = { name, kind, host, port, zone, region, incarnation }
-    const isOpen = (): boolean => !closed
-    while (isOpen()) {
-      const written = await store.write(Members.MEMBERS_TABLE, name, entry)
-      if (written.isOk()) return
-      log('store', 'Entry not written.', { name, reason: written.error })
-      await new Promise(resolve => { setTimeout(resolve, ENTRY_RETRY_MS * (0.5 + random.next())) })
-    }
-  }
-  void enter()
+  const entry = Entry.createEntry({ member: { name, kind, host, port, zone, region, incarnation }, store, random, log })
   return {
     incarnation,
     storeClock,
@@ -115,13 +103,11 @@
       })
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
-    relay: (table, entry) => { relayed.set(table, entry) },
+    relay: (table, source) => { relayed.set(table, source) },
     tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, storeMs: storeClock.told(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: async () => {
-      closed = true
       follower?.stop()
-      const removed = await store.remove(Members.MEMBERS_TABLE, name)
-      if (removed.isErr()) log('store', 'Entry not removed.', { name, reason: removed.error })
+      await entry.remove()
       channel.close()
       await server.close(0)
     }
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -26,16 +26,19 @@
 /** Why rows could not be read: the source lacks the history asked for, refuses, or does not answer in time. */
 export type ReadFailure = { readonly kind: 'historyGone' } | { readonly kind: 'unavailable' | 'silent', readonly reason: string }
 
-/** Where rows are read. */
+/** Why a row was not written: the write failed, or the row was not at the revision expected; it is told as it stands, undefined where it does not exist. */
+export type WriteFailure = ReadFailure | { readonly kind: 'changed', readonly row: Row | undefined }
+
+/** Where rows are read and written. */
 export interface RowSource {
   /** Reads a whole table as of one moment. */
   readAll: (table: string) => Promise<Neverthrow.Result<Page, ReadFailure>>
   /** Reads what changed after a revision, and waits for a change. */
   readSince: (table: string, revision: number, waitMs: number) => Promise<Neverthrow.Result<Page, ReadFailure>>
-  /** Writes one row whatever it holds. */
-  write: (table: string, key: string, value: unknown) => Promise<Neverthrow.Result<void, ReadFailure>>
-  /** Removes one row. */
-  remove: (table: string, key: string) => Promise<Neverthrow.Result<void, ReadFailure>>
+  /** Writes one row that is still at a revision, 0 for one that does not exist; tells its new revision, or a later one where others wrote at the same time. Without an answer it may be written later. */
+  write: (table: string, key: string, value: unknown, revision: number) => Promise<Neverthrow.Result<number, WriteFailure>>
+  /** Removes one row that is still at a revision. */
+  remove: (table: string, key: string, revision: number) => Promise<Neverthrow.Result<number, WriteFailure>>
 }
 
 /** The accepted rows of a table. */
