Take calls back from endpoints that only end what runs before they load

Cause: an agent's report says that the endpoint loads both while it does and while it only ends what runs before it is told to. Gateways took it for the former and left calls there, which may begin on a version that is overdue.

Change: an agent marks the latter (retiring) in its news, and gateways leave calls only at endpoints that load and are not so marked. News without the mark mean what they meant.

Ruled out: taking calls back from every loading endpoint costs attempts and repeats of calls that would begin on the new version. No other field of the news tells the two apart.

Test: test/direct-retiring.test.ts fails before and passes now; calls at an endpoint that loads stay, before and now.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -174,6 +174,7 @@
       queuedCount: report.queuedCount,
       pace: report.pace,
       loading: report.loading || filler.isRetiring(),
+      ...(filler.isRetiring() && !report.loading ? { retiring: true } : {}),
       weights: [...report.weights ?? []]
     }
     const text = JSON.stringify(load)
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -22,6 +22,8 @@
   queuedCount: Schema.Int,
   pace: Schema.Number,
   loading: Schema.Boolean,
+  /** The endpoint takes no calls, as where it loads, but only ends what runs. */
+  retiring: Schema.optional(Schema.Boolean),
   weights: Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int }))
 })
 /** What an agent tells gateways of the endpoint beside it. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -483,7 +483,9 @@
     const { attempt, placing, route } = call
     if (attempt === undefined || attempt.hasBegun || placing.service.engine === undefined || route.kind !== 'stream' || !route.resumable) return
     const held = heldAt(attempt.row, placing.model)
-    if (held === undefined || attempt.row.load?.loading === true || held.version >= options.oldestBegunOf(held.model)) return
+    const { load } = attempt.row
+    const beginsOnNext = load?.loading === true && load.retiring !== true
+    if (held === undefined || beginsOnNext || held.version >= options.oldestBegunOf(held.model)) return
     attempt.exchange.abort()
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `not begun before version ${held.version} was overdue`)
   }
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -35,8 +35,10 @@
   readonly queuedCount: number
   /** How many times slower than usual the endpoint is. */
   readonly pace: number
-  /** Whether weights are being loaded. */
+  /** Whether weights are being loaded or are about to be, so that the endpoint takes no calls. */
   readonly loading: boolean
+  /** Whether the endpoint only ends what runs before it loads: calls that wait there begin on the weights that it holds. */
+  readonly retiring?: boolean | undefined
   readonly weights: readonly HeldWeights[] | undefined
 }
 
