--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -71,7 +71,7 @@
   readonly lines: Array<{ readonly prefix: string, readonly sentence: string, readonly fields: Readonly<Record<string, any>>, readonly line: Schemas.LogLines.LogLine }>
   /** The gateway's metrics, as its metrics address serves them. */
   metrics: () => Promise<string>
-  /** Starts another gateway. */
+  /** Starts another gateway; it may ask those that run already. */
   addGateway: (name: string) => Promise<StartedGateway>
   /** Lets time pass for all gateways, in milliseconds. */
   pass: (ms: number) => void
@@ -88,6 +88,8 @@
   readonly readyPort: number
   readonly peerPort: number
   readonly lines: DirectStage['lines']
+  /** Has the store refuse this gateway alone, from its next connection on, or take it again. */
+  refuse: (isRefused: boolean) => void
   call: (options?: CallOptions) => Promise<CallAnswer>
   stop: () => Promise<void>
 }
@@ -153,6 +155,9 @@
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
   const addGateway = async (name: string): Promise<StartedGateway> => {
     const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+    const nowhere = await freePort()
+    const seeds = gateways.map(other => ({ host: '127.0.0.1', port: other.peerPort }))
+    let refused = false
     const lines: DirectStage['lines'] = []
     const gateway = await Ingress.Gateway.open({
       name,
@@ -160,8 +165,8 @@
       port: peerPort,
       zone: 'a',
       region: 'ra',
-      seeds: () => [],
-      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
+      seeds: () => seeds,
+      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: refused ? nowhere : store.port })),
       clock,
       random: Core.Random.createRandom(SEED),
       metrics: Metrics.createMetrics(),
@@ -180,6 +185,7 @@
       readyPort,
       peerPort,
       lines,
+      refuse: isRefused => { refused = isRefused },
       call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
       stop: async () => {
         await gateway.stop()
