Hand removals of endpoints on only once they are acted on here

Cause: a gateway keeps endpoints whose entries lapsed while the store was out until two seconds after it saw the store's return. It handed their removals on at once to gateways that had not seen that return, and these removed the endpoints.

Change: a page for another process leaves out removals of endpoints that are kept here, and claims to be whole only up to the first of them, so that whoever asks gets them with a later page unless the entry came back.

Ruled out: keeping endpoints at the gateway that asks. It cannot tell a lapse from a real removal while the store refuses it alone, so real ones would be acted on after the time that a drain has. Now they are handed on as soon as the other gateway acts on them.

--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -55,6 +55,19 @@
   live: () => Row[]
 }
 
+/**
+ * Leaves rows out of a page that are not to be handed on yet. The page then claims to be whole only up to the first of them, so that whoever asks for more gets them later.
+ *
+ * @param page - The page.
+ * @param isWithheld - Whether a row is left out.
+ * @returns The page without these rows.
+ */
+export function withhold (page: Page, isWithheld: (row: Row) => boolean): Page {
+  const withheld = page.rows.filter(isWithheld)
+  if (withheld.length === 0) return page
+  return { ...page, rows: page.rows.filter(row => !withheld.includes(row)), revision: Math.min(page.revision, ...withheld.map(row => row.revision - 1)) }
+}
+
 /**
  * Creates an empty mirror. No row ever goes back to a lower revision.
  *
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -148,7 +148,9 @@
     }
   })
   node.relay(options.tables.operators, operators.follower)
-  node.relay(options.tables.endpoints, listed)
+  // Whoever asks cannot know when the store was back here: a removal on which this gateway does not act yet would end calls to live endpoints there.
+  const isKept = (row: Follow.Rows.Row): boolean => row.deleted && endpoints.get(row.key)?.keptUntilMs !== undefined
+  node.relay(options.tables.endpoints, { isKnown: listed.isKnown, mirror: { ...listed.mirror, since: revision => Follow.Rows.withhold(listed.mirror.since(revision), isKept) } })
   node.followMembers(MEMBERS_WAIT_MS)
 
   const ingress = Ingress.createIngress({
