Do not take a gateway's own standstill for the silence of endpoints

Cause: silence is the time since something was last heard, and a process that stands still hears nothing. After it goes on, its timers run before its sockets are read.

A new line, 'Gateway stood still.', tells how long. Time in which an endpoint was silent before the standstill still counts.

What it does not see: a suspension that the steady clock does not count; no silence is counted in it either.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -76,6 +76,7 @@
   const waiting = Routing.Waiting.createWaiting<Calls.Call>()
   const ages = Routing.Ages.createAges()
   const crowding = Routing.Crowding.createCrowding()
+  const standstill = Routing.Standstill.createStandstill(BEAT_MS, clock())
   const { write, writeWhole, withConnection } = Replies.createReplies(options.isStopping)
   let pumpScheduled = false
 
@@ -163,6 +164,7 @@
   /** Sends a call, lets it wait or refuses it. */
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
+    noteStandstill(nowMs)
     const known = options.surroundings()
     call.late = call.ageAtArrivalMs + nowMs - call.arrivedAtMs > call.route.goalMs
     const found = Routing.Choice.candidates(call.placing, known, nowMs)
@@ -465,6 +467,15 @@
     log('routing', END_SENTENCES[outcome], { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.sentCount, eventCount: call.eventCount, goalMs: call.route.goalMs, deploymentVersion: options.index()?.deployment.version, ...fields })
   }
 
+  /** Time in which this process stood still is not time in which endpoints were silent. */
+  const noteStandstill = (nowMs: number): void => {
+    const stoodMs = standstill.note(nowMs)
+    if (stoodMs === 0) return
+    log('gateway', 'Gateway stood still.', { tookMs: Math.round(stoodMs), activeCount: calls.size })
+    for (const row of options.surroundings().endpoints.rows()) row.heardAtMs = Routing.Standstill.excuse(row.heardAtMs, stoodMs, nowMs)
+    for (const { attempt } of calls) if (attempt !== undefined) attempt.heardAtMs = Routing.Standstill.excuse(attempt.heardAtMs, stoodMs, nowMs)
+  }
+
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
     const { attempt, route } = call
     if (attempt === undefined || route.kind === 'nonIdempotent') return
@@ -492,6 +503,7 @@
 
   const beat = setInterval(() => {
     const nowMs = clock()
+    noteStandstill(nowMs)
     for (const call of calls) {
       withdrawOverdue(call)
       checkSilence(call, nowMs)
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -162,6 +162,7 @@
   'news: News lost.': { about: 'A datagram could not be read or sent', fields: ['reason'] },
   'gateway: Gateway started.': { about: 'A gateway listens', fields: ['callers', 'incarnation'] },
   'gateway: Gateway stops.': { about: 'A stop was asked for', fields: ['activeCount'] },
+  'gateway: Gateway stood still.': { about: 'The process did not run for a while, so it is not counted as the silence of endpoints', fields: ['tookMs', 'activeCount'] },
   'gateway: Gateway stopped.': { about: 'The gateway ends', fields: ['activeCount', 'tookMs'] },
   'agent: Agent started.': { about: 'An agent runs', fields: ['endpoint', 'service', 'incarnation'] },
   'agent: Agent stopped.': { about: 'The agent ends', fields: [] },
