List a failing test of connections opened while the process stood still

A connection to an endpoint has 400 ms. After a standstill the timer runs before the sockets are looked at, so a connection that has long been open is given up and its endpoint left out. Shown with a process that does nothing for 600 ms.

--- /dev/null
+++ b/test/direct-connect.test.ts
@@ -0,0 +1,36 @@
+import * as Http from 'node:http'
+import type * as Net from 'node:net'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Upstream from '../src/ingress/upstream.ts'
+
+/** Longer than a connection may take, in milliseconds. */
+const STOOD_MS = 600
+
+/** Lets the process do nothing else for a while. */
+function standStill (forMs: number): void {
+  const untilMs = performance.now() + forMs
+  while (performance.now() < untilMs);
+}
+
+describe('Upstream', () => {
+  it('does not give a connection up that was opened while the process stood still', async () => {
+    const server = Http.createServer((_request, response) => { response.end('answer') })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const upstream = Upstream.createUpstream()
+    const seen = await new Promise<string>(resolve => {
+      upstream.send({ host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port, method: 'GET', path: '/', rawHeaders: ['Host', 'h'], body: undefined, maxIdleMs: 0 }, {
+        onHead: status => { resolve(`answered with ${status}`) },
+        onData: () => {},
+        onEnd: () => {},
+        onFailed: (stage, reason) => { resolve(`${stage}: ${reason}`) }
+      })
+      // The connection is under way once the event loop has had a turn.
+      setImmediate(() => { standStill(STOOD_MS) })
+    })
+    upstream.close()
+    server.closeAllConnections()
+    server.close()
+    expect(seen).toEqual('answered with 200')
+  })
+})
