Look at the socket before a connection to an endpoint is given up

Cause: after a standstill timers run before sockets are read, so a connection that had been open for long was given up as not opened in time.

Change: when its time is up, the connection is given up after the sockets were looked at once.

Test: test/direct-connect.test.ts failed before and passes now; test/direct-path.test.ts passes.

--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -105,7 +105,10 @@
     request.destroy()
     listener.onFailed(stage, reason)
   }
-  const timer = setTimeout(() => { fail('no connection in time') }, CONNECT_TIMEOUT_MS)
+  const timer = setTimeout(() => {
+    // Where the process stood still, the connection may be open without this being read yet.
+    setImmediate(() => { if (stage === 'connecting') fail('no connection in time') })
+  }, CONNECT_TIMEOUT_MS)
   request.on('socket', socket => {
     const connected = (): void => {
       clearTimeout(timer)
