List a failing test of an agent that hears of the others late

An agent that starts works out who draws each chunk from the agents that it knows of, once for a version. Where the store answers its read of operators' rows before that of the others, it takes itself for the only one, draws the whole version from the origin and keeps to that. Shown with a fleet on the stand-ins to one of which the store does not read the others' entries for a second: 64 chunks drawn, all of which three others hold.

--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Follow from '../src/follow/index.ts'
 import * as PlatformStore from '../standins/platformStore.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as Fleet from '../testkit/fleet.ts'
@@ -12,6 +13,8 @@
 const LINK_BITS_PER_SECOND = 4_000_000
 const VERSION_MS = 8_000
 const LIMIT_MS = 6_000
+/** Several beats of an agent, in milliseconds. */
+const HEARS_LATE_MS = 1_000
 const stops: Array<() => Promise<void>> = []
 
 async function createFleet (isOriginUp: () => boolean = () => true): Promise<{ fleet: Fleet.Fleet, store: PlatformStore.PlatformStore }> {
@@ -58,6 +61,23 @@
       await TestKit.Wait.until('the added engine serves the version', LIMIT_MS, () => added.version === 2)
       expect(fleet.drawnCounts.size).toEqual(0)
     })
+
+    it('reaches an instance that is added and hears of the others late, without the origin', async () => {
+      const { fleet, store } = await createFleet()
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      const full = (): Map<number, Buffer> => new Map(Array.from({ length: CHUNK_COUNT }, (_, index) => [index, fleet.chunkOf(2, index)]))
+      const agents = await Promise.all(['a1', 'a2', 'a3'].map(async name => await fleet.start(name, 'ra', { staged: full() })))
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.until('the others serve the version', LIMIT_MS, () => agents.every(agent => agent.version === 2))
+      let refusedTable: string | undefined = Follow.Members.MEMBERS_TABLE
+      const added = await fleet.start('b1', 'rb', {}, { refusedTable: () => refusedTable })
+      stops.push(added.stop)
+      await TestKit.Wait.until('the version is named', LIMIT_MS, () => added.lines.some(line => line.sentence === 'Version named.'))
+      await TestKit.Wait.sleep(HEARS_LATE_MS)
+      refusedTable = undefined
+      await TestKit.Wait.until('the added engine serves the version', LIMIT_MS, () => added.version === 2)
+      expect(fleet.drawnCounts.size).toEqual(0)
+    })
   })
 
   describe('that was just named', () => {
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -41,6 +41,8 @@
 export interface FleetFaults {
   /** Whether reads of the store that wait for changes stay without an answer. */
   readonly isFeedSilent?: () => boolean
+  /** A table that the store does not read to it for now. */
+  readonly refusedTable?: () => string | undefined
 }
 
 /** A fleet of agents. */
@@ -88,6 +90,7 @@
       seeds: () => [],
       store: {
         ...source,
+        readAll: async table => table === faults.refusedTable?.() ? Neverthrow.err({ kind: 'unavailable', reason: 'status 503' }) : await source.readAll(table),
         readSince: async (...asked) => {
           const answer = await source.readSince(...asked)
           return faults.isFeedSilent?.() === true ? await silence : answer
