Fetch no chunks before the other agents are known

Cause: who draws a chunk follows from the list of agents, and an agent that had not read that list yet worked it out as if it were alone, once for each version.

Change: an agent waits with its fetches until it has read of the others, for 3 s at most. If it went on alone, it works the lines out anew and calls the roll once it has. The program tells apart that there are no others and that none are known yet (areMembersKnown).

Ruled out: working the lines out anew with each change of the list; others then draw what they would not have drawn.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -121,6 +121,7 @@
     origin: () => origin?.client,
     library,
     members: otherAgents,
+    areMembersKnown: node.areMembersKnown,
     callRoll: () => { node.tell({ revisions: revisions(), rollCall: true, named: namedNews() }, 'agent') },
     versionMs: () => options.bounds().versionMs,
     download,
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -25,6 +25,8 @@
   readonly library: Library.Library
   /** The other agents. */
   readonly members: () => readonly Follow.Members.Member[]
+  /** Whether the other agents have been told of, if there are any. */
+  readonly areMembersKnown: () => boolean
   /** Tells the other agents that this one is there, and asks who else is. */
   readonly callRoll: () => void
   /** Time by which a named version has to be everywhere, in milliseconds. */
@@ -66,6 +68,8 @@
 
 /** Agents that are asked for a manifest when the origin gives none. */
 const MANIFEST_ASKED_COUNT = 2
+/** An agent that does not know of the others goes on alone after so long, in milliseconds. */
+const MEMBERS_PATIENCE_MS = 3_000
 /** Chunks fetched at once: enough to keep the link busy over its round trips, few enough that calls are not queued behind them. */
 const FETCH_LIMIT_COUNT = 4
 /** Chunks asked of one agent at once. */
@@ -113,6 +117,7 @@
   let linesOf = { signature: '', lines: Sources.createLines([], rings) }
   let misfitCount = 0
   let rollCalledAtMs = -Infinity
+  let knewMembers = false
   const heardAtMs = new Map<string, number>()
   const downUntilMs = new Map<string, number>()
   let originAfterMs = -Infinity
@@ -139,11 +144,24 @@
     if (signature !== linesOf.signature) linesOf = { signature, lines: Sources.createLines(spreaders, rings) }
     return linesOf.lines
   }
+  /** Whether it can be worked out who fetches what; forgets what was worked out without the others. */
+  const areLinesKnown = (): boolean => {
+    if (!options.areMembersKnown()) return clock() - createdAtMs >= MEMBERS_PATIENCE_MS
+    if (knewMembers) return true
+    knewMembers = true
+    rings.clear()
+    linesOf = { signature: '', lines: Sources.createLines([], rings) }
+    if (library.volumes().length > 0) callRoll()
+    return true
+  }
+  const callRoll = (): void => {
+    rollCalledAtMs = clock()
+    options.callRoll()
+  }
   const openVolume = async (goal: Goal): Promise<void> => {
     if (manifestPending || clock() < originAfterMs) return
     manifestPending = true
-    rollCalledAtMs = clock()
-    options.callRoll()
+    callRoll()
     try {
       const drawn = await options.origin()?.manifest(goal.model, goal.version)
       const manifest = drawn?.isOk() === true ? drawn.value : await manifestOfAgents(goal)
@@ -282,7 +300,7 @@
     advance: async (goals, loadedVersion) => {
       const version = Switching.versionToFetch(progressOf(goals, loadedVersion).slice(-KEPT_GOAL_COUNT), options.versionMs(), clock())
       fetchGoal = goals.find(goal => goal.version === version)
-      if (fetchGoal === undefined) return
+      if (fetchGoal === undefined || !areLinesKnown()) return
       const volume = library.volumeOf(fetchGoal.model, fetchGoal.version)
       if (volume === undefined) await openVolume(fetchGoal)
       else fetchMissing(volume)
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -38,6 +38,8 @@
   readonly storeClock: StoreClock.StoreClock
   readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'random' | 'log'>
   members: () => readonly Members.Member[]
+  /** Whether the entries of the other processes have been read. */
+  areMembersKnown: () => boolean
   /** Follows the entries of the other processes. */
   followMembers: (waitMs: number) => void
   /** Hands a table on to processes that ask. */
@@ -91,6 +93,7 @@
     storeClock,
     followerOptions,
     members: () => members,
+    areMembersKnown: () => follower?.isKnown() ?? false,
     followMembers: waitMs => {
       follower = Follower.createFollower({
         ...followerOptions,
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -56,6 +56,7 @@
     }),
     library,
     members: () => [],
+    areMembersKnown: () => true,
     callRoll: () => {},
     versionMs: () => VERSION_MS,
     download: Pacer.createPacer(Infinity),
