Read the processes' entries anew where a process is heard that they lack

Cause: the read of the processes' own entries is held for 20 s and nothing replaced it when its connection fell silent.

Change: a process that is heard for two seconds without being listed shows that the own list is behind; the follower then asks another process and reads anew, once for each revision.

Ruled out: telling the revision of this table in every message is a field more for what the senders' names show already. Acting on the first message: entries are gathered for a second, so each join would cost every process a read more.

--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -52,6 +52,8 @@
 
 /** Processes often start together; their entries are read together, in milliseconds. */
 const GATHER_MS = 1_000
+/** A process that is heard without being listed has its entry read within so long, in milliseconds: entries are gathered, and their read may be slow. */
+const STRANGER_PATIENCE_MS = 2 * GATHER_MS
 
 /**
  * Joins the system's processes.
@@ -71,7 +73,23 @@
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
   const storeClock = StoreClock.createStoreClock(options.clock)
+  /** Since when processes are heard that are not listed here, in milliseconds. */
+  const strangersSinceMs = new Map<string, number>()
+  /** Reads the entries anew where a process is heard for long that they lack: the read under way may have gone silent. */
+  const noteSender = (sender: string): void => {
+    if (follower?.isKnown() !== true || members.some(member => member.name === sender)) {
+      strangersSinceMs.delete(sender)
+      return
+    }
+    const nowMs = options.clock()
+    const sinceMs = strangersSinceMs.get(sender) ?? nowMs
+    strangersSinceMs.set(sender, sinceMs)
+    if (nowMs - sinceMs < STRANGER_PATIENCE_MS) return
+    strangersSinceMs.delete(sender)
+    follower.hint(follower.mirror.rowRevision() + 1)
+  }
   const takeNews = (news: News.News): void => {
+    noteSender(news.sender)
     if (news.storeMs !== undefined) storeClock.hear(news.storeMs)
     onNews(news)
   }
