--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -123,6 +123,7 @@
     origin: () => origin?.client,
     library,
     members: otherAgents,
+    knowsMembers: node.knowsMembers,
     callRoll: () => { node.tell({ revisions: revisions(), rollCall: true, named: namedNews() }, 'agent') },
     versionMs: () => options.bounds().versionMs,
     download,
@@ -180,6 +181,7 @@
       queuedCount: report.queuedCount,
       pace: report.pace,
       loading: report.loading || filler.isRetiring(),
+      ...(filler.isRetiring() && !report.loading ? { retiring: true } : {}),
       weights: [...report.weights ?? []]
     }
     const text = JSON.stringify(load)
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -7,6 +7,7 @@
 import type * as Core from '../core/index.ts'
 import * as HttpServer from '../edge/httpServer.ts'
 import type * as Metrics from '../edge/metrics.ts'
+import * as Entry from './entry.ts'
 import * as Follower from './follower.ts'
 import * as Members from './members.ts'
 import * as News from './news.ts'
@@ -51,10 +52,10 @@
   close: () => Promise<void>
 }
 
-/** Time until an entry that could not be written is tried again, in milliseconds. */
-const ENTRY_RETRY_MS = 500
 /** Processes often start together; their entries are read together, in milliseconds. */
 const GATHER_MS = 1_000
+/** A process that is heard without being listed has its entry read within so long, in milliseconds: entries are gathered, and their read may be slow. */
+const STRANGER_PATIENCE_MS = 2 * GATHER_MS
 
 /**
  * Joins the system's processes.
@@ -72,12 +73,27 @@
   const relayed = new Map<string, Relay.Relayed>()
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
-  let closed = false
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
   const askPeer = Relay.createAsker(peers, random)
   const storeClock = StoreClock.createStoreClock(options.clock)
   const readings = Readings.createReadings()
+  /** Since when processes are heard that are not listed here, in milliseconds. */
+  const strangersSinceMs = new Map<string, number>()
+  /** Reads the entries anew where a process is heard for long that they lack: the read under way may have gone silent. */
+  const noteSender = (sender: string): void => {
+    if (follower?.isKnown() !== true || members.some(member => member.name === sender)) {
+      strangersSinceMs.delete(sender)
+      return
+    }
+    const nowMs = options.clock()
+    const sinceMs = strangersSinceMs.get(sender) ?? nowMs
+    strangersSinceMs.set(sender, sinceMs)
+    if (nowMs - sinceMs < STRANGER_PATIENCE_MS) return
+    strangersSinceMs.delete(sender)
+    follower.hint(follower.mirror.rowRevision() + 1)
+  }
   const takeNews = (news: News.News): void => {
+    noteSender(news.sender)
     if (news.storeMs !== undefined) storeClock.hear(news.storeMs)
     if (news.reading !== undefined) readings.note(news.reading)
     onNews(news)
@@ -95,17 +111,7 @@
   })
   const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, log }
 
-  const enter = async (): Promise<void> => {
-    const entry: Members.Member = { name, kind, host, port, zone, region, incarnation }
-    const isOpen = (): boolean => !closed
-    while (isOpen()) {
-      const written = await store.write(Members.MEMBERS_TABLE, name, entry)
-      if (written.isOk()) return
-      log('store', 'Entry not written.', { name, reason: written.error })
-      await new Promise(resolve => { setTimeout(resolve, ENTRY_RETRY_MS * (0.5 + random.next())) })
-    }
-  }
-  void enter()
+  const entry = Entry.createEntry({ member: { name, kind, host, port, zone, region, incarnation }, store, random, log })
   return {
     incarnation,
     storeClock,
@@ -125,14 +131,12 @@
       })
       relayed.set(Members.MEMBERS_TABLE, follower)
     },
-    relay: (table, entry) => { relayed.set(table, entry) },
+    relay: (table, source) => { relayed.set(table, source) },
     tell: (news, toKind, choose = () => true) => { channel.send({ sender: name, storeMs: storeClock.told(), reading: readings.latest(), ...news }, members.filter(member => member.kind === toKind && choose(member))) },
     close: async () => {
-      closed = true
       follower?.stop()
       relay.close()
-      const removed = await store.remove(Members.MEMBERS_TABLE, name)
-      if (removed.isErr()) log('store', 'Entry not removed.', { name, reason: removed.error })
+      await entry.remove()
       channel.close()
       await server.close(0)
     }
@@ -151,13 +155,13 @@
       count(table, 'held')
       return await store.readSince(table, revision, waitMs, onArriving)
     },
-    write: async (table, key, value) => {
+    write: async (table, key, value, revision) => {
       count(table, 'write')
-      return await store.write(table, key, value)
+      return await store.write(table, key, value, revision)
     },
-    remove: async (table, key) => {
+    remove: async (table, key, revision) => {
       count(table, 'remove')
-      return await store.remove(table, key)
+      return await store.remove(table, key, revision)
     }
   }
 }
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -73,7 +73,7 @@
   metrics: () => Promise<string>
   /** The gateway that was started first. */
   readonly first: StartedGateway
-  /** Starts another gateway, in another place or with another way to the store where that is given. */
+  /** Starts another gateway, in another place or with another way to the store where that is given; it may ask those that run already. */
   addGateway: (name: string, changes?: Partial<GatewayPlace>) => Promise<StartedGateway>
   /** Lets time pass for all gateways, in milliseconds. */
   pass: (ms: number) => void
@@ -93,6 +93,8 @@
   readonly readyPort: number
   readonly peerPort: number
   readonly lines: DirectStage['lines']
+  /** Has the store refuse this gateway alone, from its next connection on, or take it again. */
+  refuse: (isRefused: boolean) => void
   call: (options?: CallOptions) => Promise<CallAnswer>
   stop: () => Promise<void>
 }
@@ -158,6 +160,9 @@
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
   const addGateway: DirectStage['addGateway'] = async (name, changes = {}) => {
     const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+    const nowhere = await freePort()
+    const seeds = gateways.map(other => ({ host: '127.0.0.1', port: other.peerPort }))
+    let refused = false
     const lines: DirectStage['lines'] = []
     const gateway = await Ingress.Gateway.open({
       name,
@@ -165,8 +170,8 @@
       port: peerPort,
       zone: 'a',
       region: 'ra',
-      seeds: () => [],
-      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port })),
+      seeds: () => seeds,
+      store: Store.createRowSource(() => ({ host: '127.0.0.1', port: refused ? nowhere : store.port })),
       clock,
       random: Core.Random.createRandom(SEED),
       metrics: Metrics.createMetrics(),
@@ -188,6 +193,7 @@
       readyPort,
       peerPort,
       lines,
+      refuse: isRefused => { refused = isRefused },
       call: async (options = {}) => await call(port, { id: `call-${++callCount}`, ...options }),
       stop: async () => {
         stopping ??= gateway.stop()
