Failing test: a silent endpoint's stream is cut where nothing can go on with it

Each case is a stream that the gateway cut itself: 'Attempt ended.' with end 'broken', reason 'nothing heard for 1002 to 1023 ms' and next 'fail' (5) or 'budgetUsedUp' (8), then 'Call failed.' with an answer under way, at 35.01 to 35.08 s. The endpoints were sound: a deployment of 1,574 routes filled the links between regions, and events waited behind it for a second.

Ruled out: ends of processes (exits 0, no start between 0 s and 36 s), resets by endpoints, deadlines.

The stand-in of a runner can now stop sending in the middle of a stream. The test fails: [200, [1, 2], false] where the whole stream is due. Its companion, that a stream goes on at another endpoint where there is one, passes.

--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -10,6 +10,8 @@
 export interface RunnerFaults {
   /** Breaks a stream off after so many events; undefined for never. */
   breakAfterCount: number | undefined
+  /** Sends nothing more of a stream after so many events, until it is set back; undefined for never. */
+  stallAfterCount: number | undefined
   /** Refuses every call as not run. */
   full: boolean
   /** Answers plain calls with a failure of its own. */
@@ -59,7 +61,7 @@
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
   const { instanceId, eventCount = 5, eventMs = 5, model = 'm' } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false }
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
@@ -73,6 +75,7 @@
     let id = first
     let sentCount = 0
     const timer = setInterval(() => {
+      if (faults.stallAfterCount !== undefined && sentCount >= faults.stallAfterCount) return
       if (faults.breakAfterCount !== undefined && sentCount >= faults.breakAfterCount) {
         clearInterval(timer)
         response.write(`id: ${id}\nda`)
