Failing test: a page of the store that arrives slowly is never taken

The time limit of a read is one for the whole exchange, so that an answer that arrives steadily is thrown away and asked for again from its start.

The stand-in of the store can now send its answers slowly. The test fails for a whole read and for one of changes.

--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -6,6 +6,9 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 
+/** Pieces of an answer that is sent slowly. */
+const PIECE_COUNT = 6
+
 interface StoredRow {
   readonly table: string
   readonly part: string
@@ -21,6 +24,8 @@
   down: boolean
   /** Takes requests and answers none. */
   silent: boolean
+  /** Sends its answers in pieces with so many milliseconds between them; 0 for at once. */
+  pieceMs: number
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
 }
@@ -45,7 +50,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0 }
+  const faults: StoreFaults = { down: false, silent: false, pieceMs: 0, historyFrom: 0 }
   const waiting = new Set<() => void>()
   const sockets = new Set<Net.Socket>()
   let revision = 1
@@ -83,7 +88,9 @@
     const url = new URL(request.url ?? '/', 'http://store')
     const answer = (status: number, body: object): void => {
       response.writeHead(status, { 'content-type': 'application/json' })
-      response.end(JSON.stringify(body))
+      const text = JSON.stringify(body)
+      if (faults.pieceMs === 0) response.end(text)
+      else sendSlowly(response, text, faults.pieceMs)
     }
     const parts: Buffer[] = []
     request.on('data', (part: Buffer) => { parts.push(part) })
@@ -117,3 +124,16 @@
     }
   }
 }
+
+function sendSlowly (response: Http.ServerResponse, text: string, pieceMs: number): void {
+  const pieceLength = Math.ceil(text.length / PIECE_COUNT)
+  let at = 0
+  const timer = setInterval(() => {
+    response.write(text.slice(at, at + pieceLength))
+    at += pieceLength
+    if (at < text.length) return
+    clearInterval(timer)
+    response.end()
+  }, pieceMs)
+  response.once('close', () => { clearInterval(timer) })
+}
--- /dev/null
+++ b/test/direct-slow-store.test.ts
@@ -0,0 +1,20 @@
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Store from '../platform/store.ts'
+import * as PlatformStore from '../standins/platformStore.ts'
+
+describe('a read of the store over a full link', () => {
+  let store: PlatformStore.PlatformStore
+  before(async () => {
+    store = await PlatformStore.startPlatformStore()
+    store.put('op', 'config', { routes: ['r'] })
+  })
+  after(async () => { await store.close() })
+
+  it('is taken whole however long it takes, as long as it goes on', async () => {
+    store.faults.pieceMs = 400
+    const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port }))
+    const [whole, changes] = await Promise.all([source.readAll('op'), source.readSince('op', 0, 100)])
+    expect([whole, changes].map(page => page.map(({ rows }) => rows.map(row => row.key)).unwrapOr([]))).toEqual([['config'], ['config']])
+  })
+})
