Failing tests: a silent stream is given up before another endpoint goes on, and a late page again and again

So a silent attempt has to be kept until another endpoint has gone on.

All 47 first reads timed out before their first byte: some three seconds of bytes stood before each link, and each try that was given up added its own.

--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -24,6 +24,8 @@
   down: boolean
   /** Takes requests and answers none. */
   silent: boolean
+  /** Begins its answers so many milliseconds late. */
+  lateMs: number
   /** Sends its answers in pieces with so many milliseconds between them; 0 for at once. */
   pieceMs: number
   /** Answers 410 to feeds that begin below this revision. */
@@ -50,7 +52,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, pieceMs: 0, historyFrom: 0 }
+  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, historyFrom: 0 }
   const waiting = new Set<() => void>()
   const sockets = new Set<Net.Socket>()
   let revision = 1
@@ -87,6 +89,10 @@
   const server = Http.createServer((request, response) => {
     const url = new URL(request.url ?? '/', 'http://store')
     const answer = (status: number, body: object): void => {
+      if (faults.lateMs === 0) send(status, body)
+      else setTimeout(() => { send(status, body) }, faults.lateMs)
+    }
+    const send = (status: number, body: object): void => {
       response.writeHead(status, { 'content-type': 'application/json' })
       const text = JSON.stringify(body)
       if (faults.pieceMs === 0) response.end(text)
--- a/test/direct-silence.test.ts
+++ b/test/direct-silence.test.ts
@@ -1,7 +1,8 @@
-import { after, before, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Direct from '../testkit/direct.ts'
 import * as TestKit from '../testkit/index.ts'
+import type * as Runner from '../standins/runner.ts'
 
 const LIMIT_MS = 5_000
 /** Longer than an endpoint may send nothing in the middle of a stream, in milliseconds. */
@@ -11,49 +12,65 @@
 const EVENTS = [1, 2, 3, 4, 5]
 const eventsOf = (text: string): number[] => [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
 
-/** Starts a stream that its endpoint stops sending after two events, and lets the silence last. */
-const callIntoSilence = async (stage: Direct.DirectStage, id: string): Promise<{ readonly answer: Promise<Direct.CallAnswer> }> => {
-  for (const runner of stage.runners) runner.faults.stallAfterCount = 2
-  const answer = stage.call({ id, deadlineMs: 8_000, path: '/stream/1' })
-  await TestKit.Wait.until('the stream has begun', LIMIT_MS, () => stage.runners.some(runner => runner.ran.includes(id)))
-  await TestKit.Wait.sleep(100)
-  stage.pass(SILENCE_MS)
-  await TestKit.Wait.sleep(BEATS_MS)
-  return { answer }
-}
-const goOn = (stage: Direct.DirectStage): void => {
-  for (const runner of stage.runners) runner.faults.stallAfterCount = undefined
-}
-
 describe('a stream whose endpoint sends nothing for a while', () => {
   let stage: Direct.DirectStage
-  before(async () => {
-    stage = await Direct.startDirectStage([{ instanceId: 'only', service: 'llm' }])
+  const start = async (count: number): Promise<void> => {
+    stage = await Direct.startDirectStage(Array.from({ length: count }, (_, index) => ({ instanceId: `e${index}`, service: 'llm' })))
+    await TestKit.Wait.until('all endpoints are listed', LIMIT_MS, () => stage.lines.filter(line => line.sentence === 'Endpoint listed.').length === count)
     await TestKit.Wait.until('calls are served', LIMIT_MS, async () => (await stage.call()).status === 200)
-  })
-  after(async () => { await stage.stop() })
+  }
+  /** Starts a stream that its endpoint stops sending after two events, and lets the silence last. */
+  const callIntoSilence = async (ofOthers: Partial<Runner.RunnerFaults>): Promise<{ readonly answer: Promise<Direct.CallAnswer>, readonly silent: Runner.Runner }> => {
+    for (const runner of stage.runners) runner.faults.stallAfterCount = 2
+    const answer = stage.call({ id: 'silent', deadlineMs: 8_000 })
+    const find = (): Runner.Runner | undefined => stage.runners.find(runner => runner.ran.includes('silent'))
+    await TestKit.Wait.until('the stream has begun', LIMIT_MS, () => find() !== undefined)
+    const silent = find() as Runner.Runner
+    for (const runner of stage.runners) if (runner !== silent) Object.assign(runner.faults, { stallAfterCount: undefined, ...ofOthers })
+    await TestKit.Wait.sleep(BEATS_MS)
+    stage.pass(SILENCE_MS)
+    await TestKit.Wait.sleep(BEATS_MS)
+    return { answer, silent }
+  }
 
-  it('is not cut where no other endpoint could go on with it', async () => {
-    const { answer } = await callIntoSilence(stage, 'held')
-    goOn(stage)
-    const { status, text, whole } = await answer
-    expect([status, eventsOf(text), whole]).toEqual([200, EVENTS, true])
-  })
-})
+  afterEach(async () => { await stage.stop() })
 
-describe('a stream whose endpoint sends nothing for a while beside another endpoint', () => {
-  let stage: Direct.DirectStage
-  before(async () => {
-    stage = await Direct.startDirectStage([{ instanceId: 'first', service: 'llm' }, { instanceId: 'second', service: 'llm' }])
-    await TestKit.Wait.until('calls are served', LIMIT_MS, async () => (await stage.call()).status === 200)
+  describe('without another endpoint', () => {
+    beforeEach(async () => { await start(1) })
+
+    it('is not cut', async () => {
+      const { answer, silent } = await callIntoSilence({})
+      silent.faults.stallAfterCount = undefined
+      const { status, text, whole } = await answer
+      expect([status, eventsOf(text), whole]).toEqual([200, EVENTS, true])
+    })
   })
-  after(async () => { await stage.stop() })
-
-  it('goes on at the other one', async () => {
-    const { answer } = await callIntoSilence(stage, 'moved')
-    await TestKit.Wait.until('the other endpoint runs it', LIMIT_MS, () => stage.runners.every(runner => runner.ran.includes('moved')))
-    goOn(stage)
-    const { text, whole } = await answer
-    expect([eventsOf(text), whole, stage.runners.every(runner => text.includes(runner.instanceId))]).toEqual([EVENTS, true, true])
+
+  describe('with another endpoint', () => {
+    beforeEach(async () => { await start(2) })
+    const arrivedCount = (): number => stage.runners.reduce((sum, runner) => sum + runner.arrived.filter(headers => headers['x-fescuespread-attempt-id'] === 'silent').length, 0)
+
+    it('goes on there', async () => {
+      const { answer, silent } = await callIntoSilence({})
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole, stage.runners.every(runner => text.includes(runner.instanceId))]).toEqual([EVENTS, true, true])
+      await TestKit.Wait.until('the silent endpoint sees the end', LIMIT_MS, () => silent.abandoned.includes('silent'))
+    })
+
+    it('is not cut where that one does not take it', async () => {
+      const { answer, silent } = await callIntoSilence({ full: true })
+      expect(arrivedCount()).toEqual(2)
+      silent.faults.stallAfterCount = undefined
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole]).toEqual([EVENTS, true])
+    })
+
+    it('goes on where it was when it is heard from before that one', async () => {
+      const { answer, silent } = await callIntoSilence({ dark: true })
+      expect(arrivedCount()).toEqual(2)
+      silent.faults.stallAfterCount = undefined
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole]).toEqual([EVENTS, true])
+    })
   })
 })
--- a/test/direct-slow-store.test.ts
+++ b/test/direct-slow-store.test.ts
@@ -1,15 +1,15 @@
-import { after, before, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Store from '../platform/store.ts'
 import * as PlatformStore from '../standins/platformStore.ts'
 
 describe('a read of the store over a full link', () => {
   let store: PlatformStore.PlatformStore
-  before(async () => {
+  beforeEach(async () => {
     store = await PlatformStore.startPlatformStore()
     store.put('op', 'config', { routes: ['r'] })
   })
-  after(async () => { await store.close() })
+  afterEach(async () => { await store.close() })
 
   it('is taken whole however long it takes, as long as it goes on', async () => {
     store.faults.pieceMs = 400
@@ -17,4 +17,11 @@
     const [whole, changes] = await Promise.all([source.readAll('op'), source.readSince('op', 0, 100)])
     expect([whole, changes].map(page => page.map(({ rows }) => rows.map(row => row.key)).unwrapOr([]))).toEqual([['config'], ['config']])
   })
+
+  it('is given more time to begin after one that was given up', async () => {
+    store.faults.lateMs = 2_000
+    const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port }))
+    const pages = [await source.readAll('op'), await source.readAll('op')]
+    expect(pages.map(page => page.match(() => 'taken', failure => failure.kind))).toEqual(['silent', 'taken'])
+  })
 })
