Keep a silent stream until another endpoint goes on with it

The endpoints were sound; a large deployment filled the links between regions, and events waited behind it.

Cause: a silent attempt was given up first, and only then was it asked whether the stream may go on elsewhere (tries, budget, endpoints) and whether the other endpoint takes it. Where not, the answer was cut.

Now a gateway first works out whether the stream could go on. If not, it goes on waiting for the endpoint and looks again at each beat. If so, the silent attempt is held while the other endpoint is asked, and ended at the first event from there; it is taken back when it is heard from before, or when no other endpoint takes the stream. Calls whose answer has not begun are given up as before: their callers get a 502 and can come back. A line 'Attempt kept.' tells of it.

--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -21,6 +21,8 @@
   unreadTokens: number
   /** When bytes of the answer came last, in milliseconds. */
   heardAtMs: number
+  /** Whether the attempt was kept in spite of its endpoint's silence. */
+  isKept: boolean
   head: { readonly status: number, readonly facts: Dialect.AnswerFacts, readonly rawHeaders: string[], readonly isStream: boolean, readonly isFramed: boolean } | undefined
   readonly parts: Buffer[]
   partBytes: number
@@ -54,6 +56,8 @@
   late: boolean
   waitingSinceMs: number
   attempt: Attempt | undefined
+  /** An attempt that fell silent in the middle of a stream, until another endpoint goes on with it. */
+  held: Attempt | undefined
   sentCount: number
   ranCount: number
   failure: FailureAnswer | undefined
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -141,6 +141,7 @@
       late: ageAtArrivalMs > route.goalMs,
       waitingSinceMs: nowMs,
       attempt: undefined,
+      held: undefined,
       sentCount: 0,
       ranCount: 0,
       failure: undefined,
@@ -237,6 +238,7 @@
         const end: Routing.Retries.AttemptEnd = stage === 'connecting' ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
         blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
+        if (call.held === attempt) call.held = undefined
         endAttempt(call, attempt, end, `${stage}: ${reason}`)
       }
     })
@@ -248,6 +250,7 @@
       hasBegun: false,
       unreadTokens: call.placing.promptTokens,
       heardAtMs: nowMs,
+      isKept: false,
       head: undefined,
       parts: [],
       partBytes: 0,
@@ -317,6 +320,7 @@
   }
 
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
+    if (call.held === attempt) takeBack(call, attempt)
     attempt.heardAtMs = clock()
     attempt.row.heardAtMs = attempt.heardAtMs
     if (attempt.splitter === undefined) {
@@ -326,6 +330,8 @@
     }
     const whole = attempt.splitter.push(bytes)
     if (whole === undefined) return
+    call.held?.exchange.abort()
+    call.held = undefined
     attempt.hasBegun = true
     if (attempt.unreadTokens > 0) markRead(attempt)
     beginStream(call, attempt)
@@ -350,6 +356,7 @@
 
   const onEnd = (call: Calls.Call, attempt: Calls.Attempt): void => {
     const { head } = attempt
+    if (call.held === attempt) takeBack(call, attempt)
     if (head === undefined || call.attempt !== attempt) return
     if (head.isStream) { endStream(call, attempt); return }
     const body = Buffer.concat(attempt.parts)
@@ -376,20 +383,32 @@
     call.response.end()
   }
 
+  const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
+    kind: call.route.kind,
+    resumable: call.route.resumable,
+    ranCount: call.ranCount,
+    sentCount: call.sentCount,
+    runLimitCount: call.route.runLimitCount,
+    leftMs: call.deadlineAtMs - nowMs
+  })
+
+  /** Whether a stream that its endpoint broke off now would go on at another one. */
+  const wouldGoOn = (call: Calls.Call, nowMs: number): boolean => {
+    const history = historyOf(call, nowMs)
+    const known = options.surroundings()
+    return Routing.Retries.next('broken', { ...history, ranCount: history.ranCount + 1 }) === 'retry' &&
+      options.budget.allows(call.service, known.gatewayCount, nowMs) &&
+      waiting.aheadCount({ ...call, resuming: true }) === 0 &&
+      Routing.Choice.candidates(call.placing, known, nowMs).some(candidate => candidate.firstMs < history.leftMs)
+  }
+
   /** Ends an attempt without a whole answer and decides what follows. */
   const endAttempt = (call: Calls.Call, attempt: Calls.Attempt, end: Routing.Retries.AttemptEnd, reason: string): void => {
     if (call.done || call.attempt !== attempt) return
     const nowMs = clock()
     release(call)
     if (end !== 'notRun') call.ranCount++
-    const history: Routing.Retries.CallHistory = {
-      kind: call.route.kind,
-      resumable: call.route.resumable,
-      ranCount: call.ranCount,
-      sentCount: call.sentCount,
-      runLimitCount: call.route.runLimitCount,
-      leftMs: call.deadlineAtMs - nowMs
-    }
+    const history = historyOf(call, nowMs)
     const step = Routing.Retries.next(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, options.surroundings().gatewayCount, nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
@@ -408,7 +427,24 @@
     conclude(call, call.failure !== undefined ? 'answerFailure' : 'fail', reason)
   }
 
+  /** Goes on with an attempt that was silent, when it is heard again or no other endpoint goes on. */
+  const takeBack = (call: Calls.Call, held: Calls.Attempt): void => {
+    log('routing', 'Attempt kept.', { callId: call.callId, endpointId: held.row.listing.endpointId, quietMs: Math.round(clock() - held.heardAtMs) })
+    call.attempt?.exchange.abort()
+    release(call)
+    waiting.remove(call)
+    call.held = undefined
+    call.attempt = held
+    call.resuming = false
+    call.ranCount--
+    held.row.ownCount++
+  }
+
   const conclude = (call: Calls.Call, step: Exclude<Routing.Retries.NextStep, 'retry'>, reason: Routing.Admission.RefusalReason): void => {
+    if (call.held !== undefined) {
+      takeBack(call, call.held)
+      return
+    }
     const handlers: Record<typeof step, () => void> = {
       refuse: () => { refuse(call, reason, {}) },
       answerFailure: () => { answerFailure(call) },
@@ -455,6 +491,8 @@
 
   const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
     call.done = true
+    call.held?.exchange.abort()
+    call.held = undefined
     clearTimeout(call.timer)
     waiting.remove(call)
     calls.delete(call)
@@ -472,7 +510,14 @@
     const quietMs = nowMs - attempt.heardAtMs
     const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs) return
-    attempt.exchange.abort()
+    // Events may only be held up on the way: an attempt that has begun is not given up before another endpoint goes on.
+    if (call.answering && !wouldGoOn(call, nowMs)) {
+      if (!attempt.isKept) log('routing', 'Attempt kept.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, quietMs: Math.round(quietMs) })
+      attempt.isKept = true
+      return
+    }
+    if (attempt.hasBegun) call.held = attempt
+    else attempt.exchange.abort()
     if (Routing.Silence.isSilent(endpointQuietMs)) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
--- a/src/routing/budgets.ts
+++ b/src/routing/budgets.ts
@@ -29,6 +29,8 @@
    * @returns Whether the repeat may be sent.
    */
   take: (service: string, gatewayCount: number, nowMs: number) => boolean
+  /** Tells whether a repeat could be taken, and takes none. */
+  allows: (service: string, gatewayCount: number, nowMs: number) => boolean
 }
 
 interface Window { calls: number[], repeats: number[] }
@@ -55,14 +57,18 @@
     }
     return window
   }
+  const allows = (service: string, gatewayCount: number, nowMs: number): boolean => {
+    const window = windowOf(service, nowMs)
+    const { ratio, slackCount } = bound()
+    const limitCount = USED_SHARE * (ratio * window.calls.length + slackCount / Math.max(1, gatewayCount))
+    return window.repeats.length + 1 <= limitCount
+  }
   return {
     noteCall: (service, nowMs) => { windowOf(service, nowMs).calls.push(nowMs) },
+    allows,
     take: (service, gatewayCount, nowMs) => {
-      const window = windowOf(service, nowMs)
-      const { ratio, slackCount } = bound()
-      const limitCount = USED_SHARE * (ratio * window.calls.length + slackCount / Math.max(1, gatewayCount))
-      if (window.repeats.length + 1 > limitCount) return false
-      window.repeats.push(nowMs)
+      if (!allows(service, gatewayCount, nowMs)) return false
+      windowOf(service, nowMs).repeats.push(nowMs)
       return true
     }
   }
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -319,6 +319,11 @@
     expect(repeatCount > 100).toEqual(true)
   })
 
+  it('tell whether a repeat could be taken without taking it', () => {
+    const budget = Routing.Budgets.createBudget(() => ({ ratio: 0, slackCount: 1.25, windowMs: 10_000 }))
+    expect([budget.allows('s', 1, 0), budget.allows('s', 1, 0), budget.take('s', 1, 0), budget.allows('s', 1, 1)]).toEqual([true, true, true, false])
+  })
+
   it('follow a bound that changes while calls fail', () => {
     let slackCount = 100
     const budget = Routing.Budgets.createBudget(() => ({ ratio: 0, slackCount, windowMs: 10_000 }))
