--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -23,6 +23,8 @@
   readonly body?: Uint8Array | string
   /** Time for the whole exchange in milliseconds. */
   readonly timeoutMs: number
+  /** Time without a further byte of the answer in milliseconds; where given, an answer that has begun may take any time. */
+  readonly stallMs?: number
   /** Whether to open a connection of its own, past the pool. */
   readonly fresh?: boolean
   /** The largest answer taken, in bytes. */
@@ -97,16 +99,24 @@
       outgoing.destroy()
       reject(new TransportError(`${request.method} ${request.path}: ${message}`, connected(), timedOut))
     }
-    const timer = setTimeout(() => {
+    const timeOut = (): void => {
       dropIdle(request.target)
       fail('timed out', true)
-    }, request.timeoutMs)
+    }
+    let timer = setTimeout(timeOut, request.timeoutMs)
+    const extend = (): void => {
+      if (request.stallMs === undefined) return
+      clearTimeout(timer)
+      timer = setTimeout(timeOut, request.stallMs)
+    }
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
       const parts: Buffer[] = []
       let sizeBytes = 0
+      extend()
       incoming.on('data', (part: Buffer) => {
+        extend()
         sizeBytes += part.length
         if (sizeBytes > maxAnswerBytes) { fail('answer too large'); return }
         parts.push(part)
