Count the run at an endpoint that was asked to go on with a stream in vain

When a silent stream is heard from again, the attempt at the endpoint that was asked meanwhile is ended; it may have run there. It was not counted, so a call could be sent to one endpoint more than its route allows. Seen by reading.

The test fails without the change (3 endpoints asked where 2 are allowed) and passes with it. The stand-ins' deployment has a further route with a long timeout for it.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -430,13 +430,14 @@
   /** Goes on with an attempt that was silent, when it is heard again or no other endpoint goes on. */
   const takeBack = (call: Calls.Call, held: Calls.Attempt): void => {
     log('routing', 'Attempt kept.', { callId: call.callId, endpointId: held.row.listing.endpointId, quietMs: Math.round(clock() - held.heardAtMs) })
+    // The call may have run at the other endpoint as well.
+    if (call.attempt === undefined) call.ranCount--
     call.attempt?.exchange.abort()
     release(call)
     waiting.remove(call)
     call.held = undefined
     call.attempt = held
     call.resuming = false
-    call.ranCount--
     held.row.ownCount++
   }
 
--- a/test/direct-silence.test.ts
+++ b/test/direct-silence.test.ts
@@ -22,7 +22,7 @@
   /** Starts a stream that its endpoint stops sending after two events, and lets the silence last. */
   const callIntoSilence = async (ofOthers: Partial<Runner.RunnerFaults>): Promise<{ readonly answer: Promise<Direct.CallAnswer>, readonly silent: Runner.Runner }> => {
     for (const runner of stage.runners) runner.faults.stallAfterCount = 2
-    const answer = stage.call({ id: 'silent', deadlineMs: 8_000 })
+    const answer = stage.call({ path: '/stream/long/1', id: 'silent', deadlineMs: 8_000 })
     const find = (): Runner.Runner | undefined => stage.runners.find(runner => runner.ran.includes('silent'))
     await TestKit.Wait.until('the stream has begun', LIMIT_MS, () => find() !== undefined)
     const silent = find() as Runner.Runner
@@ -46,9 +46,10 @@
     })
   })
 
+  const arrivedCount = (): number => stage.runners.reduce((sum, runner) => sum + runner.arrived.filter(headers => headers['x-fescuespread-attempt-id'] === 'silent').length, 0)
+
   describe('with another endpoint', () => {
     beforeEach(async () => { await start(2) })
-    const arrivedCount = (): number => stage.runners.reduce((sum, runner) => sum + runner.arrived.filter(headers => headers['x-fescuespread-attempt-id'] === 'silent').length, 0)
 
     it('goes on there', async () => {
       const { answer, silent } = await callIntoSilence({})
@@ -73,4 +74,14 @@
       expect([eventsOf(text), whole]).toEqual([EVENTS, true])
     })
   })
+
+  describe('with two other endpoints', () => {
+    beforeEach(async () => { await start(3) })
+
+    it('counts the run at the one that was asked meanwhile', async () => {
+      const { answer, silent } = await callIntoSilence({ dark: true })
+      Object.assign(silent.faults, { breakAfterCount: 3, stallAfterCount: undefined })
+      expect([(await answer).whole, arrivedCount()]).toEqual([false, 2])
+    })
+  })
 })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -117,6 +117,7 @@
   version: 1,
   routes: [
     { ...ROUTE, name: 'stream', prefix: '/stream/', route_type: 'streaming', backend: 'llm', resumable: true, gap_target_ms: 400 },
+    { ...ROUTE, name: 'long', prefix: '/stream/long/', route_type: 'streaming', backend: 'llm', resumable: true, gap_target_ms: 400, timeout_ms: 9000 },
     { ...ROUTE, name: 'slow', prefix: '/slow/', route_type: 'streaming', backend: 'llm', resumable: true, gap_target_ms: 4000, timeout_ms: 9000 },
     { ...ROUTE, name: 'read', prefix: '/read/', route_type: 'idempotent', backend: 'plain' },
     { ...ROUTE, name: 'book', prefix: '/book/', route_type: 'non_idempotent', backend: 'plain', max_attempts: 1 }
