--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -142,6 +142,7 @@
       late: ageAtArrivalMs > route.goalMs,
       waitingSinceMs: nowMs,
       attempt: undefined,
+      held: undefined,
       sentCount: 0,
       ranCount: 0,
       failure: undefined,
@@ -239,6 +240,7 @@
         const end: Routing.Retries.AttemptEnd = stage === 'connecting' ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
         blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
+        if (call.held === attempt) call.held = undefined
         endAttempt(call, attempt, end, `${stage}: ${reason}`)
       }
     })
@@ -250,6 +252,7 @@
       hasBegun: false,
       unreadTokens: call.placing.promptTokens,
       heardAtMs: nowMs,
+      isKept: false,
       head: undefined,
       parts: [],
       partBytes: 0,
@@ -325,6 +328,7 @@
   }
 
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
+    if (call.held === attempt) takeBack(call, attempt)
     attempt.heardAtMs = clock()
     attempt.row.heardAtMs = attempt.heardAtMs
     if (attempt.splitter === undefined) {
@@ -334,6 +338,8 @@
     }
     const whole = attempt.splitter.push(bytes)
     if (whole === undefined) return
+    call.held?.exchange.abort()
+    call.held = undefined
     attempt.hasBegun = true
     if (attempt.unreadTokens > 0) markRead(attempt)
     beginStream(call, attempt)
@@ -358,6 +364,7 @@
 
   const onEnd = (call: Calls.Call, attempt: Calls.Attempt): void => {
     const { head } = attempt
+    if (call.held === attempt) takeBack(call, attempt)
     if (head === undefined || call.attempt !== attempt) return
     if (head.isStream) { endStream(call, attempt); return }
     const body = Buffer.concat(attempt.parts)
@@ -384,20 +391,32 @@
     call.response.end()
   }
 
+  const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
+    kind: call.route.kind,
+    resumable: call.route.resumable,
+    ranCount: call.ranCount,
+    sentCount: call.sentCount,
+    runLimitCount: call.route.runLimitCount,
+    leftMs: call.deadlineAtMs - nowMs
+  })
+
+  /** Whether a stream that its endpoint broke off now would go on at another one. */
+  const wouldGoOn = (call: Calls.Call, nowMs: number): boolean => {
+    const history = historyOf(call, nowMs)
+    const known = options.surroundings()
+    return Routing.Retries.next('broken', { ...history, ranCount: history.ranCount + 1 }) === 'retry' &&
+      options.budget.allows(call.service, known.gatewayCount, nowMs) &&
+      waiting.aheadCount({ ...call, resuming: true }) === 0 &&
+      Routing.Choice.candidates(call.placing, known, nowMs).some(candidate => candidate.firstMs < history.leftMs)
+  }
+
   /** Ends an attempt without a whole answer and decides what follows. */
   const endAttempt = (call: Calls.Call, attempt: Calls.Attempt, end: Routing.Retries.AttemptEnd, reason: string): void => {
     if (call.done || call.attempt !== attempt) return
     const nowMs = clock()
     release(call)
     if (end !== 'notRun') call.ranCount++
-    const history: Routing.Retries.CallHistory = {
-      kind: call.route.kind,
-      resumable: call.route.resumable,
-      ranCount: call.ranCount,
-      sentCount: call.sentCount,
-      runLimitCount: call.route.runLimitCount,
-      leftMs: call.deadlineAtMs - nowMs
-    }
+    const history = historyOf(call, nowMs)
     const step = Routing.Retries.next(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, options.surroundings().gatewayCount, nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
@@ -416,7 +435,25 @@
     conclude(call, call.failure !== undefined ? 'answerFailure' : 'fail', reason)
   }
 
+  /** Goes on with an attempt that was silent, when it is heard again or no other endpoint goes on. */
+  const takeBack = (call: Calls.Call, held: Calls.Attempt): void => {
+    log('routing', 'Attempt kept.', { callId: call.callId, endpointId: held.row.listing.endpointId, quietMs: Math.round(clock() - held.heardAtMs) })
+    // The call may have run at the other endpoint as well.
+    if (call.attempt === undefined) call.ranCount--
+    call.attempt?.exchange.abort()
+    release(call)
+    waiting.remove(call)
+    call.held = undefined
+    call.attempt = held
+    call.resuming = false
+    held.row.ownCount++
+  }
+
   const conclude = (call: Calls.Call, step: Exclude<Routing.Retries.NextStep, 'retry'>, reason: Routing.Admission.RefusalReason): void => {
+    if (call.held !== undefined) {
+      takeBack(call, call.held)
+      return
+    }
     const handlers: Record<typeof step, () => void> = {
       refuse: () => { refuse(call, reason, {}) },
       answerFailure: () => { answerFailure(call) },
@@ -463,6 +500,8 @@
 
   const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
     call.done = true
+    call.held?.exchange.abort()
+    call.held = undefined
     clearTimeout(call.timer)
     waiting.remove(call)
     calls.delete(call)
@@ -489,7 +528,14 @@
     const quietMs = nowMs - attempt.heardAtMs
     const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs) return
-    attempt.exchange.abort()
+    // Events may only be held up on the way: an attempt that has begun is not given up before another endpoint goes on.
+    if (call.answering && !wouldGoOn(call, nowMs)) {
+      if (!attempt.isKept) log('routing', 'Attempt kept.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, quietMs: Math.round(quietMs) })
+      attempt.isKept = true
+      return
+    }
+    if (attempt.hasBegun) call.held = attempt
+    else attempt.exchange.abort()
     if (Routing.Silence.isSilent(endpointQuietMs)) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -6,6 +6,9 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 
+/** Pieces of an answer that is sent slowly. */
+const PIECE_COUNT = 6
+
 interface StoredRow {
   readonly table: string
   readonly part: string
@@ -21,6 +24,10 @@
   down: boolean
   /** Takes requests and answers none. */
   silent: boolean
+  /** Begins its answers so many milliseconds late. */
+  lateMs: number
+  /** Sends its answers in pieces with so many milliseconds between them; 0 for at once. */
+  pieceMs: number
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
   /** Until then requests are still on their way. */
@@ -59,7 +66,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, historyFrom: 0, arrival: undefined, holdsTransactions: false }
+  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, historyFrom: 0, arrival: undefined, holdsTransactions: false }
   const held: string[] = []
   const waiting = new Set<() => void>()
   const reads: Array<{ readonly table: string, readonly keys: readonly string[] }> = []
@@ -108,8 +115,14 @@
   const server = Http.createServer((request, response) => {
     const url = new URL(request.url ?? '/', 'http://store')
     const answer = (status: number, body: object): void => {
+      if (faults.lateMs === 0) send(status, body)
+      else setTimeout(() => { send(status, body) }, faults.lateMs)
+    }
+    const send = (status: number, body: object): void => {
       response.writeHead(status, { 'content-type': 'application/json' })
-      response.end(JSON.stringify(body))
+      const text = JSON.stringify(body)
+      if (faults.pieceMs === 0) response.end(text)
+      else sendSlowly(response, text, faults.pieceMs)
     }
     const parts: Buffer[] = []
     request.on('data', (part: Buffer) => { parts.push(part) })
@@ -164,3 +177,16 @@
     }
   }
 }
+
+function sendSlowly (response: Http.ServerResponse, text: string, pieceMs: number): void {
+  const pieceLength = Math.ceil(text.length / PIECE_COUNT)
+  let at = 0
+  const timer = setInterval(() => {
+    response.write(text.slice(at, at + pieceLength))
+    at += pieceLength
+    if (at < text.length) return
+    clearInterval(timer)
+    response.end()
+  }, pieceMs)
+  response.once('close', () => { clearInterval(timer) })
+}
--- /dev/null
+++ b/test/direct-silence.test.ts
@@ -0,0 +1,92 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+import type * as Runner from '../standins/runner.ts'
+
+const LIMIT_MS = 5_000
+/** Longer than an endpoint may send nothing in the middle of a stream, in milliseconds. */
+const SILENCE_MS = 1_500
+/** Several checks for silent endpoints, in milliseconds. */
+const BEATS_MS = 300
+const STEP_MS = 100
+const BEAT_MS = 25
+const EVENTS = [1, 2, 3, 4, 5]
+const eventsOf = (text: string): number[] => [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
+
+describe('a stream whose endpoint sends nothing for a while', () => {
+  let stage: Direct.DirectStage
+  const start = async (count: number): Promise<void> => {
+    stage = await Direct.startDirectStage(Array.from({ length: count }, (_, index) => ({ instanceId: `e${index}`, service: 'llm' })))
+    await TestKit.Wait.until('all endpoints are listed', LIMIT_MS, () => stage.lines.filter(line => line.sentence === 'Endpoint listed.').length === count)
+    await TestKit.Wait.until('calls are served', LIMIT_MS, async () => (await stage.call()).status === 200)
+  }
+  /** Starts a stream that its endpoint stops sending after two events, and lets the silence last. */
+  const callIntoSilence = async (ofOthers: Partial<Runner.RunnerFaults>): Promise<{ readonly answer: Promise<Direct.CallAnswer>, readonly silent: Runner.Runner }> => {
+    for (const runner of stage.runners) runner.faults.stallAfterCount = 2
+    const answer = stage.call({ path: '/stream/long/1', id: 'silent', deadlineMs: 8_000 })
+    const find = (): Runner.Runner | undefined => stage.runners.find(runner => runner.ran.includes('silent'))
+    await TestKit.Wait.until('the stream has begun', LIMIT_MS, () => find() !== undefined)
+    const silent = find() as Runner.Runner
+    for (const runner of stage.runners) if (runner !== silent) Object.assign(runner.faults, { stallAfterCount: undefined, ...ofOthers })
+    // A clock that jumps further shows that the gateway itself stood still.
+    for (let passedMs = 0; passedMs < SILENCE_MS; passedMs += STEP_MS) {
+      stage.pass(STEP_MS)
+      await TestKit.Wait.sleep(BEAT_MS)
+    }
+    await TestKit.Wait.sleep(BEATS_MS)
+    return { answer, silent }
+  }
+
+  afterEach(async () => { await stage.stop() })
+
+  describe('without another endpoint', () => {
+    beforeEach(async () => { await start(1) })
+
+    it('is not cut', async () => {
+      const { answer, silent } = await callIntoSilence({})
+      silent.faults.stallAfterCount = undefined
+      const { status, text, whole } = await answer
+      expect([status, eventsOf(text), whole]).toEqual([200, EVENTS, true])
+    })
+  })
+
+  const arrivedCount = (): number => stage.runners.reduce((sum, runner) => sum + runner.arrived.filter(headers => headers['x-fescuespread-attempt-id'] === 'silent').length, 0)
+
+  describe('with another endpoint', () => {
+    beforeEach(async () => { await start(2) })
+
+    it('goes on there', async () => {
+      const { answer, silent } = await callIntoSilence({})
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole, stage.runners.every(runner => text.includes(runner.instanceId))]).toEqual([EVENTS, true, true])
+      await TestKit.Wait.until('the silent endpoint sees the end', LIMIT_MS, () => silent.abandoned.includes('silent'))
+    })
+
+    it('is not cut where that one does not take it', async () => {
+      const { answer, silent } = await callIntoSilence({ full: true })
+      expect(arrivedCount()).toEqual(2)
+      silent.faults.stallAfterCount = undefined
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole]).toEqual([EVENTS, true])
+    })
+
+    it('goes on where it was when it is heard from before that one', async () => {
+      const { answer, silent } = await callIntoSilence({ dark: true })
+      expect(arrivedCount()).toEqual(2)
+      silent.faults.stallAfterCount = undefined
+      const { text, whole } = await answer
+      expect([eventsOf(text), whole]).toEqual([EVENTS, true])
+    })
+  })
+
+  describe('with two other endpoints', () => {
+    beforeEach(async () => { await start(3) })
+
+    it('counts the run at the one that was asked meanwhile', async () => {
+      const { answer, silent } = await callIntoSilence({ dark: true })
+      Object.assign(silent.faults, { breakAfterCount: 3, stallAfterCount: undefined })
+      expect([(await answer).whole, arrivedCount()]).toEqual([false, 2])
+    })
+  })
+})
