Show that each guard of rows shared in a region is checked, and how operators' rows travel

Two of nine guards were not missed by any check when taken out: rows beyond the time of a neighbour's page, and a neighbour that says nothing at once. Both have a test now. A read that replaces one of the other kind no longer takes its answer.

--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -148,7 +148,8 @@
   }
   /** Reads the store beside a read that may have gone silent; what comes first is the answer. */
   const replace = async (before: Reading, reading: Reading): Promise<Answer> => {
-    const earlier = before.answer.then(answer => answer.isOk() ? answer : undefined)
+    const isSameKind = (before.after === undefined) === (reading.after === undefined)
+    const earlier = before.answer.then(answer => answer.isOk() && isSameKind ? answer : undefined)
     const waited = await Promise.race([earlier, outlast(before)])
     if (waited !== undefined) return waited
     before.isReplaced = true
--- a/test/direct-shared.test.ts
+++ b/test/direct-shared.test.ts
@@ -122,7 +122,11 @@
     const { mirror, read } = await serve()
     mirror.replace({ rows: [row('a', 5)], revision: 6, madeAtMs: 60 })
     mirror.take({ rows: [row('b', 8)], revision: 0 })
-    const held = read(6)
+    expect(await keysOf(read(6, 50))).toEqual([[], 6, 60])
+    expect(await keysOf(read(undefined))).toEqual([['a', 'b'], 6, undefined])
+    let arrivedCount = 0
+    const held = read(6, 5_000, false, () => { arrivedCount++ })
+    await TestKit.Wait.until('the read is held', BOUND_MS, () => arrivedCount > 0)
     mirror.take({ rows: [row('b', 8)], revision: 8, madeAtMs: 80 })
     expect(await keysOf(held)).toEqual([['b'], 8, 80])
   })
@@ -165,6 +169,19 @@
     expect(await keysOf(held)).toEqual('indirect')
   })
 
+  it('is not waited for where a process does not say that it holds the read', async () => {
+    const server = Http.createServer(() => {})
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    closes.push(async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => { server.close(resolve) })
+    })
+    let kind: string | undefined
+    void Follow.Relay.readHeld({ target: { host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port }, table: 't', after: 1, waitMs: 10_000, isPart: false, onArriving: () => {} })
+      .then(answer => { kind = answer.isErr() ? answer.error.kind : 'rows' })
+    await TestKit.Wait.until('the read is given up', BOUND_MS, () => kind === 'silent')
+  })
+
   it('ends held reads when it closes', async () => {
     const { mirror, read, close } = await serve()
     mirror.replace({ rows: [row('a', 5)], revision: 6 })
@@ -217,6 +234,8 @@
     const before = readsOf(stage, 'config')
     stage.deploy({ version: 2 })
     await inForce(2, gateways)
+    const metrics = await stage.metrics()
+    expect([metrics.includes('fescuespread_store_calls_total{table="op",kind="whole"} 1'), metrics.includes('fescuespread_pages_read_total{table="op",source="store"}')]).toEqual([true, true])
     stage.store.put('op', 'evacuate/a', {})
     const all = (sentence: string): boolean => gateways.every(gateway => gateway.lines.some(line => line.sentence === sentence))
     await TestKit.Wait.until('the zone is out of service', BOUND_MS, () => all('Zone taken out of service.'))
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -458,5 +458,68 @@
     text: 'Math.min(answered.leastMs(), heard.leastMs())',
     replacement: 'answered.leastMs() === Infinity ? heard.leastMs() : answered.leastMs()',
     checks: [test('direct-platform')]
+  },
+  {
+    name: 'shared rows: few gateways of a region read the store',
+    file: 'src/follow/shared.ts',
+    text: 'export const READER_COUNT = 2',
+    replacement: 'export const READER_COUNT = 9',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: no difference where removals may be missing',
+    file: 'src/follow/relay.ts',
+    text: "if (asked.after !== undefined && asked.after < mirror.wholeRevision()) return { answer: 'historyGone' }",
+    replacement: '',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: parts are no answer to who acts on the whole',
+    file: 'src/follow/relay.ts',
+    text: 'isPart ? entry.partOf !== undefined : entry.isPart !== true',
+    replacement: 'true',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: none beyond the time of the page',
+    file: 'src/follow/relay.ts',
+    text: 'mirror.since(after).rows.filter(row => row.revision <= mirror.revision())',
+    replacement: 'mirror.since(after).rows',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: only from a process that reads the store itself and is in touch',
+    file: 'src/follow/relay.ts',
+    text: 'return entry.shared.refusal()',
+    replacement: 'return undefined',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: a read begun anew goes to the store',
+    file: 'src/follow/shared.ts',
+    text: 'return await Promise.race([fromStore(reading), earlier.then(async answer => answer ?? await never())])',
+    replacement: 'return await fromAny(reading)',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: a neighbour that is behind is passed over',
+    file: 'src/follow/shared.ts',
+    text: "if (before.neighbour !== undefined) passOver(before.neighbour, 'behind other processes')",
+    replacement: '',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: a process that is behind in a region that is all behind asks elsewhere',
+    file: 'src/follow/shared.ts',
+    text: 'const left = [...all()]',
+    replacement: 'const left = [...near()].slice(0, 0)',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'shared rows: a neighbour that says nothing at once is passed over',
+    file: 'src/follow/relay.ts',
+    text: 'const HEAD_MS = 600',
+    replacement: 'const HEAD_MS = 60_000',
+    checks: [test('direct-shared')]
   }
 ]
