Hand a page on without a time while a row of another process lies beyond it

Found by the review, by a test: a process was told version 3 by another one before its own page of the store reached it. That row replaced version 2 under its key, so the page that it handed on lacked both, and claimed to be whole. The process that took it claimed that version 2 had not been named, and told all others. At 16.1 s version 1 was allowed where it was due at 16.0 s.

A relayed page has a time only where no row lies beyond it.

--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -102,8 +102,8 @@
     const { mirror } = entry
     if (asked.after !== undefined && asked.after < mirror.wholeRevision()) return { answer: 'historyGone' }
     const rows = asked.after === undefined ? mirror.live() : changesOf(mirror, asked.after)
-    // Rows that other processes told may be of a later time than the page.
-    const madeAtMs = rows.some(row => row.revision > mirror.revision()) ? undefined : mirror.madeAtMs()
+    // A row that other processes told may be of a later time than the page, and it hides the one before it under its key: the page is whole as of no time then.
+    const madeAtMs = mirror.rowRevision() > mirror.revision() ? undefined : mirror.madeAtMs()
     return { answer: 'rows', revision: mirror.revision(), rows: wireRows(entry, rows, asked.isPart), ...(madeAtMs === undefined ? {} : { madeAtMs }) }
   }
   const hold = (entry: Relayed, after: number, waitMs: number, response: Http.ServerResponse, finish: () => void): void => {
