Count a page as read only when it is taken

Found by the review, by a test: a read at a neighbour is replaced by one of the store, its answer comes after all, and nobody takes it. It was remembered as the latest page, and a later page without rows from another neighbour was raised to its revision. The rows of the answer were never asked for again: a zone taken out of service stayed in service for that gateway.

--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -43,12 +43,18 @@
 
 type Answer = Neverthrow.Result<Rows.Page, Rows.ReadFailure>
 
+/** An answer and the process that gave it. */
+interface Arrived {
+  readonly answer: Answer
+  readonly source: string
+}
+
 /** A read that is under way. */
 interface Reading {
   /** The revision after which rows are asked for; undefined for the whole table. */
   readonly after: number | undefined
   readonly waitMs: number
-  answer: Promise<Answer>
+  arrived: Promise<Arrived>
   /** The process that is being asked; undefined for the store. */
   neighbour: Members.Member | undefined
   /** When bytes of the answer came last, in milliseconds. */
@@ -89,7 +95,7 @@
   let isDirect = true
   let isStoreLost = false
   let sourceBefore: string | undefined
-  /** The latest page that tells its time. */
+  /** The latest page that was taken and tells its time. */
   let latest: Rows.Page & { readonly madeAtMs: number } | undefined
   let mirror: Rows.Mirror | undefined
 
@@ -118,7 +124,7 @@
     reading.arrivedAtMs = clock()
     for (const listener of [...listeners]) listener()
   }
-  const fromStore = async (reading: Reading): Promise<Answer> => {
+  const fromStore = async (reading: Reading): Promise<Arrived> => {
     reading.neighbour = undefined
     isDirect = true
     const isMakeshift = !options.knowsMembers() || ranked().length > 0
@@ -126,10 +132,9 @@
     const onArriving = (): void => { arrive(reading) }
     const answer = await (reading.after === undefined ? store.readAll(table, onArriving) : store.readSince(table, reading.after, waitMs, onArriving))
     isStoreLost = answer.isErr() && answer.error.kind !== 'historyGone'
-    if (answer.isOk()) note(answer.value, STORE)
-    return answer
+    return { answer, source: STORE }
   }
-  const fromAny = async (reading: Reading): Promise<Answer> => {
+  const fromAny = async (reading: Reading): Promise<Arrived> => {
     for (const neighbour of neighbours()) {
       reading.neighbour = neighbour
       isDirect = false
@@ -137,24 +142,22 @@
       const answer = await Relay.readHeld({ target: neighbour, table, after, waitMs: Math.min(reading.waitMs, NEIGHBOUR_WAIT_MS), isPart: options.isPart, onArriving: () => { arrive(reading) } })
       if (answer.isOk()) {
         passedOver.delete(neighbour.name)
-        note(answer.value, neighbour.name)
-        return answer.map(page => after === undefined ? page : newer(page))
+        return { answer, source: neighbour.name }
       }
-      if (answer.error.kind === 'historyGone') return Neverthrow.err(answer.error)
-      if (reading.isReplaced) return Neverthrow.err(answer.error)
+      if (answer.error.kind === 'historyGone' || reading.isReplaced) return { answer, source: neighbour.name }
       passOver(neighbour, answer.error.reason)
     }
     return await fromStore(reading)
   }
   /** Reads the store beside a read that may have gone silent; what comes first is the answer. */
-  const replace = async (before: Reading, reading: Reading): Promise<Answer> => {
+  const replace = async (before: Reading, reading: Reading): Promise<Arrived> => {
     const isSameKind = (before.after === undefined) === (reading.after === undefined)
-    const earlier = before.answer.then(answer => answer.isOk() && isSameKind ? answer : undefined)
+    const earlier = before.arrived.then(arrived => arrived.answer.isOk() && isSameKind ? arrived : undefined)
     const waited = await Promise.race([earlier, outlast(before)])
     if (waited !== undefined) return waited
     before.isReplaced = true
     if (before.neighbour !== undefined) passOver(before.neighbour, 'behind other processes')
-    return await Promise.race([fromStore(reading), earlier.then(async answer => answer ?? await never())])
+    return await Promise.race([fromStore(reading), earlier.then(async arrived => arrived ?? await never())])
   }
   const outlast = async (before: Reading): Promise<undefined> => {
     const sinceMs = clock()
@@ -162,11 +165,16 @@
   }
   const read = async (after: number | undefined, waitMs: number): Promise<Answer> => {
     const before = underWay
-    const reading: Reading = { after, waitMs, answer: never(), neighbour: undefined, arrivedAtMs: -Infinity, isReplaced: false }
-    reading.answer = before === undefined ? fromAny(reading) : replace(before, reading)
+    const reading: Reading = { after, waitMs, arrived: never(), neighbour: undefined, arrivedAtMs: -Infinity, isReplaced: false }
+    reading.arrived = before === undefined ? fromAny(reading) : replace(before, reading)
     underWay = reading
     try {
-      return await reading.answer
+      const { answer, source } = await reading.arrived
+      // Nobody takes the answer to a read that was replaced, so its page says nothing of what this process holds.
+      if (answer.isErr() || underWay !== reading) return answer
+      const page = after === undefined || source === STORE ? answer.value : newer(answer.value)
+      note(answer.value, source)
+      return Neverthrow.ok(page)
     } finally {
       if (underWay === reading) underWay = undefined
     }
