Do not take a read that came too often for an outage of the store

Found by the review: a 429 moved the bound of versions on as a 503 does, though the store serves and operators' time runs. 429 is a failure of its own kind now, which moves nothing. New test: 'have no refusals beside them where reads only came too often'.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -152,8 +152,8 @@
       whole = false
       return
     }
-    // One read may go silent by itself; a second one over a new connection shows that the store is out.
-    if (answer.error.kind === 'unavailable' || lostAtMs !== undefined) noteRefusal()
+    // One read may go silent by itself; a second one over a new connection shows that the store is out. One that is asked too often is not out.
+    if (answer.error.kind === 'unavailable' || (answer.error.kind === 'silent' && lostAtMs !== undefined)) noteRefusal()
     noteLoss(answer.error.reason)
     await readPeer()
     await pause(RETRY_MS * (0.5 + options.random.next()))
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -23,8 +23,8 @@
   readonly madeAtMs?: number | undefined
 }
 
-/** Why rows could not be read: the source lacks the history asked for, refuses, or does not answer in time. */
-export type ReadFailure = { readonly kind: 'historyGone' } | { readonly kind: 'unavailable' | 'silent', readonly reason: string }
+/** Why rows could not be read: the source lacks the history asked for, refuses, refuses since it was asked too often, or does not answer in time. */
+export type ReadFailure = { readonly kind: 'historyGone' } | { readonly kind: 'unavailable' | 'limited' | 'silent', readonly reason: string }
 
 /** Why a row was not written: the write failed, or the row was not at the revision expected; it is told as it stands, undefined where it does not exist. */
 export type WriteFailure = ReadFailure | { readonly kind: 'changed', readonly row: Row | undefined }
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -288,6 +288,13 @@
       expect(lastTimes()).toEqual([9_105, undefined, undefined])
     })
 
+    it('have no refusals beside them where reads only came too often', async () => {
+      await receive(2_000, Neverthrow.err({ kind: 'limited', reason: 'status 429' }))
+      await receive(9_000, Neverthrow.err({ kind: 'limited', reason: 'status 429' }))
+      await receive(9_110, made(2, 9_105))
+      expect(lastTimes()).toEqual([1_000, undefined, undefined])
+    })
+
     it('have the second of two silent reads beside them', async () => {
       await receive(9_000, Neverthrow.err({ kind: 'silent', reason: 'timed out' }))
       await receive(18_000, Neverthrow.err({ kind: 'silent', reason: 'timed out' }))
