Wait before a silent stream is moved again that came back from no other endpoint

The attempt is moved again after the time of silence only. A standstill of the gateway excuses the held attempt as well. test/direct-silence passes.

--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -23,6 +23,8 @@
   heardAtMs: number
   /** Whether the attempt was kept in spite of its endpoint's silence. */
   isKept: boolean
+  /** When the attempt was gone on with since no other endpoint took the stream, in milliseconds; -Infinity where that has not happened. */
+  takenBackAtMs: number
   head: { readonly status: number, readonly facts: Dialect.AnswerFacts, readonly rawHeaders: string[], readonly isStream: boolean, readonly isFramed: boolean } | undefined
   readonly parts: Buffer[]
   partBytes: number
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -253,6 +253,7 @@
       unreadTokens: call.placing.promptTokens,
       heardAtMs: nowMs,
       isKept: false,
+      takenBackAtMs: -Infinity,
       head: undefined,
       parts: [],
       partBytes: 0,
@@ -445,6 +446,7 @@
     waiting.remove(call)
     call.held = undefined
     call.attempt = held
+    held.takenBackAtMs = clock()
     call.resuming = false
     held.row.ownCount++
   }
@@ -518,7 +520,9 @@
     if (stoodMs === 0) return
     log('gateway', 'Gateway stood still.', { tookMs: Math.round(stoodMs), activeCount: calls.size })
     for (const row of options.surroundings().endpoints.rows()) row.heardAtMs = Routing.Standstill.excuse(row.heardAtMs, stoodMs, nowMs)
-    for (const { attempt } of calls) if (attempt !== undefined) attempt.heardAtMs = Routing.Standstill.excuse(attempt.heardAtMs, stoodMs, nowMs)
+    for (const { attempt, held } of calls) {
+      for (const each of [attempt, held]) if (each !== undefined) each.heardAtMs = Routing.Standstill.excuse(each.heardAtMs, stoodMs, nowMs)
+    }
   }
 
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
@@ -527,7 +531,7 @@
     const endpointQuietMs = nowMs - attempt.row.heardAtMs
     const quietMs = nowMs - attempt.heardAtMs
     const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
-    if (quietMs < limitMs) return
+    if (quietMs < limitMs || nowMs - attempt.takenBackAtMs < limitMs) return
     // Events may only be held up on the way: an attempt that has begun is not given up before another endpoint goes on.
     if (call.answering && !wouldGoOn(call, nowMs)) {
       if (!attempt.isKept) log('routing', 'Attempt kept.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, quietMs: Math.round(quietMs) })
