Log and count what endpoints name as the most they take

Gateways read the header, keep the last statement with the times between which it was made, log when a limit is named, changed or ended, and count calls to endpoints while they name one. Where calls go is unchanged.

--- a/src/ingress/dialect.ts
+++ b/src/ingress/dialect.ts
@@ -44,6 +44,8 @@
   readonly weightsVersion: number | undefined
   /** How long the endpoint stays cold, in milliseconds, where it tells. */
   readonly coldForMs: number | undefined
+  /** Calls a second that the endpoint takes from all gateways together, where it names a limit. */
+  readonly limitPerSecond: number | undefined
 }
 
 /** Translates headers. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -116,6 +116,14 @@
     Routing.Endpoints.report(row, load, clock(), random.next())
     ingress.wake()
   }
+  const takeLimit = (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement, source: string): void => {
+    const { endpointId } = row.listing
+    const before = row.limit?.callsPerSecond
+    if (!Routing.Endpoints.noteLimit(row, told)) return
+    const limitPerSecond = row.limit?.callsPerSecond
+    if (limitPerSecond === undefined) log('endpoints', 'Endpoint names no limit any more.', { endpointId, limitPerSecondBefore: before, source })
+    else log('endpoints', 'Endpoint names a limit.', { endpointId, limitPerSecond, limitPerSecondBefore: before, source })
+  }
   const takeListing = (row: Follow.Rows.Row): void => {
     const nowMs = clock()
     const before = endpoints.get(row.key)
@@ -184,6 +192,7 @@
     random,
     metrics,
     log,
+    onLimit: (row, told) => { takeLimit(row, told, options.name) },
     isStopping: () => stopping
   })
   const server = Http.createServer({ maxHeaderSize: HEAD_LIMIT_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: FIRST_HEADER_TIMEOUT_MS, keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS }, ingress.handle)
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -30,6 +30,8 @@
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
   readonly log: Core.Loop.Tick<never, never>['log']
+  /** Takes what an endpoint's answer says of the calls that it takes. */
+  readonly onLimit: (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement) => void
   /** Whether the process is about to stop, so that callers are to use other connections. */
   readonly isStopping: () => boolean
 }
@@ -212,6 +214,7 @@
     call.sentCount++
     call.placing.triedIds.add(listing.endpointId)
     Routing.Choice.noteSent(row, call.placing.promptTokens, nowMs)
+    if (row.limit?.callsPerSecond !== undefined) metrics.count('limited_calls_total', { endpoint: listing.endpointId })
     log('routing', 'Call sent.', {
       callId: call.callId,
       service: call.service,
@@ -221,6 +224,7 @@
       loadAgeMs: Math.round(nowMs - row.loadAtMs),
       leftMs,
       attemptCount: call.sentCount,
+      ...(row.limit?.callsPerSecond === undefined ? {} : { limitPerSecond: row.limit.callsPerSecond }),
       ...(call.placing.service.engine === undefined ? {} : versionsAt(row, call.placing.model)),
       ...(call.resuming ? { lastEventId: call.lastEventId } : {})
     })
@@ -306,6 +310,7 @@
     learn(row, facts, nowMs)
     const isOk = status >= 200 && status < 300
     const isForeign = facts.callId !== call.callId || headers['content-encoding'] !== undefined || (isOk && !facts.sealed)
+    if (!isForeign) learnLimit(attempt, facts, isOk, nowMs)
     if (isForeign) {
       attempt.exchange.abort()
       endAttempt(call, attempt, 'unknown', 'answer does not belong to the call')
@@ -328,6 +333,13 @@
     }
   }
 
+  /** Takes a limit from any answer to the call, and that there is none any more from answers with which the endpoint served it. */
+  const learnLimit = (attempt: Calls.Attempt, facts: Dialect.AnswerFacts, isServed: boolean, nowMs: number): void => {
+    const { limitPerSecond } = facts
+    if (limitPerSecond === undefined && !isServed) return
+    options.onLimit(attempt.row, { callsPerSecond: limitPerSecond, askedAtMs: attempt.sentAtMs, heardAtMs: nowMs })
+  }
+
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
     if (call.held === attempt) takeBack(call, attempt)
     attempt.heardAtMs = clock()
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Core from '../core/index.ts'
+import * as Limits from './limits.ts'
 
 /** Weights that an endpoint holds with every layer. */
 export interface HeldWeights {
@@ -62,6 +63,8 @@
   heardAtMs: number
   /** When calls were sent lately, the oldest first; kept while the endpoint is cold. */
   coldSentAtMs: number[]
+  /** What the endpoint last said of the calls that it takes; undefined where it never named a limit. */
+  limit: Limits.Statement | undefined
   failureCount: number
   /** Time until which the endpoint is not chosen, in milliseconds. */
   avoidUntilMs: number
@@ -144,6 +147,19 @@
   if (load.weights !== undefined) row.weights = load.weights
 }
 
+/**
+ * Takes what the endpoint says of the calls that it takes from all gateways together.
+ *
+ * @param row - The endpoint.
+ * @param told - What its answer said.
+ * @returns Whether the limit has changed.
+ */
+export function noteLimit (row: EndpointRow, told: Limits.Statement): boolean {
+  const before = row.limit?.callsPerSecond
+  row.limit = Limits.merge(row.limit, told)
+  return row.limit?.callsPerSecond !== before
+}
+
 /**
  * Estimates the calls at an endpoint: the last report, and what this gateway has sent and ended since.
  *
@@ -188,6 +204,7 @@
   { state: 'leftOut', holds: (row, nowMs) => row.avoidUntilMs > nowMs },
   { state: 'cold', holds: (row, nowMs) => row.coldUntilMs > nowMs },
   { state: 'loading', holds: row => row.load?.loading === true },
+  { state: 'limited', holds: row => row.limit?.callsPerSecond !== undefined },
   { state: 'serving', holds: () => true }
 ]
 
@@ -220,6 +237,7 @@
     unreadTokens: 0,
     heardAtMs: nowMs,
     coldSentAtMs: [],
+    limit: undefined,
     failureCount: 0,
     avoidUntilMs: 0,
     keptUntilMs: undefined
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -62,6 +62,8 @@
   lastEventId: text('The event after which a stream goes on'),
   leftMs: number('Time left until the deadline'),
   leftOut: { schema: Schema.Record(Schema.String, Schema.Number), about: 'Lines left out in the last second, by kind' },
+  limitPerSecond: number('Calls a second that the endpoint takes from all gateways together, as it says'),
+  limitPerSecondBefore: number('The same as known before; absent where it named no limit'),
   loadAgeMs: number('Age of the endpoint\'s last load report'),
   lostForMs: number('How long the store did not answer'),
   misfitCount: number('Chunks in a row that did not fit the manifest'),
@@ -118,7 +120,7 @@
 
 /** The kinds of lines, by their `msg`. */
 export const LINES: Readonly<Record<string, Line>> = {
-  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion'] },
+  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion', 'limitPerSecond'] },
   'routing: Call waits.': { about: 'No endpoint would begin in time now; the call waits for one', fields: ['service', 'aheadCount', 'goalMs'], optional: ['callId', 'bestMs'] },
   'routing: Attempt ended.': { about: 'An attempt ended without a whole answer', fields: ['endpointId', 'end', 'reason', 'tookMs', 'next'], optional: ['callId'] },
   'routing: Attempt kept.': { about: 'The endpoint of a stream sent nothing for long, and no other goes on with the stream', fields: ['endpointId', 'quietMs'], optional: ['callId'] },
@@ -135,6 +137,8 @@
   'endpoints: Endpoint left out.': { about: 'The endpoint failed and gets no calls for a while', fields: ['endpointId', 'reason', 'failureCount', 'avoidMs'], optional: ['callId'] },
   'endpoints: Endpoint works again.': { about: 'The endpoint answered after failures', fields: ['endpointId', 'failureCount'] },
   'endpoints: Endpoint cold.': { about: 'The endpoint said that it is cold', fields: ['endpointId', 'coldForMs'] },
+  'endpoints: Endpoint names a limit.': { about: 'The endpoint takes so many calls a second from all gateways together, or another number than before', fields: ['endpointId', 'limitPerSecond', 'source'], optional: ['limitPerSecondBefore'] },
+  'endpoints: Endpoint names no limit any more.': { about: 'An answer of the endpoint came without the limit that it had named', fields: ['endpointId', 'limitPerSecondBefore', 'source'] },
   'control: Deployment in force.': { about: 'A newer deployment is taken', fields: ['version', 'routeCount'], optional: ['versionBefore', 'workspaceCount'] },
   'control: Zone taken out of service.': { about: 'Operators drain a zone', fields: ['zone'] },
   'control: Zone back in service.': { about: 'Operators ended the drain', fields: ['zone'] },
