--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -22,6 +22,8 @@
   unframedReset: boolean
   /** Takes calls and answers nothing. */
   dark: boolean
+  /** Names this many calls a second as the most that it takes, and serves all; undefined for no limit. */
+  limitPerSecond: number | undefined
 }
 
 /** A running stand-in. */
@@ -33,6 +35,8 @@
   readonly ran: string[]
   /** Headers of the calls that arrived, in order. */
   readonly arrived: Http.IncomingHttpHeaders[]
+  /** When they arrived, in milliseconds. */
+  readonly arrivedAtMs: number[]
   /** Calls whose connection closed before the answer was whole. */
   readonly abandoned: string[]
   version: number
@@ -49,6 +53,8 @@
   readonly eventMs?: number
   readonly version?: number
   readonly model?: string
+  /** Dates arrivals, in milliseconds; without it the process's own clock. */
+  readonly clock?: () => number
 }
 
 const LAYERS = 4
@@ -60,14 +66,15 @@
  * @returns The runner.
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
-  const { instanceId, eventCount = 5, eventMs = 5, model = 'm' } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false }
+  const { instanceId, eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
   const arrived: Http.IncomingHttpHeaders[] = []
+  const arrivedAtMs: number[] = []
   const abandoned: string[] = []
-  const runner: Runner = { instanceId, port: 0, faults, ran, arrived, abandoned, version: options.version ?? 1, staged, close: async () => {} }
+  const runner: Runner = { instanceId, port: 0, faults, ran, arrived, arrivedAtMs, abandoned, version: options.version ?? 1, staged, close: async () => {} }
 
   const stream = (request: Http.IncomingMessage, response: Http.ServerResponse, headers: Record<string, string>): void => {
     const first = Number(request.headers['last-event-id'] ?? 0) + 1
@@ -93,8 +100,9 @@
   const call = (request: Http.IncomingMessage, response: Http.ServerResponse, body: string): void => {
     const id = String(request.headers['x-fescuespread-attempt-id'])
     arrived.push(request.headers)
+    arrivedAtMs.push(clock())
     if (faults.dark) return
-    const headers = { 'X-Fescuespread-Attempt-Id': faults.crossed ? 'another' : id }
+    const headers = { 'X-Fescuespread-Attempt-Id': faults.crossed ? 'another' : id, ...(faults.limitPerSecond === undefined ? {} : { 'Server-Limit': String(faults.limitPerSecond) }) }
     const expected = request.headers['x-fescuespread-expect-instance']
     if (expected !== undefined && expected !== instanceId) { response.writeHead(421, headers).end(); return }
     if (faults.full) { response.writeHead(503, { ...headers, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
--- /dev/null
+++ b/test/direct-limits.test.ts
@@ -0,0 +1,58 @@
+import { after, before, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import * as CallLimits from '../testkit/callLimits.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const LIMIT_PER_SECOND = 1.5
+const GATEWAY_COUNT = 4
+/** Each gateway gets a call so often, in milliseconds of the stage. */
+const STEP_MS = 100
+const STEP_REAL_MS = 25
+/** Gateways may have told one another of a limit so long after the first answer that named it, in milliseconds. */
+const TOLD_MS = 500
+const PATIENCE_MS = 5_000
+
+describe('an endpoint that named a limit', () => {
+  let stage: Direct.DirectStage
+  let gateways: Direct.StartedGateway[] = []
+  const limited = (): Direct.DirectStage['runners'][number] => stage.runners[0] as Direct.DirectStage['runners'][number]
+
+  before(async () => {
+    stage = await Direct.startDirectStage(['limited', 'free1', 'free2'].map(instanceId => ({ instanceId, service: 'llm' })))
+    gateways = [stage.first]
+    for (let count = 2; count <= GATEWAY_COUNT; count++) gateways.push(await stage.addGateway(`g${count}`))
+    for (const gateway of gateways) await TestKit.Wait.until(`${gateway.name} serves`, PATIENCE_MS, async () => (await gateway.call()).status === 200)
+    await sleep(1_500)
+  })
+  after(async () => { await stage.stop() })
+
+  /** Plays calls at every gateway for some time of the stage; tells how they ended and when the first answer named a limit. */
+  const play = async (durationMs: number): Promise<{ readonly answers: readonly Direct.CallAnswer[], readonly namedAtMs: number }> => {
+    const calls: Array<Promise<Direct.CallAnswer>> = []
+    let namedAtMs = Infinity
+    const untilMs = stage.clock() + durationMs
+    while (stage.clock() < untilMs) {
+      for (const gateway of gateways) {
+        calls.push(gateway.call().then(answer => {
+          if (answer.headers['server-limit'] !== undefined) namedAtMs = Math.min(namedAtMs, stage.clock())
+          return answer
+        }))
+      }
+      await sleep(STEP_REAL_MS)
+      stage.pass(STEP_MS - STEP_REAL_MS)
+    }
+    return { answers: await Promise.all(calls), namedAtMs }
+  }
+  const arrivedSince = (atMs: number): number[] => limited().arrivedAtMs.filter(each => each >= atMs)
+
+  it('gets no more from all gateways together than the limit allows, and callers are served elsewhere', async t => {
+    limited().faults.limitPerSecond = LIMIT_PER_SECOND
+    const { answers, namedAtMs } = await play(10_000)
+    const most = CallLimits.mostWithin(arrivedSince(namedAtMs + TOLD_MS), CallLimits.WINDOW_MS)
+    t.diagnostic(`${most} calls in 4 s`)
+    expect([most > 0, most <= CallLimits.allowedCount(LIMIT_PER_SECOND)]).toEqual([true, true])
+    expect(answers.every(answer => answer.status === 200)).toEqual(true)
+  })
+})
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -77,6 +77,8 @@
   addGateway: (name: string, changes?: Partial<GatewayPlace>) => Promise<StartedGateway>
   /** Lets time pass for all gateways, in milliseconds. */
   pass: (ms: number) => void
+  /** The time of the stage, in milliseconds. */
+  clock: () => number
   list: (runner: Runner.Runner, changes?: object) => void
   deploy: (changes?: object) => void
   call: (options?: CallOptions) => Promise<CallAnswer>
@@ -150,7 +152,7 @@
   let passedMs = 0
   const clock = (): number => performance.now() + passedMs
   const store = await PlatformStore.startPlatformStore(clock)
-  const started = await Promise.all(runners.map(async options => await Runner.startRunner(options)))
+  const started = await Promise.all(runners.map(async options => await Runner.startRunner({ clock, ...options })))
   const services = new Map(runners.map(options => [options.instanceId, options.service]))
   let callCount = 0
   const gateways: StartedGateway[] = []
@@ -223,6 +225,7 @@
     first,
     addGateway,
     pass: ms => { passedMs += ms },
+    clock,
     list,
     deploy,
     metrics: async () => await (await fetch(`http://127.0.0.1:${first.peerPort}/metrics`)).text(),
