--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import * as Core from '../src/core/index.ts'
 import * as Routing from '../src/routing/index.ts'
+import * as CallLimits from '../testkit/callLimits.ts'
 import * as Direct from '../testkit/direct.ts'
 
 const { ENGINE, ENGINE_SERVICE, PLAIN_SERVICE, listingOf, surroundingsOf } = Direct
@@ -55,6 +56,25 @@
     })
   })
 
+  describe('a cold endpoint shared by more gateways than it bears calls a second', () => {
+    it('gets no more from all of them together than it bears', t => {
+      const gateways = Array.from({ length: 100 }, () => surroundingsOf([listingOf('cold', { coldForMs: 60_000 })], { gatewayCount: 100, zoneGatewayCount: 50 }))
+      const sentAtMs: number[] = []
+      for (let nowMs = 0; nowMs < 3_000; nowMs += 10) {
+        for (const known of gateways) {
+          const [candidate] = Routing.Choice.candidates(placing(), known, nowMs)
+          if (candidate === undefined) continue
+          Routing.Choice.noteSent(candidate.row, 0, nowMs)
+          candidate.row.ownCount--
+          sentAtMs.push(nowMs)
+        }
+      }
+      const most = CallLimits.mostWithin(sentAtMs, 1_000)
+      t.diagnostic(`${most} calls in a second`)
+      expect([most > 0, most <= ENGINE_SERVICE.coldCallsPerSecond * 1.5 + 5]).toEqual([true, true])
+    })
+  })
+
   describe('an endpoint that says nothing', () => {
     it('is left out while calls wait there, and chosen last once its agent is silent too', () => {
       const known = surroundingsOf([listingOf('quiet'), listingOf('well')])
