Send an endpoint that named a limit no more than it from all gateways together

Change: the store's time is divided into turns of one call at the named rate; each turn belongs to one gateway by rendezvous hash (routing/turns). Nobody asks anybody, the sum keeps to the rate with any number of gateways, and lists that differ by one gateway disagree on its turns alone. All attempts count: first ones, repeats and resumed streams pass the same choice. A gateway that does not know the others or the store's time has no turn. Calls that only a limit keeps out wait if a turn comes within their patience, else are refused at once as over capacity.

Weighed: equal shares (below one call each, rounded up they are over the limit by themselves); one owner a limited endpoint (its loss stops the calls by which the end of a limit is heard); permits from agents (plain services have none).

--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -24,6 +24,17 @@
 export function rankOf (text: string): number {
   let hash = 0x811c9dc5
   for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193)
+  return mix(hash)
+}
+
+/**
+ * Mixes the bits of a number, for ranking only.
+ *
+ * @param value - The number, of which the lowest 32 bits count.
+ * @returns An unsigned 32-bit number.
+ */
+export function mix (value: number): number {
+  let hash = value
   hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
   hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
   return (hash ^ (hash >>> 16)) >>> 0
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -108,6 +108,8 @@
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
   const members = (): readonly Follow.Members.Member[] => node.members()
+  const sharersOf = Core.Memo.byIdentity((others: readonly Follow.Members.Member[]) =>
+    Routing.Turns.createSharers(options.name, others.filter(member => member.kind === 'gateway').map(member => member.name)))
 
   const takeLoad = (load: Follow.News.LoadNews): void => {
     const row = endpoints.get(idByAddress.get(`${load.host}:${load.port}`) ?? '')
@@ -184,7 +186,9 @@
       drainedZones: operators.drainedZones,
       oldestVersionOf: model => versions.oldestOf(model, node.storeClock.now()),
       gatewayCount: gatewayCount(members()),
-      zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone))
+      zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone)),
+      sharers: node.knowsMembers() ? sharersOf(members()) : undefined,
+      storeMs: node.storeClock.now()
     }),
     oldestBegunOf: model => versions.oldestBegunOf(model, node.storeClock.now()),
     budget,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -172,16 +172,18 @@
     call.late = call.ageAtArrivalMs + nowMs - call.arrivedAtMs > call.route.goalMs
     const found = Routing.Choice.candidates(call.placing, known, nowMs)
     const best = Routing.Choice.choose(found, random)
+    const opensInMs = best === undefined ? Routing.Choice.opensInMs(call.placing, known, nowMs, call.route.goalMs) : undefined
     const asking: Routing.Admission.Asking = {
       ageMs: call.ageAtArrivalMs + nowMs - call.arrivedAtMs,
       waitedMs: nowMs - call.waitingSinceMs,
       goalMs: call.route.goalMs,
       leftMs: call.deadlineAtMs - nowMs,
       resuming: call.resuming,
-      isCrowded: crowding.isCrowded(call.service, nowMs)
+      isCrowded: crowding.isCrowded(call.service, nowMs),
+      opensInMs: opensInMs ?? Infinity
     }
     const turnMs = Routing.Choice.turnMs(call.placing.service, found.length, known.gatewayCount)
-    const verdict = Routing.Admission.decide(asking, best, { aheadCount: waiting.aheadCount(call), turnMs }, found.length > 0)
+    const verdict = Routing.Admission.decide(asking, best, { aheadCount: waiting.aheadCount(call), turnMs }, found.length > 0 || opensInMs !== undefined)
     if (verdict.kind === 'send') {
       waiting.remove(call)
       send(call, verdict.candidate, nowMs)
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -13,6 +13,7 @@
 import type * as Deployment from './deployment.ts'
 import * as Endpoints from './endpoints.ts'
 import * as EngineModel from './engineModel.ts'
+import * as Turns from './turns.ts'
 
 /** What of a call decides where it may go. */
 export interface Placing {
@@ -39,6 +40,10 @@
   readonly gatewayCount: number
   /** Gateways in the own zone, this one included. */
   readonly zoneGatewayCount: number
+  /** The gateways as they share rates; undefined while the others are not known. */
+  readonly sharers: Turns.Sharers | undefined
+  /** The store's time, in milliseconds; not finite while it is not known. */
+  readonly storeMs: number
 }
 
 /** An endpoint that may take a call. */
@@ -129,6 +134,7 @@
   row.ownCount++
   row.unreadTokens += promptTokens
   if (row.coldUntilMs > nowMs) row.coldSentAtMs.push(nowMs)
+  if (row.limit?.callsPerSecond !== undefined) Turns.take(row.turns)
 }
 
 type Hurdle = (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number) => boolean
@@ -144,7 +150,8 @@
   region: (row, placing) => placing.regions.some(regions => regions.length > 0 && !regions.includes(row.listing.region)),
   loading: (row, placing) => placing.service.engine !== undefined && row.load?.loading === true,
   weights: (row, placing, known) => placing.service.engine !== undefined && !holdsModel(row, placing, known),
-  cold: (row, placing, known, nowMs) => !bearsCold(row, placing.service, known, nowMs)
+  cold: (row, placing, known, nowMs) => !bearsCold(row, placing.service, known, nowMs),
+  limited: (row, _placing, known) => !hasTurn(row, known)
 })
 
 function isUsable (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): boolean {
@@ -170,6 +177,31 @@
   return counts
 }
 
+/**
+ * Works out when an endpoint opens to the gateway that its limit alone rules out now.
+ *
+ * @param placing - The call.
+ * @param known - What the gateway knows.
+ * @param nowMs - The time.
+ * @param horizonMs - How far to look, in milliseconds.
+ * @returns The shortest time, in milliseconds, Infinity beyond the horizon; undefined where no endpoint is ruled out so.
+ */
+export function opensInMs (placing: Placing, known: Surroundings, nowMs: number, horizonMs: number): number | undefined {
+  let soonestMs: number | undefined
+  for (const row of known.endpoints.rows()) {
+    if (row.limit?.callsPerSecond === undefined || row.listing.service !== placing.service.name) continue
+    const blocking = HURDLES.find(([, blocks]) => blocks(row, placing, known, nowMs))
+    if (blocking?.[0] !== 'limited') continue
+    soonestMs = Math.min(soonestMs ?? Infinity, Turns.opensInMs(row.turns, known.sharers, known.storeMs, horizonMs))
+  }
+  return soonestMs
+}
+
+function hasTurn (row: Endpoints.EndpointRow, known: Surroundings): boolean {
+  const limitPerSecond = row.limit?.callsPerSecond
+  return limitPerSecond === undefined || Turns.isOpen(row.turns, limitPerSecond, known.sharers, known.storeMs)
+}
+
 function holdsModel (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings): boolean {
   return (row.weights ?? []).some(held =>
     (placing.model === undefined || held.model === placing.model) && held.version >= known.oldestVersionOf(held.model))
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -5,6 +5,7 @@
  */
 import * as Core from '../core/index.ts'
 import * as Limits from './limits.ts'
+import * as Turns from './turns.ts'
 
 /** Weights that an endpoint holds with every layer. */
 export interface HeldWeights {
@@ -65,6 +66,8 @@
   coldSentAtMs: number[]
   /** What the endpoint last said of the calls that it takes; undefined where it never named a limit. */
   limit: Limits.Statement | undefined
+  /** The gateway's turns at the endpoint while it names a limit. */
+  readonly turns: Turns.Turns
   failureCount: number
   /** Time until which the endpoint is not chosen, in milliseconds. */
   avoidUntilMs: number
@@ -238,6 +241,7 @@
     heardAtMs: nowMs,
     coldSentAtMs: [],
     limit: undefined,
+    turns: Turns.createTurns(listing.endpointId),
     failureCount: 0,
     avoidUntilMs: 0,
     keptUntilMs: undefined
--- /dev/null
+++ b/src/routing/turns.ts
@@ -0,0 +1,117 @@
+/**
+ * Shares a rate among gateways that do not ask one another.
+ *
+ * Answers bounds on what all gateways together send to an endpoint, where the share of each may be
+ * far below one call. The store's time is divided into turns of one call each, and each turn belongs
+ * to one gateway by rendezvous hash. So the sum keeps to the rate whatever the number of gateways, a
+ * gateway that is gone leaves only its own turns unused, and gateways whose lists differ by one
+ * disagree on the turns of that one alone.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../core/index.ts'
+
+/** The gateways that share a rate, as hashes of their names. */
+export interface Sharers {
+  readonly own: number
+  /** The other gateways. */
+  readonly others: readonly number[]
+}
+
+/** The turns of one gateway at one endpoint. */
+export interface Turns {
+  /** Tells the turns of one endpoint from those of another. */
+  readonly seed: number
+  perSecond: number
+  /** The first turn of which the owner was not worked out yet. */
+  nextIndex: number
+  /** When the own turns that are still unused began, by the store's clock, in milliseconds, the oldest first. */
+  unusedAtMs: number[]
+}
+
+/** A turn may still be used so long after it began, in milliseconds, where turns are shorter: a gateway with ten calls a second has one for nine in ten of its turns, and a window of a second holds a quarter more calls than the rate. */
+const KEEP_MS = 250
+/** The slowest rate, in calls a second: without any call no answer could tell that a limit has ended. */
+const SLOWEST_PER_SECOND = 0.1
+const MS_PER_SECOND = 1_000
+
+/**
+ * Makes the sharers.
+ *
+ * @param ownName - The name of this gateway.
+ * @param otherNames - The names of the others.
+ * @returns The sharers.
+ */
+export function createSharers (ownName: string, otherNames: readonly string[]): Sharers {
+  return { own: Core.Hash.rankOf(ownName), others: otherNames.map(Core.Hash.rankOf) }
+}
+
+/**
+ * Creates the turns at an endpoint.
+ *
+ * @param endpointId - The endpoint.
+ * @returns The turns.
+ */
+export function createTurns (endpointId: string): Turns {
+  return { seed: Core.Hash.rankOf(endpointId), perSecond: 0, nextIndex: 0, unusedAtMs: [] }
+}
+
+/**
+ * Tells whether this gateway may send a call now.
+ *
+ * @param turns - Its turns, which are brought up to date.
+ * @param limitPerSecond - Calls a second from all gateways together.
+ * @param sharers - The gateways; undefined while they are not known, when none is sent.
+ * @param storeMs - The store's time, in milliseconds; not finite while it is not known.
+ * @returns Whether a turn is unused.
+ */
+export function isOpen (turns: Turns, limitPerSecond: number, sharers: Sharers | undefined, storeMs: number): boolean {
+  if (sharers === undefined || !Number.isFinite(storeMs)) return false
+  const perSecond = Math.max(SLOWEST_PER_SECOND, limitPerSecond)
+  const turnMs = MS_PER_SECOND / perSecond
+  const nowIndex = Math.floor(storeMs / turnMs)
+  // A whole turn goes unused after each change, so that a rate that changes with every answer does not add calls.
+  if (turns.perSecond !== perSecond) Object.assign(turns, { perSecond, nextIndex: nowIndex + 2, unusedAtMs: [] })
+  const keptMs = Math.max(turnMs, KEEP_MS)
+  const isKept = (atMs: number): boolean => atMs + keptMs > storeMs
+  const firstKeptIndex = Math.floor((storeMs - keptMs) / turnMs) + 1
+  for (let index = Math.max(turns.nextIndex, firstKeptIndex); index <= nowIndex; index++) {
+    if (isOwn(turns.seed, index, sharers)) turns.unusedAtMs.push(index * turnMs)
+  }
+  turns.nextIndex = Math.max(turns.nextIndex, nowIndex + 1)
+  turns.unusedAtMs = turns.unusedAtMs.filter(isKept)
+  return turns.unusedAtMs.length > 0
+}
+
+/**
+ * Uses a turn up.
+ *
+ * @param turns - The turns.
+ */
+export function take (turns: Turns): void {
+  turns.unusedAtMs.shift()
+}
+
+/**
+ * Works out when the next turn of this gateway begins, after those that {@link isOpen} has seen.
+ *
+ * @param turns - Its turns, up to date.
+ * @param sharers - The gateways; undefined while they are not known.
+ * @param storeMs - The store's time, in milliseconds.
+ * @param horizonMs - How far to look, in milliseconds.
+ * @returns The time until then, in milliseconds; Infinity beyond the horizon.
+ */
+export function opensInMs (turns: Turns, sharers: Sharers | undefined, storeMs: number, horizonMs: number): number {
+  if (sharers === undefined || !Number.isFinite(storeMs) || turns.perSecond === 0) return Infinity
+  const turnMs = MS_PER_SECOND / turns.perSecond
+  for (let index = turns.nextIndex; index * turnMs <= storeMs + horizonMs; index++) {
+    if (isOwn(turns.seed, index, sharers)) return Math.max(0, index * turnMs - storeMs)
+  }
+  return Infinity
+}
+
+function isOwn (seed: number, index: number, sharers: Sharers): boolean {
+  const turn = Core.Hash.mix(seed ^ Core.Hash.mix(index))
+  const own = Core.Hash.mix(turn ^ sharers.own)
+  return sharers.others.every(other => Core.Hash.mix(turn ^ other) < own)
+}
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -108,7 +108,9 @@
     drainedZones: new Set(),
     oldestVersionOf: () => 1,
     gatewayCount: changes.gatewayCount ?? gatewayTotal,
-    zoneGatewayCount: Math.min(GATEWAYS_PER_ZONE, changes.gatewayCount ?? gatewayTotal)
+    zoneGatewayCount: Math.min(GATEWAYS_PER_ZONE, changes.gatewayCount ?? gatewayTotal),
+    sharers: undefined,
+    storeMs: nowMs
   })
   const place = (gateway: Gateway, call: Call): void => {
     const leftMs = call.firstAtMs + DEADLINE_MS - nowMs
@@ -118,7 +120,7 @@
     const best = Routing.Choice.choose(found, gateway.random)
     const aheadCount = [...gateway.waiting].filter(other => other !== call && compare(other, call) < 0).length
     const turnMs = Routing.Choice.turnMs(SERVICE, found.length, gatewayTotal)
-    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: GOAL_MS, leftMs, resuming: false, isCrowded: changes.ignoresCrowding !== true && gateway.crowding.isCrowded(SERVICE.name, nowMs) }, best, { aheadCount, turnMs }, found.length > 0)
+    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: GOAL_MS, leftMs, resuming: false, isCrowded: changes.ignoresCrowding !== true && gateway.crowding.isCrowded(SERVICE.name, nowMs), opensInMs: Infinity }, best, { aheadCount, turnMs }, found.length > 0)
     if (verdict.kind === 'wait') { gateway.waiting.add(call); return }
     gateway.waiting.delete(call)
     if (verdict.kind === 'refuse') { refuse(gateway, call, verdict.reason, leftMs); return }
