Tell other gateways of the limits that endpoints name and end

A gateway that had not called a limited endpoint yet went on freely until its own first answer, and one that had no turn kept a limit that was over. Both tests failed before (test/direct-limits: 'is known as limited to a gateway that never called it', 'gets calls freely again at every gateway', which still waited for one of four gateways after 6 s of calls and 5 s more) and pass now.

What an answer says is told at once to all gateways and again every second, with the store's times between which it was said, so that news may come late, twice or in any order. Explaining a refusal names limits.

--- a/src/ctl/story.ts
+++ b/src/ctl/story.ts
@@ -140,11 +140,8 @@
 
 /** Says what refused a call, by the reason of the refusal. */
 const REFUSALS: Readonly<Record<string, (end: Line, around: readonly Line[], lines: readonly Line[]) => Found>> = {
-  overCapacity: end => ({ cause: 'overCapacity', because: `${String(end.candidateCount)} endpoints could serve the call; the best, ${String(end.bestId)} with ${String(end.busyCount)} calls, would have begun after ${String(end.bestMs)} ms, the goal being ${String(end.goalMs)} ms and ${String(end.ageMs)} ms gone` }),
-  noEndpoint: end => {
-    const ruledOut = Object.entries((end.ruledOut ?? {}) as Readonly<Record<string, number>>).map(([hurdle, count]) => `${count} ${hurdle}`)
-    return { cause: 'noEndpoint', because: `no endpoint could serve the call: ${ruledOut.join(', ') || 'none is listed'}` }
-  },
+  overCapacity: end => end.candidateCount === 0 ? { cause: 'overCapacity', because: nobodySentence(end) } : ({ cause: 'overCapacity', because: `${String(end.candidateCount)} endpoints could serve the call; the best, ${String(end.bestId)} with ${String(end.busyCount)} calls, would have begun after ${String(end.bestMs)} ms, the goal being ${String(end.goalMs)} ms and ${String(end.ageMs)} ms gone` }),
+  noEndpoint: end => ({ cause: 'noEndpoint', because: nobodySentence(end) }),
   notReady: () => ({ cause: 'notReady', because: 'the gateway knew no deployment yet' }),
   outOfTime: end => ({ cause: 'outOfTime', because: `no endpoint had room within the deadline; the call waited ${String(end.tookMs)} ms` }),
   retriesUsedUp: (_end, around, lines) => {
@@ -153,6 +150,11 @@
   }
 }
 
+function nobodySentence (end: Line): string {
+  const ruledOut = Object.entries((end.ruledOut ?? {}) as Readonly<Record<string, number>>).map(([hurdle, count]) => `${count} ${hurdle}`)
+  return `no endpoint could serve the call: ${ruledOut.join(', ') || 'none is listed'}`
+}
+
 function slowCause (end: Line, { lines }: Evidence): Found {
   const sent = lines.filter(line => line.msg === 'routing: Call sent.').at(-1)
   return { cause: 'tooSlow', because: `the deadline passed after ${String(end.tookMs)} ms while attempt ${String(end.attemptCount)} ran at ${String(sent?.endpointId)}, which was to begin after ${String(sent?.predictedMs)} ms with ${String(sent?.busyCount)} calls there` }
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -34,6 +34,17 @@
 /** Chunks that an agent has just verified and that the receiver is to fetch from it. */
 export type HeldNews = typeof HeldNews.Type
 
+/** What endpoints said of the calls that they take (`Routing.Limits.Statement`); times are the store's. */
+export const LimitNews = Schema.Struct({
+  endpointId: Schema.String,
+  bornAtMs: Schema.optional(Schema.Number),
+  callsPerSecond: Schema.optional(Schema.Number),
+  askedAtMs: Schema.Number,
+  heardAtMs: Schema.Number
+})
+/** What an endpoint said of the calls that it takes. */
+export type LimitNews = typeof LimitNews.Type
+
 /** A message. */
 export const News = Schema.Struct({
   /** The process that sends it. */
@@ -47,6 +58,7 @@
   reading: Schema.optional(Schema.Struct({ revision: Schema.Int, atMs: Schema.Number })),
   /** What the sender knows of versions of weights (`Routing.Versions.Naming`); times are the store's. */
   named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, revision: Schema.optional(Schema.Int), namedAtMs: Schema.optional(Schema.Number), notBeforeMs: Schema.optional(Schema.Number) }))),
+  limits: Schema.optional(Schema.Array(LimitNews)),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
   rollCall: Schema.optional(Schema.Boolean)
@@ -61,6 +73,10 @@
 }
 
 const decode = Decode.json(News)
+/** Limits in one message at the most, so that it fits into a datagram. */
+const LIMITS_TOLD_COUNT = 100
+/** The end of a limit is told again for so long, in milliseconds, in case a datagram was lost. */
+const ENDED_TOLD_MS = 5_000
 
 /**
  * Makes news of what binds calls to versions.
@@ -73,6 +89,24 @@
   return versions.telling(storeMs).map(({ notBeforeMs, ...naming }) => Number.isFinite(notBeforeMs) ? { ...naming, notBeforeMs } : naming)
 }
 
+/**
+ * Makes news of the limits that endpoints named, or ended lately.
+ *
+ * @param endpoints - The endpoints.
+ * @param storeClock - The store's clock.
+ * @param nowMs - The time.
+ * @returns The part of a message, the limits heard last first; empty while the store's time is not known.
+ */
+export function limitNews (endpoints: Iterable<Routing.Endpoints.EndpointRow>, storeClock: StoreClock.StoreClock, nowMs: number): LimitNews[] {
+  const told: LimitNews[] = []
+  for (const { listing: { endpointId, bornAtMs }, limit } of endpoints) {
+    if (limit === undefined || (limit.callsPerSecond === undefined && nowMs - limit.heardAtMs > ENDED_TOLD_MS)) continue
+    const [askedAtMs, heardAtMs] = [limit.askedAtMs, limit.heardAtMs].map(ownMs => Math.round(storeClock.ofOwn(ownMs))) as [number, number]
+    if (Number.isFinite(heardAtMs)) told.push({ endpointId, bornAtMs, callsPerSecond: limit.callsPerSecond, askedAtMs, heardAtMs })
+  }
+  return told.sort((a, b) => b.heardAtMs - a.heardAtMs).slice(0, LIMITS_TOLD_COUNT)
+}
+
 /**
  * Takes the versions that another process tells of.
  *
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -104,6 +104,7 @@
   const node = await Node.open(options, 'gateway', news => {
     if (news.load !== undefined) takeLoad(news.load)
     Follow.News.learnNamed(versions, news, operators.follower, node.storeClock, log)
+    for (const told of news.limits ?? []) learnLimit(told, news.sender)
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
@@ -118,13 +119,20 @@
     Routing.Endpoints.report(row, load, clock(), random.next())
     ingress.wake()
   }
-  const takeLimit = (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement, source: string): void => {
+  const takeLimit = (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement, source: string): boolean => {
     const { endpointId } = row.listing
     const before = row.limit?.callsPerSecond
-    if (!Routing.Endpoints.noteLimit(row, told)) return
+    if (!Routing.Endpoints.noteLimit(row, told)) return false
     const limitPerSecond = row.limit?.callsPerSecond
     if (limitPerSecond === undefined) log('endpoints', 'Endpoint names no limit any more.', { endpointId, limitPerSecondBefore: before, source })
     else log('endpoints', 'Endpoint names a limit.', { endpointId, limitPerSecond, limitPerSecondBefore: before, source })
+    return true
+  }
+  /** Takes what another gateway heard of an endpoint's limit. */
+  const learnLimit = ({ endpointId, bornAtMs, callsPerSecond, askedAtMs, heardAtMs }: Follow.News.LimitNews, source: string): void => {
+    const row = endpoints.get(endpointId)
+    if (row === undefined || row.listing.bornAtMs !== bornAtMs) return
+    takeLimit(row, { callsPerSecond, askedAtMs: node.storeClock.toOwn(askedAtMs), heardAtMs: node.storeClock.toOwn(heardAtMs) }, source)
   }
   const takeListing = (row: Follow.Rows.Row): void => {
     const nowMs = clock()
@@ -196,7 +204,11 @@
     random,
     metrics,
     log,
-    onLimit: (row, told) => { takeLimit(row, told, options.name) },
+    onLimit: (row, told) => {
+      // An answer from before the endpoint started again says nothing of its new start.
+      if (endpoints.get(row.listing.endpointId) !== row || !takeLimit(row, told, options.name)) return
+      node.tell({ revisions: {}, limits: Follow.News.limitNews([row], node.storeClock, clock()) }, 'gateway')
+    },
     isStopping: () => stopping
   })
   const server = Http.createServer({ maxHeaderSize: HEAD_LIMIT_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: FIRST_HEADER_TIMEOUT_MS, keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS }, ingress.handle)
@@ -212,7 +224,12 @@
     if (revision === toldRevision && nowMs - toldAtMs < RETELL_MS) return
     toldRevision = revision
     toldAtMs = nowMs
-    node.tell({ named: Follow.News.namedNews(versions, node.storeClock.now()), revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() } }, 'gateway')
+    const limits = Follow.News.limitNews(endpoints.rows(), node.storeClock, nowMs)
+    node.tell({
+      named: Follow.News.namedNews(versions, node.storeClock.now()),
+      revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() },
+      ...(limits.length === 0 ? {} : { limits })
+    }, 'gateway')
   }
   let toldAgents = ''
   /** Agents read the store seldom: claims of gateways date versions more closely than their own, and the revision shows an agent whose source froze that it is behind. */
--- a/test/direct-limits.test.ts
+++ b/test/direct-limits.test.ts
@@ -45,6 +45,10 @@
     }
     return { answers: await Promise.all(calls), namedAtMs }
   }
+  /** The limits of the endpoint that a gateway has logged, in order; undefined where it logged that there is none any more. */
+  const limitsAt = (gateway: Direct.StartedGateway): Array<number | undefined> => gateway.lines
+    .filter(line => line.fields.endpointId === 'limited' && (line.sentence === 'Endpoint names a limit.' || line.sentence === 'Endpoint names no limit any more.'))
+    .map(line => line.fields.limitPerSecond)
   const arrivedSince = (atMs: number): number[] => limited().arrivedAtMs.filter(each => each >= atMs)
 
   it('gets no more from all gateways together than the limit allows, and callers are served elsewhere', async t => {
@@ -55,4 +59,31 @@
     expect([most > 0, most <= CallLimits.allowedCount(LIMIT_PER_SECOND)]).toEqual([true, true])
     expect(answers.every(answer => answer.status === 200)).toEqual(true)
   })
+
+  it('is known as limited to a gateway that never called it', async () => {
+    const late = await stage.addGateway('late')
+    await TestKit.Wait.until('the limit is known', PATIENCE_MS, async () => limitsAt(late).includes(LIMIT_PER_SECOND))
+    expect(late.lines.filter(line => line.sentence === 'Call sent.')).toEqual([])
+  })
+
+  it('gets calls freely again at every gateway once an answer names no limit', async () => {
+    limited().faults.limitPerSecond = undefined
+    await play(6_000)
+    await TestKit.Wait.until('every gateway knows', PATIENCE_MS, async () => gateways.every(gateway => limitsAt(gateway).at(-1) === undefined))
+    const sinceMs = stage.clock()
+    await play(2_000)
+    expect(arrivedSince(sinceMs).length > CallLimits.allowedCount(LIMIT_PER_SECOND)).toEqual(true)
+  })
+
+  it('turns calls away truthfully where all endpoints of a service name limits', async () => {
+    for (const runner of stage.runners) runner.faults.limitPerSecond = LIMIT_PER_SECOND
+    await play(1_000)
+    const sinceMs = stage.clock() + TOLD_MS
+    const { answers } = await play(6_000)
+    const refused = answers.filter(answer => answer.status === 503)
+    const ran = new Set(stage.runners.flatMap(runner => runner.ran))
+    expect(answers.every(answer => answer.status === 200 || answer.status === 503)).toEqual(true)
+    expect([refused.length > 0, refused.every(answer => answer.headers['retry-after'] !== undefined && !ran.has(String(answer.headers['x-fescuespread-attempt-id'])))]).toEqual([true, true])
+    for (const runner of stage.runners) expect(CallLimits.mostWithin(runner.arrivedAtMs.filter(atMs => atMs >= sinceMs), CallLimits.WINDOW_MS) <= CallLimits.allowedCount(LIMIT_PER_SECOND)).toEqual(true)
+  })
 })
--- a/test/direct-story.test.ts
+++ b/test/direct-story.test.ts
@@ -49,6 +49,11 @@
       expect([story?.cause, story?.around.map(near => near.zone), story?.because]).toEqual(['noEndpoint', ['z'], 'no endpoint could serve the call: 2 zoneDrained, 1 cold'])
     })
 
+    it('says that endpoints kept to the limits that they had named when only that refused a call', () => {
+      const story = Story.createTeller([line(1_000, 'g1', 'routing: Call refused.', { ...END, callId: 'c', reason: 'overCapacity', returnAfterMs: 1_000, candidateCount: 0, ruledOut: { limited: 3 } })]).tell('c')
+      expect([story?.cause, story?.because]).toEqual(['overCapacity', 'no endpoint could serve the call: 3 limited'])
+    })
+
     it('tells a late answer from one in time', () => {
       const answered = (firstMs: number): Story.Cause | undefined => causeOf([line(0, 'g1', 'routing: Call answered.', { ...END, callId: 'c', status: 200, endpointId: 'e1', firstMs })])
       expect([answered(400), answered(401)]).toEqual(['served', 'late'])
