--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -133,7 +133,10 @@
   if (row.ownCount === 0) row.heardAtMs = Math.max(row.heardAtMs, nowMs)
   row.ownCount++
   row.unreadTokens += promptTokens
-  if (row.coldUntilMs > nowMs) row.coldSentAtMs.push(nowMs)
+  if (row.coldUntilMs > nowMs) {
+    row.coldSentAtMs.push(nowMs)
+    Turns.take(row.coldTurns)
+  }
   if (row.limit?.callsPerSecond !== undefined) Turns.take(row.turns)
 }
 
@@ -209,9 +212,11 @@
 
 function bearsCold (row: Endpoints.EndpointRow, service: Deployment.Service, known: Surroundings, nowMs: number): boolean {
   if (row.coldUntilMs <= nowMs || service.coldCallsPerSecond <= 0) return true
+  const shareCount = Math.floor(service.coldCallsPerSecond / Math.max(1, known.gatewayCount))
+  if (shareCount < 1) return Turns.isOpen(row.coldTurns, service.coldCallsPerSecond, known.sharers, known.storeMs)
   const sinceMs = nowMs - COLD_WINDOW_MS
   while (row.coldSentAtMs.length > 0 && (row.coldSentAtMs[0] ?? 0) <= sinceMs) row.coldSentAtMs.shift()
-  return row.coldSentAtMs.length < Math.max(1, Math.floor(service.coldCallsPerSecond / Math.max(1, known.gatewayCount)))
+  return row.coldSentAtMs.length < shareCount
 }
 
 /**
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -64,6 +64,8 @@
   heardAtMs: number
   /** When calls were sent lately, the oldest first; kept while the endpoint is cold. */
   coldSentAtMs: number[]
+  /** The gateway's turns at the endpoint while it is cold and there are more gateways than calls that it bears in a second. */
+  readonly coldTurns: Turns.Turns
   /** What the endpoint last said of the calls that it takes; undefined where it never named a limit. */
   limit: Limits.Statement | undefined
   /** The gateway's turns at the endpoint while it names a limit. */
@@ -84,6 +86,8 @@
 export const LAPSE_MS = 2_000
 /** A gateway may use its turn at an endpoint that named a limit so long after it began, in milliseconds: four seconds then hold at most the calls of five, and the platform allows those of six. */
 const LIMIT_KEPT_MS = 1_000
+/** The same at a cold endpoint, in milliseconds: any second holds a quarter more calls than are borne, and the platform allows half as many more. */
+const COLD_KEPT_MS = 250
 /** An endpoint that failed once is left out for so long, in milliseconds; doubled with each failure in a row. */
 const FIRST_AVOID_MS = 250
 /** The longest time for which a failing endpoint is left out, in milliseconds. */
@@ -242,6 +246,7 @@
     unreadTokens: 0,
     heardAtMs: nowMs,
     coldSentAtMs: [],
+    coldTurns: Turns.createTurns(listing.endpointId, COLD_KEPT_MS),
     limit: undefined,
     turns: Turns.createTurns(listing.endpointId, LIMIT_KEPT_MS),
     failureCount: 0,
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -58,11 +58,12 @@
 
   describe('a cold endpoint shared by more gateways than it bears calls a second', () => {
     it('gets no more from all of them together than it bears', t => {
-      const gateways = Array.from({ length: 100 }, () => surroundingsOf([listingOf('cold', { coldForMs: 60_000 })], { gatewayCount: 100, zoneGatewayCount: 50 }))
+      const names = Array.from({ length: 100 }, (_, index) => `g${index}`)
+      const gateways = names.map(name => surroundingsOf([listingOf('cold', { coldForMs: 60_000 })], { gatewayCount: 100, zoneGatewayCount: 50, sharers: Routing.Turns.createSharers(name, names.filter(other => other !== name)) }))
       const sentAtMs: number[] = []
       for (let nowMs = 0; nowMs < 3_000; nowMs += 10) {
         for (const known of gateways) {
-          const [candidate] = Routing.Choice.candidates(placing(), known, nowMs)
+          const [candidate] = Routing.Choice.candidates(placing(), { ...known, storeMs: nowMs }, nowMs)
           if (candidate === undefined) continue
           Routing.Choice.noteSent(candidate.row, 0, nowMs)
           candidate.row.ownCount--
