Count no share of a bound while the other gateways are not known

A gateway that has just started counted itself as the only one until it had read of the others, and took the whole of the bounds on cold endpoints and on repeats beside them.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -420,7 +420,7 @@
     const history = historyOf(call, nowMs)
     const known = options.surroundings()
     return Routing.Retries.next('broken', { ...history, ranCount: history.ranCount + 1 }) === 'retry' &&
-      options.budget.allows(call.service, known.gatewayCount, nowMs) &&
+      options.budget.allows(call.service, Routing.Choice.sharingCount(known), nowMs) &&
       waiting.aheadCount({ ...call, resuming: true }) === 0 &&
       Routing.Choice.candidates(call.placing, known, nowMs).some(candidate => candidate.firstMs < history.leftMs)
   }
@@ -433,7 +433,7 @@
     if (end !== 'notRun') call.ranCount++
     const history = historyOf(call, nowMs)
     const step = Routing.Retries.next(end, history)
-    const isRetry = step === 'retry' && options.budget.take(call.service, options.surroundings().gatewayCount, nowMs)
+    const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingCount(options.surroundings()), nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
     log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next })
     metrics.count('attempts_ended_total', { end, next })
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -140,6 +140,16 @@
   if (row.limit?.callsPerSecond !== undefined) Turns.take(row.turns)
 }
 
+/**
+ * Counts the gateways that share a bound.
+ *
+ * @param known - What the gateway knows.
+ * @returns The count; Infinity while the others are not known, when no share of a bound is this gateway's.
+ */
+export function sharingCount (known: Surroundings): number {
+  return known.sharers === undefined ? Infinity : Math.max(1, known.gatewayCount)
+}
+
 type Hurdle = (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number) => boolean
 
 /** What rules an endpoint of the service out, the cheapest to find first. */
@@ -212,7 +222,7 @@
 
 function bearsCold (row: Endpoints.EndpointRow, service: Deployment.Service, known: Surroundings, nowMs: number): boolean {
   if (row.coldUntilMs <= nowMs || service.coldCallsPerSecond <= 0) return true
-  const shareCount = Math.floor(service.coldCallsPerSecond / Math.max(1, known.gatewayCount))
+  const shareCount = Math.floor(service.coldCallsPerSecond / sharingCount(known))
   if (shareCount < 1) return Turns.isOpen(row.coldTurns, service.coldCallsPerSecond, known.sharers, known.storeMs)
   const sinceMs = nowMs - COLD_WINDOW_MS
   while (row.coldSentAtMs.length > 0 && (row.coldSentAtMs[0] ?? 0) <= sinceMs) row.coldSentAtMs.shift()
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -76,6 +76,21 @@
     })
   })
 
+  describe('a gateway that does not know the others yet', () => {
+    const known = surroundingsOf([listingOf('cold', { coldForMs: 60_000 }), listingOf('warm')], { sharers: undefined })
+
+    it('leaves cold endpoints to them', () => {
+      expect(idsOf(Routing.Choice.candidates(placing(), known, NOW_MS))).toEqual(['warm'])
+    })
+
+    it('repeats calls only by its own share of calls, not by the allowance of all', () => {
+      const budget = Routing.Budgets.createBudget(() => ({ ratio: 0.2, slackCount: 100, windowMs: 10_000 }))
+      for (let count = 0; count < 10; count++) budget.noteCall('llm', NOW_MS)
+      const taken = Array.from({ length: 20 }, () => budget.take('llm', Routing.Choice.sharingCount(known), NOW_MS))
+      expect(taken.filter(Boolean).length).toEqual(1)
+    })
+  })
+
   describe('an endpoint that says nothing', () => {
     it('is left out while calls wait there, and chosen last once its agent is silent too', () => {
       const known = surroundingsOf([listingOf('quiet'), listingOf('well')])
