Weight turns by what callers ask each gateway for

Turns fell on all gateways alike, while a zone with two gateways and one with a single one have as many callers.

Each gateway tells the others every second how many calls a second it is asked for, and goes by the weight that it has told. The tests on shared bounds stand in a file of their own, since the mutation run cannot use a file with a listed failure.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -58,6 +58,8 @@
   reading: Schema.optional(Schema.Struct({ revision: Schema.Int, atMs: Schema.Number })),
   /** What the sender knows of versions of weights (`Routing.Versions.Naming`); times are the store's. */
   named: Schema.optional(Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int, revision: Schema.optional(Schema.Int), namedAtMs: Schema.optional(Schema.Number), notBeforeMs: Schema.optional(Schema.Number) }))),
+  /** Calls a second that callers ask the sending gateway for. */
+  callsPerSecond: Schema.optional(Schema.Number),
   limits: Schema.optional(Schema.Array(LimitNews)),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -96,6 +96,7 @@
   const versions = Routing.Versions.createVersions(() => ({ sendMs: options.bounds().versionMs - VERSION_RESERVE_MS, beginMs: options.bounds().versionMs - WITHDRAW_RESERVE_MS }))
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
+  const demand = Routing.Demand.createDemand(clock())
   let index: Routing.Deployment.DeploymentIndex | undefined
   /** The oldest version of each model on which calls begin, as logged last. */
   const oldestLogged = new Map<string, { readonly version: number, readonly atMs: number }>()
@@ -105,12 +106,20 @@
     if (news.load !== undefined) takeLoad(news.load)
     Follow.News.learnNamed(versions, news, operators.follower, node.storeClock, log)
     for (const told of news.limits ?? []) learnLimit(told, news.sender)
+    if (news.callsPerSecond !== undefined) sharerOf(news.sender).weight = news.callsPerSecond
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
   const members = (): readonly Follow.Members.Member[] => node.members()
-  const sharersOf = Core.Memo.byIdentity((others: readonly Follow.Members.Member[]) =>
-    Routing.Turns.createSharers(options.name, others.filter(member => member.kind === 'gateway').map(member => member.name)))
+  /** All gateways that were heard of, by name: each keeps the weight that it told last. */
+  const sharers = new Map<string, Routing.Turns.Sharer>()
+  const sharerOf = (name: string): Routing.Turns.Sharer => {
+    const known = sharers.get(name) ?? Routing.Turns.createSharer(name)
+    sharers.set(name, known)
+    return known
+  }
+  const sharersOf = Core.Memo.byIdentity((others: readonly Follow.Members.Member[]): Routing.Turns.Sharers =>
+    ({ own: sharerOf(options.name), others: others.filter(member => member.kind === 'gateway').map(member => sharerOf(member.name)) }))
 
   const takeLoad = (load: Follow.News.LoadNews): void => {
     const row = endpoints.get(idByAddress.get(`${load.host}:${load.port}`) ?? '')
@@ -200,6 +209,7 @@
     }),
     oldestBegunOf: model => versions.oldestBegunOf(model, node.storeClock.now()),
     budget,
+    demand,
     clock,
     random,
     metrics,
@@ -225,9 +235,13 @@
     toldRevision = revision
     toldAtMs = nowMs
     const limits = Follow.News.limitNews(endpoints.rows(), node.storeClock, nowMs)
+    const callsPerSecond = Math.round(demand.perSecond(nowMs))
+    // The weight that this gateway goes by is the one that the others know.
+    sharerOf(options.name).weight = callsPerSecond
     node.tell({
       named: Follow.News.namedNews(versions, node.storeClock.now()),
       revisions: { [options.tables.operators]: operators.follower.mirror.rowRevision(), [options.tables.endpoints]: listed.mirror.rowRevision() },
+      callsPerSecond,
       ...(limits.length === 0 ? {} : { limits })
     }, 'gateway')
   }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -26,6 +26,7 @@
   /** The oldest version of a model on which a call that was sent may still begin. */
   readonly oldestBegunOf: (model: string) => number
   readonly budget: Routing.Budgets.Budget
+  readonly demand: Routing.Demand.Demand
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
@@ -159,6 +160,7 @@
     }
     calls.add(call)
     options.budget.noteCall(service.name, nowMs)
+    options.demand.note(nowMs)
     response.once('close', () => { if (!call.done) cancel(call) })
     call.timer = setTimeout(() => { timeOut(call) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_SLACK_MS))
     place(call)
--- /dev/null
+++ b/src/routing/demand.ts
@@ -0,0 +1,37 @@
+/**
+ * How many calls a second a gateway is asked for.
+ *
+ * Answers uneven load over gateways: those that share a rate get turns by what their callers want.
+ *
+ * @packageDocumentation
+ */
+
+/** The demand at one gateway. */
+export interface Demand {
+  /** Notes a caller's call. */
+  note: (nowMs: number) => void
+  /** Calls a second of late. */
+  perSecond: (nowMs: number) => number
+}
+
+/** Calls are counted for so long, in milliseconds: ten calls a second then vary by a sixth. */
+const WINDOW_MS = 4_000
+const MS_PER_SECOND = 1_000
+
+/**
+ * Creates the memory of one gateway.
+ *
+ * @param startedAtMs - When the gateway started, in milliseconds.
+ * @returns The memory.
+ */
+export function createDemand (startedAtMs: number): Demand {
+  const times: number[] = []
+  return {
+    note: nowMs => { times.push(nowMs) },
+    perSecond: nowMs => {
+      while (times.length > 0 && (times[0] ?? 0) <= nowMs - WINDOW_MS) times.shift()
+      const countedMs = Math.min(WINDOW_MS, Math.max(MS_PER_SECOND, nowMs - startedAtMs))
+      return times.length * MS_PER_SECOND / countedMs
+    }
+  }
+}
--- a/src/routing/turns.ts
+++ b/src/routing/turns.ts
@@ -3,7 +3,7 @@
  *
  * Answers bounds on what all gateways together send to an endpoint, where the share of each may be
  * far below one call. The store's time is divided into turns of one call each, and each turn belongs
- * to one gateway by rendezvous hash. So the sum keeps to the rate whatever the number of gateways, a
+ * to one gateway by rendezvous hash, weighted by what the callers of each gateway ask for. So the sum keeps to the rate whatever the number of gateways, a
  * gateway that is gone leaves only its own turns unused, and gateways whose lists differ by one
  * disagree on the turns of that one alone.
  *
@@ -11,11 +11,18 @@
  */
 import * as Core from '../core/index.ts'
 
-/** The gateways that share a rate, as hashes of their names. */
+/** A gateway that shares a rate. */
+export interface Sharer {
+  /** Hash of its name. */
+  readonly hash: number
+  /** Its part of the turns, in calls a second that it is asked for; undefined while it has not told. */
+  weight: number | undefined
+}
+
+/** The gateways that share a rate. */
 export interface Sharers {
-  readonly own: number
-  /** The other gateways. */
-  readonly others: readonly number[]
+  readonly own: Sharer
+  readonly others: readonly Sharer[]
 }
 
 /** The turns of one gateway at one endpoint. */
@@ -33,8 +40,21 @@
 
 /** The slowest rate, in calls a second: without any call no answer could tell that a limit has ended. */
 const SLOWEST_PER_SECOND = 0.1
+/** The weight of a gateway that is asked for less, in calls a second: it may be asked for more before it has told. */
+const LEAST_WEIGHT = 1
+const HASH_RANGE = 2 ** 32
 const MS_PER_SECOND = 1_000
 
+/**
+ * Makes a sharer that has not told its weight.
+ *
+ * @param name - The name of the gateway.
+ * @returns The sharer.
+ */
+export function createSharer (name: string): Sharer {
+  return { hash: Core.Hash.rankOf(name), weight: undefined }
+}
+
 /**
  * Makes the sharers.
  *
@@ -43,7 +63,7 @@
  * @returns The sharers.
  */
 export function createSharers (ownName: string, otherNames: readonly string[]): Sharers {
-  return { own: Core.Hash.rankOf(ownName), others: otherNames.map(Core.Hash.rankOf) }
+  return { own: createSharer(ownName), others: otherNames.map(createSharer) }
 }
 
 /**
@@ -113,6 +133,13 @@
 
 function isOwn (seed: number, index: number, sharers: Sharers): boolean {
   const turn = Core.Hash.mix(seed ^ Core.Hash.mix(index))
-  const own = Core.Hash.mix(turn ^ sharers.own)
-  return sharers.others.every(other => Core.Hash.mix(turn ^ other) < own)
+  const ownWeight = sharers.own.weight ?? LEAST_WEIGHT
+  const own = scoreOf(turn, sharers.own.hash, ownWeight)
+  return sharers.others.every(({ hash, weight = ownWeight }) => scoreOf(turn, hash, weight) < own)
+}
+
+/** The highest score has the turn; the chance of that is proportional to the weight. */
+function scoreOf (turn: number, hash: number, weight: number): number {
+  const draw = (Core.Hash.mix(turn ^ hash) + 0.5) / HASH_RANGE
+  return Math.max(LEAST_WEIGHT, weight) / -Math.log(draw)
 }
--- /dev/null
+++ b/test/direct-bounds.test.ts
@@ -0,0 +1,44 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Routing from '../src/routing/index.ts'
+import * as CallLimits from '../testkit/callLimits.ts'
+import * as Direct from '../testkit/direct.ts'
+
+const { ENGINE_SERVICE, listingOf, surroundingsOf } = Direct
+const NOW_MS = 10_000
+const PLACING: Routing.Choice.Placing = { service: ENGINE_SERVICE, model: 'm', promptTokens: 1_000, regions: [], triedIds: new Set() }
+
+describe('a cold endpoint shared by more gateways than it bears calls a second', () => {
+  it('gets no more from all of them together than it bears', t => {
+    const names = Array.from({ length: 100 }, (_, index) => `g${index}`)
+    const gateways = names.map(name => surroundingsOf([listingOf('cold', { coldForMs: 60_000 })], { gatewayCount: 100, zoneGatewayCount: 50, sharers: Routing.Turns.createSharers(name, names.filter(other => other !== name)) }))
+    const sentAtMs: number[] = []
+    for (let nowMs = 0; nowMs < 3_000; nowMs += 10) {
+      for (const known of gateways) {
+        const [candidate] = Routing.Choice.candidates(PLACING, { ...known, storeMs: nowMs }, nowMs)
+        if (candidate === undefined) continue
+        Routing.Choice.noteSent(candidate.row, 0, nowMs)
+        candidate.row.ownCount--
+        sentAtMs.push(nowMs)
+      }
+    }
+    const most = CallLimits.mostWithin(sentAtMs, 1_000)
+    t.diagnostic(`${most} calls in a second`)
+    expect([most > 0, most <= ENGINE_SERVICE.coldCallsPerSecond * 1.5 + 5]).toEqual([true, true])
+  })
+})
+
+describe('a gateway that does not know the others yet', () => {
+  const known = surroundingsOf([listingOf('cold', { coldForMs: 60_000 }), listingOf('warm')], { sharers: undefined })
+
+  it('leaves cold endpoints to them', () => {
+    expect(Routing.Choice.candidates(PLACING, known, NOW_MS).map(candidate => candidate.row.listing.endpointId)).toEqual(['warm'])
+  })
+
+  it('repeats calls only by its own share of calls, not by the allowance of all', () => {
+    const budget = Routing.Budgets.createBudget(() => ({ ratio: 0.2, slackCount: 100, windowMs: 10_000 }))
+    for (let count = 0; count < 10; count++) budget.noteCall('llm', NOW_MS)
+    const taken = Array.from({ length: 20 }, () => budget.take('llm', Routing.Choice.sharingCount(known), NOW_MS))
+    expect(taken.filter(Boolean).length).toEqual(1)
+  })
+})
--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -25,12 +25,12 @@
 })
 
 /** Offers each gateway calls at random times; each goes to the endpoint if a turn is open. */
-const play = (gateways: readonly Gateway[], limitAt: (atMs: number, sentCount: number) => number, durationMs = 20_000): Played => {
+const play = (gateways: readonly Gateway[], limitAt: (atMs: number, sentCount: number) => number, durationMs = 20_000, callsPerSecond = CALLS_PER_SECOND): Played => {
   const random = Core.Random.createRandom(3)
   const sentAtMs: number[] = []
   for (let nowMs = START_MS; nowMs < START_MS + durationMs; nowMs += STEP_MS) {
     for (const { turns, sharers, offMs } of gateways) {
-      if (random.next() >= CALLS_PER_SECOND * STEP_MS / 1_000) continue
+      if (random.next() >= callsPerSecond * STEP_MS / 1_000) continue
       if (!Routing.Turns.isOpen(turns, limitAt(nowMs, sentAtMs.length), sharers, nowMs + offMs)) continue
       Routing.Turns.take(turns)
       sentAtMs.push(nowMs)
@@ -65,6 +65,33 @@
     })
   }
 
+  describe('of gateways that are asked for unequally many calls', () => {
+    const names = namesOf(4)
+    const demands = [30, 10, 10, 10]
+    const limitPerSecond = 20
+    const told = (gateway: Gateway, weights: readonly number[]): Gateway => {
+      const sharers = gateway.sharers as Routing.Turns.Sharers
+      const at = names.findIndex(name => sharers.own.hash === Routing.Turns.createSharer(name).hash)
+      sharers.own.weight = weights[at]
+      for (const [index, other] of sharers.others.entries()) other.weight = weights[index < at ? index : index + 1]
+      return gateway
+    }
+
+    it('go to each by what it is asked for', () => {
+      const played = names.map((name, index) => play([told(gatewayOf(name, names), demands)], () => limitPerSecond, 20_000, demands[index]).sentAtMs.length)
+      const all = played.reduce((sum, count) => sum + count, 0)
+      const shares = played.map(count => count / all)
+      expect([Math.abs((shares[0] ?? 0) - 0.5) < 0.1, shares.slice(1).every(share => Math.abs(share - 1 / 6) < 0.1)]).toEqual([true, true])
+    })
+
+    it('keep the sum within the rule while what was told has not reached all', t => {
+      const gateways = names.map((name, index) => told(gatewayOf(name, names), index === 0 ? demands : [10, 10, 10, 10]))
+      const { mostInWindow } = play(gateways, () => limitPerSecond, 20_000, 30)
+      t.diagnostic(`${mostInWindow} in 4 s`)
+      expect(mostInWindow <= CallLimits.allowedCount(limitPerSecond)).toEqual(true)
+    })
+  })
+
   it('are nobody\'s while the other gateways or the store\'s time are not known', () => {
     const turns = Routing.Turns.createTurns('endpoint', KEPT_MS)
     const alone = Routing.Turns.createSharers('g', [])
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -521,5 +521,68 @@
     text: 'const HEAD_MS = 600',
     replacement: 'const HEAD_MS = 60_000',
     checks: [test('direct-shared')]
+  },
+  {
+    name: "limits: an endpoint gets calls in a gateway's turns only",
+    file: 'src/routing/choice.ts',
+    text: 'limited: (row, _placing, known) => !hasTurn(row, known)',
+    replacement: 'limited: () => false',
+    checks: [test('direct-limits')]
+  },
+  {
+    name: 'limits: a turn is used once',
+    file: 'src/routing/choice.ts',
+    text: 'if (row.limit?.callsPerSecond !== undefined) Turns.take(row.turns)',
+    replacement: '',
+    checks: [test('direct-limits')]
+  },
+  {
+    name: 'limits: a turn belongs to one gateway',
+    file: 'src/routing/turns.ts',
+    text: 'scoreOf(turn, hash, weight) < own)',
+    replacement: 'true)',
+    checks: [test('turns')]
+  },
+  {
+    name: 'limits: a change of the rate adds no calls',
+    file: 'src/routing/turns.ts',
+    text: 'nextIndex: nowIndex + 2',
+    replacement: 'nextIndex: nowIndex',
+    checks: [test('turns')]
+  },
+  {
+    name: "limits: nobody's turn while gateways are not known",
+    file: 'src/routing/turns.ts',
+    text: 'if (sharers === undefined || !Number.isFinite(storeMs)) return false\n',
+    replacement: 'if (sharers === undefined || !Number.isFinite(storeMs)) return true\n',
+    checks: [test('turns')]
+  },
+  {
+    name: 'limits: not ended by an older answer',
+    file: 'src/routing/limits.ts',
+    text: 'if (told.askedAtMs >= known.heardAtMs) return told',
+    replacement: 'if (told.heardAtMs >= known.heardAtMs) return told',
+    checks: [test('turns')]
+  },
+  {
+    name: 'limits: other gateways are told',
+    file: 'src/ingress/gateway.ts',
+    text: 'for (const told of news.limits ?? []) learnLimit(told, news.sender)',
+    replacement: '',
+    checks: [test('direct-limits')]
+  },
+  {
+    name: 'cold endpoints: no share below one call is rounded up',
+    file: 'src/routing/choice.ts',
+    text: 'if (shareCount < 1) return Turns',
+    replacement: 'if (shareCount < 1) return row.coldSentAtMs.length < 1 || Turns',
+    checks: [test('direct-bounds')]
+  },
+  {
+    name: 'bounds: no share while gateways are not known',
+    file: 'src/routing/choice.ts',
+    text: 'known.sharers === undefined ? Infinity : ',
+    replacement: '',
+    checks: [test('direct-bounds')]
   }
 ]
