Let only gateways that an endpoint answers tell of its limit

Every gateway told every other one all limits that it knew, every second: some 110 bytes for each limited endpoint times the number of gateways at each of them, 0.4 MB a second with 370 gateways and ten such endpoints (computed), and the end of a limit for as long as answers came. Now a gateway tells what an answer to itself said within three seconds, about 5 KB a second at that size (computed).

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -77,8 +77,8 @@
 const decode = Decode.json(News)
 /** Limits in one message at the most, so that it fits into a datagram. */
 const LIMITS_TOLD_COUNT = 100
-/** The end of a limit is told again for so long, in milliseconds, in case a datagram was lost. */
-const ENDED_TOLD_MS = 5_000
+/** A limit is told again for so long after an answer named or ended it, in milliseconds, in case a datagram was lost: three messages. */
+const LIMIT_TOLD_MS = 3_000
 
 /**
  * Makes news of what binds calls to versions.
@@ -92,7 +92,7 @@
 }
 
 /**
- * Makes news of the limits that endpoints named, or ended lately.
+ * Makes news of the limits that endpoints named to this gateway, or that ended, of late: if every gateway told all that it knows, messages would grow with the square of their number.
  *
  * @param endpoints - The endpoints.
  * @param storeClock - The store's clock.
@@ -101,8 +101,8 @@
  */
 export function limitNews (endpoints: Iterable<Routing.Endpoints.EndpointRow>, storeClock: StoreClock.StoreClock, nowMs: number): LimitNews[] {
   const told: LimitNews[] = []
-  for (const { listing: { endpointId, bornAtMs }, limit } of endpoints) {
-    if (limit === undefined || (limit.callsPerSecond === undefined && nowMs - limit.heardAtMs > ENDED_TOLD_MS)) continue
+  for (const { listing: { endpointId, bornAtMs }, limit, limitOwnAtMs, limitChangedAtMs } of endpoints) {
+    if (limit === undefined || nowMs - (limit.callsPerSecond === undefined ? limitChangedAtMs : limitOwnAtMs) > LIMIT_TOLD_MS) continue
     const [askedAtMs, heardAtMs] = [limit.askedAtMs, limit.heardAtMs].map(ownMs => Math.round(storeClock.ofOwn(ownMs))) as [number, number]
     if (Number.isFinite(heardAtMs)) told.push({ endpointId, bornAtMs, callsPerSecond: limit.callsPerSecond, askedAtMs, heardAtMs })
   }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -131,7 +131,7 @@
   const takeLimit = (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement, source: string): boolean => {
     const { endpointId } = row.listing
     const before = row.limit?.callsPerSecond
-    if (!Routing.Endpoints.noteLimit(row, told)) return false
+    if (!Routing.Endpoints.noteLimit(row, told, clock())) return false
     const limitPerSecond = row.limit?.callsPerSecond
     if (limitPerSecond === undefined) log('endpoints', 'Endpoint names no limit any more.', { endpointId, limitPerSecondBefore: before, source })
     else log('endpoints', 'Endpoint names a limit.', { endpointId, limitPerSecond, limitPerSecondBefore: before, source })
@@ -216,7 +216,9 @@
     log,
     onLimit: (row, told) => {
       // An answer from before the endpoint started again says nothing of its new start.
-      if (endpoints.get(row.listing.endpointId) !== row || !takeLimit(row, told, options.name)) return
+      if (endpoints.get(row.listing.endpointId) !== row) return
+      if (told.callsPerSecond !== undefined) row.limitOwnAtMs = clock()
+      if (!takeLimit(row, told, options.name)) return
       node.tell({ revisions: {}, limits: Follow.News.limitNews([row], node.storeClock, clock()) }, 'gateway')
     },
     isStopping: () => stopping
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -68,6 +68,10 @@
   readonly coldTurns: Turns.Turns
   /** What the endpoint last said of the calls that it takes; undefined where it never named a limit. */
   limit: Limits.Statement | undefined
+  /** When that changed last, in milliseconds. */
+  limitChangedAtMs: number
+  /** When an answer to this gateway last named a limit, in milliseconds. */
+  limitOwnAtMs: number
   /** The gateway's turns at the endpoint while it names a limit. */
   readonly turns: Turns.Turns
   failureCount: number
@@ -161,12 +165,15 @@
  *
  * @param row - The endpoint.
  * @param told - What its answer said.
+ * @param nowMs - The time.
  * @returns Whether the limit has changed.
  */
-export function noteLimit (row: EndpointRow, told: Limits.Statement): boolean {
+export function noteLimit (row: EndpointRow, told: Limits.Statement, nowMs: number): boolean {
   const before = row.limit?.callsPerSecond
   row.limit = Limits.merge(row.limit, told)
-  return row.limit?.callsPerSecond !== before
+  const isChanged = row.limit?.callsPerSecond !== before
+  if (isChanged) row.limitChangedAtMs = nowMs
+  return isChanged
 }
 
 /**
@@ -248,6 +255,8 @@
     coldSentAtMs: [],
     coldTurns: Turns.createTurns(listing.endpointId, COLD_KEPT_MS),
     limit: undefined,
+    limitChangedAtMs: -Infinity,
+    limitOwnAtMs: -Infinity,
     turns: Turns.createTurns(listing.endpointId, LIMIT_KEPT_MS),
     failureCount: 0,
     avoidUntilMs: 0,
