Let a limit end at an endpoint whose answers overlap

Found in the read-through. Of two statements that cannot be put in order the stricter one held with the later one's time, so at an endpoint whose answers take longer than the time between its calls each answer without a limit moved the time on by which the next one had to be asked, and the limit never ended. The stricter one keeps its own time now. test/turns 'end at an endpoint whose answers take longer than the time between its calls' failed before.

--- a/src/routing/limits.ts
+++ b/src/routing/limits.ts
@@ -29,10 +29,6 @@
   if (known === undefined) return told.callsPerSecond === undefined ? undefined : told
   if (told.askedAtMs >= known.heardAtMs) return told
   if (known.askedAtMs >= told.heardAtMs) return known
-  const callsPerSecond = Math.min(known.callsPerSecond ?? Infinity, told.callsPerSecond ?? Infinity)
-  return {
-    callsPerSecond: callsPerSecond === Infinity ? undefined : callsPerSecond,
-    askedAtMs: Math.max(known.askedAtMs, told.askedAtMs),
-    heardAtMs: Math.max(known.heardAtMs, told.heardAtMs)
-  }
+  if (known.callsPerSecond !== told.callsPerSecond) return (known.callsPerSecond ?? Infinity) < (told.callsPerSecond ?? Infinity) ? known : told
+  return { ...told, askedAtMs: Math.max(known.askedAtMs, told.askedAtMs), heardAtMs: Math.max(known.heardAtMs, told.heardAtMs) }
 }
--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -140,6 +140,12 @@
     expect([said(2, 100, 200), said(2, 350, 380), said(2, 400, 500)].map(told => Routing.Limits.merge(ended, told)?.callsPerSecond)).toEqual([undefined, 2, 2])
   })
 
+  it('end at an endpoint whose answers take longer than the time between its calls', () => {
+    let known: Routing.Limits.Statement | undefined = said(2, 0, 1_000)
+    for (let askedAtMs = 500; askedAtMs <= 5_000; askedAtMs += 500) known = Routing.Limits.merge(known, said(undefined, askedAtMs, askedAtMs + 1_000))
+    expect(known?.callsPerSecond).toEqual(undefined)
+  })
+
   it('take the stricter of two that cannot be put in order, and the later of two that can', () => {
     expect([said(3, 150, 250), said(3, 200, 300)].map(told => Routing.Limits.merge(said(2, 100, 200), told)?.callsPerSecond)).toEqual([2, 3])
   })
