Do not work out turns one by one at a limit beyond any load

Found in the read-through, looking for a message that takes a process down: an answer with a garbled limit of 1e12 kept the gateway in one loop (a test on it was ended after 20 s). Limits over 1,000 calls a second bind nothing now. test/turns 'are not worked out one by one at a limit beyond any load' passes.

--- a/src/routing/turns.ts
+++ b/src/routing/turns.ts
@@ -40,6 +40,8 @@
 
 /** The slowest rate, in calls a second: without any call no answer could tell that a limit has ended. */
 const SLOWEST_PER_SECOND = 0.1
+/** Rates above this one bind nothing, in calls a second: no endpoint is sent as many, and the turns of each second are worked out one by one. */
+const FASTEST_PER_SECOND = 1_000
 /** The weight of a gateway that is asked for less, in calls a second: it may be asked for more before it has told. */
 const LEAST_WEIGHT = 1
 const HASH_RANGE = 2 ** 32
@@ -87,6 +89,7 @@
  * @returns Whether a turn is unused.
  */
 export function isOpen (turns: Turns, limitPerSecond: number, sharers: Sharers | undefined, storeMs: number): boolean {
+  if (limitPerSecond > FASTEST_PER_SECOND) return true
   if (sharers === undefined || !Number.isFinite(storeMs)) return false
   const perSecond = Math.max(SLOWEST_PER_SECOND, limitPerSecond)
   const turnMs = MS_PER_SECOND / perSecond
--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -92,6 +92,13 @@
     })
   })
 
+  it('are not worked out one by one at a limit beyond any load, as a garbled answer may name', () => {
+    const turns = Routing.Turns.createTurns('endpoint', KEPT_MS)
+    const { sharers } = gatewayOf('gateway-1', namesOf(4))
+    const open = [START_MS, START_MS + 5_000].map(atMs => Routing.Turns.isOpen(turns, 1e12, sharers, atMs))
+    expect([open, turns.unusedAtMs.length, Routing.Turns.opensInMs(turns, sharers, START_MS, 60_000)]).toEqual([[true, true], 0, Infinity])
+  })
+
   it('are nobody\'s while the other gateways or the store\'s time are not known', () => {
     const turns = Routing.Turns.createTurns('endpoint', KEPT_MS)
     const alone = Routing.Turns.createSharers('g', [])
