--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -24,11 +24,14 @@
   dark: boolean
   /** Names this many calls a second as the most that it takes, and serves all; undefined for no limit. */
   limitPerSecond: number | undefined
+  /** Ends a moment after it began to run a call with this body, and is back later as another start; undefined for never. */
+  crashBody: string | undefined
 }
 
 /** A running stand-in. */
 export interface Runner {
-  readonly instanceId: string
+  /** Another one after each crash. */
+  instanceId: string
   readonly port: number
   readonly faults: RunnerFaults
   /** Ids of the calls that ran, in order. */
@@ -37,8 +40,16 @@
   readonly arrived: Http.IncomingHttpHeaders[]
   /** When they arrived, in milliseconds. */
   readonly arrivedAtMs: number[]
+  /** Bodies of the calls that arrived, in order. */
+  readonly arrivedBodies: string[]
+  /** When the runner crashed, in milliseconds. */
+  readonly crashedAtMs: number[]
   /** Calls whose connection closed before the answer was whole. */
   readonly abandoned: string[]
+  /** Told that the runner is back after a crash, with the id that it had before. */
+  onBack: (idBefore: string) => void
+  /** Counts the starts. */
+  born: number
   version: number
   readonly staged: Map<number, Buffer>
   close: () => Promise<void>
@@ -58,6 +69,10 @@
 }
 
 const LAYERS = 4
+/** A call runs for so long before it crashes the runner, in milliseconds. */
+const CRASH_AFTER_MS = 30
+/** A runner that crashed is back after so long, in milliseconds; the platform's take some seconds. */
+const CRASH_DOWN_MS = 1_500
 
 /**
  * Starts a runner on loopback.
@@ -66,15 +81,16 @@
  * @returns The runner.
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
-  const { instanceId, eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined }
+  const { eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
   const arrived: Http.IncomingHttpHeaders[] = []
   const arrivedAtMs: number[] = []
+  const arrivedBodies: string[] = []
   const abandoned: string[] = []
-  const runner: Runner = { instanceId, port: 0, faults, ran, arrived, arrivedAtMs, abandoned, version: options.version ?? 1, staged, close: async () => {} }
+  const runner: Runner = { instanceId: options.instanceId, port: 0, faults, ran, arrived, arrivedAtMs, arrivedBodies, crashedAtMs: [], abandoned, onBack: () => {}, born: 1, version: options.version ?? 1, staged, close: async () => {} }
 
   const stream = (request: Http.IncomingMessage, response: Http.ServerResponse, headers: Record<string, string>): void => {
     const first = Number(request.headers['last-event-id'] ?? 0) + 1
@@ -89,7 +105,7 @@
         setTimeout(() => { response.destroy() }, 1)
         return
       }
-      response.write(`id: ${id}\ndata: ${instanceId}\n\n`)
+      response.write(`id: ${id}\ndata: ${runner.instanceId}\n\n`)
       sentCount++
       if (id++ < eventCount) return
       clearInterval(timer)
@@ -101,14 +117,16 @@
     const id = String(request.headers['x-fescuespread-attempt-id'])
     arrived.push(request.headers)
     arrivedAtMs.push(clock())
+    arrivedBodies.push(body)
     if (faults.dark) return
     const headers = { 'X-Fescuespread-Attempt-Id': faults.crossed ? 'another' : id, ...(faults.limitPerSecond === undefined ? {} : { 'Server-Limit': String(faults.limitPerSecond) }) }
     const expected = request.headers['x-fescuespread-expect-instance']
-    if (expected !== undefined && expected !== instanceId) { response.writeHead(421, headers).end(); return }
+    if (expected !== undefined && expected !== runner.instanceId) { response.writeHead(421, headers).end(); return }
     if (faults.full) { response.writeHead(503, { ...headers, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
     ran.push(id)
     response.once('close', () => { if (!response.writableFinished) abandoned.push(id) })
-    const sealed = { ...headers, 'X-Fescuespread-Response-Seal': `seal-${instanceId}`, 'X-Fescuespread-Weight-Versions': String(runner.version) }
+    if (body === faults.crashBody) { setTimeout(crash, CRASH_AFTER_MS); return }
+    const sealed = { ...headers, 'X-Fescuespread-Response-Seal': `seal-${runner.instanceId}`, 'X-Fescuespread-Weight-Versions': String(runner.version) }
     if (faults.failing) { response.writeHead(500, sealed).end('failed'); return }
     if (faults.unframedReset) {
       request.socket.write(`HTTP/1.1 200 OK\r\n${Object.entries(sealed).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\nhalf`, () => { setTimeout(() => { request.socket.resetAndDestroy() }, 5) })
@@ -127,7 +145,7 @@
       const json = (value: unknown, status = 200): void => { response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value)) }
       if (url.pathname === '/report') {
         const held = runner.version > 0
-        json({ models: held ? [{ name: model, version: runner.version, adapters: [] }] : [], layers: held ? { from: 0, target: LAYERS, version: runner.version } : undefined, busy: false, queued: 0, active: 0, born: 1 })
+        json({ models: held ? [{ name: model, version: runner.version, adapters: [] }] : [], layers: held ? { from: 0, target: LAYERS, version: runner.version } : undefined, busy: false, queued: 0, active: 0, born: runner.born })
       } else if (url.pathname.startsWith('/stage-put/')) {
         staged.set(index, body)
         response.writeHead(200).end()
@@ -143,14 +161,29 @@
       }
     })
   })
+  let restart: NodeJS.Timeout | undefined
+  const crash = (): void => {
+    if (!server.listening) return
+    runner.crashedAtMs.push(clock())
+    server.close()
+    for (const socket of sockets) socket.destroy()
+    restart = setTimeout(() => {
+      const idBefore = runner.instanceId
+      runner.born++
+      runner.instanceId = `${options.instanceId}-${runner.born}`
+      server.listen(port, '127.0.0.1', () => { runner.onBack(idBefore) })
+    }, CRASH_DOWN_MS)
+  }
   server.on('connection', socket => {
     sockets.add(socket)
     socket.once('close', () => { sockets.delete(socket) })
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as Net.AddressInfo
   return Object.assign(runner, {
-    port: (server.address() as Net.AddressInfo).port,
+    port,
     close: async () => {
+      clearTimeout(restart)
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => { server.close(resolve) })
     }
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -153,12 +153,12 @@
   const clock = (): number => performance.now() + passedMs
   const store = await PlatformStore.startPlatformStore(clock)
   const started = await Promise.all(runners.map(async options => await Runner.startRunner({ clock, ...options })))
-  const services = new Map(runners.map(options => [options.instanceId, options.service]))
+  const services = new Map(started.map((runner, at) => [runner, runners[at]?.service]))
   let callCount = 0
   const gateways: StartedGateway[] = []
   const list = (runner: Runner.Runner, changes: object = {}): void => {
     const models = [{ name: 'm', version: runner.version, adapters: [] }]
-    store.put('servers', runner.instanceId, { backend: services.get(runner.instanceId), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: 1, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
+    store.put('servers', runner.instanceId, { backend: services.get(runner), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: runner.born, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
   }
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
   const addGateway: DirectStage['addGateway'] = async (name, changes = {}) => {
@@ -208,7 +208,13 @@
     return added
   }
   deploy()
-  for (const runner of started) list(runner)
+  for (const runner of started) {
+    list(runner)
+    runner.onBack = idBefore => {
+      store.drop('servers', idBefore)
+      list(runner)
+    }
+  }
   const first = await addGateway('g1')
   let stopped: Promise<void> | undefined
   const stop = async (): Promise<void> => {
