Name the request in the log when an endpoint's connection ends under an attempt

Each attempt of a caller has an id of its own, so two lines about one request looked like two requests.

Change: the line on an attempt that was cut has the digest of path, workspace and body, and attempts_cut_total counts such ends. The digest is worked out at a cut only.

No logic is changed.

--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -63,6 +63,8 @@
   sentCount: number
   ranCount: number
   failure: FailureAnswer | undefined
+  /** Names the request, the same for each attempt of its caller; undefined until it is needed. */
+  digest: string | undefined
   /** Whether the head of an answer went to the caller. */
   answering: boolean
   lastEventId: string | undefined
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -12,6 +12,7 @@
 import * as Bodies from './bodies.ts'
 import type * as Calls from './calls.ts'
 import type * as Dialect from './dialect.ts'
+import * as Digests from './digests.ts'
 import * as Events from './events.ts'
 import * as Replies from './replies.ts'
 import type * as Upstream from './upstream.ts'
@@ -149,6 +150,7 @@
       sentCount: 0,
       ranCount: 0,
       failure: undefined,
+      digest: undefined,
       answering: false,
       lastEventId: facts.lastEventId,
       eventCount: 0,
@@ -248,7 +250,7 @@
         blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
         if (call.held === attempt) call.held = undefined
-        endAttempt(call, attempt, end, `${stage}: ${reason}`)
+        endAttempt(call, attempt, end, `${stage}: ${reason}`, stage !== 'connecting')
       }
     })
     const attempt: Calls.Attempt = {
@@ -407,6 +409,11 @@
     call.response.end()
   }
 
+  const digestOf = (call: Calls.Call): string => {
+    call.digest ??= Digests.digestOf(call.request.url ?? '/', call.workspace?.name ?? '', call.body)
+    return call.digest
+  }
+
   const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
     kind: call.route.kind,
     resumable: call.route.resumable,
@@ -426,8 +433,8 @@
       Routing.Choice.candidates(call.placing, known, nowMs).some(candidate => candidate.firstMs < history.leftMs)
   }
 
-  /** Ends an attempt without a whole answer and decides what follows. */
-  const endAttempt = (call: Calls.Call, attempt: Calls.Attempt, end: Routing.Retries.AttemptEnd, reason: string): void => {
+  /** Ends an attempt without a whole answer and decides what follows. The endpoint may have ended under one that it cut. */
+  const endAttempt = (call: Calls.Call, attempt: Calls.Attempt, end: Routing.Retries.AttemptEnd, reason: string, isCut = false): void => {
     if (call.done || call.attempt !== attempt) return
     const nowMs = clock()
     release(call)
@@ -436,8 +443,9 @@
     const step = Routing.Retries.next(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingCount(options.surroundings()), nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
-    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next })
+    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, ...(isCut ? { digest: digestOf(call) } : {}) })
     metrics.count('attempts_ended_total', { end, next })
+    if (isCut) metrics.count('attempts_cut_total')
     if (isRetry) {
       call.resuming = call.answering
       call.waitingSinceMs = nowMs
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -41,6 +41,7 @@
   code: text('The result code, see RESULT-CODES.md'),
   coldForMs: number('How long the endpoint stays cold'),
   deploymentVersion: number('The deployment in force'),
+  digest: text('Names the request by its path, workspace and body: the same for each attempt of its caller'),
   draining: flag('Whether the endpoint takes no new calls'),
   droppedCount: number('Lines dropped since nothing took them'),
   end: text('How an attempt ended: notRun, failed, unknown or broken'),
@@ -122,7 +123,7 @@
 export const LINES: Readonly<Record<string, Line>> = {
   'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion', 'limitPerSecond'] },
   'routing: Call waits.': { about: 'No endpoint would begin in time now; the call waits for one', fields: ['service', 'aheadCount', 'goalMs'], optional: ['callId', 'bestMs'] },
-  'routing: Attempt ended.': { about: 'An attempt ended without a whole answer', fields: ['endpointId', 'end', 'reason', 'tookMs', 'next'], optional: ['callId'] },
+  'routing: Attempt ended.': { about: 'An attempt ended without a whole answer', fields: ['endpointId', 'end', 'reason', 'tookMs', 'next'], optional: ['callId', 'digest'] },
   'routing: Attempt kept.': { about: 'The endpoint of a stream sent nothing for long, and no other goes on with the stream', fields: ['endpointId', 'quietMs'], optional: ['callId'] },
   'routing: Call answered.': { about: 'The caller has a whole answer', fields: [...END, 'status', 'endpointId'], optional: [...END_OPTIONAL, 'firstMs', 'version'] },
   'routing: Call refused.': { about: 'The caller was told that the call did not run, and when to come back', fields: ['reason', 'returnAfterMs'], optional: [...END, ...END_OPTIONAL, 'waitingCount', 'candidateCount', 'bestMs', 'bestId', 'busyCount', 'waitedMs', 'ageMs', 'isCrowded', 'freeCount', 'ruledOut', 'oldestVersion'] },
