Failing test: a request that crashes each endpoint that runs it is sent on and on

Four gateways, eight endpoints, a request that ends each endpoint 30 ms after it began and comes again every 200 ms, on a stream, an idempotent and an at-most-once route, with other calls beside it, one of them with a popular body.

--- /dev/null
+++ b/test/crashing-requests.test.ts
@@ -0,0 +1,85 @@
+import { after, before, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import * as Core from '../src/core/index.ts'
+import * as Crashes from '../testkit/crashes.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const GATEWAY_COUNT = 4
+const RUNNER_COUNT = 8
+const CRASHING = 'crashing'
+const POPULAR = 'popular'
+const STEP_MS = 40
+/** The crashing request comes again so often, in milliseconds. */
+const COMES_AGAIN_MS = 200
+const PATIENCE_MS = 5_000
+const SEED = 11
+
+interface Played {
+  readonly crashing: readonly Direct.CallAnswer[]
+  /** Calls with bodies of their own, and with the popular one, that came from the counted time on. */
+  readonly others: readonly Direct.CallAnswer[]
+  readonly popular: readonly Direct.CallAnswer[]
+}
+
+for (const path of ['/stream/1', '/read/1', '/book/1']) {
+  describe(`a request to ${path} that crashes each endpoint that runs it`, () => {
+    let stage: Direct.DirectStage
+    const gateways: Direct.StartedGateway[] = []
+    let played: Played
+    const random = Core.Random.createRandom(SEED)
+    const anyGateway = (): Direct.StartedGateway => gateways[random.below(gateways.length)] as Direct.StartedGateway
+
+    /** Plays the crashing request with other calls beside it for so long, in milliseconds, counted from the time at which its sends count. */
+    const play = async (durationMs: number): Promise<Played> => {
+      const crashing: Array<Promise<Direct.CallAnswer>> = []
+      const others: Array<Promise<Direct.CallAnswer>> = []
+      const popular: Array<Promise<Direct.CallAnswer>> = []
+      const limitMs = stage.clock() + 4 * Crashes.STABLE_MS
+      for (let step = 0; stage.clock() < Math.min(limitMs, Crashes.countedFromMs(stage.runners) + durationMs); step++) {
+        if (step % Math.round(COMES_AGAIN_MS / STEP_MS) === 0) crashing.push(anyGateway().call({ path, body: CRASHING }))
+        const isCounted = stage.clock() > Crashes.countedFromMs(stage.runners)
+        const other = anyGateway().call({ path, body: `other ${step}` })
+        const asked = anyGateway().call({ path, body: POPULAR })
+        if (isCounted) {
+          others.push(other)
+          popular.push(asked)
+        }
+        await sleep(STEP_MS)
+      }
+      return { crashing: await Promise.all(crashing), others: await Promise.all(others), popular: await Promise.all(popular) }
+    }
+
+    before(async () => {
+      const service = path.startsWith('/stream/') ? 'llm' : 'plain'
+      stage = await Direct.startDirectStage(Array.from({ length: RUNNER_COUNT }, (_, at) => ({ instanceId: `e${at}`, service })))
+      gateways.push(stage.first)
+      for (let count = 2; count <= GATEWAY_COUNT; count++) gateways.push(await stage.addGateway(`g${count}`))
+      for (const gateway of gateways) await TestKit.Wait.until(`${gateway.name} serves`, PATIENCE_MS, async () => (await gateway.call({ path })).status === 200)
+      await sleep(1_500)
+      for (const runner of stage.runners) runner.faults.crashBody = CRASHING
+      played = await play(PATIENCE_MS)
+    })
+    after(async () => { await stage.stop() })
+
+    it('is kept from endpoints once it has crashed three', t => {
+      const fromMs = Crashes.countedFromMs(stage.runners)
+      const count = Crashes.arrivalsSince(stage.runners, CRASHING, fromMs)
+      t.diagnostic(`${stage.runners.flatMap(runner => runner.crashedAtMs).length} crashes, ${count} sends later than ${Crashes.STABLE_MS} ms after the third`)
+      expect([Number.isFinite(fromMs), count <= Crashes.ALLOWED_COUNT]).toEqual([true, true])
+    })
+
+    it('costs no other caller an answer from then on, one with a popular body included', () => {
+      const { others, popular } = played
+      expect([others.length > 0, popular.length > 0]).toEqual([true, true])
+      expect([...others, ...popular].filter(answer => answer.status !== 200 || !answer.whole)).toEqual([])
+    })
+
+    it('is refused truthfully and told to come back later', () => {
+      const ran = new Set(stage.runners.flatMap(runner => runner.ran))
+      const refused = played.crashing.filter(answer => answer.status === 503)
+      expect([refused.length > 0, refused.every(answer => Number(answer.headers['retry-after']) > 0 && !ran.has(String(answer.headers['x-fescuespread-attempt-id'])))]).toEqual([true, true])
+    })
+  })
+}
