Keep requests that crash endpoints from them

Cause: what was known of a request ended with its attempt and with its gateway. The platform gives each attempt of a caller another id, so the request that came again looked new, and a gateway that had seen an endpoint end told nobody.

Change: a request is known by the digest of its path, workspace and body. A gateway notes when an endpoint's connection ends under one and tells the others at once, and again for three seconds; each works out from all the evidence which requests explain the ends. After three ends a request is refused at every gateway, truthfully since that attempt was never sent, with a time of return that lies beyond its deadline. Bystanders are freed by weighing the evidence together, by a whole answer, and by two tries. Evidence is bounded and ends by itself. While nothing is known against any request no digest is worked out.

--- a/src/ctl/story.ts
+++ b/src/ctl/story.ts
@@ -9,7 +9,7 @@
 
 /** Why a call ended as it did. */
 export type Cause =
-  | 'served' | 'late' | 'overCapacity' | 'noEndpoint' | 'notReady' | 'retriesUsedUp' | 'outOfTime'
+  | 'served' | 'late' | 'overCapacity' | 'noEndpoint' | 'notReady' | 'retriesUsedUp' | 'outOfTime' | 'quarantined'
   | 'versionChange' | 'endpointGone' | 'endpointSilent' | 'endpointRefused' | 'endpointFailed' | 'answerLost' | 'answerSpoilt'
   | 'tooSlow' | 'callerLeft' | 'denied' | 'unknown'
 
@@ -144,6 +144,7 @@
   noEndpoint: end => ({ cause: 'noEndpoint', because: nobodySentence(end) }),
   notReady: () => ({ cause: 'notReady', because: 'the gateway knew no deployment yet' }),
   outOfTime: end => ({ cause: 'outOfTime', because: `no endpoint had room within the deadline; the call waited ${String(end.tookMs)} ms` }),
+  quarantined: end => ({ cause: 'quarantined', because: `endpoints ended under the request ${String(end.digest ?? '')} again and again, so it is kept from them` }),
   retriesUsedUp: (_end, around, lines) => {
     const found = attemptCause({ lines, around, end: undefined })
     return { cause: 'retriesUsedUp', because: `the repeats of the service were used up${found === undefined ? '' : `, after ${found.because}`}` }
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -45,6 +45,16 @@
 /** What an endpoint said of the calls that it takes. */
 export type LimitNews = typeof LimitNews.Type
 
+/** What a process knows of a request under which endpoints ended (`Routing.Suspects.Evidence`); times are the store's. */
+export const RequestNews = Schema.Struct({
+  digest: Schema.String,
+  cuts: Schema.Array(Schema.Struct({ endpointId: Schema.String, atMs: Schema.Number })),
+  triedAtMs: Schema.optional(Schema.Array(Schema.Number)),
+  answeredAtMs: Schema.optional(Schema.Number)
+})
+/** What a process knows of a request under which endpoints ended. */
+export type RequestNews = typeof RequestNews.Type
+
 /** A message. */
 export const News = Schema.Struct({
   /** The process that sends it. */
@@ -61,6 +71,7 @@
   /** Calls a second that callers ask the sending gateway for. */
   callsPerSecond: Schema.optional(Schema.Number),
   limits: Schema.optional(Schema.Array(LimitNews)),
+  requests: Schema.optional(Schema.Array(RequestNews)),
   held: Schema.optional(HeldNews),
   /** Says that the sender is there; asks for the same where true. */
   rollCall: Schema.optional(Schema.Boolean)
@@ -109,6 +120,43 @@
   return told.sort((a, b) => b.heardAtMs - a.heardAtMs).slice(0, LIMITS_TOLD_COUNT)
 }
 
+/**
+ * Makes news of a request.
+ *
+ * @param evidence - What is known of it, in the time of this process.
+ * @param storeClock - The store's clock.
+ * @returns The news; undefined while the store's time is not known.
+ */
+export function requestNews (evidence: Routing.Suspects.Evidence, storeClock: StoreClock.StoreClock): RequestNews | undefined {
+  const told = (ownMs: number): number => Math.round(storeClock.ofOwn(ownMs))
+  if (!Number.isFinite(storeClock.now())) return undefined
+  const { digest, cuts, triedAtMs, answeredAtMs } = evidence
+  return {
+    digest,
+    cuts: cuts.map(({ endpointId, atMs }) => ({ endpointId, atMs: told(atMs) })),
+    ...(triedAtMs.length === 0 ? {} : { triedAtMs: triedAtMs.map(told) }),
+    ...(Number.isFinite(answeredAtMs) ? { answeredAtMs: told(answeredAtMs) } : {})
+  }
+}
+
+/**
+ * Reads news of a request.
+ *
+ * @param news - The news.
+ * @param storeClock - The store's clock.
+ * @returns What it says, in the time of this process; undefined while the store's time is not known.
+ */
+export function evidenceOf (news: RequestNews, storeClock: StoreClock.StoreClock): Routing.Suspects.Evidence | undefined {
+  if (!Number.isFinite(storeClock.now())) return undefined
+  const { digest, cuts, triedAtMs = [], answeredAtMs } = news
+  return {
+    digest,
+    cuts: cuts.map(({ endpointId, atMs }) => ({ endpointId, atMs: storeClock.toOwn(atMs) })),
+    triedAtMs: triedAtMs.map(storeClock.toOwn),
+    answeredAtMs: answeredAtMs === undefined ? -Infinity : storeClock.toOwn(answeredAtMs)
+  }
+}
+
 /**
  * Takes the versions that another process tells of.
  *
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -65,6 +65,8 @@
   failure: FailureAnswer | undefined
   /** Names the request, the same for each attempt of its caller; undefined until it is needed. */
   digest: string | undefined
+  /** Whether the call was sent to see whether its request still crashes endpoints. */
+  isTry: boolean
   /** Whether the head of an answer went to the caller. */
   answering: boolean
   lastEventId: string | undefined
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -11,6 +11,7 @@
 import * as Routing from '../routing/index.ts'
 import type * as Dialect from './dialect.ts'
 import * as Ingress from './ingress.ts'
+import * as Quarantine from './quarantine.ts'
 import * as Upstream from './upstream.ts'
 
 /** An address to listen on. */
@@ -79,6 +80,8 @@
 const BACKLOG_COUNT = 1_024
 /** Ages and counts of beliefs are set so often for whoever reads the metrics, in milliseconds. */
 const GAUGE_MS = 1_000
+/** What is known of requests that crash endpoints is told again so often, in milliseconds, in case a datagram was lost. */
+const QUARANTINE_BEAT_MS = 1_000
 const MS_PER_SECOND = 1_000
 /** While versions change, what calls may begin on is logged again so often, in milliseconds: lines of calls crowd older ones out of a log of bounded length. */
 const VERSIONS_LOG_MS = 2_000
@@ -106,10 +109,12 @@
     if (news.load !== undefined) takeLoad(news.load)
     Follow.News.learnNamed(versions, news, operators.follower, node.storeClock, log)
     for (const told of news.limits ?? []) learnLimit(told, news.sender)
+    if (news.requests !== undefined) quarantine.learn(news.requests)
     if (news.callsPerSecond !== undefined) sharerOf(news.sender).weight = news.callsPerSecond
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
+  const quarantine = Quarantine.createQuarantine({ node, clock, random, metrics, log })
   const members = (): readonly Follow.Members.Member[] => node.members()
   /** All gateways that were heard of, by name: each keeps the weight that it told last. */
   const sharers = new Map<string, Routing.Turns.Sharer>()
@@ -210,6 +215,7 @@
     oldestBegunOf: model => versions.oldestBegunOf(model, node.storeClock.now()),
     budget,
     demand,
+    quarantine,
     clock,
     random,
     metrics,
@@ -267,6 +273,7 @@
       metrics.gauge('weights_oldest_version', versions.oldestOf(model, node.storeClock.now()), { model })
     }
   }, GAUGE_MS)
+  const quarantineBeat = setInterval(quarantine.beat, QUARANTINE_BEAT_MS)
   const logOldestVersions = (nowMs: number): void => {
     const storeMs = node.storeClock.now()
     const sinceMs = (atMs: number | undefined): number | undefined => atMs === undefined || !Number.isFinite(storeMs - atMs) ? undefined : Math.round(storeMs - atMs)
@@ -310,6 +317,7 @@
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(beat)
       clearInterval(tellBeliefs)
+      clearInterval(quarantineBeat)
       operators.follower.stop()
       listed.stop()
       ingress.stop()
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -14,6 +14,7 @@
 import type * as Dialect from './dialect.ts'
 import * as Digests from './digests.ts'
 import * as Events from './events.ts'
+import type * as Quarantine from './quarantine.ts'
 import * as Replies from './replies.ts'
 import type * as Upstream from './upstream.ts'
 
@@ -28,6 +29,8 @@
   readonly oldestBegunOf: (model: string) => number
   readonly budget: Routing.Budgets.Budget
   readonly demand: Routing.Demand.Demand
+  /** Requests that crash endpoints. */
+  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'verdictOf' | 'noteCut' | 'noteTry' | 'noteAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
@@ -75,7 +78,7 @@
  * @returns The ingress.
  */
 export function createIngress (options: IngressOptions): Ingress {
-  const { dialect, upstream, clock, random, metrics, log } = options
+  const { dialect, upstream, quarantine, clock, random, metrics, log } = options
   const calls = new Set<Calls.Call>()
   const waiting = Routing.Waiting.createWaiting<Calls.Call>()
   const ages = Routing.Ages.createAges()
@@ -151,6 +154,7 @@
       ranCount: 0,
       failure: undefined,
       digest: undefined,
+      isTry: false,
       answering: false,
       lastEventId: facts.lastEventId,
       eventCount: 0,
@@ -172,10 +176,17 @@
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
     noteStandstill(nowMs)
+    const verdictOnRequest = verdictOf(call)
+    if (verdictOnRequest === 'keepBack') {
+      waiting.remove(call)
+      if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, 'quarantined')
+      else refuse(call, 'quarantined', { digest: digestOf(call) })
+      return
+    }
     const known = options.surroundings()
     call.late = call.ageAtArrivalMs + nowMs - call.arrivedAtMs > call.route.goalMs
     const found = Routing.Choice.candidates(call.placing, known, nowMs)
-    const best = Routing.Choice.choose(found, random)
+    const best = verdictOnRequest === 'try' ? Routing.Choice.leastBusy(found, nowMs) : Routing.Choice.choose(found, random)
     const opensInMs = best === undefined ? Routing.Choice.opensInMs(call.placing, known, nowMs, call.route.goalMs) : undefined
     const asking: Routing.Admission.Asking = {
       ageMs: call.ageAtArrivalMs + nowMs - call.arrivedAtMs,
@@ -189,6 +200,10 @@
     const verdict = Routing.Admission.decide(asking, best, { aheadCount: waiting.aheadCount(call), turnMs }, found.length > 0 || opensInMs !== undefined)
     if (verdict.kind === 'send') {
       waiting.remove(call)
+      if (verdictOnRequest === 'try') {
+        call.isTry = true
+        quarantine.noteTry(digestOf(call))
+      }
       send(call, verdict.candidate, nowMs)
     } else if (verdict.kind === 'wait') {
       if (asking.waitedMs === 0) log('routing', 'Call waits.', { callId: call.callId, service: call.service, aheadCount: waiting.aheadCount(call), bestMs: best === undefined ? undefined : Math.round(best.firstMs), goalMs: call.route.goalMs })
@@ -396,6 +411,7 @@
       endAttempt(call, attempt, 'broken', `endpoint answered ${head.status} in place of the rest of a stream`)
     } else {
       release(call)
+      noteAnswered(call, head)
       finish(call, 'answered', { status: head.status, endpointId: attempt.row.listing.endpointId })
       writeWhole(call.response, head.status, dialect.answer(head.rawHeaders), body, head.isFramed)
     }
@@ -405,6 +421,7 @@
     if ((attempt.splitter?.pendingBytes() ?? 0) > 0) { endAttempt(call, attempt, 'broken', 'last event not whole'); return }
     release(call)
     beginStream(call, attempt)
+    if (attempt.head !== undefined) noteAnswered(call, attempt.head)
     finish(call, 'answered', { status: 200, endpointId: attempt.row.listing.endpointId, firstMs: Math.round(call.firstEventAtMs - call.arrivedAtMs), version: attempt.head?.facts.weightsVersion })
     call.response.end()
   }
@@ -414,6 +431,14 @@
     return call.digest
   }
 
+  const verdictOf = (call: Calls.Call): Routing.Suspects.Verdict => quarantine.isEmpty() ? 'send' : quarantine.verdictOf(digestOf(call))
+
+  /** A whole answer of which the endpoint told the length shows that the request does not crash endpoints. */
+  const noteAnswered = (call: Calls.Call, head: NonNullable<Calls.Attempt['head']>): void => {
+    const isSuccess = head.status >= 200 && head.status < 300
+    if (isSuccess && head.isFramed && !quarantine.isEmpty()) quarantine.noteAnswered(digestOf(call))
+  }
+
   const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
     kind: call.route.kind,
     resumable: call.route.resumable,
@@ -439,10 +464,12 @@
     const nowMs = clock()
     release(call)
     if (end !== 'notRun') call.ranCount++
+    if (isCut) quarantine.noteCut(digestOf(call), attempt.row.listing.endpointId)
     const history = historyOf(call, nowMs)
-    const step = Routing.Retries.next(end, history)
+    const isKeptBack = call.isTry || verdictOf(call) !== 'send'
+    const step = isKeptBack ? Routing.Retries.giveUp(end, history) : Routing.Retries.next(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingCount(options.surroundings()), nowMs)
-    const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : step
+    const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : isKeptBack ? 'quarantined' : step
     log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, ...(isCut ? { digest: digestOf(call) } : {}) })
     metrics.count('attempts_ended_total', { end, next })
     if (isCut) metrics.count('attempts_cut_total')
@@ -452,7 +479,7 @@
       place(call)
       return
     }
-    conclude(call, step === 'retry' ? Routing.Retries.giveUp(end, history) : step, step === 'retry' ? 'retriesUsedUp' : 'overCapacity')
+    conclude(call, step === 'retry' ? Routing.Retries.giveUp(end, history) : step, step === 'retry' ? 'retriesUsedUp' : isKeptBack ? 'quarantined' : 'overCapacity')
   }
 
   const giveUp = (call: Calls.Call, reason: Routing.Admission.RefusalReason): void => {
@@ -563,9 +590,10 @@
     }
     if (attempt.hasBegun) call.held = attempt
     else attempt.exchange.abort()
-    if (Routing.Silence.isSilent(endpointQuietMs)) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
+    const isEndpointSilent = Routing.Silence.isSilent(endpointQuietMs)
+    if (isEndpointSilent) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
-    endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`)
+    endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`, isEndpointSilent)
   }
 
   /** Takes a stream back that still waits at an endpoint for its turn when the endpoint's version may not be begun on any more. */
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -39,7 +39,7 @@
   | { readonly kind: 'refuse', readonly reason: RefusalReason }
 
 /** Why a call is refused. */
-export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady'
+export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady' | 'quarantined'
 
 /** Share of its goal for which a call may wait for a place: longer waits leave too little time for the engine. */
 const WAIT_SHARE = 0.3
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -109,6 +109,17 @@
   return similar[random.below(similar.length)]
 }
 
+/**
+ * Chooses the candidate with the fewest calls, which a call that may crash it would cut.
+ *
+ * @param found - The candidates.
+ * @param nowMs - The time.
+ * @returns The choice; undefined where there is none.
+ */
+export function leastBusy (found: readonly Candidate[], nowMs: number): Candidate | undefined {
+  return [...found].sort((a, b) => Endpoints.busyCount(a.row, nowMs) - Endpoints.busyCount(b.row, nowMs))[0]
+}
+
 /**
  * Works out how often one of a gateway's calls gets a place, when every place is taken.
  *
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -18,7 +18,9 @@
   outOfTime: 200,
   retriesUsedUp: 500,
   /** A process that has started knows its deployment within a second. */
-  notReady: 400
+  notReady: 400,
+  /** Nothing changes for the caller before its deadline. */
+  quarantined: 30_000
 }
 /** Callers honour a time of return up to this share of the time that they have left. */
 const HONOURED_SHARE = 1 / 3
--- /dev/null
+++ b/test/suspects.test.ts
@@ -0,0 +1,124 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as FastCheck from 'fast-check'
+import * as Routing from '../src/routing/index.ts'
+
+const { Suspects } = Routing
+type Ends = ReadonlyArray<readonly [string, string, number]>
+
+/** Learns cuts, each with its request, endpoint and time in milliseconds. */
+const suspectsOf = (ends: Ends): Routing.Suspects.Suspects => {
+  const suspects = Suspects.createSuspects()
+  for (const [digest, endpointId, atMs] of ends) suspects.learn(Suspects.cut(digest, endpointId, atMs))
+  return suspects
+}
+const keptBack = (ends: Ends): string[] => suspectsOf(ends).keptBack().map(({ digest }) => digest).sort()
+const answered = (digest: string, atMs: number): Routing.Suspects.Evidence => ({ digest, cuts: [], triedAtMs: [], answeredAtMs: atMs })
+const tried = (digest: string, atMs: number): Routing.Suspects.Evidence => ({ digest, cuts: [], triedAtMs: [atMs], answeredAtMs: -Infinity })
+const THREE: Ends = [['bad', 'a', 1_000], ['bad', 'b', 3_000], ['bad', 'c', 5_000]]
+
+describe('Suspects', () => {
+  describe('keptBack', () => {
+    it('has a request under which three endpoints ended, and none after two', () => {
+      expect([keptBack(THREE.slice(0, 2)), keptBack(THREE)]).toEqual([[], ['bad']])
+    })
+
+    it('counts cuts by one end once, whoever tells of them', () => {
+      expect(keptBack([['bad', 'a', 1_000], ['bad', 'a', 1_400], ['bad', 'a', 1_900], ['bad', 'b', 3_000]])).toEqual([])
+    })
+
+    it('counts an endpoint that ended again after it was back', () => {
+      expect(keptBack([['bad', 'a', 1_000], ['bad', 'a', 4_000], ['bad', 'a', 7_000]])).toEqual(['bad'])
+    })
+
+    it('lacks requests that were cut beside the one that explains it, however often', () => {
+      const beside: Ends = [['beside', 'a', 1_010], ['beside', 'b', 3_010], ['beside', 'c', 5_010], ['other', 'a', 1_010]]
+      expect(keptBack([...beside, ...THREE, ['bad', 'd', 7_000]])).toEqual(['bad'])
+    })
+
+    it('singles none out of two that were always cut together, until there are five ends', () => {
+      const both = (count: number): Ends => Array.from({ length: count }, (_, at) => [['x', `e${at}`, at * 2_000], ['y', `e${at}`, at * 2_000]] as const).flat()
+      expect([keptBack(both(3)), keptBack(both(4)), keptBack(both(5))]).toEqual([[], [], ['x']])
+    })
+
+    it('has each of several requests with ends of their own', () => {
+      expect(keptBack([...THREE, ['worse', 'd', 1_000], ['worse', 'e', 2_000], ['worse', 'f', 3_000]])).toEqual(['bad', 'worse'])
+    })
+
+    it('lacks a request that was answered whole since, and has it again after three further ends', () => {
+      const suspects = suspectsOf(THREE)
+      suspects.learn(answered('bad', 6_000))
+      const freed = suspects.keptBack().length
+      for (const [digest, endpointId, atMs] of THREE) suspects.learn(Suspects.cut(digest, endpointId, atMs))
+      const afterOldNews = suspects.keptBack().length
+      for (const [digest, endpointId, atMs] of THREE) suspects.learn(Suspects.cut(digest, endpointId, atMs + 10_000))
+      expect([freed, afterOldNews, suspects.keptBack().length]).toEqual([0, 0, 1])
+    })
+
+    it('is the same in whatever order the evidence comes', () => {
+      const endOf = FastCheck.tuple(FastCheck.constantFrom('p', 'q', 'r', 's'), FastCheck.constantFrom('a', 'b', 'c'), FastCheck.integer({ min: 0, max: 3 }).map(at => at * 2_000))
+      FastCheck.assert(FastCheck.property(FastCheck.uniqueArray(endOf, { maxLength: 8, selector: String }), FastCheck.infiniteStream(FastCheck.nat()), (ends, draws) => {
+        const shuffled = [...ends].map(end => ({ end, draw: draws.next().value as number })).sort((a, b) => a.draw - b.draw).map(({ end }) => end)
+        return String(keptBack(ends)) === String(keptBack(shuffled))
+      }), { seed: 3, numRuns: 500 })
+    })
+
+    it('finds the one that ends endpoints among requests that run beside it and are repeated', () => {
+      FastCheck.assert(FastCheck.property(FastCheck.array(FastCheck.uniqueArray(FastCheck.integer({ min: 0, max: 9 }), { maxLength: 6 }), { minLength: 5, maxLength: 5 }), besides => {
+        const ends = besides.flatMap((beside, at) => [['bad', `e${at}`, at * 2_000] as const, ...beside.map(other => [`o${other}`, `e${at}`, at * 2_000 + 5] as const)])
+        return keptBack(ends).includes('bad')
+      }), { seed: 5, numRuns: 500 })
+    })
+  })
+
+  describe('verdictOf', () => {
+    it('lets a request that is kept back be tried twice, after longer and longer, and then no more', () => {
+      const suspects = suspectsOf(THREE)
+      const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.verdictOf('bad', atMs))
+      expect(verdicts(5_001, 14_999, 15_000)).toEqual(['keepBack', 'keepBack', 'try'])
+      suspects.learn(tried('bad', 15_000))
+      suspects.learn(Suspects.cut('bad', 'd', 15_100))
+      expect(verdicts(15_200, 75_000, 75_100)).toEqual(['keepBack', 'keepBack', 'try'])
+      suspects.learn(tried('bad', 75_100))
+      expect(verdicts(75_200, 1_000_000)).toEqual(['keepBack', 'keepBack'])
+    })
+
+    it('sends requests that nothing is known against', () => {
+      expect(suspectsOf(THREE).verdictOf('good', 6_000)).toEqual('send')
+    })
+  })
+
+  describe('learn', () => {
+    it('takes nothing from an answer to a request without ends', () => {
+      const suspects = Suspects.createSuspects()
+      expect([suspects.learn(answered('good', 1)), suspects.count()]).toEqual([false, 0])
+    })
+
+    it('bounds what is remembered and keeps what has most ends', () => {
+      const suspects = suspectsOf(THREE)
+      for (let at = 0; at < 10_000; at++) suspects.learn(Suspects.cut(`d${at}`, 'z', 10_000 + at))
+      expect([suspects.count() <= 2_048, suspects.keptBack().length]).toEqual([true, 1])
+    })
+  })
+
+  describe('forget', () => {
+    it('drops evidence after ten minutes, and after thirty where the request is kept back', () => {
+      const suspects = suspectsOf([...THREE, ['once', 'z', 5_000]])
+      const countAfter = (minutes: number): number => {
+        suspects.forget(5_001 + minutes * 60_000)
+        return suspects.count()
+      }
+      expect([countAfter(9), countAfter(10), countAfter(29), countAfter(30)]).toEqual([2, 1, 1, 0])
+    })
+  })
+
+  describe('takeChanges', () => {
+    it('tells once of what is kept back and let through', () => {
+      const suspects = suspectsOf(THREE)
+      const told = (): string[] => suspects.takeChanges().map(({ evidence, isKeptBack }) => `${evidence.digest} ${isKeptBack}`)
+      const first = [told(), told()]
+      suspects.learn(answered('bad', 6_000))
+      expect([...first, told()]).toEqual([['bad true'], [], ['bad false']])
+    })
+  })
+})
