Let requests that are kept from endpoints outlive all gateways

What callers would see: after all gateways had lost power or were killed together, a request that three endpoints had ended under was new to them, and ended three more.

Cause: the evidence was in the memory of gateways alone. Ruled out: a gateway that starts beside others, which is told within a second (its test passed before).

Change: a row of the store for each request that is kept back, written once by one or two gateways, changed when the request is tried again and removed when it is let through or was not seen for half an hour. Gateways read the rows when they start, from another gateway where the store does not answer, and follow them with a read every 20 s.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -86,6 +86,8 @@
 }
 
 const decode = Decode.json(News)
+/** Decodes news of a request that stands in a row of the store. */
+export const decodeRequest = Decode.lenient(RequestNews)
 /** Limits in one message at the most, so that it fits into a datagram. */
 const LIMITS_TOLD_COUNT = 100
 /** A limit is told again for so long after an answer named or ended it, in milliseconds, in case a datagram was lost: three messages. */
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps requests that crash endpoints from them: what this gateway sees of them, and what it tells and hears.
+ * Keeps requests that crash endpoints from them: what this gateway sees of them, what it tells and hears, and the rows by which they outlive all gateways.
  *
  * @packageDocumentation
  */
@@ -10,7 +10,8 @@
 
 /** What the quarantine needs. */
 export interface QuarantineOptions {
-  readonly node: Pick<Follow.Node.Node, 'tell' | 'members' | 'storeClock'>
+  readonly node: Pick<Follow.Node.Node, 'tell' | 'members' | 'storeClock' | 'followerOptions' | 'relay'>
+  readonly store: Pick<Follow.Rows.RowSource, 'write' | 'remove'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
@@ -32,6 +33,7 @@
   learn: (told: readonly Follow.News.RequestNews[]) => void
   /** Tells again what others may have missed, and forgets what is too old. */
   beat: () => void
+  stop: () => void
 }
 
 /** What this gateway saw is told again for so long, in milliseconds, in case a datagram was lost: three messages. */
@@ -40,6 +42,13 @@
 const TOLD_COUNT = 64
 /** So many gateways tell of each request that is kept back in a beat, so that one that has started or thawed hears of it: if all did, messages would grow with the square of their number. */
 const TELLER_COUNT = 4
+/** So many gateways write or remove a row in a beat on the average: one may fail, and the others see it in the next. */
+const WRITER_COUNT = 2
+/** The table of the store with the requests that are kept back, by digest. */
+const TABLE = 'fescue_requests'
+/** A read of it is held for so long, in milliseconds: gateways hear of requests from one another, and read rows when they start. */
+const ROWS_WAIT_MS = 20_000
+const ROWS_GATHER_MS = 1_000
 
 /**
  * Creates the quarantine of one gateway.
@@ -48,7 +57,7 @@
  * @returns The quarantine.
  */
 export function createQuarantine (options: QuarantineOptions): Quarantine {
-  const { node, clock, random, metrics, log } = options
+  const { node, store, clock, random, metrics, log } = options
   const suspects = Routing.Suspects.createSuspects()
   /** When this gateway last saw something of a request, in milliseconds. */
   const seenAtMs = new Map<string, number>()
@@ -82,6 +91,39 @@
     tellSoon(evidence.digest)
     logChanges()
   }
+  const learn = (told: readonly Follow.News.RequestNews[]): void => {
+    for (const news of told) {
+      const evidence = Follow.News.evidenceOf(news, node.storeClock)
+      if (evidence !== undefined) suspects.learn(evidence)
+    }
+    logChanges()
+  }
+  const learnRows = (rows: readonly Follow.Rows.Row[]): void => { learn(rows.filter(row => !row.deleted).flatMap(row => Follow.News.decodeRequest(row.value).match(news => [news], () => []))) }
+  const rows = Follow.Follower.createFollower({ ...node.followerOptions, table: TABLE, waitMs: () => ROWS_WAIT_MS, gatherMs: ROWS_GATHER_MS, onRows: learnRows })
+  node.relay(TABLE, rows)
+  const underWay = new Set<string>()
+  /** Runs one change of a row at a time; one that failed is made in a later beat. */
+  const change = async (digest: string, run: () => ReturnType<typeof store.write>): Promise<void> => {
+    if (underWay.has(digest)) return
+    underWay.add(digest)
+    const changed = await run()
+    underWay.delete(digest)
+    if (changed.isErr() && changed.error.kind !== 'changed') log('quarantine', 'Row of a request not changed.', { digest, reason: 'reason' in changed.error ? changed.error.reason : changed.error.kind })
+  }
+  /** Has a row for each request that is kept back, with its latest try, and none for others. */
+  const keepRows = (gatewayCount: number): void => {
+    if (!rows.isKnown() || random.next() * gatewayCount >= WRITER_COUNT) return
+    const live = new Map(rows.mirror.live().map(row => [row.key, row]))
+    for (const evidence of suspects.keptBack()) {
+      const { digest, triedAtMs } = evidence
+      const row = live.get(digest)
+      live.delete(digest)
+      const triedCount = Follow.News.decodeRequest(row?.value).match(news => news.triedAtMs?.length ?? 0, () => -1)
+      const news = Follow.News.requestNews(evidence, node.storeClock)
+      if (news !== undefined && triedCount < triedAtMs.length) void change(digest, async () => await store.write(TABLE, digest, news, row?.revision ?? 0))
+    }
+    for (const [digest, { revision }] of live) void change(digest, async () => await store.remove(TABLE, digest, revision))
+  }
   return {
     isEmpty: () => suspects.count() === 0,
     verdictOf: digest => suspects.verdictOf(digest, clock()),
@@ -93,21 +135,18 @@
     noteAnswered: digest => {
       if ((suspects.get(digest)?.cuts.length ?? 0) > 0) see({ digest, cuts: [], triedAtMs: [], answeredAtMs: clock() })
     },
-    learn: told => {
-      for (const news of told) {
-        const evidence = Follow.News.evidenceOf(news, node.storeClock)
-        if (evidence !== undefined) suspects.learn(evidence)
-      }
-      logChanges()
-    },
+    learn,
     beat: () => {
       const nowMs = clock()
+      learnRows(rows.mirror.live())
       suspects.forget(nowMs)
       logChanges()
       for (const [digest, atMs] of seenAtMs) if (nowMs - atMs > TOLD_MS) seenAtMs.delete(digest)
       const gatewayCount = 1 + node.members().filter(member => member.kind === 'gateway').length
       const drawn = suspects.keptBack().filter(() => random.next() * gatewayCount < TELLER_COUNT).map(({ digest }) => digest)
       tell(new Set([...seenAtMs.keys(), ...drawn]))
-    }
+      keepRows(gatewayCount)
+    },
+    stop: rows.stop
   }
 }
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -144,6 +144,7 @@
   'quarantine: Request kept from endpoints.': { about: 'Endpoints ended under the request again and again; calls with it are refused', fields: ['digest', 'endpointIds'] },
   'quarantine: Request tried again.': { about: 'One call with a request that is kept back is sent, to see whether it still ends endpoints', fields: ['digest'] },
   'quarantine: Request let through again.': { about: 'The request was answered whole, its ends are put down to another one, or it has not come for long', fields: ['digest'] },
+  'quarantine: Row of a request not changed.': { about: 'The store did not take a row on a request that is kept back, or its removal; it is tried again', fields: ['digest', 'reason'] },
   'control: Deployment in force.': { about: 'A newer deployment is taken', fields: ['version', 'routeCount'], optional: ['versionBefore', 'workspaceCount'] },
   'control: Zone taken out of service.': { about: 'Operators drain a zone', fields: ['zone'] },
   'control: Zone back in service.': { about: 'Operators ended the drain', fields: ['zone'] },
