Reset the connection of an answer without a length that is given up

What callers saw: a stream that its endpoint sent without a length and that this gateway gave up in the middle looked whole. Such an answer ends with its connection, and the gateway closed the connection in order.

Change: the connection is reset, as the endpoint's would be. Answers with chunks are closed as before: their end is marked.

--- a/src/ingress/bodies.ts
+++ b/src/ingress/bodies.ts
@@ -44,3 +44,13 @@
   response.shouldKeepAlive = false
   response.useChunkedEncodingByDefault = false
 }
+
+/**
+ * Ends an answer that is not whole, so that its caller sees that: one that ends with its connection would look whole if the connection were closed in order.
+ *
+ * @param response - The answer, of which the head is written.
+ */
+export function cutShort (response: Http.ServerResponse): void {
+  if (response.useChunkedEncodingByDefault) response.destroy()
+  else response.socket?.resetAndDestroy()
+}
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -524,7 +524,7 @@
 
   const fail = (call: Calls.Call, status: number, code: Core.Codes.CodeName): void => {
     finish(call, 'failed', { status, code, answering: call.answering })
-    if (call.answering) { call.response.destroy(); return }
+    if (call.answering) { Bodies.cutShort(call.response); return }
     write(call.response, status, dialect.refusal(call.callId, undefined), code)
   }
 
