Bound what an endpoint sends that is no answer

What callers saw, by tests: an endpoint that sent a body or an event without end held its caller to the deadline (504 after 2 s), while the gateway kept all of it in memory; an idle trickle within an event counted as life, so a stalled stream never went on elsewhere.

Cause: no bound on a whole answer or on the pending bytes of an event, which were copied anew with each part; each byte was a sign of life of the attempt.

Change: at most 4 MiB of a whole answer, 1 MiB of an event and 16 interim answers; then the attempt is given up and repeated where it may be. An attempt of a stream lives by whole events, its endpoint by any bytes.

--- a/src/ingress/events.ts
+++ b/src/ingress/events.ts
@@ -19,6 +19,7 @@
 }
 
 const SEPARATOR = Buffer.from('\n\n')
+const LINE_END = 0x0A
 const ID_FIELD = '\nid:'
 
 /**
@@ -27,18 +28,29 @@
  * @returns The splitter.
  */
 export function createSplitter (): EventSplitter {
-  let pending: Buffer | undefined
+  let pending: Buffer[] = []
+  let pendingBytes = 0
+  /** Where the last event of the bytes ends; 0 where they end none. */
+  const endIn = (bytes: Buffer): number => {
+    const at = bytes.lastIndexOf(SEPARATOR)
+    if (at !== -1) return at + SEPARATOR.length
+    return bytes[0] === LINE_END && pending.at(-1)?.at(-1) === LINE_END ? 1 : 0
+  }
   return {
     push: bytes => {
-      const all = pending === undefined ? bytes : Buffer.concat([pending, bytes])
-      const at = all.lastIndexOf(SEPARATOR)
-      if (at === -1) { pending = all; return undefined }
-      const end = at + SEPARATOR.length
-      pending = end === all.length ? undefined : all.subarray(end)
-      const whole = end === all.length ? all : all.subarray(0, end)
-      return { bytes: whole, lastEventId: lastIdOf(whole) }
+      const end = endIn(bytes)
+      const ended = end === 0 ? undefined : Buffer.concat([...pending, bytes.subarray(0, end)])
+      if (ended !== undefined) {
+        pending = []
+        pendingBytes = 0
+      }
+      if (end < bytes.length) {
+        pending.push(bytes.subarray(end))
+        pendingBytes += bytes.length - end
+      }
+      return ended === undefined ? undefined : { bytes: ended, lastEventId: lastIdOf(ended) }
     },
-    pendingBytes: () => pending?.length ?? 0
+    pendingBytes: () => pendingBytes
   }
 }
 
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -58,6 +58,10 @@
 const IDLE_ONCE_MS = 800
 /** Calls answered after the deadline would be of no use; the system's own answer follows so soon after it, in milliseconds. */
 const DEADLINE_SLACK_MS = 20
+/** The largest answer that is passed on whole, in bytes: an instance has some 220 MB, and several such answers may come at once. */
+const ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
+/** The largest event of a stream, in bytes: an event holds a few tokens. */
+const EVENT_LIMIT_BYTES = 1024 * 1024
 /** Methods whose calls have no length where they have no body. */
 const BODILESS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
 /** What the log says of the ends of calls. */
@@ -361,16 +365,20 @@
   }
 
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
-    if (call.held === attempt) takeBack(call, attempt)
-    attempt.heardAtMs = clock()
-    attempt.row.heardAtMs = attempt.heardAtMs
+    const nowMs = clock()
+    attempt.row.heardAtMs = nowMs
     if (attempt.splitter === undefined) {
+      attempt.heardAtMs = nowMs
       attempt.parts.push(bytes)
       attempt.partBytes += bytes.length
+      if (attempt.partBytes > ANSWER_LIMIT_BYTES) breakOff(call, attempt, 'answer too large')
       return
     }
     const whole = attempt.splitter.push(bytes)
+    if (attempt.splitter.pendingBytes() > EVENT_LIMIT_BYTES) { breakOff(call, attempt, 'event too large'); return }
     if (whole === undefined) return
+    if (call.held === attempt) takeBack(call, attempt)
+    attempt.heardAtMs = nowMs
     call.held?.exchange.abort()
     call.held = undefined
     attempt.hasBegun = true
@@ -386,6 +394,14 @@
     }
   }
 
+  /** Gives up an attempt whose endpoint sends what is no answer. */
+  const breakOff = (call: Calls.Call, attempt: Calls.Attempt, reason: string): void => {
+    attempt.exchange.abort()
+    blame(attempt.row, reason, call)
+    if (call.held === attempt) call.held = undefined
+    endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', reason)
+  }
+
   const beginStream = (call: Calls.Call, attempt: Calls.Attempt): void => {
     if (call.answering || attempt.head === undefined) return
     call.answering = true
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -54,6 +54,9 @@
 /** Idle connections kept for each endpoint. */
 const IDLE_LIMIT_COUNT = 24
 
+/** Interim answers (1xx) that may come before an answer. */
+const INTERIM_LIMIT_COUNT = 16
+
 /** Hooks of Node's agent that its types leave out. */
 interface AgentHooks {
   keepSocketAlive: (socket: Net.Socket) => boolean
@@ -118,6 +121,8 @@
     else connected()
   })
   request.on('error', error => { fail(error.message) })
+  let interimCount = 0
+  request.on('information', () => { if (++interimCount > INTERIM_LIMIT_COUNT) fail('too many interim answers') })
   request.on('response', response => {
     incoming = response
     stage = 'answering'
