Weigh the ends under requests in the order in which they came, and let answers speak for longer

Ordering by count was wrong.

Change: ends are weighed in the order in which they came, so that what explains an early end explains it for good, whatever the order of the news. So gateways remember which requests they answered whole of late, tell so where another tells of cuts, and cuts within a minute after an answer say nothing. One gateway tries a request before the others.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -114,7 +114,7 @@
     operators.follower.hint(news.revisions[options.tables.operators] ?? 0)
     listed.hint(news.revisions[options.tables.endpoints] ?? 0)
   })
-  const quarantine = Quarantine.createQuarantine({ node, store: options.store, clock, random, metrics, log })
+  const quarantine = Quarantine.createQuarantine({ name: options.name, node, store: options.store, clock, random, metrics, log })
   const members = (): readonly Follow.Members.Member[] => node.members()
   /** All gateways that were heard of, by name: each keeps the weight that it told last. */
   const sharers = new Map<string, Routing.Turns.Sharer>()
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -452,7 +452,7 @@
   /** A whole answer of which the endpoint told the length shows that the request does not crash endpoints. */
   const noteAnswered = (call: Calls.Call, head: NonNullable<Calls.Attempt['head']>): void => {
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && head.isFramed && !quarantine.isEmpty()) quarantine.noteAnswered(digestOf(call))
+    if (isSuccess && head.isFramed) quarantine.noteAnswered(digestOf(call))
   }
 
   const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -3,13 +3,14 @@
  *
  * @packageDocumentation
  */
-import type * as Core from '../core/index.ts'
+import * as Core from '../core/index.ts'
 import type * as Edge from '../edge/index.ts'
 import * as Follow from '../follow/index.ts'
 import * as Routing from '../routing/index.ts'
 
 /** What the quarantine needs. */
 export interface QuarantineOptions {
+  readonly name: string
   readonly node: Pick<Follow.Node.Node, 'tell' | 'members' | 'storeClock' | 'followerOptions' | 'relay'>
   readonly store: Pick<Follow.Rows.RowSource, 'write' | 'remove'>
   readonly clock: () => number
@@ -40,7 +41,7 @@
 const TOLD_MS = 3_000
 /** Requests in one message at the most, so that it fits into a datagram. */
 const TOLD_COUNT = 64
-/** So many gateways tell of each request that is kept back in a beat, so that one that has started or thawed hears of it: if all did, messages would grow with the square of their number. */
+/** So many gateways tell of each request that is kept back in a beat, so that one that has started or thawed hears of it, and that a request was answered whole where another tells of its cuts: if all did, messages would grow with the square of their number. */
 const TELLER_COUNT = 4
 /** So many gateways write or remove a row in a beat on the average: one may fail, and the others see it in the next. */
 const WRITER_COUNT = 2
@@ -63,6 +64,9 @@
   const seenAtMs = new Map<string, number>()
   const untold = new Set<string>()
 
+  const gatewayNames = (): string[] => [options.name, ...node.members().filter(member => member.kind === 'gateway').map(member => member.name)]
+  const isFirst = (digest: string): boolean => Core.Hash.rendezvous(digest, gatewayNames())[0] === options.name
+  const isDrawn = (): boolean => random.next() * gatewayNames().length < TELLER_COUNT
   const tell = (digests: Iterable<string>): void => {
     const told = [...digests].flatMap(digest => suspects.get(digest) ?? []).flatMap(evidence => Follow.News.requestNews(evidence, node.storeClock) ?? [])
     told.sort((a, b) => b.cuts.length - a.cuts.length)
@@ -94,7 +98,9 @@
   const learn = (told: readonly Follow.News.RequestNews[]): void => {
     for (const news of told) {
       const evidence = Follow.News.evidenceOf(news, node.storeClock)
-      if (evidence !== undefined) suspects.learn(evidence)
+      if (evidence === undefined || !suspects.learn(evidence)) continue
+      const isVouchedFor = (suspects.get(news.digest)?.answeredAtMs ?? -Infinity) > evidence.answeredAtMs
+      if (isVouchedFor && isDrawn()) tellSoon(news.digest)
     }
     logChanges()
   }
@@ -111,8 +117,8 @@
     if (changed.isErr() && changed.error.kind !== 'changed') log('quarantine', 'Row of a request not changed.', { digest, reason: 'reason' in changed.error ? changed.error.reason : changed.error.kind })
   }
   /** Has a row for each request that is kept back, with its latest try, and none for others. */
-  const keepRows = (gatewayCount: number): void => {
-    if (!rows.isKnown() || random.next() * gatewayCount >= WRITER_COUNT) return
+  const keepRows = (): void => {
+    if (!rows.isKnown() || random.next() * gatewayNames().length >= WRITER_COUNT) return
     const live = new Map(rows.mirror.live().map(row => [row.key, row]))
     for (const evidence of suspects.keptBack()) {
       const { digest, triedAtMs } = evidence
@@ -126,14 +132,16 @@
   }
   return {
     isEmpty: () => suspects.count() === 0,
-    verdictOf: digest => suspects.verdictOf(digest, clock()),
+    verdictOf: digest => suspects.verdictOf(digest, clock(), isFirst(digest)),
     noteCut: (digest, endpointId) => { see(Routing.Suspects.cut(digest, endpointId, clock())) },
     noteTry: digest => {
       log('quarantine', 'Request tried again.', { digest })
       see({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
     },
     noteAnswered: digest => {
-      if ((suspects.get(digest)?.cuts.length ?? 0) > 0) see({ digest, cuts: [], triedAtMs: [], answeredAtMs: clock() })
+      const nowMs = clock()
+      suspects.noteAnswered(digest, nowMs)
+      if ((suspects.get(digest)?.cuts.length ?? 0) > 0) see({ digest, cuts: [], triedAtMs: [], answeredAtMs: nowMs })
     },
     learn,
     beat: () => {
@@ -142,10 +150,9 @@
       suspects.forget(nowMs)
       logChanges()
       for (const [digest, atMs] of seenAtMs) if (nowMs - atMs > TOLD_MS) seenAtMs.delete(digest)
-      const gatewayCount = 1 + node.members().filter(member => member.kind === 'gateway').length
-      const drawn = suspects.keptBack().filter(() => random.next() * gatewayCount < TELLER_COUNT).map(({ digest }) => digest)
+      const drawn = suspects.keptBack().filter(isDrawn).map(({ digest }) => digest)
       tell(new Set([...seenAtMs.keys(), ...drawn]))
-      keepRows(gatewayCount)
+      keepRows()
     },
     stop: rows.stop
   }
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -4,7 +4,7 @@
  * Answers requests that crash each endpoint that runs them and come again under new ids at any
  * gateway. Everything that runs at an endpoint is cut with it, so the evidence is weighed together:
  * an end that is put down to one request speaks against no other, and of several that were always cut
- * together none is singled out. A whole answer speaks for a request. Gateways tell one another what
+ * together none is singled out. A whole answer speaks for a request for a while. Gateways tell one another what
  * they saw; evidence is merged in any order, and what follows from it is worked out anew each time.
  *
  * @packageDocumentation
@@ -40,12 +40,21 @@
 
 /** The requests that a gateway knows something against. */
 export interface Suspects {
-  /** Takes what this gateway saw or was told. Tells whether that was new. */
+  /** Takes what this gateway saw or was told, and what it remembers of answers. Tells whether that was new. */
   learn: (told: Evidence) => boolean
+  /** Remembers that a request was answered whole. */
+  noteAnswered: (digest: string, atMs: number) => void
   get: (digest: string) => Evidence | undefined
   count: () => number
   keptBack: () => readonly Evidence[]
-  verdictOf: (digest: string, nowMs: number) => Verdict
+  /**
+   * Decides what is done with a request.
+   *
+   * @param digest - The request.
+   * @param nowMs - The time.
+   * @param isFirst - Whether this gateway tries it before others do.
+   */
+  verdictOf: (digest: string, nowMs: number, isFirst: boolean) => Verdict
   /** Forgets what is too old to matter. */
   forget: (nowMs: number) => void
   /** What has changed since this was last asked. */
@@ -60,12 +69,16 @@
 const SAME_END_MS = 1_000
 /** A request that is kept back is tried again so long after the last end or try, in milliseconds: bystanders are freed so, and the platform allows three such sends. */
 const TRY_AFTER_MS = [10_000, 60_000]
+/** Other gateways than the first one wait so many times longer, so that they do not try at the same time. */
+const OTHERS_FACTOR = 2
 /** Evidence is kept for so long after the last cut, in milliseconds. */
 const SUSPECT_MS = 10 * 60_000
 /** The same where the request is kept back. */
 const KEPT_BACK_MS = 30 * 60_000
-/** An answer is remembered for so long, in milliseconds, since older cuts may still be told. */
-const ANSWERED_MS = 30_000
+/** Cuts so long after a whole answer say nothing against the request, in milliseconds. */
+const VOUCHED_MS = 60_000
+/** Answered requests that are remembered; some 100 bytes each. */
+const ANSWERED_LIMIT_COUNT = 2_048
 /** Requests that are remembered; some 200 bytes each. */
 const LIMIT_COUNT = 2_048
 /** Requests that are dropped together when there are more. */
@@ -86,7 +99,7 @@
 }
 
 /**
- * Merges evidence on one request: a whole answer takes back what is older.
+ * Merges evidence on one request: a whole answer takes back what is older and for a while what follows.
  *
  * @param known - What is known.
  * @param told - What was seen or told.
@@ -94,7 +107,7 @@
  */
 export function merge (known: Evidence, told: Evidence): Evidence {
   const answeredAtMs = Math.max(known.answeredAtMs, told.answeredAtMs)
-  const isLater = (atMs: number): boolean => atMs > answeredAtMs
+  const isLater = (atMs: number): boolean => atMs > answeredAtMs + VOUCHED_MS
   const cuts = [...known.cuts.filter(({ atMs }) => isLater(atMs))]
   for (const each of told.cuts) if (isLater(each.atMs) && !cuts.some(other => isSameEnd(each, other))) cuts.push(each)
   const triedAtMs = [...known.triedAtMs.filter(isLater)]
@@ -105,22 +118,24 @@
 }
 
 /**
- * Finds the requests that endpoints end under.
+ * Finds the requests that endpoints end under, in the order in which the ends came: one that was found explains all ends that it was cut by.
  *
  * @param all - What is known.
  * @returns The digests of those that explain ends which no other request explains.
  */
 export function findCulprits (all: Iterable<Evidence>): ReadonlySet<string> {
-  const candidates = [...all].filter(({ cuts }) => cuts.length >= END_COUNT).sort((a, b) => b.cuts.length - a.cuts.length || (a.digest < b.digest ? -1 : 1))
-  const culprits: Evidence[] = []
+  const candidates = [...all].filter(({ cuts }) => cuts.length >= END_COUNT)
+  const steps = candidates.flatMap(candidate => candidate.cuts.map((end, at) => ({ candidate, end, endCount: at + 1 })))
+  steps.sort((a, b) => a.end.atMs - b.end.atMs || (a.candidate.digest < b.candidate.digest ? -1 : 1))
+  const culprits = new Set<Evidence>()
   const wasCut = (evidence: Evidence, end: Cut): boolean => evidence.cuts.some(each => isSameEnd(each, end))
-  for (const candidate of candidates) {
-    const open = candidate.cuts.filter(end => !culprits.some(culprit => wasCut(culprit, end)))
-    if (open.length < END_COUNT) continue
-    const hasRival = candidates.some(other => other !== candidate && !culprits.includes(other) && open.every(end => wasCut(other, end)))
-    if (!hasRival || open.length >= CERTAIN_COUNT) culprits.push(candidate)
+  for (const { candidate, endCount } of steps) {
+    const open = candidate.cuts.slice(0, endCount).filter(end => ![...culprits].some(culprit => wasCut(culprit, end)))
+    if (culprits.has(candidate) || open.length < END_COUNT) continue
+    const hasRival = candidates.some(other => other !== candidate && !culprits.has(other) && open.every(end => wasCut(other, end)))
+    if (!hasRival || open.length >= CERTAIN_COUNT) culprits.add(candidate)
   }
-  return new Set(culprits.map(({ digest }) => digest))
+  return new Set([...culprits].map(({ digest }) => digest))
 }
 
 /**
@@ -130,6 +145,8 @@
  */
 export function createSuspects (): Suspects {
   const table = Core.Table.createTable<Evidence>('suspects')
+  /** When requests were answered whole here, in milliseconds, the oldest first. */
+  const answered = new Map<string, number>()
   let culprits: ReadonlySet<string> = new Set()
   /** By digest, so that a request that is kept back and freed at once changes nothing. */
   const changes = new Map<string, Change>()
@@ -151,25 +168,32 @@
   return {
     learn: told => {
       const known = table.get(told.digest)
-      const merged = merge(known ?? { digest: told.digest, cuts: [], triedAtMs: [], answeredAtMs: -Infinity }, told)
-      if (merged === known || (known === undefined && merged.cuts.length === 0)) return false
+      const seen = { ...told, answeredAtMs: Math.max(told.answeredAtMs, answered.get(told.digest) ?? -Infinity) }
+      const merged = merge(known ?? { digest: told.digest, cuts: [], triedAtMs: [], answeredAtMs: -Infinity }, seen)
+      if (merged === known || (known === undefined && told.cuts.length === 0)) return false
       table.set(told.digest, merged)
       trim()
       if (merged.cuts.length >= END_COUNT || culprits.has(told.digest)) judge()
       return true
     },
+    noteAnswered: (digest, atMs) => {
+      answered.delete(digest)
+      answered.set(digest, atMs)
+      const oldest = answered.keys().next()
+      if (answered.size > ANSWERED_LIMIT_COUNT && oldest.done !== true) answered.delete(oldest.value)
+    },
     get: table.get,
     count: table.count,
     keptBack: () => [...culprits].flatMap(digest => table.get(digest) ?? []),
-    verdictOf: (digest, nowMs) => {
+    verdictOf: (digest, nowMs, isFirst) => {
       const evidence = culprits.has(digest) ? table.get(digest) : undefined
       if (evidence === undefined) return 'send'
       const waitMs = TRY_AFTER_MS[evidence.triedAtMs.length] ?? Infinity
-      return nowMs - lastAtMs(evidence) >= waitMs ? 'try' : 'keepBack'
+      return nowMs - lastAtMs(evidence) >= (isFirst ? waitMs : OTHERS_FACTOR * waitMs) ? 'try' : 'keepBack'
     },
     forget: nowMs => {
       const isStale = (evidence: Evidence): boolean =>
-        evidence.cuts.length === 0 ? nowMs - evidence.answeredAtMs > ANSWERED_MS : nowMs - lastAtMs(evidence) > (culprits.has(evidence.digest) ? KEPT_BACK_MS : SUSPECT_MS)
+        evidence.cuts.length === 0 ? nowMs - evidence.answeredAtMs > VOUCHED_MS : nowMs - lastAtMs(evidence) > (culprits.has(evidence.digest) ? KEPT_BACK_MS : SUSPECT_MS)
       const stale = [...table.rows()].filter(isStale)
       for (const { digest } of stale) table.remove(digest)
       if (stale.length > 0) judge()
--- /dev/null
+++ b/testkit/crashModel.ts
@@ -0,0 +1,134 @@
+/**
+ * Plays requests that crash endpoints in virtual time: many gateways that hear of one another late or not at all, with other calls beside.
+ *
+ * @packageDocumentation
+ */
+import * as Core from '../src/core/index.ts'
+import * as Routing from '../src/routing/index.ts'
+import * as Crashes from './crashes.ts'
+
+/** What a play showed. */
+export interface Played {
+  /** The most sends of one crashing request later than the platform allows them freely. */
+  readonly lateSendCount: number
+  readonly crashCount: number
+  /** Calls of requests that crash nothing which were kept back, and all of them. */
+  readonly keptBackCount: number
+  readonly otherCount: number
+  /** The popular requests that some gateway still keeps back at the end. */
+  readonly lockedOut: readonly string[]
+}
+
+interface Running { readonly digest: string, readonly gateway: number, readonly endsAtMs: number, readonly crashes: boolean, readonly sendsLeft: number }
+interface Message { readonly atMs: number, readonly to: number, readonly evidence: Routing.Suspects.Evidence }
+
+const STEP_MS = 10
+const PLAYED_MS = 40_000
+/** Crashing requests come for so long, in milliseconds; then others go on alone. */
+const CRASHING_MS = 30_000
+const TOLD_MS = 3_000
+const BEAT_MS = 1_000
+const TELLER_COUNT = 4
+
+/**
+ * Plays one seed.
+ *
+ * @param seed - Draws sizes, arrivals, delays and losses.
+ * @returns What it showed.
+ */
+export function play (seed: number): Played {
+  const random = Core.Random.createRandom(seed)
+  const between = (least: number, most: number): number => least + random.next() * (most - least)
+  const gateways = Array.from({ length: 1 + random.below(12) }, () => ({ suspects: Routing.Suspects.createSuspects(), seenAtMs: new Map<string, number>() }))
+  const endpoints = Array.from({ length: 6 + random.below(25) }, (_, at) => ({ id: `e${at}`, upAtMs: 0, running: [] as Running[] }))
+  const crashing = Array.from({ length: 1 + random.below(3) }, (_, at) => ({ digest: `crash${at}`, everyMs: between(100, 2_000), crashedAtMs: [] as number[], sentAtMs: [] as number[] }))
+  const popular = Array.from({ length: 3 }, (_, at) => ({ digest: `popular${at}`, everyMs: between(60, 1_000) }))
+  const lossShare = between(0, 0.3)
+  let messages: Message[] = []
+  let keptBackCount = 0
+  let otherCount = 0
+
+  const tell = (from: number, digest: string, nowMs: number): void => {
+    const evidence = gateways[from]?.suspects.get(digest)
+    if (evidence === undefined) return
+    for (let to = 0; to < gateways.length; to++) {
+      if (to !== from && random.next() >= lossShare) messages.push({ atMs: nowMs + between(2, 60), to, evidence })
+    }
+  }
+  const hear = (at: number, evidence: Routing.Suspects.Evidence, nowMs: number): void => {
+    const suspects = gateways[at]?.suspects
+    if (suspects?.learn(evidence) !== true) return
+    const isVouchedFor = (suspects.get(evidence.digest)?.answeredAtMs ?? -Infinity) > evidence.answeredAtMs
+    if (isVouchedFor && random.next() * gateways.length < TELLER_COUNT) tell(at, evidence.digest, nowMs)
+  }
+  const see = (at: number, evidence: Routing.Suspects.Evidence, nowMs: number): void => {
+    const gateway = gateways[at]
+    if (gateway?.suspects.learn(evidence) !== true) return
+    gateway.seenAtMs.set(evidence.digest, nowMs)
+    tell(at, evidence.digest, nowMs)
+  }
+  const send = (digest: string, gateway: number, sendsLeft: number, nowMs: number, tookMs: number): void => {
+    const verdict = gateways[gateway]?.suspects.verdictOf(digest, nowMs, Core.Hash.rankOf(digest) % gateways.length === gateway)
+    const culprit = crashing.find(each => each.digest === digest)
+    if (culprit === undefined) otherCount++
+    if (verdict === 'keepBack') {
+      if (culprit === undefined) keptBackCount++
+      return
+    }
+    const up = endpoints.filter(endpoint => endpoint.upAtMs <= nowMs)
+    const endpoint = up[random.below(Math.max(1, up.length))]
+    if (endpoint === undefined) return
+    if (verdict === 'try') see(gateway, { digest, cuts: [], triedAtMs: [nowMs], answeredAtMs: -Infinity }, nowMs)
+    culprit?.sentAtMs.push(nowMs)
+    endpoint.running.push({ digest, gateway, endsAtMs: nowMs + tookMs, crashes: culprit !== undefined, sendsLeft: verdict === 'try' ? 0 : sendsLeft - 1 })
+  }
+  const crash = (endpoint: typeof endpoints[number], cause: Running, nowMs: number): void => {
+    crashing.find(each => each.digest === cause.digest)?.crashedAtMs.push(nowMs)
+    endpoint.upAtMs = nowMs + between(1_500, 4_000)
+    const cut = endpoint.running.splice(0)
+    for (const { digest, gateway } of cut) see(gateway, Routing.Suspects.cut(digest, endpoint.id, nowMs + between(0, 30)), nowMs)
+    for (const { digest, gateway, sendsLeft } of cut) if (sendsLeft > 0) send(digest, gateway, sendsLeft, nowMs, between(100, 400))
+  }
+  const beat = (at: number, nowMs: number): void => {
+    const gateway = gateways[at]
+    if (gateway === undefined) return
+    gateway.suspects.forget(nowMs)
+    for (const [digest, atMs] of gateway.seenAtMs) {
+      if (nowMs - atMs > TOLD_MS) gateway.seenAtMs.delete(digest)
+      else tell(at, digest, nowMs)
+    }
+    for (const { digest } of gateway.suspects.keptBack()) if (random.next() * gateways.length < TELLER_COUNT) tell(at, digest, nowMs)
+  }
+
+  for (let nowMs = 0, uniqueCount = 0; nowMs < PLAYED_MS; nowMs += STEP_MS) {
+    for (const { to, evidence } of messages.filter(({ atMs }) => atMs <= nowMs)) hear(to, evidence, nowMs)
+    messages = messages.filter(({ atMs }) => atMs > nowMs)
+    for (const endpoint of endpoints) {
+      const ended = endpoint.running.filter(({ endsAtMs }) => endsAtMs <= nowMs)
+      endpoint.running = endpoint.running.filter(({ endsAtMs }) => endsAtMs > nowMs)
+      for (const { digest, gateway } of ended.filter(({ crashes }) => !crashes)) {
+        gateways[gateway]?.suspects.noteAnswered(digest, nowMs)
+        if ((gateways[gateway]?.suspects.get(digest)?.cuts.length ?? 0) > 0) see(gateway, { digest, cuts: [], triedAtMs: [], answeredAtMs: nowMs }, nowMs)
+      }
+      const cause = ended.find(({ crashes }) => crashes)
+      if (cause === undefined) continue
+      endpoint.running.push(...ended.filter(({ crashes }) => crashes))
+      crash(endpoint, cause, nowMs)
+    }
+    for (const { digest, everyMs } of popular) if (random.next() < STEP_MS / everyMs) send(digest, random.below(gateways.length), 2, nowMs, between(100, 400))
+    if (nowMs < CRASHING_MS) for (const { digest, everyMs } of crashing) if (random.next() < STEP_MS / everyMs) send(digest, random.below(gateways.length), 2, nowMs, between(10, 120))
+    if (random.next() < 0.4) send(`unique${uniqueCount++}`, random.below(gateways.length), 2, nowMs, between(100, 400))
+    if (nowMs % BEAT_MS === 0) for (let at = 0; at < gateways.length; at++) beat(at, nowMs)
+  }
+  const lateCounts = crashing.map(({ crashedAtMs, sentAtMs }) => {
+    const fromMs = (crashedAtMs[Crashes.FREE_CRASH_COUNT - 1] ?? Infinity) + Crashes.STABLE_MS
+    return sentAtMs.filter(atMs => atMs >= fromMs).length
+  })
+  return {
+    lateSendCount: Math.max(...lateCounts),
+    crashCount: crashing.reduce((sum, { crashedAtMs }) => sum + crashedAtMs.length, 0),
+    keptBackCount,
+    otherCount,
+    lockedOut: popular.map(({ digest }) => digest).filter(digest => gateways.some(({ suspects }) => suspects.verdictOf(digest, PLAYED_MS, false) === 'keepBack'))
+  }
+}
