Keep a request back after four ends, where one is explained by no other request

Change: four ends are enough if one of them is explained by nothing else. A popular request that was cut so often before anybody answered it is then kept back too, until it is tried; one that was answered whole within a minute is not.

--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -63,8 +63,8 @@
 
 /** Ends under a request after which it is kept from endpoints, as the platform allows. */
 const END_COUNT = 3
-/** After so many ends it is kept back even where others were always cut with it. */
-const CERTAIN_COUNT = 5
+/** After so many ends, one of them explained by no other request, it is kept back even where others were cut with it. */
+const CERTAIN_COUNT = 4
 /** Cuts at one endpoint within so long are one end, in milliseconds: an endpoint that ended is back after seconds. */
 const SAME_END_MS = 1_000
 /** A request that is kept back is tried again so long after the last end or try, in milliseconds: bystanders are freed so, and the platform allows three such sends. */
@@ -131,9 +131,10 @@
   const wasCut = (evidence: Evidence, end: Cut): boolean => evidence.cuts.some(each => isSameEnd(each, end))
   for (const { candidate, endCount } of steps) {
     const open = candidate.cuts.slice(0, endCount).filter(end => ![...culprits].some(culprit => wasCut(culprit, end)))
-    if (culprits.has(candidate) || open.length < END_COUNT) continue
-    const hasRival = candidates.some(other => other !== candidate && !culprits.has(other) && open.every(end => wasCut(other, end)))
-    if (!hasRival || open.length >= CERTAIN_COUNT) culprits.add(candidate)
+    if (culprits.has(candidate) || open.length === 0) continue
+    const isCertain = endCount >= CERTAIN_COUNT
+    const hasRival = (): boolean => candidates.some(other => other !== candidate && !culprits.has(other) && open.every(end => wasCut(other, end)))
+    if (isCertain || (open.length >= END_COUNT && !hasRival())) culprits.add(candidate)
   }
   return new Set([...culprits].map(({ digest }) => digest))
 }
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -43,9 +43,9 @@
       expect(keptBack([...beside, ...THREE, ['bad', 'd', 7_000]])).toEqual(['bad'])
     })
 
-    it('singles none out of two that were always cut together, until there are five ends', () => {
+    it('singles none out of two that were always cut together, until there are four ends', () => {
       const both = (count: number): Ends => Array.from({ length: count }, (_, at) => [['x', `e${at}`, at * 2_000], ['y', `e${at}`, at * 2_000]] as const).flat()
-      expect([keptBack(both(3)), keptBack(both(4)), keptBack(both(5))]).toEqual([[], [], ['x']])
+      expect([keptBack(both(2)), keptBack(both(3)), keptBack(both(4))]).toEqual([[], [], ['x']])
     })
 
     it('has each of several requests with ends of their own', () => {
@@ -62,10 +62,19 @@
       expect([freed, afterOldNews, suspects.keptBack().length]).toEqual([0, 0, 1])
     })
 
-    it('stays the same when a popular request was cut more often, by several that end endpoints', () => {
+    it('has a request of which most ends are explained by others, after four', () => {
+      const between: Ends = [['worse', 'z', 500], ['worse', 'b', 3_010], ['worse', 'c', 5_010]]
+      expect([keptBack([...THREE, ...between]), keptBack([...THREE, ...between, ['worse', 'y', 7_000]])]).toEqual([['bad'], ['bad', 'worse']])
+    })
+
+    it('has each of several culprits although a popular request was cut more often, by all of them', () => {
       const more: Ends = [['more', 'd', 7_000], ['more', 'e', 9_000], ['more', 'f', 11_000]]
       const popular: Ends = [...THREE.slice(0, 2), ...more.slice(0, 2)].map(([, endpointId, atMs]) => ['popular', endpointId, atMs + 5])
-      expect(keptBack([...popular, ...THREE, ...more])).toEqual(['bad', 'more'])
+      const unknown = suspectsOf([...popular, ...THREE, ...more, ['more', 'g', 13_000]])
+      const answeredBefore = Suspects.createSuspects()
+      answeredBefore.noteAnswered('popular', 900)
+      for (const [digest, endpointId, atMs] of [...popular, ...THREE, ...more]) answeredBefore.learn(Suspects.cut(digest, endpointId, atMs))
+      expect([unknown, answeredBefore].map(suspects => suspects.keptBack().map(({ digest }) => digest).sort())).toEqual([['bad', 'more', 'popular'], ['bad', 'more']])
     })
 
     it('is the same in whatever order the evidence comes', () => {
