Work out digests and first gateways only while a request is kept back

Cause: for ten minutes after any cut, each call was hashed when it was placed and the gateways were ranked for it, though nothing was kept back. Found by reading, not measured.

Change: the question is whether a request is kept back, and gateways are ranked only for one that is. Answered calls are hashed as before. Unit tests and the model pass as before.

--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -21,7 +21,7 @@
 
 /** The quarantine. */
 export interface Quarantine {
-  /** Whether nothing is known against any request, so that no digest needs to be worked out. */
+  /** Whether no request is kept back, so that no digest needs to be worked out. */
   isEmpty: () => boolean
   verdictOf: (digest: string) => Routing.Suspects.Verdict
   /** Notes that an endpoint's connection ended under a request. */
@@ -87,7 +87,7 @@
       if (isKeptBack) log('quarantine', 'Request kept from endpoints.', { digest, endpointIds: cuts.map(({ endpointId }) => endpointId) })
       else log('quarantine', 'Request let through again.', { digest })
     }
-    metrics.gauge('requests_quarantined', suspects.keptBack().length)
+    metrics.gauge('requests_quarantined', suspects.keptBackCount())
   }
   const see = (evidence: Routing.Suspects.Evidence): void => {
     if (!suspects.learn(evidence)) return
@@ -131,8 +131,8 @@
     for (const [digest, { revision }] of live) void change(digest, async () => await store.remove(TABLE, digest, revision))
   }
   return {
-    isEmpty: () => suspects.count() === 0,
-    verdictOf: digest => suspects.verdictOf(digest, clock(), isFirst(digest)),
+    isEmpty: () => suspects.keptBackCount() === 0,
+    verdictOf: digest => suspects.verdictOf(digest, clock(), () => isFirst(digest)),
     noteCut: (digest, endpointId) => { see(Routing.Suspects.cut(digest, endpointId, clock())) },
     noteTry: digest => {
       log('quarantine', 'Request tried again.', { digest })
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -47,6 +47,7 @@
   get: (digest: string) => Evidence | undefined
   count: () => number
   keptBack: () => readonly Evidence[]
+  keptBackCount: () => number
   /**
    * Decides what is done with a request.
    *
@@ -54,7 +55,7 @@
    * @param nowMs - The time.
    * @param isFirst - Whether this gateway tries it before others do.
    */
-  verdictOf: (digest: string, nowMs: number, isFirst: boolean) => Verdict
+  verdictOf: (digest: string, nowMs: number, isFirst: () => boolean) => Verdict
   /** Forgets what is too old to matter. */
   forget: (nowMs: number) => void
   /** What has changed since this was last asked. */
@@ -185,12 +186,13 @@
     },
     get: table.get,
     count: table.count,
+    keptBackCount: () => culprits.size,
     keptBack: () => [...culprits].flatMap(digest => table.get(digest) ?? []),
     verdictOf: (digest, nowMs, isFirst) => {
       const evidence = culprits.has(digest) ? table.get(digest) : undefined
       if (evidence === undefined) return 'send'
       const waitMs = TRY_AFTER_MS[evidence.triedAtMs.length] ?? Infinity
-      return nowMs - lastAtMs(evidence) >= (isFirst ? waitMs : OTHERS_FACTOR * waitMs) ? 'try' : 'keepBack'
+      return nowMs - lastAtMs(evidence) >= (isFirst() ? waitMs : OTHERS_FACTOR * waitMs) ? 'try' : 'keepBack'
     },
     forget: nowMs => {
       const isStale = (evidence: Evidence): boolean =>
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -96,7 +96,7 @@
   describe('verdictOf', () => {
     it('lets a request that is kept back be tried twice, after longer and longer, and then no more', () => {
       const suspects = suspectsOf(THREE)
-      const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.verdictOf('bad', atMs, true))
+      const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.verdictOf('bad', atMs, () => true))
       expect(verdicts(5_001, 14_999, 15_000)).toEqual(['keepBack', 'keepBack', 'try'])
       suspects.learn(tried('bad', 15_000))
       suspects.learn(Suspects.cut('bad', 'd', 15_100))
@@ -107,11 +107,11 @@
 
     it('leaves the first try to one gateway, and the others wait twice as long', () => {
       const suspects = suspectsOf(THREE)
-      expect([15_000, 24_999, 25_000].map(atMs => suspects.verdictOf('bad', atMs, false))).toEqual(['keepBack', 'keepBack', 'try'])
+      expect([15_000, 24_999, 25_000].map(atMs => suspects.verdictOf('bad', atMs, () => false))).toEqual(['keepBack', 'keepBack', 'try'])
     })
 
     it('sends requests that nothing is known against', () => {
-      expect(suspectsOf(THREE).verdictOf('good', 6_000, true)).toEqual('send')
+      expect(suspectsOf(THREE).verdictOf('good', 6_000, () => true)).toEqual('send')
     })
   })
 
--- a/testkit/crashModel.ts
+++ b/testkit/crashModel.ts
@@ -68,7 +68,7 @@
     tell(at, evidence.digest, nowMs)
   }
   const send = (digest: string, gateway: number, sendsLeft: number, nowMs: number, tookMs: number): void => {
-    const verdict = gateways[gateway]?.suspects.verdictOf(digest, nowMs, Core.Hash.rankOf(digest) % gateways.length === gateway)
+    const verdict = gateways[gateway]?.suspects.verdictOf(digest, nowMs, () => Core.Hash.rankOf(digest) % gateways.length === gateway)
     const culprit = crashing.find(each => each.digest === digest)
     if (culprit === undefined) otherCount++
     if (verdict === 'keepBack') {
@@ -129,6 +129,6 @@
     crashCount: crashing.reduce((sum, { crashedAtMs }) => sum + crashedAtMs.length, 0),
     keptBackCount,
     otherCount,
-    lockedOut: popular.map(({ digest }) => digest).filter(digest => gateways.some(({ suspects }) => suspects.verdictOf(digest, PLAYED_MS, false) === 'keepBack'))
+    lockedOut: popular.map(({ digest }) => digest).filter(digest => gateways.some(({ suspects }) => suspects.verdictOf(digest, PLAYED_MS, () => false) === 'keepBack'))
   }
 }
