--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -584,5 +584,103 @@
     text: 'known.sharers === undefined ? Infinity : ',
     replacement: '',
     checks: [test('direct-bounds')]
+  },
+  {
+    name: 'suspects: an end that is explained speaks against no other',
+    file: 'src/routing/suspects.ts',
+    text: '.filter(end => ![...culprits].some(culprit => wasCut(culprit, end)))',
+    replacement: '',
+    checks: [test('suspects')]
+  },
+  {
+    name: 'suspects: none of two that were always cut together',
+    file: 'src/routing/suspects.ts',
+    text: 'open.length >= END_COUNT && !hasRival()',
+    replacement: 'open.length >= END_COUNT && (hasRival() || true)',
+    checks: [test('suspects')]
+  },
+  {
+    name: 'suspects: ends in the order of their times',
+    file: 'src/routing/suspects.ts',
+    text: 'a.end.atMs - b.end.atMs || ',
+    replacement: '',
+    checks: [test('suspects'), test('suspects-model')]
+  },
+  {
+    name: 'suspects: cuts soon after an answer count for nothing',
+    file: 'src/routing/suspects.ts',
+    text: 'atMs > answeredAtMs + VOUCHED_MS',
+    replacement: 'atMs > answeredAtMs',
+    checks: [test('suspects')]
+  },
+  {
+    name: 'suspects: cuts by one end count once',
+    file: 'src/routing/suspects.ts',
+    text: '&& !cuts.some(other => isSameEnd(each, other))',
+    replacement: '',
+    checks: [test('suspects')]
+  },
+  {
+    name: 'suspects: tries end',
+    file: 'src/routing/suspects.ts',
+    text: 'TRY_AFTER_MS[evidence.triedAtMs.length] ?? Infinity',
+    replacement: 'TRY_AFTER_MS[0] ?? Infinity',
+    checks: [test('suspects')]
+  },
+  {
+    name: 'suspects: other gateways are told',
+    file: 'src/ingress/gateway.ts',
+    text: 'if (news.requests !== undefined) quarantine.learn(news.requests)',
+    replacement: '',
+    checks: [test('crashing-requests')]
+  },
+  {
+    name: 'suspects: rows are read',
+    file: 'src/ingress/quarantine.ts',
+    text: 'learnRows(rows.mirror.live())',
+    replacement: '',
+    checks: [test('crashing-requests')]
+  },
+  {
+    name: 'suspects: rows are written',
+    file: 'src/ingress/quarantine.ts',
+    text: "if (news !== undefined && triedCount < triedAtMs.length) void change",
+    replacement: 'if (news === undefined) void change',
+    checks: [test('crashing-requests')]
+  },
+  {
+    name: 'quarantine: no repeat of a call that was tried',
+    file: 'src/ingress/ingress.ts',
+    text: 'call.isTry || verdictOf(call)',
+    replacement: 'verdictOf(call)',
+    checks: [test('crashing-requests')]
+  },
+  {
+    name: 'answers: bounded',
+    file: 'src/ingress/ingress.ts',
+    text: "if (attempt.partBytes > ANSWER_LIMIT_BYTES) breakOff(call, attempt, 'answer too large')",
+    replacement: '',
+    checks: [test('endless-answers')]
+  },
+  {
+    name: 'events: bounded',
+    file: 'src/ingress/ingress.ts',
+    text: "if (attempt.splitter.pendingBytes() > EVENT_LIMIT_BYTES) { breakOff(call, attempt, 'event too large'); return }",
+    replacement: '',
+    checks: [test('endless-answers')]
+  },
+  {
+    name: 'streams: bytes of an event are no sign of life',
+    file: 'src/ingress/ingress.ts',
+    text: 'attempt.row.heardAtMs = nowMs\n    if (attempt.splitter',
+    replacement: 'attempt.row.heardAtMs = nowMs\n    attempt.heardAtMs = nowMs\n    if (attempt.splitter',
+    checks: [test('endless-answers')]
+  },
+  {
+    name: 'answers: one that is given up looks cut',
+    file: 'src/ingress/bodies.ts',
+    text: 'else response.socket?.resetAndDestroy()',
+    replacement: 'else response.destroy()',
+    checks: [test('endless-answers')]
   }
 ]
