--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -644,7 +644,7 @@
   {
     name: 'suspects: rows are written',
     file: 'src/ingress/quarantine.ts',
-    text: "if (news !== undefined && triedCount < triedAtMs.length) void change",
+    text: 'if (news !== undefined && triedCount < triedAtMs.length) void change',
     replacement: 'if (news === undefined) void change',
     checks: [test('crashing-requests')]
   },
