Count one start of an endpoint once among the ends under a request

Cause, by reading: cuts at one endpoint more than a second apart counted as several ends. An endpoint that stood still or reset connections for some seconds without ending could so have a popular request kept back by itself. An attempt that was held for silence and cut later was not noted.

Change: an end is named by the endpoint and its birth, as listed when the call was sent; where an endpoint does not tell its birth, by a second as before. A held attempt that is cut counts.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -48,7 +48,7 @@
 /** What a process knows of a request under which endpoints ended (`Routing.Suspects.Evidence`); times are the store's. */
 export const RequestNews = Schema.Struct({
   digest: Schema.String,
-  cuts: Schema.Array(Schema.Struct({ endpointId: Schema.String, atMs: Schema.Number })),
+  cuts: Schema.Array(Schema.Struct({ endpointId: Schema.String, bornAtMs: Schema.optional(Schema.Number), atMs: Schema.Number })),
   triedAtMs: Schema.optional(Schema.Array(Schema.Number)),
   answeredAtMs: Schema.optional(Schema.Number)
 })
@@ -135,7 +135,7 @@
   const { digest, cuts, triedAtMs, answeredAtMs } = evidence
   return {
     digest,
-    cuts: cuts.map(({ endpointId, atMs }) => ({ endpointId, atMs: told(atMs) })),
+    cuts: cuts.map(end => ({ ...end, atMs: told(end.atMs) })),
     ...(triedAtMs.length === 0 ? {} : { triedAtMs: triedAtMs.map(told) }),
     ...(Number.isFinite(answeredAtMs) ? { answeredAtMs: told(answeredAtMs) } : {})
   }
@@ -153,7 +153,7 @@
   const { digest, cuts, triedAtMs = [], answeredAtMs } = news
   return {
     digest,
-    cuts: cuts.map(({ endpointId, atMs }) => ({ endpointId, atMs: storeClock.toOwn(atMs) })),
+    cuts: cuts.map(({ endpointId, bornAtMs, atMs }) => ({ endpointId, bornAtMs, atMs: storeClock.toOwn(atMs) })),
     triedAtMs: triedAtMs.map(storeClock.toOwn),
     answeredAtMs: answeredAtMs === undefined ? -Infinity : storeClock.toOwn(answeredAtMs)
   }
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -12,6 +12,8 @@
 /** An attempt that a call has under way. */
 export interface Attempt {
   readonly row: Routing.Endpoints.EndpointRow
+  /** The endpoint as it was listed when the call was sent. */
+  readonly listing: Routing.Endpoints.Listing
   readonly exchange: Upstream.Exchange
   readonly sentAtMs: number
   readonly isResumption: boolean
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -268,12 +268,16 @@
         const end: Routing.Retries.AttemptEnd = stage === 'connecting' ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
         blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
-        if (call.held === attempt) call.held = undefined
+        if (call.held === attempt) {
+          call.held = undefined
+          quarantine.noteCut(digestOf(call), listing)
+        }
         endAttempt(call, attempt, end, `${stage}: ${reason}`, stage !== 'connecting')
       }
     })
     const attempt: Calls.Attempt = {
       row,
+      listing,
       exchange,
       sentAtMs: nowMs,
       isResumption: call.resuming,
@@ -480,7 +484,7 @@
     const nowMs = clock()
     release(call)
     if (end !== 'notRun') call.ranCount++
-    if (isCut) quarantine.noteCut(digestOf(call), attempt.row.listing.endpointId)
+    if (isCut) quarantine.noteCut(digestOf(call), attempt.listing)
     const history = historyOf(call, nowMs)
     const isKeptBack = call.isTry || verdictOf(call) !== 'send'
     const step = isKeptBack ? Routing.Retries.giveUp(end, history) : Routing.Retries.next(end, history)
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -25,7 +25,7 @@
   isEmpty: () => boolean
   verdictOf: (digest: string) => Routing.Suspects.Verdict
   /** Notes that an endpoint's connection ended under a request. */
-  noteCut: (digest: string, endpointId: string) => void
+  noteCut: (digest: string, endpoint: Pick<Routing.Endpoints.Listing, 'endpointId' | 'bornAtMs'>) => void
   /** Notes that a request which is kept back is tried again. */
   noteTry: (digest: string) => void
   /** Notes that a request was answered whole. */
@@ -133,7 +133,7 @@
   return {
     isEmpty: () => suspects.keptBackCount() === 0,
     verdictOf: digest => suspects.verdictOf(digest, clock(), () => isFirst(digest)),
-    noteCut: (digest, endpointId) => { see(Routing.Suspects.cut(digest, endpointId, clock())) },
+    noteCut: (digest, { endpointId, bornAtMs }) => { see(Routing.Suspects.cut(digest, { endpointId, bornAtMs, atMs: clock() })) },
     noteTry: digest => {
       log('quarantine', 'Request tried again.', { digest })
       see({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -14,6 +14,8 @@
 /** An attempt that was cut when its endpoint ended, or seemed to. */
 export interface Cut {
   readonly endpointId: string
+  /** When the endpoint was started, by its own clock; undefined where it does not say. */
+  readonly bornAtMs: number | undefined
   readonly atMs: number
 }
 
@@ -66,8 +68,10 @@
 const END_COUNT = 3
 /** After so many ends, one of them explained by no other request, it is kept back even where others were cut with it. */
 const CERTAIN_COUNT = 4
-/** Cuts at one endpoint within so long are one end, in milliseconds: an endpoint that ended is back after seconds. */
+/** Cuts at one endpoint that does not tell its starts are one end within so long, in milliseconds: an endpoint that ended is back after seconds. */
 const SAME_END_MS = 1_000
+/** Tries within so long are one that is told again, in milliseconds: clocks differ by less. */
+const SAME_TRY_MS = 1_000
 /** A request that is kept back is tried again so long after the last end or try, in milliseconds: bystanders are freed so, and the platform allows three such sends. */
 const TRY_AFTER_MS = [10_000, 60_000]
 /** Other gateways than the first one wait so many times longer, so that they do not try at the same time. */
@@ -91,12 +95,11 @@
  * Makes what one cut says.
  *
  * @param digest - The request.
- * @param endpointId - Where it was cut.
- * @param atMs - When, in milliseconds.
+ * @param end - Where and when it was cut.
  * @returns The evidence.
  */
-export function cut (digest: string, endpointId: string, atMs: number): Evidence {
-  return { digest, cuts: [{ endpointId, atMs }], triedAtMs: [], answeredAtMs: -Infinity }
+export function cut (digest: string, end: Cut): Evidence {
+  return { digest, cuts: [end], triedAtMs: [], answeredAtMs: -Infinity }
 }
 
 /**
@@ -112,7 +115,7 @@
   const cuts = [...known.cuts.filter(({ atMs }) => isLater(atMs))]
   for (const each of told.cuts) if (isLater(each.atMs) && !cuts.some(other => isSameEnd(each, other))) cuts.push(each)
   const triedAtMs = [...known.triedAtMs.filter(isLater)]
-  for (const atMs of told.triedAtMs) if (isLater(atMs) && !triedAtMs.some(otherMs => Math.abs(otherMs - atMs) < SAME_END_MS)) triedAtMs.push(atMs)
+  for (const atMs of told.triedAtMs) if (isLater(atMs) && !triedAtMs.some(otherMs => Math.abs(otherMs - atMs) < SAME_TRY_MS)) triedAtMs.push(atMs)
   const isNew = answeredAtMs > known.answeredAtMs || cuts.length > known.cuts.length || triedAtMs.length > known.triedAtMs.length
   if (!isNew) return known
   return { digest: known.digest, cuts: cuts.sort((a, b) => a.atMs - b.atMs).slice(-CUT_LIMIT_COUNT), triedAtMs: triedAtMs.sort((a, b) => a - b), answeredAtMs }
@@ -214,6 +217,8 @@
   return Math.max(cuts.at(-1)?.atMs ?? -Infinity, triedAtMs.at(-1) ?? -Infinity)
 }
 
+/** One start of an endpoint ends once, however often connections to it are cut. */
 function isSameEnd (a: Cut, b: Cut): boolean {
-  return a.endpointId === b.endpointId && Math.abs(a.atMs - b.atMs) < SAME_END_MS
+  if (a.endpointId !== b.endpointId) return false
+  return a.bornAtMs === undefined || b.bornAtMs === undefined ? Math.abs(a.atMs - b.atMs) < SAME_END_MS : a.bornAtMs === b.bornAtMs
 }
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -6,10 +6,12 @@
 const { Suspects } = Routing
 type Ends = ReadonlyArray<readonly [string, string, number]>
 
+/** A cut at an endpoint that does not tell its starts. */
+const cut = (digest: string, endpointId: string, atMs: number): Routing.Suspects.Evidence => Suspects.cut(digest, { endpointId, bornAtMs: undefined, atMs })
 /** Learns cuts, each with its request, endpoint and time in milliseconds. */
 const suspectsOf = (ends: Ends): Routing.Suspects.Suspects => {
   const suspects = Suspects.createSuspects()
-  for (const [digest, endpointId, atMs] of ends) suspects.learn(Suspects.cut(digest, endpointId, atMs))
+  for (const [digest, endpointId, atMs] of ends) suspects.learn(cut(digest, endpointId, atMs))
   return suspects
 }
 const keptBack = (ends: Ends): string[] => suspectsOf(ends).keptBack().map(({ digest }) => digest).sort()
@@ -30,10 +32,20 @@
     it('lacks a request that this gateway answered whole shortly before', () => {
       const suspects = Suspects.createSuspects()
       suspects.noteAnswered('bad', 900)
-      for (const [digest, endpointId, atMs] of THREE) suspects.learn(Suspects.cut(digest, endpointId, atMs))
+      for (const [digest, endpointId, atMs] of THREE) suspects.learn(cut(digest, endpointId, atMs))
       expect([suspects.keptBack().length, suspects.get('bad')?.answeredAtMs]).toEqual([0, 900])
     })
 
+    it('counts one start of an endpoint once, however long its connections are cut', () => {
+      const suspects = Suspects.createSuspects()
+      const learn = (bornAtMs: number, atMs: number): void => { suspects.learn(Suspects.cut('bad', { endpointId: 'a', bornAtMs, atMs })) }
+      for (const atMs of [1_000, 3_000, 5_000, 7_000]) learn(1, atMs)
+      const sameStart = suspects.keptBack().length
+      learn(2, 9_000)
+      learn(3, 9_500)
+      expect([sameStart, suspects.keptBack().length]).toEqual([0, 1])
+    })
+
     it('counts an endpoint that ended again after it was back', () => {
       expect(keptBack([['bad', 'a', 1_000], ['bad', 'a', 4_000], ['bad', 'a', 7_000]])).toEqual(['bad'])
     })
@@ -56,9 +68,9 @@
       const suspects = suspectsOf(THREE)
       suspects.learn(answered('bad', 6_000))
       const freed = suspects.keptBack().length
-      for (const [digest, endpointId, atMs] of THREE) suspects.learn(Suspects.cut(digest, endpointId, atMs))
+      for (const [digest, endpointId, atMs] of THREE) suspects.learn(cut(digest, endpointId, atMs))
       const afterOldNews = suspects.keptBack().length
-      for (const [digest, endpointId, atMs] of THREE) suspects.learn(Suspects.cut(digest, endpointId, atMs + 65_001))
+      for (const [digest, endpointId, atMs] of THREE) suspects.learn(cut(digest, endpointId, atMs + 65_001))
       expect([freed, afterOldNews, suspects.keptBack().length]).toEqual([0, 0, 1])
     })
 
@@ -73,7 +85,7 @@
       const unknown = suspectsOf([...popular, ...THREE, ...more, ['more', 'g', 13_000]])
       const answeredBefore = Suspects.createSuspects()
       answeredBefore.noteAnswered('popular', 900)
-      for (const [digest, endpointId, atMs] of [...popular, ...THREE, ...more]) answeredBefore.learn(Suspects.cut(digest, endpointId, atMs))
+      for (const [digest, endpointId, atMs] of [...popular, ...THREE, ...more]) answeredBefore.learn(cut(digest, endpointId, atMs))
       expect([unknown, answeredBefore].map(suspects => suspects.keptBack().map(({ digest }) => digest).sort())).toEqual([['bad', 'more', 'popular'], ['bad', 'more']])
     })
 
@@ -99,7 +111,7 @@
       const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.verdictOf('bad', atMs, () => true))
       expect(verdicts(5_001, 14_999, 15_000)).toEqual(['keepBack', 'keepBack', 'try'])
       suspects.learn(tried('bad', 15_000))
-      suspects.learn(Suspects.cut('bad', 'd', 15_100))
+      suspects.learn(cut('bad', 'd', 15_100))
       expect(verdicts(15_200, 75_000, 75_100)).toEqual(['keepBack', 'keepBack', 'try'])
       suspects.learn(tried('bad', 75_100))
       expect(verdicts(75_200, 1_000_000)).toEqual(['keepBack', 'keepBack'])
@@ -123,7 +135,7 @@
 
     it('bounds what is remembered and keeps what has most ends', () => {
       const suspects = suspectsOf(THREE)
-      for (let at = 0; at < 10_000; at++) suspects.learn(Suspects.cut(`d${at}`, 'z', 10_000 + at))
+      for (let at = 0; at < 10_000; at++) suspects.learn(cut(`d${at}`, 'z', 10_000 + at))
       expect([suspects.count() <= 2_048, suspects.keptBack().length]).toEqual([true, 1])
     })
   })
--- a/testkit/crashModel.ts
+++ b/testkit/crashModel.ts
@@ -40,7 +40,7 @@
   const random = Core.Random.createRandom(seed)
   const between = (least: number, most: number): number => least + random.next() * (most - least)
   const gateways = Array.from({ length: 1 + random.below(12) }, () => ({ suspects: Routing.Suspects.createSuspects(), seenAtMs: new Map<string, number>() }))
-  const endpoints = Array.from({ length: 6 + random.below(25) }, (_, at) => ({ id: `e${at}`, upAtMs: 0, running: [] as Running[] }))
+  const endpoints = Array.from({ length: 6 + random.below(25) }, (_, at) => ({ id: `e${at}`, bornAtMs: 0, upAtMs: 0, running: [] as Running[] }))
   const crashing = Array.from({ length: 1 + random.below(3) }, (_, at) => ({ digest: `crash${at}`, everyMs: between(100, 2_000), crashedAtMs: [] as number[], sentAtMs: [] as number[] }))
   const popular = Array.from({ length: 3 }, (_, at) => ({ digest: `popular${at}`, everyMs: between(60, 1_000) }))
   const lossShare = between(0, 0.3)
@@ -86,7 +86,9 @@
     crashing.find(each => each.digest === cause.digest)?.crashedAtMs.push(nowMs)
     endpoint.upAtMs = nowMs + between(1_500, 4_000)
     const cut = endpoint.running.splice(0)
-    for (const { digest, gateway } of cut) see(gateway, Routing.Suspects.cut(digest, endpoint.id, nowMs + between(0, 30)), nowMs)
+    const { bornAtMs } = endpoint
+    endpoint.bornAtMs = endpoint.upAtMs
+    for (const { digest, gateway } of cut) see(gateway, Routing.Suspects.cut(digest, { endpointId: endpoint.id, bornAtMs, atMs: nowMs + between(0, 30) }), nowMs)
     for (const { digest, gateway, sendsLeft } of cut) if (sendsLeft > 0) send(digest, gateway, sendsLeft, nowMs, between(100, 400))
   }
   const beat = (at: number, nowMs: number): void => {
