--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -26,6 +26,8 @@
   limitPerSecond: number | undefined
   /** Ends a moment after it began to run a call with this body, and is back later as another start; undefined for never. */
   crashBody: string | undefined
+  /** Whether it ends without closing its connections, as where its power fails, and is silent until it is back. */
+  crashesSilently: boolean
 }
 
 /** A running stand-in. */
@@ -82,7 +84,7 @@
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
   const { eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined }
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined, crashesSilently: false }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
@@ -92,12 +94,18 @@
   const abandoned: string[] = []
   const runner: Runner = { instanceId: options.instanceId, port: 0, faults, ran, arrived, arrivedAtMs, arrivedBodies, crashedAtMs: [], abandoned, onBack: () => {}, born: 1, version: options.version ?? 1, staged, close: async () => {} }
 
+  let isSilent = false
+  /** The start of the runner at which each connection was opened. */
+  const bornOf = new WeakMap<Net.Socket, number>()
+
   const stream = (request: Http.IncomingMessage, response: Http.ServerResponse, headers: Record<string, string>): void => {
+    const { born } = runner
     const first = Number(request.headers['last-event-id'] ?? 0) + 1
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     let id = first
     let sentCount = 0
     const timer = setInterval(() => {
+      if (isSilent || runner.born !== born) return
       if (faults.stallAfterCount !== undefined && sentCount >= faults.stallAfterCount) return
       if (faults.breakAfterCount !== undefined && sentCount >= faults.breakAfterCount) {
         clearInterval(timer)
@@ -136,6 +144,8 @@
     response.writeHead(200, sealed).end(`answer to ${body}`)
   }
   const server = Http.createServer((request, response) => {
+    if (isSilent) return
+    if (bornOf.get(request.socket) !== runner.born) { request.socket.resetAndDestroy(); return }
     const url = new URL(request.url ?? '/', 'http://runner')
     const parts: Buffer[] = []
     request.on('data', (part: Buffer) => { parts.push(part) })
@@ -163,19 +173,25 @@
   })
   let restart: NodeJS.Timeout | undefined
   const crash = (): void => {
-    if (!server.listening) return
+    if (!server.listening || isSilent) return
     runner.crashedAtMs.push(clock())
-    server.close()
-    for (const socket of sockets) socket.destroy()
+    isSilent = faults.crashesSilently
+    if (!isSilent) {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
     restart = setTimeout(() => {
       const idBefore = runner.instanceId
       runner.born++
       runner.instanceId = `${options.instanceId}-${runner.born}`
-      server.listen(port, '127.0.0.1', () => { runner.onBack(idBefore) })
+      if (server.listening) runner.onBack(idBefore)
+      else server.listen(port, '127.0.0.1', () => { runner.onBack(idBefore) })
+      isSilent = false
     }, CRASH_DOWN_MS)
   }
   server.on('connection', socket => {
     sockets.add(socket)
+    bornOf.set(socket, runner.born)
     socket.once('close', () => { sockets.delete(socket) })
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,73 +1,32 @@
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import * as Core from '../src/core/index.ts'
+import * as CrashPlay from '../testkit/crashPlay.ts'
 import * as Crashes from '../testkit/crashes.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as TestKit from '../testkit/index.ts'
 
 const GATEWAY_COUNT = 4
 const RUNNER_COUNT = 8
-const CRASHING = 'crashing'
-const POPULAR = 'popular'
-const STEP_MS = 40
-/** The crashing request comes again so often, in milliseconds. */
-const COMES_AGAIN_MS = 200
 const PATIENCE_MS = 5_000
-const SEED = 11
 /** Any gateway tries a request again so long after it was kept back, in milliseconds. */
 const TRIED_AFTER_MS = 20_000
 
-interface Played {
-  readonly crashing: readonly Direct.CallAnswer[]
-  /** Calls with bodies of their own, and with the popular one, that came from the counted time on. */
-  readonly others: readonly Direct.CallAnswer[]
-  readonly popular: readonly Direct.CallAnswer[]
-}
-
 for (const path of ['/stream/1', '/read/1', '/book/1']) {
   describe(`a request to ${path} that crashes each endpoint that runs it`, () => {
     let stage: Direct.DirectStage
-    const gateways: Direct.StartedGateway[] = []
-    let played: Played
-    const random = Core.Random.createRandom(SEED)
-    const anyGateway = (): Direct.StartedGateway => gateways[random.below(gateways.length)] as Direct.StartedGateway
-
-    /** Plays the crashing request with other calls beside it for so long, in milliseconds, counted from the time at which its sends count. */
-    const play = async (durationMs: number): Promise<Played> => {
-      const crashing: Array<Promise<Direct.CallAnswer>> = []
-      const others: Array<Promise<Direct.CallAnswer>> = []
-      const popular: Array<Promise<Direct.CallAnswer>> = []
-      const limitMs = stage.clock() + 4 * Crashes.STABLE_MS
-      for (let step = 0; stage.clock() < Math.min(limitMs, Crashes.countedFromMs(stage.runners) + durationMs); step++) {
-        if (step % Math.round(COMES_AGAIN_MS / STEP_MS) === 0) crashing.push(anyGateway().call({ path, body: CRASHING }))
-        const isCounted = stage.clock() > Crashes.countedFromMs(stage.runners)
-        const other = anyGateway().call({ path, body: `other ${step}` })
-        const asked = anyGateway().call({ path, body: POPULAR })
-        if (isCounted) {
-          others.push(other)
-          popular.push(asked)
-        }
-        await sleep(STEP_MS)
-      }
-      return { crashing: await Promise.all(crashing), others: await Promise.all(others), popular: await Promise.all(popular) }
-    }
+    let played: CrashPlay.Played
 
     before(async () => {
-      const service = path.startsWith('/stream/') ? 'llm' : 'plain'
-      stage = await Direct.startDirectStage(Array.from({ length: RUNNER_COUNT }, (_, at) => ({ instanceId: `e${at}`, service })))
-      gateways.push(stage.first)
-      for (let count = 2; count <= GATEWAY_COUNT; count++) gateways.push(await stage.addGateway(`g${count}`))
-      for (const gateway of gateways) await TestKit.Wait.until(`${gateway.name} serves`, PATIENCE_MS, async () => (await gateway.call({ path })).status === 200)
-      await sleep(1_500)
-      for (const runner of stage.runners) runner.faults.crashBody = CRASHING
-      played = await play(Crashes.STABLE_MS)
+      const started = await CrashPlay.startCrashPlay({ path, gatewayCount: GATEWAY_COUNT, runnerCount: RUNNER_COUNT })
+      stage = started.stage
+      played = await started.play(Crashes.STABLE_MS)
     })
     after(async () => { await stage.stop() })
 
     it('is kept from endpoints once it has crashed three', t => {
       const fromMs = Crashes.countedFromMs(stage.runners)
-      const count = Crashes.arrivalsSince(stage.runners, CRASHING, fromMs)
+      const count = Crashes.arrivalsSince(stage.runners, CrashPlay.CRASHING, fromMs)
       t.diagnostic(`${stage.runners.flatMap(runner => runner.crashedAtMs).length} crashes, ${count} sends later than ${Crashes.STABLE_MS} ms after the third`)
       expect([Number.isFinite(fromMs), count <= Crashes.ALLOWED_COUNT]).toEqual([true, true])
     })
@@ -91,7 +50,7 @@
   let gateways: Direct.StartedGateway[] = []
   const path = '/read/1'
   const crashCount = (): number => stage.runners.flatMap(runner => runner.crashedAtMs).length
-  const crash = async (gateway: Direct.StartedGateway): Promise<Direct.CallAnswer> => await gateway.call({ path, body: CRASHING })
+  const crash = async (gateway: Direct.StartedGateway): Promise<Direct.CallAnswer> => await gateway.call({ path, body: CrashPlay.CRASHING })
   const isKeptBack = async (gateway: Direct.StartedGateway): Promise<boolean> => (await crash(gateway)).text.includes('quarantined')
 
   beforeEach(async () => {
@@ -99,7 +58,7 @@
     gateways = [stage.first, await stage.addGateway('g2')]
     for (const gateway of gateways) await TestKit.Wait.until(`${gateway.name} serves`, PATIENCE_MS, async () => (await gateway.call({ path })).status === 200)
     await sleep(1_500)
-    for (const runner of stage.runners) runner.faults.crashBody = CRASHING
+    for (const runner of stage.runners) runner.faults.crashBody = CrashPlay.CRASHING
     for (let at = 0; at < 2 * Crashes.FREE_CRASH_COUNT && crashCount() < Crashes.FREE_CRASH_COUNT; at++) await crash(gateways[at % 2] as Direct.StartedGateway)
     await TestKit.Wait.until('it is kept back at both', PATIENCE_MS, async () => await isKeptBack(stage.first) && await isKeptBack(gateways[1] as Direct.StartedGateway))
   })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -110,6 +110,8 @@
   readonly body?: string
   /** Leaves when the first bytes of the answer come. */
   readonly leavesAtFirstBytes?: boolean
+  /** Leaves so long after the call was sent, in milliseconds. */
+  readonly leavesAfterMs?: number
 }
 
 /** What a caller got. */
@@ -244,7 +246,7 @@
 }
 
 async function call (port: number, options: CallOptions): Promise<CallAnswer> {
-  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leavesAtFirstBytes = false } = options
+  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leavesAtFirstBytes = false, leavesAfterMs } = options
   return await new Promise(resolve => {
     const parts: Buffer[] = []
     let answer: Http.IncomingMessage | undefined
@@ -273,6 +275,7 @@
     })
     request.on('error', () => { finish(false) })
     request.end(body)
+    if (leavesAfterMs !== undefined) setTimeout(() => { request.destroy() }, leavesAfterMs)
   })
 }
 
