Name the endpoint and the request of calls that end before their answer

Cause: "Call cancelled." and "Call failed." did not say which endpoint still had the call, nor which request it was, so what ended the call could not be told from evidence that was lost or explained away. They now have endpointId and digest; attempts_abandoned_total counts them.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -542,8 +542,8 @@
     writeWhole(call.response, failure.status, dialect.answer(failure.rawHeaders), failure.body, failure.isFramed)
   }
 
-  const fail = (call: Calls.Call, status: number, code: Core.Codes.CodeName): void => {
-    finish(call, 'failed', { status, code, answering: call.answering })
+  const fail = (call: Calls.Call, status: number, code: Core.Codes.CodeName, abandoned: object = {}): void => {
+    finish(call, 'failed', { status, code, answering: call.answering, ...abandoned })
     if (call.answering) { Bodies.cutShort(call.response); return }
     write(call.response, status, dialect.refusal(call.callId, undefined), code)
   }
@@ -558,16 +558,23 @@
   const timeOut = (call: Calls.Call): void => {
     if (call.done) return
     const { attempt } = call
-    attempt?.exchange.abort()
-    release(call)
+    const abandoned = abandon(call)
     if (attempt === undefined && call.ranCount === 0) refuse(call, 'outOfTime', {})
-    else fail(call, 504, 'deadlineRunning')
+    else fail(call, 504, 'deadlineRunning', abandoned)
   }
 
   const cancel = (call: Calls.Call): void => {
-    call.attempt?.exchange.abort()
+    finish(call, 'cancelled', { answering: call.answering, ...abandon(call) })
+  }
+
+  /** Breaks off what is under way for a call that ends before its answer, and names it for the log. */
+  const abandon = (call: Calls.Call): { readonly endpointId?: string, readonly digest?: string } => {
+    const { attempt } = call
+    if (attempt === undefined) return {}
+    metrics.count('attempts_abandoned_total')
+    attempt.exchange.abort()
     release(call)
-    finish(call, 'cancelled', { answering: call.answering })
+    return { endpointId: attempt.listing.endpointId, digest: digestOf(call) }
   }
 
   const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
