Put the end of an endpoint down to requests that were given up there too

Cause: evidence was made only by a connection that closed under a call. A call that its caller left, whose time was over or that another attempt took over closed its exchange itself, and the end a moment later was put down to nobody. Calls that run once had no check of silence.

Change: attempts that the gateway breaks off are remembered by request and start of the endpoint for ten seconds. The end of that start (a refused connection, another start at its address or under its id, another gateway's cut calls) is put down to those that were given up no more than half a second before its last sign of life, and to calls whose connections have not closed. A call that runs once notes an end when its endpoint as a whole is silent, and waits on.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -95,7 +95,8 @@
 export async function open (options: GatewayOptions): Promise<Gateway> {
   const { clock, log, metrics, random } = options
   const endpoints: Routing.Endpoints.Endpoints = Core.Table.createTable('endpoints')
-  const idByAddress = new Map<string, string>()
+  /** The endpoint that was listed last at each address, by host and port. */
+  const rowByAddress = new Map<string, Routing.Endpoints.EndpointRow>()
   const versions = Routing.Versions.createVersions(() => ({ sendMs: options.bounds().versionMs - VERSION_RESERVE_MS, beginMs: options.bounds().versionMs - WITHDRAW_RESERVE_MS }))
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
@@ -127,8 +128,8 @@
     ({ own: sharerOf(options.name), others: others.filter(member => member.kind === 'gateway').map(member => sharerOf(member.name)) }))
 
   const takeLoad = (load: Follow.News.LoadNews): void => {
-    const row = endpoints.get(idByAddress.get(`${load.host}:${load.port}`) ?? '')
-    if (row === undefined) return
+    const row = rowByAddress.get(`${load.host}:${load.port}`)
+    if (row === undefined || endpoints.get(row.listing.endpointId) !== row) return
     if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) return
     Routing.Endpoints.report(row, load, clock(), random.next())
     ingress.wake()
@@ -153,8 +154,11 @@
     const before = endpoints.get(row.key)
     const listing = row.deleted ? undefined : options.listingOf(row)
     if (listing !== undefined) {
-      Routing.Endpoints.list(endpoints, listing, nowMs)
-      idByAddress.set(`${listing.host}:${listing.port}`, listing.endpointId)
+      const listed = Routing.Endpoints.list(endpoints, listing, nowMs)
+      const address = `${listing.host}:${listing.port}`
+      // An address has one endpoint at a time, and an endpoint one start: whatever was there before has ended.
+      for (const ended of [before, rowByAddress.get(address)]) if (ended !== undefined && ended !== listed) ingress.noteEnded(ended)
+      rowByAddress.set(address, listed)
       if (before?.listing.draining !== listing.draining || before.listing.bornAtMs !== listing.bornAtMs || before.weights?.[0]?.version !== listing.weights?.[0]?.version) {
         log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, host: listing.host, port: listing.port, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, revision: row.revision })
       }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -30,7 +30,7 @@
   readonly budget: Routing.Budgets.Budget
   readonly demand: Routing.Demand.Demand
   /** Requests that crash endpoints. */
-  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'verdictOf' | 'noteCut' | 'noteTry' | 'noteAnswered'>
+  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'verdictOf' | 'noteCut' | 'noteAbandoned' | 'noteEnded' | 'noteTry' | 'noteAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
@@ -46,6 +46,8 @@
   handle: (request: Http.IncomingMessage, response: Http.ServerResponse) => void
   /** Told that endpoints may have room again. */
   wake: () => void
+  /** Told that a start of an endpoint has ended. */
+  noteEnded: (row: Routing.Endpoints.EndpointRow) => void
   activeCount: () => number
   stop: () => void
 }
@@ -265,14 +267,16 @@
       onData: bytes => { onData(call, attempt, bytes) },
       onEnd: () => { onEnd(call, attempt) },
       onFailed: (stage, reason) => {
-        const end: Routing.Retries.AttemptEnd = stage === 'connecting' ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
+        const isCut = stage === 'sent' || stage === 'answering'
+        const end: Routing.Retries.AttemptEnd = !isCut ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
         blame(row, `${stage}: ${reason}`, call)
         upstream.dropIdle(listing.host, listing.port)
+        if (stage === 'refused') noteEnded(row)
         if (call.held === attempt) {
           call.held = undefined
           quarantine.noteCut(digestOf(call), listing)
         }
-        endAttempt(call, attempt, end, `${stage}: ${reason}`, stage !== 'connecting')
+        endAttempt(call, attempt, end, `${stage}: ${reason}`, isCut)
       }
     })
     const attempt: Calls.Attempt = {
@@ -340,7 +344,7 @@
     const isForeign = facts.callId !== call.callId || headers['content-encoding'] !== undefined || (isOk && !facts.sealed)
     if (!isForeign) learnLimit(attempt, facts, isOk, nowMs)
     if (isForeign) {
-      attempt.exchange.abort()
+      leave(call, attempt)
       endAttempt(call, attempt, 'unknown', 'answer does not belong to the call')
       return
     }
@@ -370,7 +374,7 @@
 
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
     const nowMs = clock()
-    attempt.row.heardAtMs = nowMs
+    Routing.Endpoints.hear(attempt.row, nowMs)
     if (attempt.splitter === undefined) {
       attempt.heardAtMs = nowMs
       attempt.parts.push(bytes)
@@ -383,8 +387,7 @@
     if (whole === undefined) return
     if (call.held === attempt) takeBack(call, attempt)
     attempt.heardAtMs = nowMs
-    call.held?.exchange.abort()
-    call.held = undefined
+    dropHeld(call)
     attempt.hasBegun = true
     if (attempt.unreadTokens > 0) markRead(attempt)
     beginStream(call, attempt)
@@ -400,7 +403,7 @@
 
   /** Gives up an attempt whose endpoint sends what is no answer. */
   const breakOff = (call: Calls.Call, attempt: Calls.Attempt, reason: string): void => {
-    attempt.exchange.abort()
+    leave(call, attempt)
     blame(attempt.row, reason, call)
     if (call.held === attempt) call.held = undefined
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', reason)
@@ -511,7 +514,7 @@
     log('routing', 'Attempt kept.', { callId: call.callId, endpointId: held.row.listing.endpointId, quietMs: Math.round(clock() - held.heardAtMs) })
     // The call may have run at the other endpoint as well.
     if (call.attempt === undefined) call.ranCount--
-    call.attempt?.exchange.abort()
+    if (call.attempt !== undefined) leave(call, call.attempt)
     release(call)
     waiting.remove(call)
     call.held = undefined
@@ -567,20 +570,38 @@
     finish(call, 'cancelled', { answering: call.answering, ...abandon(call) })
   }
 
+  /** Breaks an attempt off that its endpoint may go on to run, or may end under. */
+  const leave = (call: Calls.Call, attempt: Calls.Attempt): void => {
+    if (attempt.exchange.isSent()) quarantine.noteAbandoned(digestOf(call), attempt.listing)
+    attempt.exchange.abort()
+  }
+
+  const dropHeld = (call: Calls.Call): void => {
+    if (call.held !== undefined) leave(call, call.held)
+    call.held = undefined
+  }
+
+  /** Puts the end of an endpoint down to the requests that were there: those that were given up lately, and those whose connections have not closed. */
+  const noteEnded = (row: Routing.Endpoints.EndpointRow): void => {
+    quarantine.noteEnded(row.listing, row.aliveAtMs)
+    for (const call of calls) {
+      for (const each of [call.attempt, call.held]) if (each?.row === row && each.exchange.isSent()) quarantine.noteCut(digestOf(call), each.listing)
+    }
+  }
+
   /** Breaks off what is under way for a call that ends before its answer, and names it for the log. */
   const abandon = (call: Calls.Call): { readonly endpointId?: string, readonly digest?: string } => {
     const { attempt } = call
     if (attempt === undefined) return {}
     metrics.count('attempts_abandoned_total')
-    attempt.exchange.abort()
+    leave(call, attempt)
     release(call)
     return { endpointId: attempt.listing.endpointId, digest: digestOf(call) }
   }
 
   const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
     call.done = true
-    call.held?.exchange.abort()
-    call.held = undefined
+    dropHeld(call)
     clearTimeout(call.timer)
     waiting.remove(call)
     calls.delete(call)
@@ -604,11 +625,18 @@
 
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
     const { attempt, route } = call
-    if (attempt === undefined || route.kind === 'nonIdempotent') return
+    if (attempt === undefined) return
     const endpointQuietMs = nowMs - attempt.row.heardAtMs
     const quietMs = nowMs - attempt.heardAtMs
+    const isEndpointSilent = Routing.Silence.isSilent(endpointQuietMs)
     const limitMs = Routing.Silence.limitMs({ hasBegun: call.answering && attempt.unreadTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs || nowMs - attempt.takenBackAtMs < limitMs) return
+    if (route.kind === 'nonIdempotent') {
+      // The answer is waited for: it may still come, and the call must not run twice.
+      if (isEndpointSilent && !attempt.isKept) quarantine.noteCut(digestOf(call), attempt.listing)
+      attempt.isKept ||= isEndpointSilent
+      return
+    }
     // Events may only be held up on the way: an attempt that has begun is not given up before another endpoint goes on.
     if (call.answering && !wouldGoOn(call, nowMs)) {
       if (!attempt.isKept) log('routing', 'Attempt kept.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, quietMs: Math.round(quietMs) })
@@ -616,8 +644,7 @@
       return
     }
     if (attempt.hasBegun) call.held = attempt
-    else attempt.exchange.abort()
-    const isEndpointSilent = Routing.Silence.isSilent(endpointQuietMs)
+    else leave(call, attempt)
     if (isEndpointSilent) blame(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.dropIdle(attempt.row.listing.host, attempt.row.listing.port)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`, isEndpointSilent)
@@ -631,7 +658,7 @@
     const { load } = attempt.row
     const beginsOnNext = load?.loading === true && load.retiring !== true
     if (held === undefined || beginsOnNext || held.version >= options.oldestBegunOf(held.model)) return
-    attempt.exchange.abort()
+    leave(call, attempt)
     endAttempt(call, attempt, call.answering ? 'broken' : 'unknown', `not begun before version ${held.version} was overdue`)
   }
 
@@ -648,6 +675,7 @@
   return {
     handle,
     wake,
+    noteEnded,
     activeCount: () => calls.size,
     stop: () => { clearInterval(beat) }
   }
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -25,7 +25,11 @@
   isEmpty: () => boolean
   verdictOf: (digest: string) => Routing.Suspects.Verdict
   /** Notes that an endpoint's connection ended under a request. */
-  noteCut: (digest: string, endpoint: Pick<Routing.Endpoints.Listing, 'endpointId' | 'bornAtMs'>) => void
+  noteCut: (digest: string, start: Routing.Abandoned.Start) => void
+  /** Notes that an attempt of a request was broken off while its endpoint may still have been running it. */
+  noteAbandoned: (digest: string, start: Routing.Abandoned.Start) => void
+  /** Notes that a start of an endpoint has ended, and when it was last seen to live, in milliseconds. */
+  noteEnded: (start: Routing.Abandoned.Start, aliveAtMs: number) => void
   /** Notes that a request which is kept back is tried again. */
   noteTry: (digest: string) => void
   /** Notes that a request was answered whole. */
@@ -60,6 +64,7 @@
 export function createQuarantine (options: QuarantineOptions): Quarantine {
   const { node, store, clock, random, metrics, log } = options
   const suspects = Routing.Suspects.createSuspects()
+  const abandoned = Routing.Abandoned.createAbandoned()
   /** When this gateway last saw something of a request, in milliseconds. */
   const seenAtMs = new Map<string, number>()
   const untold = new Set<string>()
@@ -95,10 +100,14 @@
     tellSoon(evidence.digest)
     logChanges()
   }
+  const noteCut: Quarantine['noteCut'] = (digest, { endpointId, bornAtMs }) => { see(Routing.Suspects.cut(digest, { endpointId, bornAtMs, atMs: clock() })) }
+  const noteEnded: Quarantine['noteEnded'] = (start, aliveAtMs) => { for (const digest of abandoned.take(start, aliveAtMs, clock())) noteCut(digest, start) }
   const learn = (told: readonly Follow.News.RequestNews[]): void => {
     for (const news of told) {
       const evidence = Follow.News.evidenceOf(news, node.storeClock)
       if (evidence === undefined || !suspects.learn(evidence)) continue
+      // Another gateway's calls were cut there: what this gateway gave up at the same endpoint may have ended it.
+      for (const end of evidence.cuts) noteEnded(end, end.atMs)
       const isVouchedFor = (suspects.get(news.digest)?.answeredAtMs ?? -Infinity) > evidence.answeredAtMs
       if (isVouchedFor && isDrawn()) tellSoon(news.digest)
     }
@@ -133,7 +142,9 @@
   return {
     isEmpty: () => suspects.keptBackCount() === 0,
     verdictOf: digest => suspects.verdictOf(digest, clock(), () => isFirst(digest)),
-    noteCut: (digest, { endpointId, bornAtMs }) => { see(Routing.Suspects.cut(digest, { endpointId, bornAtMs, atMs: clock() })) },
+    noteCut,
+    noteAbandoned: (digest, start) => { abandoned.note({ digest, start, atMs: clock() }) },
+    noteEnded,
     noteTry: digest => {
       log('quarantine', 'Request tried again.', { digest })
       see({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -19,8 +19,8 @@
   readonly maxIdleMs: number
 }
 
-/** How far a call had come when its exchange failed. */
-export type Stage = 'connecting' | 'sent' | 'answering'
+/** How far a call had come when its exchange failed; refused where nothing listens at the address. */
+export type Stage = 'connecting' | 'refused' | 'sent' | 'answering'
 
 /** Takes what happens to a call. */
 export interface Listener {
@@ -35,6 +35,8 @@
 export interface Exchange {
   /** Breaks the exchange off; the listener hears nothing more. */
   abort: () => void
+  /** Whether the call was sent, so that the endpoint may run it. */
+  isSent: () => boolean
   pause: () => void
   resume: () => void
 }
@@ -120,7 +122,10 @@
     if (socket.connecting) socket.once('connect', connected)
     else connected()
   })
-  request.on('error', error => { fail(error.message) })
+  request.on('error', (error: NodeJS.ErrnoException) => {
+    if (stage === 'connecting' && error.code === 'ECONNREFUSED') stage = 'refused'
+    fail(error.message)
+  })
   let interimCount = 0
   request.on('information', () => { if (++interimCount > INTERIM_LIMIT_COUNT) fail('too many interim answers') })
   request.on('response', response => {
@@ -145,6 +150,7 @@
       over = true
       request.destroy()
     },
+    isSent: () => stage === 'sent' || stage === 'answering',
     pause: () => { incoming?.pause() },
     resume: () => { incoming?.resume() }
   }
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -62,6 +62,8 @@
   unreadTokens: number
   /** When bytes came last from the endpoint. */
   heardAtMs: number
+  /** When the endpoint was last seen to live: unlike the time before, never moved on by a call that is sent or by a standstill. */
+  aliveAtMs: number
   /** When calls were sent lately, the oldest first; kept while the endpoint is cold. */
   coldSentAtMs: number[]
   /** The gateway's turns at the endpoint while it is cold and there are more gateways than calls that it bears in a second. */
@@ -156,7 +158,8 @@
  * @param draw - A random number in [0, 1).
  */
 export function report (row: EndpointRow, load: LoadReport, nowMs: number, draw: number): void {
-  Object.assign(row, { load, loadAtMs: nowMs, loadDraw: draw, ownAtLoadCount: row.ownCount, heardAtMs: nowMs })
+  Object.assign(row, { load, loadAtMs: nowMs, loadDraw: draw, ownAtLoadCount: row.ownCount })
+  hear(row, nowMs)
   if (load.weights !== undefined) row.weights = load.weights
 }
 
@@ -209,10 +212,21 @@
  * @param nowMs - The time.
  */
 export function clear (row: EndpointRow, nowMs: number): void {
-  row.heardAtMs = nowMs
+  hear(row, nowMs)
   row.failureCount = 0
 }
 
+/**
+ * Takes bytes of the endpoint or a report on it as a sign of life.
+ *
+ * @param row - The endpoint.
+ * @param nowMs - The time.
+ */
+export function hear (row: EndpointRow, nowMs: number): void {
+  row.heardAtMs = nowMs
+  row.aliveAtMs = nowMs
+}
+
 /** States of an endpoint as a gateway sees it, the first that holds. */
 const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number) => boolean }> = [
   { state: 'unlisted', holds: row => row.keptUntilMs !== undefined },
@@ -252,6 +266,7 @@
     ownCount: 0,
     unreadTokens: 0,
     heardAtMs: nowMs,
+    aliveAtMs: -Infinity,
     coldSentAtMs: [],
     coldTurns: Turns.createTurns(listing.endpointId, COLD_KEPT_MS),
     limit: undefined,
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * as Abandoned from './abandoned.ts'
 export * as Admission from './admission.ts'
 export * as Ages from './ages.ts'
 export * as Budgets from './budgets.ts'
--- /dev/null
+++ b/test/crashing-seldom.test.ts
@@ -0,0 +1,33 @@
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Crashes from '../testkit/crashes.ts'
+import * as CrashPlay from '../testkit/crashPlay.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const PATIENCE_MS = 5_000
+/** The caller leaves before the request has crashed its endpoint, in milliseconds. */
+const LEAVES_AFTER_MS = 15
+
+describe('a request that is left by its caller, at endpoints that no other call reaches before they are back', () => {
+  let stage: Direct.DirectStage
+  const crashCount = (): number => stage.runners.flatMap(runner => runner.crashedAtMs).length
+
+  before(async () => {
+    stage = await Direct.startDirectStage(Array.from({ length: 3 }, (_, at) => ({ instanceId: `e${at}`, service: 'plain' })))
+    await TestKit.Wait.until('it serves', PATIENCE_MS, async () => (await stage.call({ path: '/read/1' })).status === 200)
+    for (const runner of stage.runners) runner.faults.crashBody = CrashPlay.CRASHING
+  })
+  after(async () => { await stage.stop() })
+
+  it('is kept from them once three have come back as other starts', async () => {
+    for (let count = 1; count <= Crashes.FREE_CRASH_COUNT; count++) {
+      const bornCount = stage.runners.reduce((sum, runner) => sum + runner.born, 0)
+      await stage.call({ path: '/read/1', body: CrashPlay.CRASHING, leavesAfterMs: LEAVES_AFTER_MS })
+      await TestKit.Wait.until('the endpoint is back', PATIENCE_MS, async () => stage.runners.reduce((sum, runner) => sum + runner.born, 0) > bornCount && stage.store.rows('servers').length === stage.runners.length)
+      await TestKit.Wait.until('the gateway knows', PATIENCE_MS, async () => stage.lines.filter(({ sentence }) => sentence === 'Endpoint listed.').length >= stage.runners.length + count)
+    }
+    const answer = await stage.call({ path: '/read/1', body: CrashPlay.CRASHING })
+    expect([crashCount(), answer.status, answer.text.includes('quarantined')]).toEqual([Crashes.FREE_CRASH_COUNT, 503, true])
+  })
+})
--- a/testkit/crashModel.ts
+++ b/testkit/crashModel.ts
@@ -19,7 +19,14 @@
   readonly lockedOut: readonly string[]
 }
 
-interface Running { readonly digest: string, readonly gateway: number, readonly endsAtMs: number, readonly crashes: boolean, readonly sendsLeft: number }
+/** What else is played. */
+export interface PlayOptions {
+  /** Whether callers leave before their answers, those of crashing requests always, and endpoints end for other causes too. */
+  readonly isLeaving?: boolean
+}
+
+interface Running { readonly digest: string, readonly gateway: number, readonly endsAtMs: number, readonly crashes: boolean, readonly sendsLeft: number, readonly leavesAtMs: number }
+interface Ended { readonly atMs: number, readonly gateway: number, readonly endpointId: string, readonly bornAtMs: number, readonly aliveAtMs: number }
 interface Message { readonly atMs: number, readonly to: number, readonly evidence: Routing.Suspects.Evidence }
 
 const STEP_MS = 10
@@ -29,21 +36,27 @@
 const TOLD_MS = 3_000
 const BEAT_MS = 1_000
 const TELLER_COUNT = 4
+/** Share of steps in which an endpoint ends for another cause: once in about 30 s. */
+const OTHER_CRASH_SHARE = 1 / 3_000
 
 /**
  * Plays one seed.
  *
  * @param seed - Draws sizes, arrivals, delays and losses.
+ * @param options - What else is played.
  * @returns What it showed.
  */
-export function play (seed: number): Played {
+export function play (seed: number, options: PlayOptions = {}): Played {
+  const { isLeaving = false } = options
   const random = Core.Random.createRandom(seed)
   const between = (least: number, most: number): number => least + random.next() * (most - least)
-  const gateways = Array.from({ length: 1 + random.below(12) }, () => ({ suspects: Routing.Suspects.createSuspects(), seenAtMs: new Map<string, number>() }))
+  const gateways = Array.from({ length: 1 + random.below(12) }, () => ({ suspects: Routing.Suspects.createSuspects(), abandoned: Routing.Abandoned.createAbandoned(), seenAtMs: new Map<string, number>() }))
   const endpoints = Array.from({ length: 6 + random.below(25) }, (_, at) => ({ id: `e${at}`, bornAtMs: 0, upAtMs: 0, running: [] as Running[] }))
   const crashing = Array.from({ length: 1 + random.below(3) }, (_, at) => ({ digest: `crash${at}`, everyMs: between(100, 2_000), crashedAtMs: [] as number[], sentAtMs: [] as number[] }))
   const popular = Array.from({ length: 3 }, (_, at) => ({ digest: `popular${at}`, everyMs: between(60, 1_000) }))
   const lossShare = between(0, 0.3)
+  const leavingShare = isLeaving ? between(0, 0.5) : 0
+  let ends: Ended[] = []
   let messages: Message[] = []
   let keptBackCount = 0
   let otherCount = 0
@@ -58,6 +71,7 @@
   const hear = (at: number, evidence: Routing.Suspects.Evidence, nowMs: number): void => {
     const suspects = gateways[at]?.suspects
     if (suspects?.learn(evidence) !== true) return
+    for (const end of evidence.cuts) noteEnded(at, end, end.atMs, nowMs)
     const isVouchedFor = (suspects.get(evidence.digest)?.answeredAtMs ?? -Infinity) > evidence.answeredAtMs
     if (isVouchedFor && random.next() * gateways.length < TELLER_COUNT) tell(at, evidence.digest, nowMs)
   }
@@ -67,6 +81,9 @@
     gateway.seenAtMs.set(evidence.digest, nowMs)
     tell(at, evidence.digest, nowMs)
   }
+  const noteEnded = (at: number, { endpointId, bornAtMs }: Routing.Abandoned.Start, aliveAtMs: number, nowMs: number): void => {
+    for (const digest of gateways[at]?.abandoned.take({ endpointId, bornAtMs }, aliveAtMs, nowMs) ?? []) see(at, Routing.Suspects.cut(digest, { endpointId, bornAtMs, atMs: nowMs }), nowMs)
+  }
   const send = (digest: string, gateway: number, sendsLeft: number, nowMs: number, tookMs: number): void => {
     const verdict = gateways[gateway]?.suspects.verdictOf(digest, nowMs, () => Core.Hash.rankOf(digest) % gateways.length === gateway)
     const culprit = crashing.find(each => each.digest === digest)
@@ -80,13 +97,17 @@
     if (endpoint === undefined) return
     if (verdict === 'try') see(gateway, { digest, cuts: [], triedAtMs: [nowMs], answeredAtMs: -Infinity }, nowMs)
     culprit?.sentAtMs.push(nowMs)
-    endpoint.running.push({ digest, gateway, endsAtMs: nowMs + tookMs, crashes: culprit !== undefined, sendsLeft: verdict === 'try' ? 0 : sendsLeft - 1 })
+    const leaves = isLeaving && (culprit !== undefined || random.next() < leavingShare)
+    const leavesAtMs = leaves ? nowMs + between(5, culprit === undefined ? 200 : tookMs) : Infinity
+    endpoint.running.push({ digest, gateway, endsAtMs: nowMs + tookMs, crashes: culprit !== undefined, sendsLeft: verdict === 'try' ? 0 : sendsLeft - 1, leavesAtMs })
   }
-  const crash = (endpoint: typeof endpoints[number], cause: Running, nowMs: number): void => {
-    crashing.find(each => each.digest === cause.digest)?.crashedAtMs.push(nowMs)
+  const crash = (endpoint: typeof endpoints[number], cause: Running | undefined, nowMs: number): void => {
+    crashing.find(each => each.digest === cause?.digest)?.crashedAtMs.push(nowMs)
     endpoint.upAtMs = nowMs + between(1_500, 4_000)
-    const cut = endpoint.running.splice(0)
+    const cut = endpoint.running.splice(0).filter(({ leavesAtMs }) => leavesAtMs > nowMs)
     const { bornAtMs } = endpoint
+    // A gateway finds nothing at the address when it sends there again, or another start when it is back.
+    if (isLeaving) for (let gateway = 0; gateway < gateways.length; gateway++) ends.push({ atMs: random.next() < 0.5 ? nowMs + between(5, 400) : endpoint.upAtMs + between(50, 400), gateway, endpointId: endpoint.id, bornAtMs, aliveAtMs: nowMs - between(0, 300) })
     endpoint.bornAtMs = endpoint.upAtMs
     for (const { digest, gateway } of cut) see(gateway, Routing.Suspects.cut(digest, { endpointId: endpoint.id, bornAtMs, atMs: nowMs + between(0, 30) }), nowMs)
     for (const { digest, gateway, sendsLeft } of cut) if (sendsLeft > 0) send(digest, gateway, sendsLeft, nowMs, between(100, 400))
@@ -105,7 +126,17 @@
   for (let nowMs = 0, uniqueCount = 0; nowMs < PLAYED_MS; nowMs += STEP_MS) {
     for (const { to, evidence } of messages.filter(({ atMs }) => atMs <= nowMs)) hear(to, evidence, nowMs)
     messages = messages.filter(({ atMs }) => atMs > nowMs)
+    for (const { gateway, endpointId, bornAtMs, aliveAtMs } of ends.filter(({ atMs }) => atMs <= nowMs)) {
+      noteEnded(gateway, { endpointId, bornAtMs }, aliveAtMs, nowMs)
+    }
+    ends = ends.filter(({ atMs }) => atMs > nowMs)
     for (const endpoint of endpoints) {
+      for (const { digest, gateway } of endpoint.running.filter(({ leavesAtMs, endsAtMs }) => leavesAtMs <= nowMs && leavesAtMs > nowMs - STEP_MS && endsAtMs > leavesAtMs)) {
+        gateways[gateway]?.abandoned.note({ digest, start: { endpointId: endpoint.id, bornAtMs: endpoint.bornAtMs }, atMs: nowMs })
+      }
+      // Endpoints drop the work of callers that left, but a crash that has begun goes on.
+      endpoint.running = endpoint.running.filter(({ crashes, leavesAtMs }) => crashes || leavesAtMs > nowMs)
+      if (isLeaving && endpoint.upAtMs <= nowMs && random.next() < OTHER_CRASH_SHARE) crash(endpoint, undefined, nowMs)
       const ended = endpoint.running.filter(({ endsAtMs }) => endsAtMs <= nowMs)
       endpoint.running = endpoint.running.filter(({ endsAtMs }) => endsAtMs > nowMs)
       for (const { digest, gateway } of ended.filter(({ crashes }) => !crashes)) {
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -655,6 +655,41 @@
     replacement: 'verdictOf(call)',
     checks: [test('crashing-requests')]
   },
+  {
+    name: 'abandoned: attempts of calls that end before their answer',
+    file: 'src/ingress/ingress.ts',
+    text: 'if (attempt.exchange.isSent()) quarantine.noteAbandoned(digestOf(call), attempt.listing)',
+    replacement: '',
+    checks: [test('crashing-unseen')]
+  },
+  {
+    name: 'abandoned: an endpoint that refuses connections has ended',
+    file: 'src/ingress/ingress.ts',
+    text: "if (stage === 'refused') noteEnded(row)",
+    replacement: '',
+    checks: [test('crashing-unseen')]
+  },
+  {
+    name: 'abandoned: another start at an address ends the one before',
+    file: 'src/ingress/gateway.ts',
+    text: 'if (ended !== undefined && ended !== listed) ingress.noteEnded(ended)',
+    replacement: '',
+    checks: [test('crashing-seldom')]
+  },
+  {
+    name: 'abandoned: silence under a call that runs once',
+    file: 'src/ingress/ingress.ts',
+    text: 'if (isEndpointSilent && !attempt.isKept) quarantine.noteCut(digestOf(call), attempt.listing)',
+    replacement: '',
+    checks: [test('crashing-unseen')]
+  },
+  {
+    name: 'abandoned: what an endpoint outlived',
+    file: 'src/routing/abandoned.ts',
+    text: ' && aliveAtMs - attempt.atMs <= OUTLIVED_MS',
+    replacement: '',
+    checks: [test('abandoned')]
+  },
   {
     name: 'answers: bounded',
     file: 'src/ingress/ingress.ts',
