Failing test: endpoints that say they leave, or want no calls for a while, go on getting them

What callers see: calls go to endpoints that told the gateway to send none. Nothing reads either header.

--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -26,6 +26,10 @@
   limitPerSecond: number | undefined
   /** Ends a moment after it began to run a call with this body, and is back later as another start; undefined for never. */
   crashBody: string | undefined
+  /** Says in all its answers that it leaves, and serves on. */
+  leaving: boolean
+  /** What it names as the time of return in refusals, as text in seconds; undefined for nothing. */
+  returnAfter: string | undefined
   /** Whether it ends without closing its connections, as where its power fails, and is silent until it is back. */
   crashesSilently: boolean
 }
@@ -44,6 +48,8 @@
   readonly arrivedAtMs: number[]
   /** Bodies of the calls that arrived, in order. */
   readonly arrivedBodies: string[]
+  /** Ids of the calls whose answers said that it leaves or named a time of return, with when they were answered, in milliseconds. */
+  readonly told: Array<{ readonly id: string, readonly atMs: number, readonly isLeaving: boolean, readonly returnAfterMs: number }>
   /** When the runner crashed, in milliseconds. */
   readonly crashedAtMs: number[]
   /** Calls whose connection closed before the answer was whole. */
@@ -84,7 +90,7 @@
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
   const { eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined, crashesSilently: false }
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined, leaving: false, returnAfter: undefined, crashesSilently: false }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
@@ -92,7 +98,7 @@
   const arrivedAtMs: number[] = []
   const arrivedBodies: string[] = []
   const abandoned: string[] = []
-  const runner: Runner = { instanceId: options.instanceId, port: 0, faults, ran, arrived, arrivedAtMs, arrivedBodies, crashedAtMs: [], abandoned, onBack: () => {}, born: 1, version: options.version ?? 1, staged, close: async () => {} }
+  const runner: Runner = { instanceId: options.instanceId, port: 0, faults, ran, arrived, arrivedAtMs, arrivedBodies, told: [], crashedAtMs: [], abandoned, onBack: () => {}, born: 1, version: options.version ?? 1, staged, close: async () => {} }
 
   let isSilent = false
   /** The start of the runner at which each connection was opened. */
@@ -127,10 +133,12 @@
     arrivedAtMs.push(clock())
     arrivedBodies.push(body)
     if (faults.dark) return
-    const headers = { 'X-Fescuespread-Attempt-Id': faults.crossed ? 'another' : id, ...(faults.limitPerSecond === undefined ? {} : { 'Server-Limit': String(faults.limitPerSecond) }) }
+    const headers = { 'X-Fescuespread-Attempt-Id': faults.crossed ? 'another' : id, ...(faults.limitPerSecond === undefined ? {} : { 'Server-Limit': String(faults.limitPerSecond) }), ...(faults.leaving ? { 'Server-Leaving': '1' } : {}) }
     const expected = request.headers['x-fescuespread-expect-instance']
     if (expected !== undefined && expected !== runner.instanceId) { response.writeHead(421, headers).end(); return }
-    if (faults.full) { response.writeHead(503, { ...headers, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
+    const returnAfterMs = faults.full ? (Number(faults.returnAfter) || 0) * 1_000 : 0
+    if (faults.leaving || returnAfterMs > 0) runner.told.push({ id, atMs: clock(), isLeaving: faults.leaving, returnAfterMs })
+    if (faults.full) { response.writeHead(503, { ...headers, 'X-Fescuespread-Not-Executed': '1', ...(faults.returnAfter === undefined ? {} : { 'Retry-After': faults.returnAfter }) }).end(); return }
     ran.push(id)
     response.once('close', () => { if (!response.writableFinished) abandoned.push(id) })
     if (body === faults.crashBody) { setTimeout(crash, CRASH_AFTER_MS); return }
--- /dev/null
+++ b/test/notices.test.ts
@@ -0,0 +1,62 @@
+import { after, before, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import type * as Runner from '../standins/runner.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+import * as Notices from '../testkit/notices.ts'
+
+const GATEWAY_COUNT = 3
+const RUNNER_COUNT = 8
+const FAULTY_COUNT = 3
+const STEP_MS = 20
+const PLAYED_MS = 4_500
+const PATIENCE_MS = 5_000
+/** Share of calls that are to be served while most endpoints are well. */
+const SERVED_SHARE = 0.99
+const FORMS: ReadonlyArray<{ readonly name: string, readonly faults: Partial<Runner.RunnerFaults>, readonly count: keyof Notices.Verdict }> = [
+  { name: 'says that it leaves, and whose entry does not', faults: { leaving: true }, count: 'leavingCount' },
+  { name: 'turns calls away and names a time of return', faults: { full: true, returnAfter: '3' }, count: 'quietCount' }
+]
+
+for (const { name, faults, count } of FORMS) {
+  describe(`an endpoint that ${name}`, () => {
+    for (const path of ['/stream/1', '/read/1', '/book/1']) {
+      describe(`for calls to ${path}`, () => {
+        let stage: Direct.DirectStage
+        let answers: readonly Direct.CallAnswer[] = []
+        const gatewayOf = new Map<string, string>()
+
+        before(async () => {
+          const service = path.startsWith('/stream/') ? 'llm' : 'plain'
+          stage = await Direct.startDirectStage(Array.from({ length: RUNNER_COUNT }, (_, at) => ({ instanceId: `e${at}`, service })))
+          const gateways = [stage.first]
+          for (let at = 2; at <= GATEWAY_COUNT; at++) gateways.push(await stage.addGateway(`g${at}`))
+          for (const gateway of gateways) await TestKit.Wait.until(`${gateway.name} serves`, PATIENCE_MS, async () => (await gateway.call({ path })).status === 200)
+          for (const runner of stage.runners.slice(0, FAULTY_COUNT)) Object.assign(runner.faults, faults)
+          const calls: Array<Promise<Direct.CallAnswer>> = []
+          const untilMs = stage.clock() + PLAYED_MS
+          for (let step = 0; stage.clock() < untilMs; step++) {
+            const gateway = gateways[step % GATEWAY_COUNT] as Direct.StartedGateway
+            gatewayOf.set(`played-${step}`, gateway.name)
+            calls.push(gateway.call({ path, id: `played-${step}`, body: `body ${step}` }))
+            await sleep(STEP_MS)
+          }
+          answers = await Promise.all(calls)
+        })
+        after(async () => { await stage.stop() })
+
+        it('gets none from a gateway that it told', t => {
+          const verdict = Notices.judge(stage.runners, id => gatewayOf.get(id))
+          t.diagnostic(`${stage.runners.flatMap(runner => runner.told).length} answers told it, ${verdict[count]} calls over what is allowed`)
+          expect([stage.runners.slice(0, FAULTY_COUNT).every(runner => runner.told.length > 0), verdict[count] <= 0]).toEqual([true, true])
+        })
+
+        it('costs callers nothing while others are well', () => {
+          const servedCount = answers.filter(answer => answer.status === 200 && answer.whole).length
+          expect(servedCount >= SERVED_SHARE * answers.length).toEqual(true)
+        })
+      })
+    }
+  })
+}
