Send nothing to endpoints that say they leave, or want no calls for a while

What callers saw: calls went to endpoints that had told the gateway to send none; those that an endpoint turned away used up the allowance of repeats beside well endpoints.

Cause: nothing read either header. Ruled out: late entries (the entry stays ready in the test).

Change: the dialect tells of an answer whether its endpoint leaves and for how long it wants nothing, by names of our own. routing/notices keeps both by start of the endpoint, apart from the rows of the list: leaving until another start is known, a time until it ends, never made shorter, ten minutes at most; after it one call at a time until one is taken. They are hurdles of routing/choice, so first calls, repeats, resumed streams, waiting calls, tries of the quarantine and turns ask the same question. Where all endpoints of a service want none, callers are told to come back after the earliest return, spread.

--- a/src/ingress/dialect.ts
+++ b/src/ingress/dialect.ts
@@ -46,6 +46,10 @@
   readonly coldForMs: number | undefined
   /** Calls a second that the endpoint takes from all gateways together, where it names a limit. */
   readonly limitPerSecond: number | undefined
+  /** Whether the endpoint says that it leaves. */
+  readonly isLeaving: boolean
+  /** For how long the endpoint wants nothing from this gateway, in milliseconds; 0 where it does not say. */
+  readonly quietForMs: number
 }
 
 /** Translates headers. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -101,6 +101,7 @@
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createBudget(() => options.bounds().retries)
   const demand = Routing.Demand.createDemand(clock())
+  const notices = Routing.Notices.createNotices()
   let index: Routing.Deployment.DeploymentIndex | undefined
   /** The oldest version of each model on which calls begin, as logged last. */
   const oldestLogged = new Map<string, { readonly version: number, readonly atMs: number }>()
@@ -207,6 +208,7 @@
     index: () => index,
     surroundings: () => ({
       endpoints,
+      notices,
       zone: options.zone,
       region: options.region,
       drainedZones: operators.drainedZones,
@@ -219,6 +221,7 @@
     oldestBegunOf: model => versions.oldestBegunOf(model, node.storeClock.now()),
     budget,
     demand,
+    notices,
     quarantine,
     clock,
     random,
@@ -271,7 +274,7 @@
     const nowMs = clock()
     const ages = { operators: operators.follower.freshAtMs(), endpoints: listed.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
     for (const [belief, atMs] of Object.entries(ages)) metrics.gauge('belief_age_seconds', Math.max(0, nowMs - Math.min(atMs, nowMs)) / MS_PER_SECOND, { belief })
-    for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs))) metrics.gauge('endpoints', count, { state })
+    for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs, notices))) metrics.gauge('endpoints', count, { state })
     for (const { model, version } of versions.newest()) {
       metrics.gauge('weights_version', version, { model })
       metrics.gauge('weights_oldest_version', versions.oldestOf(model, node.storeClock.now()), { model })
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -14,12 +14,14 @@
 import type * as Dialect from './dialect.ts'
 import * as Digests from './digests.ts'
 import * as Events from './events.ts'
+import * as Lines from './lines.ts'
 import type * as Quarantine from './quarantine.ts'
 import * as Replies from './replies.ts'
+import * as Statements from './statements.ts'
 import type * as Upstream from './upstream.ts'
 
 /** What the ingress needs. */
-export interface IngressOptions {
+export interface IngressOptions extends Pick<Statements.StatementsOptions, 'onLimit'> {
   readonly dialect: Dialect.Dialect
   readonly upstream: Upstream.Upstream
   /** What is in force; undefined before anything is known. */
@@ -29,14 +31,14 @@
   readonly oldestBegunOf: (model: string) => number
   readonly budget: Routing.Budgets.Budget
   readonly demand: Routing.Demand.Demand
+  /** What endpoints said of themselves to this gateway. */
+  readonly notices: Routing.Notices.Notices
   /** Requests that crash endpoints. */
   readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'verdictOf' | 'noteCut' | 'noteAbandoned' | 'noteEnded' | 'noteTry' | 'noteAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
   readonly log: Core.Loop.Tick<never, never>['log']
-  /** Takes what an endpoint's answer says of the calls that it takes. */
-  readonly onLimit: (row: Routing.Endpoints.EndpointRow, told: Routing.Limits.Statement) => void
   /** Whether the process is about to stop, so that callers are to use other connections. */
   readonly isStopping: () => boolean
 }
@@ -89,6 +91,7 @@
   const waiting = Routing.Waiting.createWaiting<Calls.Call>()
   const ages = Routing.Ages.createAges()
   const crowding = Routing.Crowding.createCrowding()
+  const statements = Statements.createStatements(options)
   const standstill = Routing.Standstill.createStandstill(BEAT_MS, clock())
   const { write, writeWhole, withConnection } = Replies.createReplies(options.isStopping)
   let pumpScheduled = false
@@ -218,7 +221,7 @@
       waiting.remove(call)
       if (verdict.reason === 'overCapacity' && !call.late) crowding.noteTurnedAway(call.service, nowMs)
       if (call.ranCount > 0 || call.failure !== undefined) giveUp(call, verdict.reason)
-      else refuse(call, verdict.reason, { candidateCount: found.length, bestMs: best === undefined ? undefined : Math.round(best.firstMs), bestId: best?.row.listing.endpointId, busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs), waitedMs: Math.round(asking.waitedMs), ageMs: Math.round(asking.ageMs), isCrowded: asking.isCrowded, freeCount: best?.freeCount, ...(found.length === 0 ? { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs), ...oldestFor(call, known) } : {}) })
+      else refuse(call, verdict.reason, Lines.refusedFields(call, { asking, found, best }, known, nowMs))
     }
   }
 
@@ -240,20 +243,9 @@
     call.sentCount++
     call.placing.triedIds.add(listing.endpointId)
     Routing.Choice.noteSent(row, call.placing.promptTokens, nowMs)
+    options.notices.noteSent(listing, nowMs)
     if (row.limit?.callsPerSecond !== undefined) metrics.count('limited_calls_total', { endpoint: listing.endpointId })
-    log('routing', 'Call sent.', {
-      callId: call.callId,
-      service: call.service,
-      endpointId: listing.endpointId,
-      predictedMs: Math.round(candidate.firstMs),
-      busyCount: Routing.Endpoints.busyCount(row, nowMs) - 1,
-      loadAgeMs: Math.round(nowMs - row.loadAtMs),
-      leftMs,
-      attemptCount: call.sentCount,
-      ...(row.limit?.callsPerSecond === undefined ? {} : { limitPerSecond: row.limit.callsPerSecond }),
-      ...(call.placing.service.engine === undefined ? {} : versionsAt(row, call.placing.model)),
-      ...(call.resuming ? { lastEventId: call.lastEventId } : {})
-    })
+    log('routing', 'Call sent.', Lines.sentFields(call, candidate, options.surroundings(), leftMs, nowMs))
     const exchange = upstream.send({
       host: listing.host,
       port: listing.port,
@@ -298,20 +290,6 @@
     call.attempt = attempt
   }
 
-  const heldAt = (row: Routing.Endpoints.EndpointRow, model: string | undefined): Routing.Endpoints.HeldWeights | undefined =>
-    (row.weights ?? []).find(weights => model === undefined || weights.model === model)
-  /** The version that the endpoint is believed to hold, and the oldest one on which calls begin. */
-  const versionsAt = (row: Routing.Endpoints.EndpointRow, model: string | undefined): object => {
-    const held = heldAt(row, model)
-    return held === undefined ? {} : { version: held.version, oldestVersion: options.surroundings().oldestVersionOf(held.model) }
-  }
-
-  /** The oldest version on which the call may begin. */
-  const oldestFor = (call: Calls.Call, known: Routing.Choice.Surroundings): { readonly oldestVersion?: number } => {
-    const { service, model = service.engine?.models[0] } = call.placing
-    return service.engine === undefined || model === undefined ? {} : { oldestVersion: known.oldestVersionOf(model) }
-  }
-
   const blame = (row: Routing.Endpoints.EndpointRow, reason: string, call: Calls.Call): void => {
     const avoidMs = Routing.Endpoints.blame(row, clock())
     log('endpoints', 'Endpoint left out.', { callId: call.callId, endpointId: row.listing.endpointId, reason, failureCount: row.failureCount, avoidMs })
@@ -339,10 +317,10 @@
     attempt.heardAtMs = nowMs
     if (row.failureCount > 0) log('endpoints', 'Endpoint works again.', { endpointId: row.listing.endpointId, failureCount: row.failureCount })
     Routing.Endpoints.clear(row, nowMs)
-    learn(row, facts, nowMs)
+    statements.learnState(row, facts, nowMs)
     const isOk = status >= 200 && status < 300
     const isForeign = facts.callId !== call.callId || headers['content-encoding'] !== undefined || (isOk && !facts.sealed)
-    if (!isForeign) learnLimit(attempt, facts, isOk, nowMs)
+    if (!isForeign) statements.learnWishes(call, attempt, { status, facts }, nowMs)
     if (isForeign) {
       leave(call, attempt)
       endAttempt(call, attempt, 'unknown', 'answer does not belong to the call')
@@ -354,24 +332,6 @@
     if (isStream) attempt.splitter = Events.createSplitter()
   }
 
-  const learn = (row: Routing.Endpoints.EndpointRow, facts: Dialect.AnswerFacts, nowMs: number): void => {
-    if (facts.coldForMs !== undefined && facts.coldForMs > 0) {
-      if (row.coldUntilMs <= nowMs) log('endpoints', 'Endpoint cold.', { endpointId: row.listing.endpointId, coldForMs: facts.coldForMs })
-      row.coldUntilMs = nowMs + facts.coldForMs
-    }
-    const isReported = row.load !== undefined && nowMs - row.loadAtMs < Routing.Endpoints.LOAD_MAX_AGE_MS
-    if (facts.load !== undefined && !isReported) {
-      Routing.Endpoints.report(row, { ...facts.load, pace: row.load?.pace ?? 1, loading: false, weights: undefined }, nowMs, random.next())
-    }
-  }
-
-  /** Takes a limit from any answer to the call, and that there is none any more from answers with which the endpoint served it. */
-  const learnLimit = (attempt: Calls.Attempt, facts: Dialect.AnswerFacts, isServed: boolean, nowMs: number): void => {
-    const { limitPerSecond } = facts
-    if (limitPerSecond === undefined && !isServed) return
-    options.onLimit(attempt.row, { callsPerSecond: limitPerSecond, askedAtMs: attempt.sentAtMs, heardAtMs: nowMs })
-  }
-
   const onData = (call: Calls.Call, attempt: Calls.Attempt, bytes: Buffer): void => {
     const nowMs = clock()
     Routing.Endpoints.hear(attempt.row, nowMs)
@@ -425,7 +385,7 @@
     if (head.isStream) { endStream(call, attempt); return }
     const body = Buffer.concat(attempt.parts)
     if (head.facts.notRun) {
-      blame(attempt.row, `refused with ${head.status}`, call)
+      if (head.facts.quietForMs === 0) blame(attempt.row, `refused with ${head.status}`, call)
       endAttempt(call, attempt, 'notRun', `endpoint refused with ${head.status}`)
     } else if (head.status >= 500 || PROMISES.has(head.status)) {
       call.failure = { status: head.status, rawHeaders: head.rawHeaders, isFramed: head.isFramed, body }
@@ -552,7 +512,8 @@
   }
 
   const refuse = (call: Calls.Call, reason: Routing.Admission.RefusalReason, inputs: object): void => {
-    const returnMs = Routing.Refusals.returnAfterMs(reason, call.deadlineAtMs - clock(), random)
+    const nowMs = clock()
+    const returnMs = Routing.Refusals.returnAfterMs(reason, call.deadlineAtMs - nowMs, random, Routing.Choice.quietEndsInMs(call.placing, options.surroundings(), nowMs))
     metrics.count('calls_refused_total', { reason })
     finish(call, 'refused', { reason, returnAfterMs: Math.round(returnMs), waitingCount: waiting.count(), ...inputs })
     write(call.response, 503, dialect.refusal(call.callId, returnMs), reason)
@@ -654,7 +615,7 @@
   const withdrawOverdue = (call: Calls.Call): void => {
     const { attempt, placing, route } = call
     if (attempt === undefined || attempt.hasBegun || placing.service.engine === undefined || route.kind !== 'stream' || !route.resumable) return
-    const held = heldAt(attempt.row, placing.model)
+    const held = Routing.Endpoints.heldAt(attempt.row, placing.model)
     const { load } = attempt.row
     const beginsOnNext = load?.loading === true && load.retiring !== true
     if (held === undefined || beginsOnNext || held.version >= options.oldestBegunOf(held.model)) return
--- /dev/null
+++ b/src/ingress/lines.ts
@@ -0,0 +1,67 @@
+/**
+ * What the log says of a call that is sent or refused: the inputs that decided it.
+ *
+ * @packageDocumentation
+ */
+import * as Routing from '../routing/index.ts'
+import type * as Calls from './calls.ts'
+
+/** What a refusal was decided from. */
+export interface Refused {
+  readonly asking: Routing.Admission.Asking
+  readonly found: readonly Routing.Choice.Candidate[]
+  readonly best: Routing.Choice.Candidate | undefined
+}
+
+/**
+ * Lists the inputs of a call that is sent, once it counts as sent.
+ *
+ * @param call - The call.
+ * @param candidate - Where it goes.
+ * @param known - What the gateway knows.
+ * @param leftMs - Time left until the deadline, in milliseconds.
+ * @param nowMs - The time.
+ * @returns The fields.
+ */
+export function sentFields (call: Calls.Call, { row, firstMs }: Routing.Choice.Candidate, known: Routing.Choice.Surroundings, leftMs: number, nowMs: number): Record<string, unknown> {
+  const { service, model } = call.placing
+  const held = service.engine === undefined ? undefined : Routing.Endpoints.heldAt(row, model)
+  return {
+    callId: call.callId,
+    service: call.service,
+    endpointId: row.listing.endpointId,
+    predictedMs: Math.round(firstMs),
+    busyCount: Routing.Endpoints.busyCount(row, nowMs) - 1,
+    loadAgeMs: Math.round(nowMs - row.loadAtMs),
+    leftMs,
+    attemptCount: call.sentCount,
+    ...(row.limit?.callsPerSecond === undefined ? {} : { limitPerSecond: row.limit.callsPerSecond }),
+    ...(held === undefined ? {} : { version: held.version, oldestVersion: known.oldestVersionOf(held.model) }),
+    ...(call.resuming ? { lastEventId: call.lastEventId } : {})
+  }
+}
+
+/**
+ * Lists the inputs of a call that is refused for want of an endpoint.
+ *
+ * @param call - The call.
+ * @param refused - What was decided from.
+ * @param known - What the gateway knows.
+ * @param nowMs - The time.
+ * @returns The fields.
+ */
+export function refusedFields (call: Calls.Call, { asking, found, best }: Refused, known: Routing.Choice.Surroundings, nowMs: number): Record<string, unknown> {
+  const { service, model = service.engine?.models[0] } = call.placing
+  return {
+    candidateCount: found.length,
+    bestMs: best === undefined ? undefined : Math.round(best.firstMs),
+    bestId: best?.row.listing.endpointId,
+    busyCount: best === undefined ? undefined : Routing.Endpoints.busyCount(best.row, nowMs),
+    waitedMs: Math.round(asking.waitedMs),
+    ageMs: Math.round(asking.ageMs),
+    isCrowded: asking.isCrowded,
+    freeCount: best?.freeCount,
+    ...(found.length > 0 ? {} : { ruledOut: Routing.Choice.countRuledOut(call.placing, known, nowMs) }),
+    ...(found.length > 0 || service.engine === undefined || model === undefined ? {} : { oldestVersion: known.oldestVersionOf(model) })
+  }
+}
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -13,6 +13,7 @@
 import type * as Deployment from './deployment.ts'
 import * as Endpoints from './endpoints.ts'
 import * as EngineModel from './engineModel.ts'
+import type * as Notices from './notices.ts'
 import * as Turns from './turns.ts'
 
 /** What of a call decides where it may go. */
@@ -30,6 +31,8 @@
 /** What a gateway knows when it chooses. */
 export interface Surroundings {
   readonly endpoints: Endpoints.Endpoints
+  /** What endpoints said of themselves to this gateway. */
+  readonly notices: Pick<Notices.Notices, 'holdOf' | 'quietUntilMs'>
   readonly zone: string
   readonly region: string
   /** Zones taken out of service. */
@@ -167,6 +170,7 @@
 const HURDLES: ReadonlyArray<readonly [string, Hurdle]> = Object.entries<Hurdle>({
   unlisted: (row, _placing, _known, nowMs) => (row.keptUntilMs ?? Infinity) <= nowMs,
   draining: row => row.listing.draining,
+  leaving: (row, _placing, known, nowMs) => known.notices.holdOf(row.listing, nowMs) === 'leaving',
   leftOut: (row, _placing, _known, nowMs) => row.avoidUntilMs > nowMs,
   silent: (row, _placing, _known, nowMs) => row.ownCount > 0 && nowMs - row.heardAtMs > QUIET_MS,
   tried: (row, placing) => placing.triedIds.has(row.listing.endpointId),
@@ -175,7 +179,8 @@
   loading: (row, placing) => placing.service.engine !== undefined && row.load?.loading === true,
   weights: (row, placing, known) => placing.service.engine !== undefined && !holdsModel(row, placing, known),
   cold: (row, placing, known, nowMs) => !bearsCold(row, placing.service, known, nowMs),
-  limited: (row, _placing, known) => !hasTurn(row, known)
+  limited: (row, _placing, known) => !hasTurn(row, known),
+  quiet: (row, _placing, known, nowMs) => known.notices.holdOf(row.listing, nowMs) !== undefined
 })
 
 function isUsable (row: Endpoints.EndpointRow, placing: Placing, known: Surroundings, nowMs: number): boolean {
@@ -202,7 +207,7 @@
 }
 
 /**
- * Works out when an endpoint opens to the gateway that its limit alone rules out now.
+ * Works out when an endpoint opens to the gateway that its limit or its wish for no calls alone rules out now.
  *
  * @param placing - The call.
  * @param known - What the gateway knows.
@@ -213,14 +218,32 @@
 export function opensInMs (placing: Placing, known: Surroundings, nowMs: number, horizonMs: number): number | undefined {
   let soonestMs: number | undefined
   for (const row of known.endpoints.rows()) {
-    if (row.limit?.callsPerSecond === undefined || row.listing.service !== placing.service.name) continue
+    const quietMs = known.notices.quietUntilMs(row.listing) - nowMs
+    if ((row.limit?.callsPerSecond === undefined && quietMs <= 0) || row.listing.service !== placing.service.name) continue
     const blocking = HURDLES.find(([, blocks]) => blocks(row, placing, known, nowMs))
-    if (blocking?.[0] !== 'limited') continue
-    soonestMs = Math.min(soonestMs ?? Infinity, Turns.opensInMs(row.turns, known.sharers, known.storeMs, horizonMs))
+    if (blocking?.[0] === 'limited') soonestMs = Math.min(soonestMs ?? Infinity, Turns.opensInMs(row.turns, known.sharers, known.storeMs, horizonMs))
+    if (blocking?.[0] === 'quiet') soonestMs = Math.min(soonestMs ?? Infinity, quietMs > horizonMs ? Infinity : Math.max(0, quietMs))
   }
   return soonestMs
 }
 
+/**
+ * Works out when the first endpoint takes calls again, where all that stay want none for now.
+ *
+ * @param placing - The call.
+ * @param known - What the gateway knows.
+ * @param nowMs - The time.
+ * @returns The time in milliseconds; 0 where one of them did not say so.
+ */
+export function quietEndsInMs (placing: Placing, known: Surroundings, nowMs: number): number {
+  let soonestMs = Infinity
+  for (const { listing } of known.endpoints.rows()) {
+    if (listing.service !== placing.service.name || listing.draining || known.notices.holdOf(listing, nowMs) === 'leaving') continue
+    soonestMs = Math.min(soonestMs, Math.max(0, known.notices.quietUntilMs(listing) - nowMs))
+  }
+  return Number.isFinite(soonestMs) ? soonestMs : 0
+}
+
 function hasTurn (row: Endpoints.EndpointRow, known: Surroundings): boolean {
   const limitPerSecond = row.limit?.callsPerSecond
   return limitPerSecond === undefined || Turns.isOpen(row.turns, limitPerSecond, known.sharers, known.storeMs)
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -5,6 +5,7 @@
  */
 import * as Core from '../core/index.ts'
 import * as Limits from './limits.ts'
+import type * as Notices from './notices.ts'
 import * as Turns from './turns.ts'
 
 /** Weights that an endpoint holds with every layer. */
@@ -191,6 +192,17 @@
   return Math.max(row.ownCount, row.load.activeCount + row.load.queuedCount + row.ownCount - row.ownAtLoadCount)
 }
 
+/**
+ * Finds the weights with which an endpoint would serve a call.
+ *
+ * @param row - The endpoint.
+ * @param model - The model that the call asks for; undefined for any.
+ * @returns The weights; undefined where it holds none.
+ */
+export function heldAt (row: EndpointRow, model: string | undefined): HeldWeights | undefined {
+  return (row.weights ?? []).find(weights => model === undefined || weights.model === model)
+}
+
 /**
  * Leaves a failing endpoint out for a while.
  *
@@ -228,9 +240,11 @@
 }
 
 /** States of an endpoint as a gateway sees it, the first that holds. */
-const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number) => boolean }> = [
+const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number, notices: Pick<Notices.Notices, 'holdOf'>) => boolean }> = [
   { state: 'unlisted', holds: row => row.keptUntilMs !== undefined },
   { state: 'draining', holds: row => row.listing.draining },
+  { state: 'leaving', holds: (row, nowMs, notices) => notices.holdOf(row.listing, nowMs) === 'leaving' },
+  { state: 'quiet', holds: (row, nowMs, notices) => notices.holdOf(row.listing, nowMs) !== undefined },
   { state: 'leftOut', holds: (row, nowMs) => row.avoidUntilMs > nowMs },
   { state: 'cold', holds: (row, nowMs) => row.coldUntilMs > nowMs },
   { state: 'loading', holds: row => row.load?.loading === true },
@@ -243,12 +257,13 @@
  *
  * @param endpoints - The endpoints.
  * @param nowMs - The time.
+ * @param notices - What endpoints said of themselves.
  * @returns The count of every state.
  */
-export function countStates (endpoints: Endpoints, nowMs: number): Readonly<Record<string, number>> {
+export function countStates (endpoints: Endpoints, nowMs: number, notices: Pick<Notices.Notices, 'holdOf'>): Readonly<Record<string, number>> {
   const counts: Record<string, number> = Object.fromEntries(STATES.map(({ state }) => [state, 0]))
   for (const row of endpoints.rows()) {
-    const state = STATES.find(({ holds }) => holds(row, nowMs))?.state ?? ''
+    const state = STATES.find(({ holds }) => holds(row, nowMs, notices))?.state ?? ''
     counts[state] = (counts[state] ?? 0) + 1
   }
   return counts
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -31,9 +31,10 @@
  * @param reason - Why the call was refused.
  * @param leftMs - Time that the caller has left, in milliseconds.
  * @param random - Spreads the returns.
+ * @param opensInMs - When the first endpoint takes calls again, in milliseconds; 0 where none has said so.
  * @returns The time in milliseconds.
  */
-export function returnAfterMs (reason: Admission.RefusalReason, leftMs: number, random: Core.Random.Random): number {
+export function returnAfterMs (reason: Admission.RefusalReason, leftMs: number, random: Core.Random.Random, opensInMs = 0): number {
   const shortestMs = RETURN_AFTER_MS[reason]
-  return Math.max(0, Math.min(shortestMs * (1 + 2 * random.next()), leftMs * HONOURED_SHARE * (0.9 + 0.1 * random.next())))
+  return Math.max(0, Math.min(Math.max(opensInMs, shortestMs) + shortestMs * 2 * random.next(), leftMs * HONOURED_SHARE * (0.9 + 0.1 * random.next())))
 }
--- /dev/null
+++ b/test/notices-table.test.ts
@@ -0,0 +1,122 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Core from '../src/core/index.ts'
+import * as Dialect from '../platform/dialect.ts'
+import * as Notices from '../src/routing/notices.ts'
+import * as Choice from '../src/routing/choice.ts'
+import * as Endpoints from '../src/routing/endpoints.ts'
+import * as Refusals from '../src/routing/refusals.ts'
+import * as Direct from '../testkit/direct.ts'
+
+const START = { endpointId: 'e', bornAtMs: 1 }
+const NOTHING: Notices.Told = { isLeaving: false, quietForMs: 0, askedAtMs: 0, isRefused: false }
+const LEAVING: Notices.Told = { ...NOTHING, isLeaving: true }
+const quiet = (quietForMs: number): Notices.Told => ({ ...NOTHING, quietForMs, isRefused: true })
+const YEAR_MS = 365 * 24 * 3_600_000
+
+function noticesOf (...told: ReadonlyArray<readonly [atMs: number, told: Notices.Told, start?: Notices.Start]>): Notices.Notices {
+  const notices = Notices.createNotices()
+  for (const [atMs, each, start = START] of told) notices.take(start, each, atMs)
+  return notices
+}
+
+describe('Notices', () => {
+  describe('of an endpoint that leaves', () => {
+    it('hold for the start that said so, and no other', () => {
+      const notices = noticesOf([0, LEAVING])
+      expect([notices.holdOf(START, YEAR_MS), notices.holdOf({ endpointId: 'e', bornAtMs: 2 }, 1), notices.holdOf({ endpointId: 'other', bornAtMs: 1 }, 1)]).toEqual(['leaving', undefined, undefined])
+    })
+
+    it('are not taken back by an answer without the notice', () => {
+      expect(noticesOf([0, LEAVING], [1, NOTHING]).holdOf(START, 2)).toEqual('leaving')
+    })
+
+    it('end by themselves where the endpoint does not tell its starts', () => {
+      const start = { endpointId: 'e', bornAtMs: undefined }
+      const notices = noticesOf([0, LEAVING, start])
+      expect([notices.holdOf(start, Notices.LIMIT_MS - 1), notices.holdOf(start, Notices.LIMIT_MS)]).toEqual(['leaving', undefined])
+    })
+
+    it('of an earlier start that come late say nothing of a later one', () => {
+      const next = { endpointId: 'e', bornAtMs: 2 }
+      expect(noticesOf([0, quiet(5_000), next], [1, LEAVING]).holdOf(next, 2)).toEqual('quiet')
+    })
+  })
+
+  describe('of an endpoint that wants no calls', () => {
+    it('end by themselves, and are tried by one call at a time until one is taken', () => {
+      const notices = noticesOf([0, quiet(2_000)])
+      const before = [notices.holdOf(START, 1_999), notices.holdOf(START, 2_000)]
+      notices.noteSent(START, 2_000)
+      const during = [notices.holdOf(START, 2_499), notices.holdOf(START, 2_500)]
+      notices.noteSent(START, 2_500)
+      notices.take(START, { ...NOTHING, askedAtMs: 2_500 }, 2_600)
+      notices.noteSent(START, 2_600)
+      expect([...before, ...during, notices.holdOf(START, 2_601)]).toEqual(['quiet', undefined, 'returning', undefined, undefined])
+    })
+
+    it('are never made shorter, and an answer to an earlier call ends no trying', () => {
+      const notices = noticesOf([0, quiet(2_000)], [10, quiet(100)], [20, { ...NOTHING, askedAtMs: 0 }])
+      notices.noteSent(START, 2_000)
+      expect([notices.holdOf(START, 1_999), notices.holdOf(START, 2_001)]).toEqual(['quiet', 'returning'])
+    })
+
+    it('are bounded', () => {
+      const notices = noticesOf([0, quiet(YEAR_MS)])
+      expect([notices.holdOf(START, Notices.LIMIT_MS - 1), notices.holdOf(START, Notices.LIMIT_MS)]).toEqual(['quiet', undefined])
+    })
+  })
+
+  it('bound the endpoints that are remembered', () => {
+    expect(noticesOf(...Array.from({ length: 2_000 }, (_, at) => [at, LEAVING, { endpointId: `e${at}`, bornAtMs: 1 }] as const)).count()).toEqual(1_024)
+  })
+
+  it('outlive the entry of the endpoint', () => {
+    const known = Direct.surroundingsOf([Direct.listingOf('e')], { notices: noticesOf([0, LEAVING]) })
+    Endpoints.miss(known.endpoints, 'e', -Infinity, 1)
+    Endpoints.list(known.endpoints, Direct.listingOf('e'), 2)
+    const placing: Choice.Placing = { service: Direct.ENGINE_SERVICE, model: 'm', promptTokens: 10, regions: [], triedIds: new Set() }
+    expect([Choice.candidates(placing, known, 3).length, Choice.countRuledOut(placing, known, 3)]).toEqual([0, { leaving: 1 }])
+  })
+
+  describe('of all endpoints of a service', () => {
+    const placing: Choice.Placing = { service: Direct.ENGINE_SERVICE, model: 'm', promptTokens: 10, regions: [], triedIds: new Set() }
+    const knownOf = (...told: ReadonlyArray<readonly [string, Notices.Told]>): Choice.Surroundings => {
+      const notices = noticesOf(...told.map(([endpointId, each]) => [0, each, { endpointId, bornAtMs: 1 }] as const))
+      return Direct.surroundingsOf([Direct.listingOf('a'), Direct.listingOf('b')], { notices })
+    }
+
+    it('say when the first takes calls again, and nothing while one is open', () => {
+      expect([knownOf(['a', quiet(3_000)], ['b', quiet(2_000)]), knownOf(['a', quiet(3_000)], ['b', LEAVING]), knownOf(['a', quiet(3_000)])]
+        .map(known => Choice.quietEndsInMs(placing, known, 500))).toEqual([1_500, 2_500, 0])
+    })
+
+    it('let a call wait only where the time ends soon enough', () => {
+      const known = knownOf(['a', quiet(100)], ['b', quiet(2_000)])
+      expect([Choice.opensInMs(placing, known, 40, 400), Choice.opensInMs(placing, knownOf(['a', quiet(2_000)], ['b', quiet(2_000)]), 40, 400)]).toEqual([60, Infinity])
+    })
+
+    it('spread the returns of callers over the time after it', () => {
+      const random = Core.Random.createRandom(3)
+      const returns = Array.from({ length: 100 }, () => Refusals.returnAfterMs('overCapacity', 30_000, random, 2_000))
+      expect([Math.min(...returns) >= 2_000, Math.max(...returns) <= 3_400, new Set(returns.map(Math.round)).size > 50]).toEqual([true, true, true])
+    })
+  })
+})
+
+describe('the dialect', () => {
+  const dialect = Dialect.createDialect()
+
+  it('reads a time of return of a refusal, and takes what is no number of seconds for none', () => {
+    const quietOf = (status: number, value: string): number => dialect.readAnswer(status, { 'retry-after': value }).quietForMs
+    expect([quietOf(503, '2'), quietOf(503, '0.25'), quietOf(503, '0')]).toEqual([2_000, 250, 0])
+    expect(['-1', '+1', '1e3', '', 'Infinity', 'soon', '1, 2', 'Wed, 21 Oct 2026 07:28:00 GMT'].map(value => quietOf(503, value))).toEqual(Array.from({ length: 8 }, () => 0))
+    expect([200, 421, 429, 500].map(status => quietOf(status, '2'))).toEqual([0, 0, 0, 0])
+  })
+
+  it('reads that an endpoint leaves from any answer that is its own', () => {
+    const isLeaving = (status: number, value: string): boolean => dialect.readAnswer(status, { 'server-leaving': value }).isLeaving
+    expect([isLeaving(200, '1'), isLeaving(500, '1'), isLeaving(503, '1, 1'), isLeaving(421, '1')]).toEqual([true, true, true, false])
+    expect(['0', '', 'true', '11', '-1'].map(value => isLeaving(200, value))).toEqual([false, false, false, false, false])
+  })
+})
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -58,7 +58,7 @@
 export function surroundingsOf (listings: readonly Routing.Endpoints.Listing[], changes: Partial<Routing.Choice.Surroundings> = {}): Routing.Choice.Surroundings {
   const endpoints: Routing.Endpoints.Endpoints = Core.Table.createTable('endpoints')
   for (const listing of listings) Routing.Endpoints.list(endpoints, listing, 0)
-  return { endpoints, zone: 'a', region: 'ra', drainedZones: new Set(), oldestVersionOf: () => 1, gatewayCount: 1, zoneGatewayCount: 1, sharers: Routing.Turns.createSharers('own', []), storeMs: 0, ...changes }
+  return { endpoints, notices: Routing.Notices.createNotices(), zone: 'a', region: 'ra', drainedZones: new Set(), oldestVersionOf: () => 1, gatewayCount: 1, zoneGatewayCount: 1, sharers: Routing.Turns.createSharers('own', []), storeMs: 0, ...changes }
 }
 
 /** A deployment on the stand-ins with one gateway. */
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -62,7 +62,7 @@
   firstMs: number | undefined
 }
 interface Engine { readonly id: string, readonly zone: string, readonly active: Call[], readonly queue: Call[], readonly arrivedAtMs: number[], busy: boolean }
-interface Gateway { readonly zone: string, readonly sharers: Routing.Turns.Sharers, readonly endpoints: Routing.Endpoints.Endpoints, readonly waiting: Set<Call>, readonly random: Core.Random.Random, crowding: Routing.Crowding.Crowding }
+interface Gateway { readonly zone: string, readonly sharers: Routing.Turns.Sharers, readonly endpoints: Routing.Endpoints.Endpoints, readonly notices: Routing.Notices.Notices, readonly waiting: Set<Call>, readonly random: Core.Random.Random, crowding: Routing.Crowding.Crowding }
 interface Sent { readonly gateway: Gateway, readonly row: Routing.Endpoints.EndpointRow }
 
 const ZONES = ['a', 'b', 'c']
@@ -102,7 +102,7 @@
   const engines: Engine[] = ZONES.flatMap(zone => Array.from({ length: ENGINES_PER_ZONE }, (_, index) => ({ id: `${zone}${index}`, zone, active: [], queue: [], arrivedAtMs: [], busy: false })))
   const listings = engines.map(engine => Direct.listingOf(engine.id, { zone: engine.zone, region: `r${engine.zone}` }))
   const names = ZONES.flatMap(zone => Array.from({ length: GATEWAYS_PER_ZONE }, (_, index) => `${zone}${index}`))
-  const gateways: Gateway[] = ZONES.flatMap(zone => Array.from({ length: GATEWAYS_PER_ZONE }, (_, index) => ({ zone, sharers: Routing.Turns.createSharers(`${zone}${index}`, names.filter(name => name !== `${zone}${index}`)), endpoints: Direct.surroundingsOf(listings).endpoints, waiting: new Set<Call>(), random: Core.Random.createRandom(load.seed + index + 1), crowding: Routing.Crowding.createCrowding() })))
+  const gateways: Gateway[] = ZONES.flatMap(zone => Array.from({ length: GATEWAYS_PER_ZONE }, (_, index) => ({ zone, sharers: Routing.Turns.createSharers(`${zone}${index}`, names.filter(name => name !== `${zone}${index}`)), endpoints: Direct.surroundingsOf(listings).endpoints, notices: Routing.Notices.createNotices(), waiting: new Set<Call>(), random: Core.Random.createRandom(load.seed + index + 1), crowding: Routing.Crowding.createCrowding() })))
   const { limitPerSecond: callsPerSecond } = changes
   if (callsPerSecond !== undefined) for (const { endpoints } of gateways) for (const row of endpoints.rows()) Routing.Endpoints.noteLimit(row, { callsPerSecond, askedAtMs: 0, heardAtMs: 0 }, 0)
   const sent = new Map<Call, Sent>()
@@ -111,6 +111,7 @@
 
   const surroundingsOf = (gateway: Gateway): Routing.Choice.Surroundings => ({
     endpoints: gateway.endpoints,
+    notices: gateway.notices,
     zone: gateway.zone,
     region: `r${gateway.zone}`,
     drainedZones: new Set(),
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -690,6 +690,62 @@
     replacement: '',
     checks: [test('abandoned')]
   },
+  {
+    name: 'notices: endpoints that leave get no calls',
+    file: 'src/routing/choice.ts',
+    text: "known.notices.holdOf(row.listing, nowMs) === 'leaving'",
+    replacement: 'false',
+    checks: [test('notices')]
+  },
+  {
+    name: 'notices: endpoints that want no calls get none',
+    file: 'src/routing/choice.ts',
+    text: 'known.notices.holdOf(row.listing, nowMs) !== undefined',
+    replacement: 'false',
+    checks: [test('notices')]
+  },
+  {
+    name: 'notices: of one start',
+    file: 'src/routing/notices.ts',
+    text: 'known !== undefined && isSame(known.start, start)',
+    replacement: 'known !== undefined',
+    checks: [test('notices-table')]
+  },
+  {
+    name: 'notices: a time is never made shorter',
+    file: 'src/routing/notices.ts',
+    text: 'Math.max(notice.quietUntilMs, nowMs + Math.min(quietForMs, LIMIT_MS))',
+    replacement: 'nowMs + Math.min(quietForMs, LIMIT_MS)',
+    checks: [test('notices-table')]
+  },
+  {
+    name: 'notices: a time is bounded',
+    file: 'src/routing/notices.ts',
+    text: 'nowMs + Math.min(quietForMs, LIMIT_MS)',
+    replacement: 'nowMs + quietForMs',
+    checks: [test('notices-table')]
+  },
+  {
+    name: 'notices: one call at a time after the time',
+    file: 'src/routing/notices.ts',
+    text: 'notice.isReturning && notice.triedUntilMs > nowMs',
+    replacement: 'false',
+    checks: [test('notices-table')]
+  },
+  {
+    name: 'notices: an earlier start says nothing of a later one',
+    file: 'src/routing/notices.ts',
+    text: 'if (before === undefined && isOlder(start, notices.get(start.endpointId)?.start)) return undefined',
+    replacement: '',
+    checks: [test('notices-table')]
+  },
+  {
+    name: 'notices: not of answers of another endpoint',
+    file: 'platform/dialect.ts',
+    text: 'status !== MISDIRECTED && (text(headers, LEAVING)',
+    replacement: '(text(headers, LEAVING)',
+    checks: [test('notices-table')]
+  },
   {
     name: 'answers: bounded',
     file: 'src/ingress/ingress.ts',
