--- a/testkit/notices.ts
+++ b/testkit/notices.ts
@@ -20,27 +20,44 @@
   readonly quietCount: number
 }
 
+/** What one endpoint got and said; of starts that differ each is judged by itself. */
+export interface Record {
+  readonly arrivals: ReadonlyArray<{ readonly gateway: string | undefined, readonly bornAtMs: number, readonly atMs: number }>
+  readonly told: ReadonlyArray<{ readonly gateway: string | undefined, readonly bornAtMs: number, readonly atMs: number, readonly isLeaving: boolean, readonly returnAfterMs: number }>
+}
+
 /**
- * Judges all arrivals.
+ * Judges all arrivals at the stand-ins.
  *
  * @param runners - The endpoints.
  * @param gatewayOf - Finds the gateway of a call by its id.
  * @returns The counts.
  */
 export function judge (runners: readonly Runner.Runner[], gatewayOf: (id: string) => string | undefined): Verdict {
+  return judgeStarts(runners.map(runner => ({
+    arrivals: runner.arrived.map((headers, at) => ({ gateway: gatewayOf(String(headers['x-fescuespread-attempt-id'])), bornAtMs: runner.born, atMs: runner.arrivedAtMs[at] ?? 0 })),
+    told: runner.told.map(({ id, ...told }) => ({ gateway: gatewayOf(id), bornAtMs: runner.born, ...told }))
+  })))
+}
+
+/**
+ * Judges what endpoints got and said.
+ *
+ * @param endpoints - The endpoints.
+ * @returns The counts.
+ */
+export function judgeStarts (endpoints: readonly Record[]): Verdict {
   let leavingCount = 0
   let quietCount = 0
-  for (const runner of runners) {
-    const arrivals = runner.arrived.map((headers, at) => ({ gateway: gatewayOf(String(headers['x-fescuespread-attempt-id'])), atMs: runner.arrivedAtMs[at] ?? 0 }))
-    const firstLeavingMs = new Map<string | undefined, number>()
-    for (const { id, atMs, isLeaving, returnAfterMs } of runner.told) {
-      const gateway = gatewayOf(id)
-      if (isLeaving && !firstLeavingMs.has(gateway)) firstLeavingMs.set(gateway, atMs)
-      if (returnAfterMs <= RETURN_SLACK_MS) continue
-      const count = arrivals.filter(arrival => arrival.gateway === gateway && arrival.atMs > atMs + RETURN_SLACK_MS && arrival.atMs < atMs + returnAfterMs).length
+  for (const { arrivals, told } of endpoints) {
+    const firstLeavingMs = new Map<string, number>()
+    const nameOf = ({ gateway, bornAtMs }: { readonly gateway: string | undefined, readonly bornAtMs: number }): string => `${bornAtMs} ${String(gateway)}`
+    for (const each of told) {
+      if (each.isLeaving) firstLeavingMs.set(nameOf(each), Math.min(firstLeavingMs.get(nameOf(each)) ?? Infinity, each.atMs))
+      const count = arrivals.filter(arrival => nameOf(arrival) === nameOf(each) && arrival.atMs > each.atMs + RETURN_SLACK_MS && arrival.atMs < each.atMs + each.returnAfterMs).length
       quietCount = Math.max(quietCount, count - RETURN_ALLOWED_COUNT)
     }
-    leavingCount += arrivals.filter(({ gateway, atMs }) => atMs > (firstLeavingMs.get(gateway) ?? Infinity) + LEAVING_MS).length
+    leavingCount += arrivals.filter(arrival => arrival.atMs > (firstLeavingMs.get(nameOf(arrival)) ?? Infinity) + LEAVING_MS).length
   }
   return { leavingCount, quietCount }
 }
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -692,9 +692,9 @@
   },
   {
     name: 'notices: endpoints that leave get no calls',
-    file: 'src/routing/choice.ts',
-    text: "known.notices.holdOf(row.listing, nowMs) === 'leaving'",
-    replacement: 'false',
+    file: 'src/routing/notices.ts',
+    text: "if (notice.leavingUntilMs > nowMs) return 'leaving'\n      ",
+    replacement: '',
     checks: [test('notices')]
   },
   {
