--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -25,11 +25,11 @@
   isEmpty: () => boolean
   verdictOf: (digest: string) => Routing.Suspects.Verdict
   /** Notes that an endpoint's connection ended under a request. */
-  noteCut: (digest: string, start: Routing.Abandoned.Start) => void
+  noteCut: (digest: string, start: Routing.Endpoints.Start) => void
   /** Notes that an attempt of a request was broken off while its endpoint may still have been running it. */
-  noteAbandoned: (digest: string, start: Routing.Abandoned.Start) => void
+  noteAbandoned: (digest: string, start: Routing.Endpoints.Start) => void
   /** Notes that a start of an endpoint has ended, and when it was last seen to live, in milliseconds. */
-  noteEnded: (start: Routing.Abandoned.Start, aliveAtMs: number) => void
+  noteEnded: (start: Routing.Endpoints.Start, aliveAtMs: number) => void
   /** Notes that a request which is kept back is tried again. */
   noteTry: (digest: string) => void
   /** Notes that a request was answered whole. */
--- a/src/routing/abandoned.ts
+++ b/src/routing/abandoned.ts
@@ -9,14 +9,11 @@
  */
 import type * as Endpoints from './endpoints.ts'
 
-/** A start of an endpoint. */
-export type Start = Pick<Endpoints.Listing, 'endpointId' | 'bornAtMs'>
-
 /** An attempt that was broken off. */
 export interface AbandonedAttempt {
   /** Names the request whatever the attempt. */
   readonly digest: string
-  readonly start: Start
+  readonly start: Endpoints.Start
   /** When it was broken off, in milliseconds. */
   readonly atMs: number
 }
@@ -32,7 +29,7 @@
    * @param nowMs - The time.
    * @returns The digests of their requests.
    */
-  take: (start: Start, aliveAtMs: number, nowMs: number) => readonly string[]
+  take: (start: Endpoints.Start, aliveAtMs: number, nowMs: number) => readonly string[]
   count: () => number
 }
 
@@ -73,6 +70,6 @@
  * @param b - The other.
  * @returns Whether they do.
  */
-export function isSameStart (a: Start, b: Start): boolean {
+export function isSameStart (a: Endpoints.Start, b: Endpoints.Start): boolean {
   return a.endpointId === b.endpointId && a.bornAtMs === b.bornAtMs
 }
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -32,6 +32,9 @@
   readonly weights: readonly HeldWeights[] | undefined
 }
 
+/** Names one start of an endpoint. */
+export type Start = Pick<Listing, 'endpointId' | 'bornAtMs'>
+
 /** What an endpoint says of its work. */
 export interface LoadReport {
   readonly activeCount: number
--- a/src/routing/notices.ts
+++ b/src/routing/notices.ts
@@ -10,9 +10,6 @@
  */
 import type * as Endpoints from './endpoints.ts'
 
-/** A start of an endpoint; without a time of its start, any start under the id. */
-export type Start = Pick<Endpoints.Listing, 'endpointId' | 'bornAtMs'>
-
 /** What an answer of an endpoint says. */
 export interface Told {
   readonly isLeaving: boolean
@@ -37,18 +34,18 @@
    * @param nowMs - The time.
    * @returns What is new, for the log.
    */
-  take: (start: Start, told: Told, nowMs: number) => Hold | undefined
+  take: (start: Endpoints.Start, told: Told, nowMs: number) => Hold | undefined
   /** Tells what keeps calls from an endpoint now. */
-  holdOf: (start: Start, nowMs: number) => Hold | undefined
+  holdOf: (start: Endpoints.Start, nowMs: number) => Hold | undefined
   /** Tells when an endpoint that wants nothing may be asked again, in milliseconds; -Infinity where it said nothing. */
-  quietUntilMs: (start: Start) => number
+  quietUntilMs: (start: Endpoints.Start) => number
   /** Notes that a call was sent. */
-  noteSent: (start: Start, nowMs: number) => void
+  noteSent: (start: Endpoints.Start, nowMs: number) => void
   count: () => number
 }
 
 interface Notice {
-  readonly start: Start
+  readonly start: Endpoints.Start
   /** Until when the endpoint counts as leaving, in milliseconds; -Infinity while it does not. */
   leavingUntilMs: number
   quietUntilMs: number
@@ -73,11 +70,11 @@
 export function createNotices (): Notices {
   /** By endpoint, the oldest first. */
   const notices = new Map<string, Notice>()
-  const find = (start: Start): Notice | undefined => {
+  const find = (start: Endpoints.Start): Notice | undefined => {
     const known = notices.size === 0 ? undefined : notices.get(start.endpointId)
     return known !== undefined && isSame(known.start, start) ? known : undefined
   }
-  const create = (start: Start): Notice => {
+  const create = (start: Endpoints.Start): Notice => {
     const notice = { start, leavingUntilMs: -Infinity, quietUntilMs: -Infinity, isReturning: false, triedUntilMs: -Infinity }
     notices.delete(start.endpointId)
     notices.set(start.endpointId, notice)
@@ -120,10 +117,11 @@
   }
 }
 
-function isSame (a: Start, b: Start): boolean {
+/** Without a time of its start, an endpoint is the same under its id. */
+function isSame (a: Endpoints.Start, b: Endpoints.Start): boolean {
   return a.bornAtMs === undefined || b.bornAtMs === undefined || a.bornAtMs === b.bornAtMs
 }
 
-function isOlder (start: Start, other: Start | undefined): boolean {
+function isOlder (start: Endpoints.Start, other: Endpoints.Start | undefined): boolean {
   return other?.bornAtMs !== undefined && start.bornAtMs !== undefined && start.bornAtMs < other.bornAtMs
 }
--- a/test/abandoned.test.ts
+++ b/test/abandoned.test.ts
@@ -1,10 +1,11 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Abandoned from '../src/routing/abandoned.ts'
+import type * as Endpoints from '../src/routing/endpoints.ts'
 
 const START = { endpointId: 'e', bornAtMs: 1 }
 
-function abandonedOf (...attempts: ReadonlyArray<readonly [digest: string, atMs: number, start?: Abandoned.Start]>): Abandoned.Abandoned {
+function abandonedOf (...attempts: ReadonlyArray<readonly [digest: string, atMs: number, start?: Endpoints.Start]>): Abandoned.Abandoned {
   const abandoned = Abandoned.createAbandoned()
   for (const [digest, atMs, start = START] of attempts) abandoned.note({ digest, start, atMs })
   return abandoned
--- a/test/notices-table.test.ts
+++ b/test/notices-table.test.ts
@@ -14,7 +14,7 @@
 const quiet = (quietForMs: number): Notices.Told => ({ ...NOTHING, quietForMs, isRefused: true })
 const YEAR_MS = 365 * 24 * 3_600_000
 
-function noticesOf (...told: ReadonlyArray<readonly [atMs: number, told: Notices.Told, start?: Notices.Start]>): Notices.Notices {
+function noticesOf (...told: ReadonlyArray<readonly [atMs: number, told: Notices.Told, start?: Endpoints.Start]>): Notices.Notices {
   const notices = Notices.createNotices()
   for (const [atMs, each, start = START] of told) notices.take(start, each, atMs)
   return notices
--- a/testkit/crashModel.ts
+++ b/testkit/crashModel.ts
@@ -81,7 +81,7 @@
     gateway.seenAtMs.set(evidence.digest, nowMs)
     tell(at, evidence.digest, nowMs)
   }
-  const noteEnded = (at: number, { endpointId, bornAtMs }: Routing.Abandoned.Start, aliveAtMs: number, nowMs: number): void => {
+  const noteEnded = (at: number, { endpointId, bornAtMs }: Routing.Endpoints.Start, aliveAtMs: number, nowMs: number): void => {
     for (const digest of gateways[at]?.abandoned.take({ endpointId, bornAtMs }, aliveAtMs, nowMs) ?? []) see(at, Routing.Suspects.cut(digest, { endpointId, bornAtMs, atMs: nowMs }), nowMs)
   }
   const send = (digest: string, gateway: number, sendsLeft: number, nowMs: number, tookMs: number): void => {
