--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -5,7 +5,6 @@
  */
 import * as Core from '../core/index.ts'
 import * as Limits from './limits.ts'
-import type * as Notices from './notices.ts'
 import * as Turns from './turns.ts'
 
 /** Weights that an endpoint holds with every layer. */
@@ -242,8 +241,13 @@
   row.aliveAtMs = nowMs
 }
 
+/** Tells what an endpoint said that keeps calls from it (`Notices.holdOf`). */
+export interface Holds {
+  holdOf: (start: Start, nowMs: number) => string | undefined
+}
+
 /** States of an endpoint as a gateway sees it, the first that holds. */
-const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number, notices: Pick<Notices.Notices, 'holdOf'>) => boolean }> = [
+const STATES: ReadonlyArray<{ readonly state: string, readonly holds: (row: EndpointRow, nowMs: number, notices: Holds) => boolean }> = [
   { state: 'unlisted', holds: row => row.keptUntilMs !== undefined },
   { state: 'draining', holds: row => row.listing.draining },
   { state: 'leaving', holds: (row, nowMs, notices) => notices.holdOf(row.listing, nowMs) === 'leaving' },
@@ -263,7 +267,7 @@
  * @param notices - What endpoints said of themselves.
  * @returns The count of every state.
  */
-export function countStates (endpoints: Endpoints, nowMs: number, notices: Pick<Notices.Notices, 'holdOf'>): Readonly<Record<string, number>> {
+export function countStates (endpoints: Endpoints, nowMs: number, notices: Holds): Readonly<Record<string, number>> {
   const counts: Record<string, number> = Object.fromEntries(STATES.map(({ state }) => [state, 0]))
   for (const row of endpoints.rows()) {
     const state = STATES.find(({ holds }) => holds(row, nowMs, notices))?.state ?? ''
