Test that silence under a call that runs once is noted, and its mutant

A mutation run of the guard found that it survived test/crashing-unseen.test.ts: endpoints that come back are known to have ended by their next start. The new test has endpoints that stay silent; it fails without the guard (sent to a fourth, 504) and passes with it.

--- a/test/crashing-seldom.test.ts
+++ b/test/crashing-seldom.test.ts
@@ -1,4 +1,5 @@
 import { after, before, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import * as Crashes from '../testkit/crashes.ts'
 import * as CrashPlay from '../testkit/crashPlay.ts'
@@ -31,3 +32,29 @@
     expect([crashCount(), answer.status, answer.text.includes('quarantined')]).toEqual([Crashes.FREE_CRASH_COUNT, 503, true])
   })
 })
+
+describe('a call that runs once, at endpoints that say nothing and do not come back', () => {
+  let stage: Direct.DirectStage
+  /** The endpoint as a whole has been silent for longer than a call waits for it, in milliseconds. */
+  const SILENT_MS = 1_000
+
+  before(async () => {
+    stage = await Direct.startDirectStage(Array.from({ length: 5 }, (_, at) => ({ instanceId: `e${at}`, service: 'plain' })))
+    await TestKit.Wait.until('it serves', PATIENCE_MS, async () => (await stage.call({ path: '/book/1' })).status === 200)
+    for (const runner of stage.runners) runner.faults.dark = true
+  })
+  after(async () => { await stage.stop() })
+
+  it('is kept from them once three fell silent under its request', async () => {
+    const arrivalCount = (): number => stage.runners.flatMap(runner => runner.arrivedBodies).filter(body => body === CrashPlay.CRASHING).length
+    const waiting: Array<Promise<Direct.CallAnswer>> = []
+    for (let count = 1; count <= Crashes.FREE_CRASH_COUNT; count++) {
+      waiting.push(stage.call({ path: '/book/1', body: CrashPlay.CRASHING }))
+      await sleep(SILENT_MS / 2)
+    }
+    await sleep(SILENT_MS)
+    const answer = await stage.call({ path: '/book/1', body: CrashPlay.CRASHING })
+    await Promise.all(waiting)
+    expect([arrivalCount(), answer.status, answer.text.includes('quarantined')]).toEqual([Crashes.FREE_CRASH_COUNT, 503, true])
+  })
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -681,7 +681,7 @@
     file: 'src/ingress/ingress.ts',
     text: 'if (isEndpointSilent && !attempt.isKept) quarantine.noteCut(digestOf(call), attempt.listing)',
     replacement: '',
-    checks: [test('crashing-unseen')]
+    checks: [test('crashing-seldom')]
   },
   {
     name: 'abandoned: what an endpoint outlived',
