A region that starts at once draws the deployment over its border once for each reader

Cause: every process that starts read the operators' table whole from the store before it knew the other processes, so a region of 24 that lost power drew 24 copies of a row of up to 1 MB over one border. First bytes came late, time-outs threw away what had arrived, and readers that had no rows yet refused those that asked them, which then went to the store too. Change: the first read waits for the list of processes (until it is read or refused, a second at most); a neighbour that reads the table for the first time holds the reads of others; neighbours that do not listen yet are asked again for two seconds; news of newer rows start no second read beside the first.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -170,6 +170,11 @@
   /** Reads newer rows from another process, and restarts the read of the store, as the one under way may hang. */
   const catchUp = (revision: number): void => {
     if (stopped || mirror.rowRevision() >= revision) return
+    if (!hasRead) {
+      // The first read brings the newest rows; another one beside it would only slow it down.
+      setTimeout(() => { catchUp(revision) }, CATCH_UP_DELAY_MS)
+      return
+    }
     void readFromPeer()
     const nowMs = clock()
     if (outageStartAtMs !== undefined || nowMs - restartedAtMs < RESTART_INTERVAL_MS) return
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -42,6 +42,8 @@
   members: () => readonly Members.Member[]
   /** Whether the list of processes has been read at least once. */
   knowsMembers: () => boolean
+  /** Whether the first read of the list of processes has neither succeeded nor failed yet. */
+  awaitsMembers: () => boolean
   /** Starts following the list of processes; reads wait `waitMs` milliseconds on average for a change. */
   followMembers: (waitMs: number) => void
   /** Serves the rows of a table to processes that ask for them. */
@@ -119,6 +121,7 @@
     followerOptions,
     members: () => members,
     knowsMembers: () => follower?.isKnown() ?? false,
+    awaitsMembers: () => follower === undefined || (!follower.isKnown() && follower.isStoreReachable()),
     followMembers: waitMs => {
       follower = Follower.createFollower({
         ...followerOptions,
--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -94,8 +94,8 @@
   let closed = false
   const refusalOf = (relayed: RelayedTable | undefined, query: LongPollQuery): Refusal | undefined => {
     if (closed) return 'stopping'
-    if (relayed?.longPolling === undefined || !relayed.isKnown() || !canServe(relayed, query.isPart)) return 'unknown'
-    return relayed.longPolling.refusal()
+    if (relayed?.longPolling === undefined || !canServe(relayed, query.isPart)) return 'unknown'
+    return relayed.longPolling.refusal() ?? (relayed.isKnown() ? undefined : 'unknown')
   }
   const answerOf = (relayed: RelayedTable | undefined, query: LongPollQuery): typeof LongPollAnswer.Type => {
     const reason = refusalOf(relayed, query)
@@ -107,7 +107,8 @@
     const madeAtMs = mirror.rowRevision() > mirror.revision() ? undefined : mirror.madeAtMs()
     return { answer: 'rows', revision: mirror.revision(), rows: toWireRows(relayed, rows, query.isPart), ...(madeAtMs === undefined ? {} : { madeAtMs }) }
   }
-  const waitForChange = (relayed: RelayedTable, after: number, waitMs: number, response: Http.ServerResponse, finish: () => void): void => {
+  /** Waits for rows changed after a revision; for the first rows of the table if that is undefined. */
+  const waitForChange = (relayed: RelayedTable, after: number | undefined, waitMs: number, response: Http.ServerResponse, finish: () => void): void => {
     const end = (): void => {
       for (const stop of stops) stop()
       endWaits.delete(end)
@@ -117,7 +118,11 @@
     const timer = setTimeout(end, waitMs)
     const stops = [
       () => { clearTimeout(timer) },
-      relayed.mirror.onChange(() => { if (storeChangesAfter(relayed.mirror, after).length > 0) end() }),
+      relayed.mirror.onChange(() => {
+        // The first rows count as known only after the mirror has told its listeners.
+        if (after === undefined) queueMicrotask(end)
+        else if (storeChangesAfter(relayed.mirror, after).length > 0) end()
+      }),
       relayed.longPolling?.onArriving(() => {
         if (performance.now() - keepAliveAtMs < KEEP_ALIVE_INTERVAL_MS) return
         keepAliveAtMs = performance.now()
@@ -132,7 +137,10 @@
     const finish = (): void => { if (!response.writableEnded && !response.destroyed) response.end(JSON.stringify(answerOf(relayed, query))) }
     const { after } = query
     if (endWaits.size >= LONG_POLL_LIMIT_COUNT) { response.end(JSON.stringify({ answer: 'refused', reason: 'busy' } satisfies typeof LongPollAnswer.Type)); return }
-    if (relayed === undefined || after === undefined || refusalOf(relayed, query) !== undefined || after < relayed.mirror.snapshotRevision() || storeChangesAfter(relayed.mirror, after).length > 0) { finish(); return }
+    const refusal = refusalOf(relayed, query)
+    const isFirstRead = refusal === 'unknown' && after === undefined && relayed?.isKnown() === false && canServe(relayed, query.isPart)
+    const isHeld = refusal === undefined && relayed !== undefined && after !== undefined && after >= relayed.mirror.snapshotRevision() && storeChangesAfter(relayed.mirror, after).length === 0
+    if (relayed === undefined || !(isFirstRead || isHeld)) { finish(); return }
     response.write(KEEP_ALIVE_BYTE)
     waitForChange(relayed, after, waitMs, response, finish)
   }
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -27,6 +27,8 @@
   readonly members: () => readonly Members.Member[]
   /** Whether the list of processes has been read at least once. */
   readonly knowsMembers: () => boolean
+  /** Whether the first read of the list of processes has neither succeeded nor failed yet. */
+  readonly awaitsMembers: () => boolean
   /** Processes that may be asked before the list of processes has been read. */
   readonly seeds: () => readonly Relay.Peer[]
   /** Whether the process acts only on a part of each row, so that reduced rows suffice. */
@@ -79,8 +81,18 @@
 const NEIGHBOUR_BACKOFF_LIMIT_MS = 12_000
 /** Time without bytes after which a read that is to be replaced counts as stalled, in milliseconds. */
 const STALL_TIMEOUT_MS = 500
+/** The same for the first read of the table, in milliseconds: many processes may have started at once on a slow link, and a second copy of a large row would slow all of them down. */
+const FIRST_STALL_TIMEOUT_MS = 2_000
 /** Interval at which a read is checked for a stall, in milliseconds. */
 const STALL_CHECK_INTERVAL_MS = 50
+/** Time after its start during which a process without rows waits for neighbours that have just started too, in milliseconds. */
+const START_PATIENCE_MS = 2_000
+/** Time after its start for which a process waits for the list of processes, which tells whether it reads the store, in milliseconds. */
+const MEMBERS_PATIENCE_MS = 1_000
+/** Interval at which a process that has just started asks its neighbours again, in milliseconds. */
+const START_RETRY_INTERVAL_MS = 100
+/** Interval at which a process that has just started checks whether the list of processes has been read, in milliseconds. */
+const MEMBERS_CHECK_INTERVAL_MS = 20
 /** Delays before each read from a process of any region, in milliseconds, when there are newer rows that neither the store nor the own region delivers; several, since the process asked may be behind too. */
 const FAR_READ_DELAYS_MS = [1_000, 150, 150, 150]
 const STORE = 'store'
@@ -96,8 +108,9 @@
   const backoffs = new Map<string, { readonly untilMs: number, readonly count: number }>()
   const listeners = new Set<() => void>()
   let pendingRead: PendingRead | undefined
+  const createdAtMs = clock()
   /** Whether the last read was one of the store. */
-  let isReadingStore = true
+  let isReadingStore = false
   let isStoreLost = false
   let sourceBefore: string | undefined
   /** The latest page with a known time, without its rows. */
@@ -110,6 +123,12 @@
   const rankedNeighbours = (): readonly Members.Member[] => rankNeighbours(own.name, own.region, regionGateways(), !options.isPart)
   const availableNeighbours = (): readonly Members.Member[] => rankedNeighbours().filter(({ name }) => (backoffs.get(name)?.untilMs ?? -Infinity) <= clock()).slice(0, NEIGHBOUR_TRY_LIMIT_COUNT)
 
+  /** Whether no rows were read yet, so that neighbours may still be starting too. */
+  const isStarting = (): boolean => sourceBefore === undefined && clock() - createdAtMs < START_PATIENCE_MS
+  const isWaitingForMembers = (): boolean => options.awaitsMembers() && clock() - createdAtMs < MEMBERS_PATIENCE_MS
+  const untilMembersKnown = async (): Promise<void> => {
+    while (isWaitingForMembers()) await sleep(MEMBERS_CHECK_INTERVAL_MS)
+  }
   const backOffFrom = (neighbour: Members.Member, reason: string): void => {
     const count = (backoffs.get(neighbour.name)?.count ?? 0) + 1
     backoffs.set(neighbour.name, { untilMs: clock() + Math.min(NEIGHBOUR_BACKOFF_MS * 2 ** (count - 1), NEIGHBOUR_BACKOFF_LIMIT_MS), count })
@@ -139,20 +158,32 @@
     isStoreLost = answer.isErr() && answer.error.kind !== 'historyGone'
     return { answer, source: STORE }
   }
-  const readNeighboursOrStore = async (pending: PendingRead): Promise<SourcedAnswer> => {
+  /** Reads from the first neighbour that has rows; returns undefined if none has. */
+  const readNeighbours = async (pending: PendingRead): Promise<SourcedAnswer | undefined> => {
     for (const neighbour of availableNeighbours()) {
       pending.neighbour = neighbour
       isReadingStore = false
       const { after } = pending
-      const answer = await Relay.longPoll({ target: neighbour, table, after, waitMs: Math.min(pending.waitMs, NEIGHBOUR_WAIT_MS), isPart: options.isPart, onArriving: () => { notifyArriving(pending) } })
+      // A neighbour that is still reading the table for the first time holds the read of a process that starts, too.
+      const waitMs = after === undefined && isStarting() ? NEIGHBOUR_WAIT_MS : Math.min(pending.waitMs, NEIGHBOUR_WAIT_MS)
+      const answer = await Relay.longPoll({ target: neighbour, table, after, waitMs, isPart: options.isPart, onArriving: () => { notifyArriving(pending) } })
       if (answer.isOk()) {
         backoffs.delete(neighbour.name)
         return { answer, source: neighbour.name }
       }
       if (answer.error.kind === 'historyGone' || pending.isReplaced) return { answer, source: neighbour.name }
-      backOffFrom(neighbour, answer.error.reason)
+      if (answer.error.kind === 'silent' || !isStarting()) backOffFrom(neighbour, answer.error.reason)
+    }
+    return undefined
+  }
+  const readNeighboursOrStore = async (pending: PendingRead): Promise<SourcedAnswer> => {
+    await untilMembersKnown()
+    for (;;) {
+      const answer = await readNeighbours(pending)
+      if (answer !== undefined) return answer
+      if (!isStarting() || availableNeighbours().length === 0) return await readStore(pending)
+      await sleep(START_RETRY_INTERVAL_MS)
     }
-    return await readStore(pending)
   }
   /** Waits for the answer of an earlier read; if that stalls or fails, reads the store in parallel, and the first answer counts. */
   const replaceRead = async (previous: PendingRead, pending: PendingRead): Promise<SourcedAnswer> => {
@@ -166,7 +197,8 @@
   }
   const untilStalled = async (previous: PendingRead): Promise<undefined> => {
     const sinceMs = clock()
-    while (clock() - Math.max(sinceMs, previous.lastBytesAtMs) < STALL_TIMEOUT_MS) await sleep(STALL_CHECK_INTERVAL_MS)
+    const timeoutMs = sourceBefore === undefined ? FIRST_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS
+    while (clock() - Math.max(sinceMs, previous.lastBytesAtMs) < timeoutMs) await sleep(STALL_CHECK_INTERVAL_MS)
   }
   const read = async (after: number | undefined, waitMs: number): Promise<Answer> => {
     const previous = pendingRead
@@ -235,13 +267,28 @@
  */
 export function rankNeighbours (own: string, region: string, gateways: readonly Members.Member[], isGateway: boolean): readonly Members.Member[] {
   const names = gateways.map(member => member.name)
-  const order = Core.Hash.rendezvous(`readers of ${region}`, isGateway ? [...names, own] : names)
+  const order = readerOrder(region, isGateway ? [...names, own] : names)
   const ownRank = isGateway ? order.indexOf(own) : order.length
   if (ownRank < READER_COUNT) return isGateway ? [] : byNames(gateways, order)
   const higherRanked = order.slice(0, ownRank)
   return byNames(gateways, [...Core.Hash.rendezvous(own, higherRanked.slice(0, READER_COUNT)), ...higherRanked.slice(READER_COUNT)])
 }
 
+/**
+ * Returns the gateways of a region that read the store.
+ *
+ * @param region - The region.
+ * @param names - The names of its gateways.
+ * @returns Their names, in order of rank.
+ */
+export function readersOf (region: string, names: readonly string[]): readonly string[] {
+  return readerOrder(region, names).slice(0, READER_COUNT)
+}
+
+function readerOrder (region: string, names: readonly string[]): readonly string[] {
+  return Core.Hash.rendezvous(`readers of ${region}`, names)
+}
+
 function byNames (members: readonly Members.Member[], names: readonly string[]): readonly Members.Member[] {
   return names.flatMap(name => members.find(member => member.name === name) ?? [])
 }
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -5,6 +5,7 @@
  */
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
+import * as Link from './link.ts'
 
 /** Pieces of an answer that is sent slowly. */
 const PIECE_COUNT = 6
@@ -28,6 +29,8 @@
   lateMs: number
   /** Sends its answers in pieces with so many milliseconds between them; 0 for at once. */
   pieceMs: number
+  /** The link that all answers pass. */
+  link: Link.Link
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
   /** Until then requests are still on their way. */
@@ -66,7 +69,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, historyFrom: 0, arrival: undefined, holdsTransactions: false }
+  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, link: Link.createLink(Infinity), historyFrom: 0, arrival: undefined, holdsTransactions: false }
   const held: string[] = []
   const waiting = new Set<() => void>()
   const reads: Array<{ readonly table: string, readonly keys: readonly string[] }> = []
@@ -121,7 +124,7 @@
     const send = (status: number, body: object): void => {
       response.writeHead(status, { 'content-type': 'application/json' })
       const text = JSON.stringify(body)
-      if (faults.pieceMs === 0) response.end(text)
+      if (faults.pieceMs === 0) void Link.writeThrough(response, Buffer.from(text), faults.link)
       else sendSlowly(response, text, faults.pieceMs)
     }
     const parts: Buffer[] = []
--- a/test/direct-path.test.ts
+++ b/test/direct-path.test.ts
@@ -212,6 +212,7 @@
     const slow = await Direct.startDirectStage([{ instanceId: 'slow', service: 'llm', eventMs: 450, eventCount: 9 }])
     const agent = new Http.Agent({ keepAlive: true })
     await TestKit.Wait.until('the endpoint is listed', WAIT_TIMEOUT_MS, () => slow.lines.some(line => line.sentence === 'Endpoint listed.'))
+    await TestKit.Wait.until('the deployment is in force', WAIT_TIMEOUT_MS, () => slow.lines.some(line => line.sentence === 'Deployment in force.'))
     const ended = new Promise<{ text: string, endedAtMs: number, closedAtMs: number }>(resolve => {
       let text = ''
       let endedAtMs = 0
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -86,7 +86,7 @@
 }
 
 /** Where a gateway stands and how it reads. */
-export type GatewayPlace = Pick<Ingress.Gateway.GatewayOptions, 'zone' | 'region' | 'store'>
+export type GatewayPlace = Pick<Ingress.Gateway.GatewayOptions, 'zone' | 'region' | 'store' | 'port'>
 
 /** A gateway of a stage. */
 export interface StartedGateway {
@@ -164,7 +164,7 @@
   }
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
   const addGateway: DirectStage['addGateway'] = async (name, changes = {}) => {
-    const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), freePort()])
+    const [port, readyPort, peerPort] = await Promise.all([freePort(), freePort(), changes.port ?? freePort()])
     const nowhere = await freePort()
     const seeds = gateways.map(other => ({ host: '127.0.0.1', port: other.peerPort }))
     let refused = false
