Follow the store through its return from an older copy

Cause: a revision was taken only to rise and to mean the same to everybody. After a return the mirror kept the higher revision, each feed got 410 and each 410 a whole table, with no pause; rows whose revisions were given out again counted as older than those held, so endpoints that were dropped went on being used and added ones got no calls. Ruled out: dropping all that is known on a new era (drains would end, endpoints that left would come back). Positions join era and revision in one integer; platform/store.ts reads the header, refuses answers of earlier or unreadable eras and gives up feeds that a newer era made void; the follower reads the table whole after a pause and delivers what differs, doubtful rows 2.5 s later; processes write their own entries again; readings date rows of their own era alone. After: reads in 3 s at most twice the calm ones, counted with 410s; the dropped endpoint gets no call and the added one does (test/restored-store-play.test.ts, six plays; test/restored-store.test.ts with 400 drawn plays of the settler).

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -175,6 +175,7 @@
 /** An answer whose body is JSON. */
 export interface JsonAnswer {
   readonly status: number
+  readonly headers: Http.IncomingHttpHeaders
   /** The parsed body; undefined when it is empty. */
   readonly value: unknown
 }
@@ -191,7 +192,7 @@
   const answer = await send({ ...request, headers: { 'content-type': 'application/json', ...request.headers } })
   const text = textOf(answer)
   try {
-    return { status: answer.status, value: text === '' ? undefined : JSON.parse(text) }
+    return { status: answer.status, headers: answer.headers, value: text === '' ? undefined : JSON.parse(text) }
   } catch {
     throw new TransportError(`${method} ${path}: answer is not JSON`, true)
   }
--- a/src/follow/entry.ts
+++ b/src/follow/entry.ts
@@ -22,12 +22,16 @@
 
 /** The entry of a process. */
 export interface Entry {
+  /** Writes the entry again if the restored store lacks it; `row` is its state there, undefined if there is none. */
+  restore: (row: Rows.Row | undefined) => Promise<void>
   /** Removes the entry and stops writing it. */
   remove: () => Promise<void>
 }
 
 /** Mean delay before a failed write of the entry is retried, in milliseconds. */
 const RETRY_DELAY_MS = 500
+/** Maximum delay before an entry that a restored store lacks is written again, in milliseconds: spreads the processes. */
+const RESTORE_DELAY_MS = 500
 /** Maximum number of attempts to remove the entry, each with the revision that the store returned for the previous one: a write may return a later revision than that of the row. */
 const REMOVE_ATTEMPT_LIMIT_COUNT = 3
 
@@ -43,8 +47,18 @@
   /** The last known revision of the row; 0 while it is not known to exist. */
   let revision = 0
   let removing = false
+  let writing = false
 
   const write = async (): Promise<void> => {
+    if (writing) return
+    writing = true
+    try {
+      await writeUntilAccepted()
+    } finally {
+      writing = false
+    }
+  }
+  const writeUntilAccepted = async (): Promise<void> => {
     const isActive = (): boolean => !removing
     while (isActive()) {
       const written = await store.write(Members.MEMBERS_TABLE, name, member, revision)
@@ -63,6 +77,13 @@
   }
   void write()
   return {
+    restore: async row => {
+      if (row !== undefined && isEntryOf(row, member)) return
+      log('store', 'Entry lost by the store.', { name })
+      await sleep(RESTORE_DELAY_MS * random.next())
+      revision = row === undefined || row.deleted ? 0 : row.revision
+      await write()
+    },
     remove: async () => {
       removing = true
       for (let count = 0; count < REMOVE_ATTEMPT_LIMIT_COUNT; count++) {
@@ -82,7 +103,12 @@
 
 /** Whether the existing row was written by this start of the process. */
 function isFromThisStart (failure: Rows.WriteFailure, member: Members.Member): boolean {
-  return failure.kind === 'changed' && failure.row !== undefined && Members.membersOf([failure.row])[0]?.incarnation === member.incarnation
+  return failure.kind === 'changed' && failure.row !== undefined && isEntryOf(failure.row, member)
+}
+
+/** Whether a row is the entry of this start of the process. */
+function isEntryOf (row: Rows.Row, member: Members.Member): boolean {
+  return Members.membersOf([row])[0]?.incarnation === member.incarnation
 }
 
 function reasonOf (failure: Rows.WriteFailure): string {
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -4,8 +4,11 @@
  * @packageDocumentation
  */
 import type * as Core from '../core/index.ts'
+import type * as Metrics from '../edge/metrics.ts'
 import type * as Routing from '../routing/index.ts'
+import * as Positions from './positions.ts'
 import type * as Readings from './readings.ts'
+import * as Restores from './restores.ts'
 import * as Rows from './rows.ts'
 import type * as StoreClock from './storeClock.ts'
 
@@ -35,8 +38,13 @@
   readonly storeClock: StoreClock.StoreClock
   readonly readings: Readings.Readings
   readonly random: Core.Random.Random
+  readonly metrics?: Pick<Metrics.Metrics, 'count'>
+  /** Decides which rows are put off when the store comes back from an older copy; those that the copy lacks if undefined. */
+  readonly isDoubtful?: Restores.Doubt
   /** Called with each batch of changed rows, and with the first batch even if it is empty. */
   readonly onRows: (rows: readonly Rows.Row[], context: RowsContext) => void
+  /** Called when the store has come back from an older copy, before the rows that differ are delivered. */
+  readonly onRestored?: () => void
   readonly log: Core.Loop.Tick<never, never>['log']
 }
 
@@ -64,6 +72,10 @@
 const CATCH_UP_DELAY_MS = 300
 /** Minimum time between two restarts of a read that may hang, in milliseconds. */
 const RESTART_INTERVAL_MS = 1_000
+/** Maximum delay before the table is read whole after its history was lost, in milliseconds: spreads the processes that lose it together. Doubles while the history keeps being lost. */
+const WHOLE_READ_DELAY_MS = 200
+/** Maximum of that delay, in milliseconds. */
+const WHOLE_READ_DELAY_LIMIT_MS = 5_000
 /** Minimum of a wait relative to the mean wait; the maximum is as far above the mean. Drawn at random, so that processes do not keep reading at the same time: pages of different times narrow down when a row was written. */
 const MIN_WAIT_RATIO = 0.5
 
@@ -76,6 +88,9 @@
 export function createFollower (options: FollowerOptions): Follower {
   const { table, store, clock, storeClock, log } = options
   const mirror = Rows.createMirror()
+  const settler = Restores.createSettler(options.isDoubtful ?? Restores.doubtRemovals)
+  /** The store's era as of the newest page; undefined before the first. */
+  let era: number | undefined
   let hasRead = false
   let hasSnapshot = false
   let outageStartAtMs: number | undefined
@@ -90,6 +105,8 @@
   let peerReadRevision = 0
   let generation = 0
   let restartedAtMs = -Infinity
+  /** Number of times that the history was lost since changes were last read. */
+  let historyLossCount = 0
 
   const completeness = (): Routing.Versions.ReadProgress => ({ completeAtMs, outage })
   const deliver = (rows: readonly Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): void => {
@@ -111,28 +128,49 @@
     freshAtMs = clock()
     if (outageStartAtMs === undefined) return
     recoveredAtMs = clock()
-    log('store', 'Store regained.', { table, lostForMs: Math.round(recoveredAtMs - outageStartAtMs), revision: mirror.revision() })
+    log('store', 'Store regained.', { table, lostForMs: Math.round(recoveredAtMs - outageStartAtMs), ...Positions.logFields(mirror.revision()) })
     outageStartAtMs = undefined
   }
   const recordLoss = (reason: string): void => {
     if (outageStartAtMs !== undefined) return
     outageStartAtMs = clock()
-    log('store', 'Store lost.', { table, reason, revision: mirror.revision() })
+    log('store', 'Store lost.', { table, reason, ...Positions.logFields(mirror.revision()) })
   }
   const recordRefusal = (): void => {
     if (completeAtMs === -Infinity) return
     const nowMs = storeClock.now()
     outage = { fromMs: outage?.fromMs ?? nowMs, toMs: nowMs }
   }
+  /** Takes a page; if the store has come back from an older copy, only what differs from the rows in force is delivered, and doubtful rows later. */
+  const takePage = (page: Rows.Page, apply: (page: Rows.Page) => Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): Rows.Row[] => {
+    const eraBefore = era
+    era = Math.max(era ?? 0, Positions.eraOf(page.revision))
+    if (eraBefore === undefined || era === eraBefore) {
+      const rows = apply(page)
+      settler.recordChanges(rows)
+      deliver(rows, fromStore, context)
+      return rows
+    }
+    const before = new Map(mirror.all())
+    const rows = apply(page)
+    const { immediate, deferred } = settler.settle(before, mirror.all())
+    recoveredAtMs = clock()
+    log('store', 'Store restored from an older copy.', { table, ...Positions.logFields(page.revision), eraBefore, changedCount: immediate.length, deferredCount: deferred.length })
+    options.metrics?.count('store_restores_total', { table })
+    options.onRestored?.()
+    deliver(immediate, fromStore, context)
+    if (deferred.length > 0) setTimeout(() => { if (!stopped) deliver(settler.release(deferred, mirror.all()), fromStore, context) }, Restores.RESTORE_GRACE_MS)
+    return rows
+  }
   const readFromPeer = async (): Promise<void> => {
     const page = await options.askPeer(table, Math.max(mirror.revision(), peerReadRevision))
     if (page === undefined) return
     peerReadRevision = Math.max(peerReadRevision, page.revision)
     // The other process may not know all removals, so the next read of the store still starts at the revision of the store's last answer.
-    const rows = mirror.apply({ rows: page.rows, revision: 0 })
-    if (rows.length > 0) freshAtMs = clock()
-    if (rows.length > 0) log('store', 'Rows taken from another process.', { table, rowCount: rows.length, revision: page.revision })
-    deliver(rows, false, { madeAtMs: undefined, before: completeness() })
+    const rows = takePage(page, ({ rows }) => mirror.apply({ rows, revision: 0 }), false, { madeAtMs: undefined, before: completeness() })
+    if (rows.length === 0) return
+    freshAtMs = clock()
+    log('store', 'Rows taken from another process.', { table, rowCount: rows.length, ...Positions.logFields(page.revision) })
   }
   const readOnce = async (): Promise<void> => {
     const generationAtStart = generation
@@ -141,15 +179,16 @@
     if (answer.isOk()) {
       recordAnswer()
       const context = recordPage(answer.value)
-      const rows = hasSnapshot ? mirror.apply(answer.value) : mirror.applySnapshot(answer.value)
+      if (hasSnapshot) historyLossCount = 0
+      takePage(answer.value, hasSnapshot ? mirror.apply : mirror.applySnapshot, true, context)
       hasSnapshot = true
-      deliver(rows, true, context)
       if (options.batchDelayMs !== undefined) await sleep(options.batchDelayMs)
       return
     }
     if (answer.error.kind === 'historyGone') {
-      log('store', 'History gone; the table is read whole.', { table, revision: mirror.revision() })
+      log('store', 'History gone; the table is read whole.', { table, ...Positions.logFields(mirror.revision()) })
       hasSnapshot = false
+      await sleep(options.random.next() * Math.min(WHOLE_READ_DELAY_LIMIT_MS, WHOLE_READ_DELAY_MS * 2 ** historyLossCount++))
       return
     }
     // A single read may time out without an outage; a second one over a new connection shows an outage. A store that limits the rate of reads is not out.
@@ -179,7 +218,7 @@
     const nowMs = clock()
     if (outageStartAtMs !== undefined || nowMs - restartedAtMs < RESTART_INTERVAL_MS) return
     restartedAtMs = nowMs
-    log('store', 'Read restarted behind another process.', { table, revision: mirror.rowRevision(), heardRevision: revision })
+    log('store', 'Read restarted behind another process.', { table, ...Positions.logFields(mirror.rowRevision()), heardRevision: Positions.revisionOf(revision) })
     generation++
     void run(generation)
   }
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -38,7 +38,7 @@
   readonly incarnation: string
   readonly storeClock: StoreClock.StoreClock
   readonly readings: Readings.Readings
-  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'log'>
+  readonly followerOptions: Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'metrics' | 'log'>
   members: () => readonly Members.Member[]
   /** Whether the list of processes has been read at least once. */
   knowsMembers: () => boolean
@@ -111,7 +111,7 @@
     headersTimeoutMs: 2_000,
     routes: [relayRoute.route, metrics.route, ...routes]
   })
-  const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, log }
+  const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, metrics, log }
 
   const entry = Entry.createEntry({ member: { name, kind, host, port, zone, region, incarnation }, store, random, log })
   return {
@@ -123,13 +123,17 @@
     knowsMembers: () => follower?.isKnown() ?? false,
     awaitsMembers: () => follower === undefined || (!follower.isKnown() && follower.isStoreReachable()),
     followMembers: waitMs => {
+      /** The rows in force, by key: those that a restored store lacks stay for a while. */
+      const rowsInForce = new Map<string, Rows.Row>()
       follower = Follower.createFollower({
         ...followerOptions,
         table: Members.MEMBERS_TABLE,
         waitMs: () => waitMs,
         batchDelayMs: MEMBERS_BATCH_DELAY_MS,
-        onRows: () => {
-          members = Members.membersOf(follower?.mirror.live() ?? []).filter(member => member.name !== name)
+        onRestored: () => { void entry.restore(follower?.mirror.all().get(name)) },
+        onRows: rows => {
+          for (const row of rows) rowsInForce.set(row.key, row)
+          members = Members.membersOf([...rowsInForce.values()].filter(row => !row.deleted)).filter(member => member.name !== name)
         }
       })
       relayedTables.set(Members.MEMBERS_TABLE, follower)
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -9,7 +9,7 @@
 import type * as Rows from './rows.ts'
 
 /** Options of `followOperators`. */
-export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'log'> {
+export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'metrics' | 'log'> {
   /** Name of the table that operators write. */
   readonly table: string
   /** Decodes a row; undefined for a row that holds no change. */
@@ -73,6 +73,7 @@
     storeClock,
     readings,
     random: options.random,
+    ...(options.metrics === undefined ? {} : { metrics: options.metrics }),
     log,
     table,
     waitMs: () => READ_WAIT_MS,
--- a/src/follow/readings.ts
+++ b/src/follow/readings.ts
@@ -8,8 +8,9 @@
  * @packageDocumentation
  */
 import type * as Routing from '../routing/index.ts'
+import * as Positions from './positions.ts'
 
-/** The store's revision at a time of its clock. */
+/** The store's position at a time of its clock. */
 export interface Reading {
   readonly revision: number
   /** The store's time, in milliseconds. */
@@ -53,7 +54,8 @@
     latest: () => latest,
     notBeforeMs: revision => {
       let latestMs = -Infinity
-      for (const [other, { lastMs }] of spans) if (other < revision) latestMs = Math.max(latestMs, lastMs)
+      // A restored store has rows that are older than all readings of earlier eras.
+      for (const [other, { lastMs }] of spans) if (other < revision && Positions.eraOf(other) === Positions.eraOf(revision)) latestMs = Math.max(latestMs, lastMs)
       return latestMs
     },
     answeredAfterMs: timeMs => {
--- a/src/follow/rows.ts
+++ b/src/follow/rows.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 import type * as Neverthrow from 'neverthrow'
+import * as Positions from './positions.ts'
 
-/** A row at one revision. */
+/** A row at one revision. Here and wherever rows are followed, a revision is a position in the store's history (`Positions`). */
 export interface Row {
   readonly key: string
-  /** The store's revision after the last write of the row; rises with each write to the store. */
+  /** The store's position after the last write of the row; rises with each write to the store, also across eras. */
   readonly revision: number
   /** The decoded value; undefined for a deleted row and for one that cannot be read. */
   readonly value: unknown
@@ -57,6 +58,8 @@
   applySnapshot: (page: Page) => Row[]
   /** Returns the rows changed after a revision, deleted ones included. */
   since: (revision: number) => Page
+  /** Returns all rows by key, deleted ones included. */
+  all: () => ReadonlyMap<string, Row>
   /** Returns the rows that are not deleted. */
   live: () => Row[]
   /** Registers a listener that is called for each page with rows; returns a function that removes it. */
@@ -77,7 +80,7 @@
 }
 
 /**
- * Creates an empty mirror. A row is never replaced by one of a lower revision.
+ * Creates an empty mirror. A row is never replaced by one of a lower revision, and no row is taken from an era before that of the last snapshot: the store may have lost it.
  *
  * @returns The mirror.
  */
@@ -88,8 +91,9 @@
   let latestSnapshotRevision: number | undefined
   let madeAtMs: number | undefined
   const listeners = new Set<() => void>()
+  const isOfSnapshotEra = (row: Row): boolean => Positions.eraOf(row.revision) >= Positions.eraOf(latestSnapshotRevision ?? 0)
   const applyPage = (page: Page): Row[] => {
-    const changed = page.rows.filter(row => row.revision > (rows.get(row.key)?.revision ?? 0))
+    const changed = page.rows.filter(row => isOfSnapshotEra(row) && row.revision > (rows.get(row.key)?.revision ?? 0))
     for (const row of changed) rows.set(row.key, row)
     latestRevision = Math.max(latestRevision, page.revision)
     if (page.madeAtMs !== undefined) madeAtMs = Math.max(madeAtMs ?? -Infinity, page.madeAtMs)
@@ -97,7 +101,7 @@
     return changed
   }
   const raiseRowRevision = (page: Page): void => {
-    for (const row of page.rows) latestRowRevision = Math.max(latestRowRevision, row.revision)
+    for (const row of page.rows) if (isOfSnapshotEra(row)) latestRowRevision = Math.max(latestRowRevision, row.revision)
   }
   return {
     revision: () => latestRevision,
@@ -118,6 +122,7 @@
       return applyPage({ ...page, rows: [...page.rows, ...deletedRows] })
     },
     since: revision => ({ rows: [...rows.values()].filter(row => row.revision > revision), revision: latestRevision }),
+    all: () => rows,
     live: () => [...rows.values()].filter(row => !row.deleted),
     onChange: listener => {
       listeners.add(listener)
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -13,6 +13,7 @@
 import type * as Metrics from '../edge/metrics.ts'
 import type * as Follower from './follower.ts'
 import type * as Members from './members.ts'
+import * as Positions from './positions.ts'
 import * as Relay from './relay.ts'
 import type * as Rows from './rows.ts'
 
@@ -137,7 +138,7 @@
   }
   const recordPage = (page: Rows.Page, source: string): void => {
     metrics.count('pages_read_total', { table, source: source === STORE ? STORE : 'neighbour' })
-    if (source !== sourceBefore) log('store', 'Rows come from elsewhere.', { table, source, ...(sourceBefore === undefined ? {} : { sourceBefore }), revision: page.revision })
+    if (source !== sourceBefore) log('store', 'Rows come from elsewhere.', { table, source, ...(sourceBefore === undefined ? {} : { sourceBefore }), ...Positions.logFields(page.revision) })
     sourceBefore = source
     const { madeAtMs } = page
     if (madeAtMs !== undefined && madeAtMs >= (latest?.madeAtMs ?? -Infinity)) latest = { rows: [], revision: page.revision, madeAtMs }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -165,13 +165,13 @@
       for (const ended of [before, endpointByAddress.get(address)]) if (ended !== undefined && ended !== currentRow) ingress.recordEndpointEnd(ended)
       endpointByAddress.set(address, currentRow)
       if (before?.listing.draining !== listing.draining || before.listing.bornAtMs !== listing.bornAtMs || before.weights?.[0]?.version !== listing.weights?.[0]?.version) {
-        log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, host: listing.host, port: listing.port, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, revision: row.revision })
+        log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, host: listing.host, port: listing.port, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, ...Follow.Positions.logFields(row.revision) })
       }
       return
     }
     if (before === undefined) return
     const lapsed = Routing.Endpoints.handleUnlisted(endpoints, row.key, row.deleted ? endpointFollower.recoveredAtMs() ?? -Infinity : -Infinity, nowMs)
-    log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, revision: row.revision })
+    log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, ...Follow.Positions.logFields(row.revision) })
   }
 
   const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.tables.operators, own: options, members, knowsMembers: node.knowsMembers, awaitsMembers: node.awaitsMembers, isPart: false })
@@ -195,6 +195,11 @@
     table: options.tables.endpoints,
     waitMs: () => Math.min(ENDPOINTS_WAIT_LIMIT_MS, gatewayCount(members()) * ENDPOINTS_WAIT_PER_GATEWAY_MS),
     batchDelayMs: ENDPOINTS_BATCH_DELAY_MS,
+    isDoubtful: (inForce, found) => {
+      const listing = found.deleted ? undefined : options.listingOf(found)
+      // Entries that the store lacks are kept for a while in any case (`Endpoints.handleUnlisted`).
+      return listing !== undefined && Routing.Endpoints.mayBeOutdated(inForce.deleted ? undefined : options.listingOf(inForce), listing)
+    },
     onRows: rows => {
       for (const row of rows) applyListing(row)
       ingress.retryWaiting()
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -152,6 +152,25 @@
   return lapsedIds
 }
 
+/**
+ * Tells whether an entry may be an older one of the same endpoint, as a restored store has it.
+ *
+ * @param known - The entry as known before; undefined if the endpoint was no longer listed.
+ * @param found - The entry as the store has it now.
+ * @returns Whether calls could be sent on its word alone to an endpoint that was removed, is draining or has started again since.
+ */
+export function mayBeOutdated (known: Listing | undefined, found: Listing): boolean {
+  if (known === undefined) return true
+  const [knownBornAtMs, foundBornAtMs] = [known.bornAtMs ?? 0, found.bornAtMs ?? 0]
+  if (foundBornAtMs !== knownBornAtMs) return foundBornAtMs < knownBornAtMs
+  // Within one start, an endpoint drains for good and its weights only become newer.
+  return (known.draining && !found.draining) || newestWeightsVersion(found) < newestWeightsVersion(known)
+}
+
+function newestWeightsVersion ({ weights = [] }: Listing): number {
+  return Math.max(0, ...weights.map(({ version }) => version))
+}
+
 /**
  * Applies a load report of an endpoint.
  *
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -31,6 +31,8 @@
   pieceMs: number
   /** The link that all answers pass. */
   link: Link.Link
+  /** The store's era, named in all answers; undefined for none. */
+  era: number | undefined
   /** Answers 410 to feeds that begin below this revision. */
   historyFrom: number
   /** Until then requests are still on their way. */
@@ -50,12 +52,16 @@
   heldCount: () => number
   /** Carries out the transactions that were held, as far as their conditions hold, without an answer; tells how many there were. */
   carryOutHeld: () => number
+  /** Makes a copy of all rows; returns a function that restores the store from it, in the next era, and breaks all connections. */
+  copy: () => () => void
   /** Breaks all connections, as at the start of an outage. */
   cut: () => void
   /** The rows of a table that are not deleted. */
   rows: (table: string) => Array<{ readonly key: string, readonly value: unknown }>
   /** What was read, in order. */
   readonly reads: ReadonlyArray<{ readonly table: string, readonly keys: readonly string[] }>
+  /** Feeds that were answered with 410. */
+  goneCount: () => number
   /** Requests with a text in their path that are still on their way. */
   lateCount: (text: string) => number
   close: () => Promise<void>
@@ -69,7 +75,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, link: Link.createLink(Infinity), historyFrom: 0, arrival: undefined, holdsTransactions: false }
+  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, link: Link.createLink(Infinity), era: undefined, historyFrom: 0, arrival: undefined, holdsTransactions: false }
   const held: string[] = []
   const waiting = new Set<() => void>()
   const reads: Array<{ readonly table: string, readonly keys: readonly string[] }> = []
@@ -79,6 +85,7 @@
   }
   const sockets = new Set<Net.Socket>()
   let revision = 1
+  let goneFeeds = 0
   const late: string[] = []
 
   const set = (table: string, key: string, value: string | undefined, deleted: boolean): number => {
@@ -92,7 +99,11 @@
 
   const feed = (query: URLSearchParams, answer: (status: number, body: object) => void): void => {
     const after = Number(query.get('after_revision'))
-    if (after < faults.historyFrom) { answer(410, {}); return }
+    if (after < faults.historyFrom || after > revision) {
+      goneFeeds++
+      answer(410, {})
+      return
+    }
     const changed = (): StoredRow[] => ofTable(query.get('table') ?? '').filter(row => row.schema_version > after).sort((a, b) => a.schema_version - b.schema_version)
     const finish = (): void => {
       clearTimeout(timer)
@@ -122,7 +133,7 @@
       else setTimeout(() => { send(status, body) }, faults.lateMs)
     }
     const send = (status: number, body: object): void => {
-      response.writeHead(status, { 'content-type': 'application/json' })
+      response.writeHead(status, { 'content-type': 'application/json', ...(faults.era === undefined ? {} : { 'Store-Era': faults.era }) })
       const text = JSON.stringify(body)
       if (faults.pieceMs === 0) void Link.writeThrough(response, Buffer.from(text), faults.link)
       else sendSlowly(response, text, faults.pieceMs)
@@ -159,6 +170,7 @@
     socket.once('close', () => { sockets.delete(socket) })
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const cut = (): void => { for (const socket of sockets) socket.destroy() }
   return {
     port: (server.address() as Net.AddressInfo).port,
     faults,
@@ -171,8 +183,19 @@
       for (const text of texts) transact(text, () => {})
       return texts.length
     },
-    cut: () => { for (const socket of sockets) socket.destroy() },
+    copy: () => {
+      const [copiedRows, copiedRevision] = [[...rows], revision]
+      return () => {
+        rows.clear()
+        for (const [id, row] of copiedRows) rows.set(id, row)
+        revision = copiedRevision
+        faults.era = (faults.era ?? 0) + 1
+        cut()
+      }
+    },
+    cut,
     rows: table => live(table).map(row => ({ key: row.key, value: JSON.parse(Buffer.from(row.value ?? '', 'base64').toString()) })),
+    goneCount: () => goneFeeds,
     lateCount: text => late.filter(path => path.includes(text)).length,
     close: async () => {
       for (const socket of sockets) socket.destroy()
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -315,8 +315,8 @@
   {
     name: 'direct: whole events only',
     file: 'src/ingress/events.ts',
-    text: 'const whole = end === all.length ? all : all.subarray(0, end)',
-    replacement: 'const whole = all',
+    text: 'const end = lastEventEnd(bytes)',
+    replacement: 'const end = bytes.length',
     checks: [test('direct-platform')]
   },
   {
@@ -350,8 +350,8 @@
   {
     name: 'direct: budget of repeats',
     file: 'src/routing/budgets.ts',
-    text: 'if (window.repeats.length + 1 > limitCount) return false',
-    replacement: '',
+    text: 'return window.retryTimesMs.length + 1 <= limitCount',
+    replacement: 'return true',
     checks: [test('direct-routing')]
   },
   {
@@ -361,10 +361,80 @@
     replacement: '',
     checks: [test('direct-path')]
   },
+  {
+    name: 'shared rows: a first read waits for a neighbour that reads the table itself',
+    file: 'src/follow/relay.ts',
+    text: 'if (relayed === undefined || !(isFirstRead || isHeld))',
+    replacement: 'if (relayed === undefined || !isHeld)',
+    checks: [test('start-of-a-region')]
+  },
+  {
+    name: 'shared rows: a first read waits for the list of processes',
+    file: 'src/follow/shared.ts',
+    text: '    await untilMembersKnown()\n',
+    replacement: '',
+    checks: [test('start-of-a-region')]
+  },
+  {
+    name: 'restored store: no rows of an earlier era',
+    file: 'src/follow/rows.ts',
+    text: 'Positions.eraOf(row.revision) >= Positions.eraOf(latestSnapshotRevision ?? 0)',
+    replacement: 'true',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: readings date rows of their own era only',
+    file: 'src/follow/readings.ts',
+    text: 'other < revision && Positions.eraOf(other) === Positions.eraOf(revision)',
+    replacement: 'other < revision',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: answers of an earlier era are not used',
+    file: 'platform/store.ts',
+    text: 'if (newest !== undefined && era < newest) return',
+    replacement: 'if (newest !== undefined && era < 0) return',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: a jump of the era is confirmed',
+    file: 'platform/store.ts',
+    text: 'if (jump.answerCount < ERA_JUMP_ANSWER_COUNT) return',
+    replacement: 'if (jump.answerCount < 0) return',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: what was put off stays in force through a second return',
+    file: 'src/follow/restores.ts',
+    text: 'const inForce = heldRows.get(key) ?? before.get(key)',
+    replacement: 'const inForce = before.get(key)',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: a row written again voids what was put off',
+    file: 'src/follow/restores.ts',
+    text: 'deferred.filter(row => heldRows.has(row.key) && current.get(row.key)?.revision === row.revision)',
+    replacement: 'deferred.filter(row => heldRows.has(row.key) || row.deleted)',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: removals are put off',
+    file: 'src/follow/restores.ts',
+    text: '(_inForce, found) => found.deleted',
+    replacement: '(_inForce, found) => found.deleted && false',
+    checks: [test('restored-store')]
+  },
+  {
+    name: 'restored store: an entry of before a removal or a drain is doubted',
+    file: 'src/routing/endpoints.ts',
+    text: '(known.draining && !found.draining) || newestWeightsVersion(found) < newestWeightsVersion(known)',
+    replacement: 'false',
+    checks: [test('restored-store')]
+  },
   {
     name: 'direct: rows never go back',
     file: 'src/follow/rows.ts',
-    text: 'page.rows.filter(row => row.revision > (rows.get(row.key)?.revision ?? 0))',
+    text: 'page.rows.filter(row => isOfSnapshotEra(row) && row.revision > (rows.get(row.key)?.revision ?? 0))',
     replacement: 'page.rows.filter(() => true)',
     checks: [test('direct-platform')]
   },
@@ -497,8 +567,8 @@
   {
     name: 'shared rows: a read begun anew goes to the store',
     file: 'src/follow/shared.ts',
-    text: 'return await Promise.race([fromStore(reading), earlier.then(async answer => answer ?? await never())])',
-    replacement: 'return await fromAny(reading)',
+    text: 'return await Promise.race([readStore(pending), earlierResult.then(async earlierAnswer => earlierAnswer ?? await waitForever())])',
+    replacement: 'return await readNeighboursOrStore(pending)',
     checks: [test('direct-shared')]
   },
   {
@@ -763,8 +833,8 @@
   {
     name: 'streams: bytes of an event are no sign of life',
     file: 'src/ingress/ingress.ts',
-    text: 'attempt.row.heardAtMs = nowMs\n    if (attempt.splitter',
-    replacement: 'attempt.row.heardAtMs = nowMs\n    attempt.heardAtMs = nowMs\n    if (attempt.splitter',
+    text: 'Routing.Endpoints.recordSignOfLife(attempt.row, nowMs)\n    if (attempt.splitter',
+    replacement: 'Routing.Endpoints.recordSignOfLife(attempt.row, nowMs)\n    attempt.lastReceivedAtMs = nowMs\n    if (attempt.splitter',
     checks: [test('endless-answers')]
   },
   {
