Read the list of processes through the gateways of a region

Cause: each process followed the list by itself, so every change of it was read from the store by all 45 to 180 processes, also across the borders. Change: the list goes through the source that the operators' table already goes through: two gateways of a region read the store, the others and the agents read from them; the first read of a process is still one of the store, since only the list tells the neighbours. A read of it waits up to 10 s at a neighbour.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -153,7 +153,7 @@
     clock,
     log
   })
-  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.operatorsTable, own: options, members: node.members, knowsMembers: node.knowsMembers, awaitsMembers: node.awaitsMembers, isPart: true })
+  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.operatorsTable, own: options, members: node.members, knowsMembers: node.knowsMembers, awaitsMembers: node.awaitsMembers, isPart: true, mayReadStore: false, neighbourWaitMs: Follow.Operators.NEIGHBOUR_WAIT_MS })
   const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
     store: shared,
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -14,6 +14,7 @@
 import * as Readings from './readings.ts'
 import * as Relay from './relay.ts'
 import type * as Rows from './rows.ts'
+import * as Shared from './shared.ts'
 import * as StoreClock from './storeClock.ts'
 
 /** Options of `open`. */
@@ -56,6 +57,8 @@
 
 /** Delay between reads of the list of processes, in milliseconds: processes often start together, and their entries are read in one batch. */
 const MEMBERS_BATCH_DELAY_MS = 1_000
+/** Maximum wait of a read of the list from a neighbour, in milliseconds: processes that join send news, so a frozen neighbour is noticed earlier. */
+const MEMBERS_NEIGHBOUR_WAIT_MS = 10_000
 /** Time after which a process that sends news but is not listed here makes this process read the list anew, in milliseconds: entries are read in batches, and a read may be slow. */
 const UNLISTED_SENDER_DELAY_MS = 2 * MEMBERS_BATCH_DELAY_MS
 
@@ -125,8 +128,22 @@
     followMembers: waitMs => {
       /** The rows in force, by key: those that a restored store lacks stay for a while. */
       const rowsInForce = new Map<string, Rows.Row>()
+      const shared = Shared.createSharedSource({
+        ...followerOptions,
+        table: Members.MEMBERS_TABLE,
+        own: { name, region },
+        members: () => members,
+        knowsMembers: () => follower?.isKnown() ?? false,
+        awaitsMembers: () => false,
+        seeds: options.seeds,
+        isPart: false,
+        mayReadStore: kind === 'gateway',
+        neighbourWaitMs: MEMBERS_NEIGHBOUR_WAIT_MS
+      })
       follower = Follower.createFollower({
         ...followerOptions,
+        store: shared,
+        askPeer: shared.askPeer,
         table: Members.MEMBERS_TABLE,
         waitMs: () => waitMs,
         batchDelayMs: MEMBERS_BATCH_DELAY_MS,
@@ -136,7 +153,7 @@
           members = Members.membersOf([...rowsInForce.values()].filter(row => !row.deleted)).filter(member => member.name !== name)
         }
       })
-      relayedTables.set(Members.MEMBERS_TABLE, follower)
+      relayedTables.set(Members.MEMBERS_TABLE, shared.relayed(follower, row => row))
     },
     relayTable: (table, relayedTable) => { relayedTables.set(table, relayedTable) },
     sendNews: (news, targetKind, isTarget = () => true) => { channel.send({ sender: name, storeMs: storeClock.nowByAnswers(), reading: readings.latest(), ...news }, members.filter(member => member.kind === targetKind && isTarget(member))) },
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -29,6 +29,8 @@
   readonly drainedZones: ReadonlySet<string>
 }
 
+/** Maximum wait of a read from a neighbour, in milliseconds: changes have to be in force within seconds, also if a neighbour freezes. */
+export const NEIGHBOUR_WAIT_MS = 2_000
 /** Mean time that a read of the table waits for a change, in milliseconds; if a read hangs, news of other processes reveals it earlier. */
 const READ_WAIT_MS = 8_000
 
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -34,6 +34,10 @@
   readonly seeds: () => readonly Relay.Peer[]
   /** Whether the process acts only on a part of each row, so that reduced rows suffice. */
   readonly isPart: boolean
+  /** Whether the process may be one of those that read the store. */
+  readonly mayReadStore: boolean
+  /** Maximum wait of a read from a neighbour, in milliseconds: a neighbour that freezes is noticed by the end of the wait, if not earlier by news. */
+  readonly neighbourWaitMs: number
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Pick<Metrics.Metrics, 'count'>
@@ -72,8 +76,8 @@
 export const READER_COUNT = 2
 /** Maximum number of neighbours tried before the store. */
 const NEIGHBOUR_TRY_LIMIT_COUNT = 4
-/** Maximum wait of a read from a neighbour, in milliseconds: a neighbour that freezes is noticed by the end of the wait, if not earlier by news. */
-const NEIGHBOUR_WAIT_MS = 2_000
+/** Maximum wait of a first read from a neighbour that has no rows yet either, in milliseconds. */
+const FIRST_READ_WAIT_MS = 2_000
 /** Maximum wait of a read of the store by a process that should read from a neighbour, in milliseconds. */
 const FALLBACK_WAIT_MS = 2_000
 /** Time for which a neighbour is passed over after its first failure, in milliseconds; doubles with each further one. */
@@ -121,7 +125,7 @@
   const gateways = (): readonly Members.Member[] => options.members().filter(member => member.kind === 'gateway')
   const regionGateways = (): readonly Members.Member[] => gateways().filter(member => member.region === own.region)
   /** The neighbours to read from, the preferred one first; none if this process reads the store. */
-  const rankedNeighbours = (): readonly Members.Member[] => rankNeighbours(own.name, own.region, regionGateways(), !options.isPart)
+  const rankedNeighbours = (): readonly Members.Member[] => rankNeighbours(own.name, own.region, regionGateways(), options.mayReadStore)
   const availableNeighbours = (): readonly Members.Member[] => rankedNeighbours().filter(({ name }) => (backoffs.get(name)?.untilMs ?? -Infinity) <= clock()).slice(0, NEIGHBOUR_TRY_LIMIT_COUNT)
 
   /** Whether no rows were read yet, so that neighbours may still be starting too. */
@@ -166,7 +170,7 @@
       isReadingStore = false
       const { after } = pending
       // A neighbour that is still reading the table for the first time holds the read of a process that starts, too.
-      const waitMs = after === undefined && isStarting() ? NEIGHBOUR_WAIT_MS : Math.min(pending.waitMs, NEIGHBOUR_WAIT_MS)
+      const waitMs = after === undefined && isStarting() ? FIRST_READ_WAIT_MS : Math.min(pending.waitMs, options.neighbourWaitMs)
       const answer = await Relay.longPoll({ target: neighbour, table, after, waitMs, isPart: options.isPart, onArriving: () => { notifyArriving(pending) } })
       if (answer.isOk()) {
         backoffs.delete(neighbour.name)
@@ -263,14 +267,14 @@
  * @param own - The name of the process.
  * @param region - Its region.
  * @param gateways - The other gateways of the region.
- * @param isGateway - Whether the process itself is a gateway.
+ * @param mayReadStore - Whether the process itself may be one of those that read the store.
  * @returns The neighbours, the preferred one first; none if the process reads the store itself.
  */
-export function rankNeighbours (own: string, region: string, gateways: readonly Members.Member[], isGateway: boolean): readonly Members.Member[] {
+export function rankNeighbours (own: string, region: string, gateways: readonly Members.Member[], mayReadStore: boolean): readonly Members.Member[] {
   const names = gateways.map(member => member.name)
-  const order = readerOrder(region, isGateway ? [...names, own] : names)
-  const ownRank = isGateway ? order.indexOf(own) : order.length
-  if (ownRank < READER_COUNT) return isGateway ? [] : byNames(gateways, order)
+  const order = readerOrder(region, mayReadStore ? [...names, own] : names)
+  const ownRank = mayReadStore ? order.indexOf(own) : order.length
+  if (ownRank < READER_COUNT) return mayReadStore ? [] : byNames(gateways, order)
   const higherRanked = order.slice(0, ownRank)
   return byNames(gateways, [...Core.Hash.rendezvous(own, higherRanked.slice(0, READER_COUNT)), ...higherRanked.slice(READER_COUNT)])
 }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -174,7 +174,7 @@
     log('endpoints', row.deleted ? 'Endpoint no longer listed.' : 'Endpoint entry not readable.', { endpointId: row.key, lapsed, ...Follow.Positions.logFields(row.revision) })
   }
 
-  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.tables.operators, own: options, members, knowsMembers: node.knowsMembers, awaitsMembers: node.awaitsMembers, isPart: false })
+  const shared = Follow.Shared.createSharedSource({ ...options, ...node.followerOptions, table: options.tables.operators, own: options, members, knowsMembers: node.knowsMembers, awaitsMembers: node.awaitsMembers, isPart: false, mayReadStore: true, neighbourWaitMs: Follow.Operators.NEIGHBOUR_WAIT_MS })
   const operators = Follow.Operators.followOperators({
     ...node.followerOptions,
     store: shared,
