Gateways pass the loads of their zone on to other zones

Cause: each agent told each gateway of the other zones its load every 0.3 s, and every 0.6 s while nothing changed: 85 agents and 35 gateways sent 5,000 messages a second while idle. Ruled out: slower reports of agents to their own zone (the choice there rests on them); one forwarder a zone (its loss would leave loads stale for seconds). Change: where a zone has three gateways or more, its agents report to them alone; for each gateway of another zone two of them take turns by the store's time, one message every 0.3 s with all loads heard within 0.6 s and their ages. An older report never replaces a later one.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import * as Core from '../core/index.ts'
 import * as Follow from '../follow/index.ts'
 import * as Routing from '../routing/index.ts'
 import * as Pacer from '../weights/edge/pacer.ts'
@@ -176,6 +177,7 @@
     if (named.length === 0) return [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
     return named.map(({ version, namedAtMs, notBeforeMs }) => ({ model, version, namedAtMs: node.storeClock.toLocalMs(namedAtMs ?? notBeforeMs) }))
   }
+  const isForwardedBy = Core.Memo.memoizeByIdentity((members: readonly Follow.Members.Member[]) => Follow.LoadForwarding.isForwarded(options.zone, members))
   const sendLoad = (report: Ports.EngineReport): void => {
     reportCount++
     const load: Follow.News.LoadNews = {
@@ -195,7 +197,8 @@
     if (isDueInOwnZone) sentToOwnZone = { text, reportNumber: reportCount }
     if (isDueInOtherZones) sentToOtherZones = { text, reportNumber: reportCount }
     if (!isDueInOwnZone && !isDueInOtherZones) return
-    node.sendNews({ revisions: revisions(), load }, 'gateway', member => member.zone === options.zone ? isDueInOwnZone : isDueInOtherZones)
+    // Where the zone has gateways enough, they pass its loads on to those of other zones.
+    node.sendNews({ revisions: revisions(), load }, 'gateway', member => member.zone === options.zone ? isDueInOwnZone : isDueInOtherZones && !isForwardedBy(node.members()))
   }
   /** Sends the named versions to processes that have just joined and can no longer read superseded ones from the store. */
   const notifyJoined = (): void => {
--- a/src/follow/index.ts
+++ b/src/follow/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Follower from './follower.ts'
+export * as LoadForwarding from './loadForwarding.ts'
 export * as Members from './members.ts'
 export * as Node from './node.ts'
 export * as News from './news.ts'
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -62,6 +62,8 @@
   /** The newest revisions that the sender holds, by table. */
   revisions: Schema.Record(Schema.String, Schema.Int),
   load: Schema.optional(LoadNews),
+  /** Loads of endpoints in the sender's zone that it heard from their agents, each with its age in milliseconds. */
+  forwardedLoads: Schema.optional(Schema.Array(Schema.Struct({ ageMs: Schema.Number, load: LoadNews }))),
   /** The store's time when the news was sent, as the sender knows it, in milliseconds. */
   storeMs: Schema.optional(Schema.Number),
   /** The latest reading of the store's revision that the sender knows, with the store's time in milliseconds. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -112,7 +112,8 @@
   let stopping = false
 
   const node = await Node.open(options, 'gateway', message => {
-    if (message.load !== undefined) applyLoad(message.load)
+    if (message.load !== undefined) recordLoad(message.load)
+    for (const { ageMs, load } of message.forwardedLoads ?? []) applyLoad(load, clock() - ageMs)
     Follow.News.learnVersions(versions, message, operators.follower, node.storeClock, log)
     for (const limitNews of message.limits ?? []) applyLimitNews(limitNews, message.sender)
     if (message.requests !== undefined) quarantine.applyNews(message.requests)
@@ -132,13 +133,36 @@
   const sharersOf = Core.Memo.memoizeByIdentity((others: readonly Follow.Members.Member[]): Routing.Turns.Sharers =>
     ({ own: sharerOf(options.name), others: others.filter(member => member.kind === 'gateway').map(member => sharerOf(member.name)) }))
 
-  const applyLoad = (load: Follow.News.LoadNews): void => {
+  /** Applies a load report as of a time, in milliseconds, unless a later one is known. */
+  const applyLoad = (load: Follow.News.LoadNews, atMs: number): void => {
     const row = endpointByAddress.get(`${load.host}:${load.port}`)
     if (row === undefined || endpoints.get(row.listing.endpointId) !== row) return
     if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) return
-    Routing.Endpoints.applyLoadReport(row, load, clock(), random.next())
+    if (row.load !== undefined && atMs < row.loadAtMs) return
+    Routing.Endpoints.applyLoadReport(row, load, atMs, random.next())
     ingress.retryWaiting()
   }
+  /** Load reports that agents of the zone sent to this gateway, by address of the endpoint. */
+  const zoneLoads = new Map<string, { readonly load: Follow.News.LoadNews, readonly atMs: number }>()
+  const recordLoad = (load: Follow.News.LoadNews): void => {
+    const address = `${load.host}:${load.port}`
+    if (endpointByAddress.get(address)?.listing.zone === options.zone) zoneLoads.set(address, { load, atMs: clock() })
+    applyLoad(load, clock())
+  }
+  const ownMember: Pick<Follow.Members.Member, 'name' | 'kind' | 'zone'> = { name: options.name, kind: 'gateway', zone: options.zone }
+  const forwardersOf = Core.Memo.memoizeByIdentity((others: readonly Follow.Members.Member[]) => Follow.LoadForwarding.forwardersOf(options.zone, [...others, ownMember]))
+  let forwardedTurn = -1
+  /** Passes load reports of the zone's endpoints on to the gateways of other zones whose turn it is. */
+  const forwardLoads = (nowMs: number): void => {
+    const turn = Follow.LoadForwarding.turnAt(node.storeClock.now())
+    if (turn === forwardedTurn || !Number.isFinite(turn)) return
+    forwardedTurn = turn
+    for (const [address, { atMs }] of zoneLoads) if (nowMs - atMs > Follow.LoadForwarding.REPORT_LIFETIME_MS) zoneLoads.delete(address)
+    const receivers = Follow.LoadForwarding.receiversIn(forwardersOf(members()), options.name, turn)
+    if (receivers.size === 0 || zoneLoads.size === 0) return
+    const forwardedLoads = [...zoneLoads.values()].map(({ load, atMs }) => ({ ageMs: Math.round(nowMs - atMs), load }))
+    node.sendNews({ revisions: {}, forwardedLoads }, 'gateway', member => receivers.has(member.name))
+  }
   const applyLimit = (row: Routing.Endpoints.EndpointRow, statement: Routing.Limits.LimitStatement, source: string): boolean => {
     const { endpointId } = row.listing
     const before = row.limit?.callsPerSecond
@@ -309,6 +333,7 @@
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     versions.applyRevisionTimes(node.readings)
     broadcastRevisions(nowMs)
+    forwardLoads(nowMs)
     notifyAgents()
     logOldestVersions(nowMs)
     metrics.gauge('calls_active', ingress.activeCount())
