Gateways of a large fleet collect changes of endpoints for longer

Cause: endpoints of a large deployment change all the time, so each gateway reads their table as often as its batch of 0.3 s allows. How many of the platform's calls are of this table was not counted. Ruled out: reading them through the gateways of a region, as removals that a gateway puts off must not be handed on with a later position (left to the issue on what grows with the fleet). The sum of all reads is 50 a second at most to fifty gateways. Test: test/direct-bounds.test.ts.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -33,7 +33,7 @@
   /** Mean time that a read waits at the store for a change, in milliseconds. */
   readonly waitMs: () => number
   /** Delay between an answer and the next read, so that changes are read in batches, in milliseconds; no delay if undefined. */
-  readonly batchDelayMs?: number
+  readonly batchDelayMs?: () => number
   readonly clock: () => number
   readonly storeClock: StoreClock.StoreClock
   readonly readings: Readings.Readings
@@ -182,7 +182,7 @@
       if (hasSnapshot) historyLossCount = 0
       takePage(answer.value, hasSnapshot ? mirror.apply : mirror.applySnapshot, true, context)
       hasSnapshot = true
-      if (options.batchDelayMs !== undefined) await sleep(options.batchDelayMs)
+      if (options.batchDelayMs !== undefined) await sleep(options.batchDelayMs())
       return
     }
     if (answer.error.kind === 'historyGone') {
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -146,7 +146,7 @@
         askPeer: shared.askPeer,
         table: Members.MEMBERS_TABLE,
         waitMs: () => waitMs,
-        batchDelayMs: MEMBERS_BATCH_DELAY_MS,
+        batchDelayMs: () => MEMBERS_BATCH_DELAY_MS,
         onRestored: () => { void entry.restore(follower?.mirror.all().get(name)) },
         onRows: rows => {
           for (const row of rows) rowsInForce.set(row.key, row)
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -57,8 +57,12 @@
 const ENDPOINTS_WAIT_PER_GATEWAY_MS = 125
 /** Maximum of that time, in milliseconds: only gateways notify each other of changes of endpoints' entries. */
 const ENDPOINTS_WAIT_LIMIT_MS = 4_000
-/** Time during which changes of endpoints' entries are collected before the next read, in milliseconds: agents report the load in the meantime, and an endpoint that leaves still serves for seconds. */
+/** Minimum time during which changes of endpoints' entries are collected before the next read, in milliseconds: agents report the load in the meantime, and an endpoint that leaves still serves for seconds. */
 const ENDPOINTS_BATCH_DELAY_MS = 300
+/** The same time for each gateway, in milliseconds: endpoints change all the time in a large deployment, and the reads of all gateways together do not grow with their number. */
+const ENDPOINTS_BATCH_DELAY_PER_GATEWAY_MS = 20
+/** Maximum of that time, in milliseconds. */
+const ENDPOINTS_BATCH_DELAY_LIMIT_MS = 1_000
 /** Time that the store may hold a read of the member table open, in milliseconds: members change seldom. The store allows 30 s at most. */
 const MEMBERS_WAIT_MS = 20_000
 /** Maximum size of a call's headers, in bytes: the usual limit of operators. Node fixes it when the server is created. */
@@ -218,7 +222,7 @@
     ...node.followerOptions,
     table: options.tables.endpoints,
     waitMs: () => Math.min(ENDPOINTS_WAIT_LIMIT_MS, gatewayCount(members()) * ENDPOINTS_WAIT_PER_GATEWAY_MS),
-    batchDelayMs: ENDPOINTS_BATCH_DELAY_MS,
+    batchDelayMs: () => endpointsBatchDelayMs(gatewayCount(members())),
     isDoubtful: (inForce, found) => {
       const listing = found.deleted ? undefined : options.listingOf(found)
       // Entries that the store lacks are kept for a while in any case (`Endpoints.handleUnlisted`).
@@ -371,6 +375,16 @@
   }
 }
 
+/**
+ * Returns the time during which changes of endpoints' entries are collected before the next read.
+ *
+ * @param gatewayCount - The number of gateways.
+ * @returns The time, in milliseconds.
+ */
+export function endpointsBatchDelayMs (gatewayCount: number): number {
+  return Math.min(ENDPOINTS_BATCH_DELAY_LIMIT_MS, Math.max(ENDPOINTS_BATCH_DELAY_MS, gatewayCount * ENDPOINTS_BATCH_DELAY_PER_GATEWAY_MS))
+}
+
 /** Returns the number of gateways, this one included. */
 function gatewayCount (members: readonly Follow.Members.Member[]): number {
   return 1 + members.filter(member => member.kind === 'gateway').length
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -117,7 +117,7 @@
     logChanges()
   }
   const applyRows = (rows: readonly Follow.Rows.Row[]): void => { applyNews(rows.filter(row => !row.deleted).flatMap(row => Follow.News.decodeRequest(row.value).match(news => [news], () => []))) }
-  const rowFollower = Follow.Follower.createFollower({ ...node.followerOptions, table: TABLE, waitMs: () => ROWS_WAIT_MS, batchDelayMs: ROWS_BATCH_DELAY_MS, onRows: applyRows })
+  const rowFollower = Follow.Follower.createFollower({ ...node.followerOptions, table: TABLE, waitMs: () => ROWS_WAIT_MS, batchDelayMs: () => ROWS_BATCH_DELAY_MS, onRows: applyRows })
   node.relayTable(TABLE, rowFollower)
   /** Digests of rows that are being changed. */
   const pendingChanges = new Set<string>()
--- a/test/direct-bounds.test.ts
+++ b/test/direct-bounds.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Ingress from '../src/ingress/index.ts'
 import * as Routing from '../src/routing/index.ts'
 import * as CallLimits from '../testkit/callLimits.ts'
 import * as Direct from '../testkit/direct.ts'
@@ -42,3 +43,12 @@
     expect(taken.filter(Boolean).length).toEqual(1)
   })
 })
+
+describe('the reads of entries while these keep changing', () => {
+  const READS_PER_SECOND_LIMIT = 50
+  it('do not grow with the number of gateways up to a fleet of fifty, and stay as frequent in a small one', () => {
+    const delaysMs = [1, 6, 15, 35, 50, 370].map(Ingress.Gateway.endpointsBatchDelayMs)
+    expect(delaysMs).toEqual([300, 300, 300, 700, 1_000, 1_000])
+    expect([15, 35, 50].map(count => count * 1_000 / Ingress.Gateway.endpointsBatchDelayMs(count) <= READS_PER_SECOND_LIMIT)).toEqual([true, true, true])
+  })
+})
