A first read is held for as long as the neighbour receives bytes

Over a slower border the hold of two seconds ended before the readers had the table, and all ten processes read the store after all (10 copies, 2 wanted).

--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -201,6 +201,8 @@
   readonly after: number | undefined
   /** Time to wait for a change, in milliseconds. */
   readonly waitMs: number
+  /** Time after which the read goes on only while bytes arrive, in milliseconds; the whole wait if undefined. */
+  readonly patienceMs?: number
   /** Whether reduced rows suffice. */
   readonly isPart: boolean
   /** Called when bytes of the answer arrive. */
@@ -214,9 +216,9 @@
  * @returns The rows; fails with `historyGone` if the other process does not know all removals after the revision.
  */
 export async function longPoll (read: LongPollRead): Promise<Neverthrow.Result<Rows.Page, Rows.ReadFailure>> {
-  const { target, table, after, waitMs, isPart, onArriving } = read
+  const { target, table, after, waitMs, patienceMs = waitMs, isPart, onArriving } = read
   const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&wait=${waitMs}${after === undefined ? '' : `&after=${after}`}${isPart ? '&part=1' : ''}`
-  const timeoutMs = waitMs + LONG_POLL_SLACK_MS
+  const timeoutMs = patienceMs + LONG_POLL_SLACK_MS
   try {
     const answer = await HttpClient.sendText({ target, method: 'GET', path, timeoutMs, headMs: Math.min(LONG_POLL_HEAD_TIMEOUT_MS, timeoutMs), arrivingMs: LONG_POLL_SLACK_MS, onArriving })
     return decodeLongPollAnswer(answer.value).match<Neverthrow.Result<Rows.Page, Rows.ReadFailure>>(toResult, problems => Neverthrow.err({ kind: 'unavailable', reason: Decode.describe(problems) }))
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -76,8 +76,10 @@
 export const READER_COUNT = 2
 /** Maximum number of neighbours tried before the store. */
 const NEIGHBOUR_TRY_LIMIT_COUNT = 4
-/** Maximum wait of a first read from a neighbour that has no rows yet either, in milliseconds. */
-const FIRST_READ_WAIT_MS = 2_000
+/** Maximum wait of a first read from a neighbour that is still reading the table itself, in milliseconds: large rows take seconds on a full link. */
+const FIRST_READ_WAIT_MS = 10_000
+/** Time after which such a read goes on only while the neighbour receives bytes, in milliseconds. */
+const FIRST_READ_PATIENCE_MS = 1_500
 /** Maximum wait of a read of the store by a process that should read from a neighbour, in milliseconds. */
 const FALLBACK_WAIT_MS = 2_000
 /** Time for which a neighbour is passed over after its first failure, in milliseconds; doubles with each further one. */
@@ -170,8 +172,8 @@
       isReadingStore = false
       const { after } = pending
       // A neighbour that is still reading the table for the first time holds the read of a process that starts, too.
-      const waitMs = after === undefined && isStarting() ? FIRST_READ_WAIT_MS : Math.min(pending.waitMs, options.neighbourWaitMs)
-      const answer = await Relay.longPoll({ target: neighbour, table, after, waitMs, isPart: options.isPart, onArriving: () => { notifyArriving(pending) } })
+      const wait = after === undefined && isStarting() ? { waitMs: FIRST_READ_WAIT_MS, patienceMs: FIRST_READ_PATIENCE_MS } : { waitMs: Math.min(pending.waitMs, options.neighbourWaitMs) }
+      const answer = await Relay.longPoll({ target: neighbour, table, after, ...wait, isPart: options.isPart, onArriving: () => { notifyArriving(pending) } })
       if (answer.isOk()) {
         backoffs.delete(neighbour.name)
         return { answer, source: neighbour.name }
--- a/test/start-of-a-region.test.ts
+++ b/test/start-of-a-region.test.ts
@@ -13,6 +13,8 @@
 const ROUTE_COUNT = 800
 /** A border between regions, in bytes per second: it bears two copies of the row in the time that a neighbour is waited for, and not ten. */
 const BORDER_BYTES_PER_SECOND = 500_000
+/** A border over which two copies take longer than processes wait for neighbours that do not listen yet, in bytes per second. */
+const SLOW_BORDER_BYTES_PER_SECOND = 200_000
 const TIMEOUT_MS = 15_000
 
 type Line = { readonly sentence: string, readonly fields: Readonly<Record<string, any>> }
@@ -25,7 +27,7 @@
     await TestKit.Wait.until('the deployment is in force', TIMEOUT_MS, () => processes.every(({ lines }) => lines.some(line => line.sentence === 'Deployment in force.' && line.fields.version === 2)))
   }
   /** Starts the processes behind a full border; their entries of before they lost power are still listed, and those of `deadNames` do not come back. */
-  const startRegion = async (deadNames: readonly string[] = []): Promise<{ readonly readCount: () => number, readonly processes: ReadonlyArray<{ readonly lines: readonly Line[] }> }> => {
+  const startRegion = async (deadNames: readonly string[] = [], borderBytesPerSecond = BORDER_BYTES_PER_SECOND): Promise<{ readonly readCount: () => number, readonly processes: ReadonlyArray<{ readonly lines: readonly Line[] }> }> => {
     const stage = await Direct.startDirectStage([])
     stops.push(stage.stop)
     const deployment = Direct.deploymentOf({ origin: '127.0.0.1:9' }) as { routes: object[] }
@@ -39,7 +41,7 @@
       stage.store.put(Follow.Members.MEMBERS_TABLE, name, { name, kind: 'gateway', host: '127.0.0.1', port, zone: 'b', region: REGION, incarnation: 'before' })
     }
     const fleet = Fleet.createFleet({ store: stage.store, model: 'm', chunkCount: 1, chunkBytes: 1, linkBitsPerSecond: 1e9, versionMs: 8_000, isOriginUp: () => false })
-    stage.store.faults.link = Link.createLink(BORDER_BYTES_PER_SECOND)
+    stage.store.faults.link = Link.createLink(borderBytesPerSecond)
     const isConfig = (read: { readonly table: string, readonly keys: readonly string[] }): boolean => read.table === 'op' && read.keys.includes('config')
     const countBefore = stage.store.reads.filter(isConfig).length
     const [agents, gateways] = await Promise.all([
@@ -56,6 +58,12 @@
     expect(readCount()).toEqual(Follow.Shared.READER_COUNT)
   })
 
+  it('draws it so also where that takes longer than a process waits for others that start', async () => {
+    const { readCount, processes } = await startRegion([], SLOW_BORDER_BYTES_PER_SECOND)
+    await untilInForce(processes)
+    expect(readCount()).toEqual(Follow.Shared.READER_COUNT)
+  })
+
   it('draws it once while one of the readers stays gone', async () => {
     const [dead = ''] = Follow.Shared.readersOf(REGION, GATEWAY_NAMES)
     const { readCount, processes } = await startRegion([dead])
