--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -89,8 +89,9 @@
   const { table, store, clock, storeClock, log } = options
   const mirror = Rows.createMirror()
   const settler = Restores.createSettler(options.isDoubtful ?? Restores.doubtRemovals)
-  /** The store's era as of the newest page; undefined before the first. */
+  /** The store's era as of the newest page of any source, and as of the last snapshot; undefined before the first. */
   let era: number | undefined
+  let snapshotEra: number | undefined
   let hasRead = false
   let hasSnapshot = false
   let outageStartAtMs: number | undefined
@@ -143,9 +144,13 @@
   }
   /** Takes a page; if the store has come back from an older copy, only what differs from the rows in force is delivered, and doubtful rows later. */
   const takePage = (page: Rows.Page, apply: (page: Rows.Page) => Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): Rows.Row[] => {
-    const eraBefore = era
-    era = Math.max(era ?? 0, Positions.eraOf(page.revision))
-    if (eraBefore === undefined || era === eraBefore) {
+    const isSnapshot = fromStore && !hasSnapshot
+    const pageEra = Positions.eraOf(page.revision)
+    // Rows of another process may already be of the new era, but only a snapshot shows what the store lacks.
+    const eraBefore = isSnapshot ? snapshotEra : era
+    era = Math.max(era ?? 0, pageEra)
+    if (isSnapshot) snapshotEra = Math.max(snapshotEra ?? 0, pageEra)
+    if (eraBefore === undefined || pageEra <= eraBefore) {
       const rows = apply(page)
       settler.recordChanges(rows)
       deliver(rows, fromStore, context)
--- a/test/restored-store.test.ts
+++ b/test/restored-store.test.ts
@@ -1,10 +1,13 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as FastCheck from 'fast-check'
+import * as Neverthrow from 'neverthrow'
+import * as Core from '../src/core/index.ts'
 import * as Follow from '../src/follow/index.ts'
 import * as Routing from '../src/routing/index.ts'
 import * as Store from '../platform/store.ts'
 import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
 
 /** Plays of the model. */
 const MODEL_RUN_COUNT = Number(process.env['RESTORE_SEEDS'] ?? 400)
@@ -74,6 +77,39 @@
   for (const [name, before, changes, expected] of cases) it(`is ${String(expected)} for ${name}`, () => { expect(Routing.Endpoints.mayBeOutdated(before, { ...known, ...changes })).toEqual(expected) })
 })
 
+describe('Follower', () => {
+  it('puts removals off also where another process told of the new era first', async () => {
+    const zone = row('zone', positionOf(1, 3))
+    const wholePages = [{ rows: [zone], revision: positionOf(1, 9) }, { rows: [], revision: positionOf(2, 6) }]
+    let readCount = 0
+    const delivered: Follow.Rows.Row[] = []
+    const follower = Follow.Follower.createFollower({
+      table: 't',
+      store: {
+        readAll: async () => Neverthrow.ok(wholePages.shift() ?? { rows: [], revision: positionOf(2, 6) }),
+        readSince: async () => {
+          const failures: Follow.Rows.ReadFailure[] = [{ kind: 'unavailable', reason: 'away' }, { kind: 'historyGone' }]
+          const failure = failures[readCount++]
+          return failure === undefined ? await new Promise<never>(() => {}) : Neverthrow.err(failure)
+        },
+        write: async () => Neverthrow.ok(0),
+        remove: async () => Neverthrow.ok(0)
+      },
+      askPeer: async () => ({ rows: [], revision: positionOf(2, 5) }),
+      waitMs: () => 1_000,
+      clock: () => performance.now(),
+      storeClock: Follow.StoreClock.createStoreClock(() => performance.now()),
+      readings: Follow.Readings.createReadings(),
+      random: Core.Random.createRandom(1),
+      onRows: rows => { delivered.push(...rows) },
+      log: () => {}
+    })
+    await TestKit.Wait.until('the table is read whole again', 5_000, () => follower.mirror.live().length === 0 && wholePages.length === 0)
+    follower.stop()
+    expect(delivered).toEqual([zone])
+  })
+})
+
 describe('Settler', () => {
   it('leaves unchanged rows alone, takes changed ones at once and puts off removals', () => {
     const settler = Follow.Restores.createSettler(Follow.Restores.doubtRemovals)
