Only agents that draw chunks fetch a version's manifest from the origin

Ruled out: a squeezed or silent holder (all failures in those lines are refusals of the origin after 22 s). Change: agents that do not draw wait until some agent announces a chunk, and take the manifest from it; after 1.5 s, or for a version named before the start, they ask the origin as before.

--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -170,16 +170,25 @@
     rollCalledAtMs = clock()
     options.sendRollCall()
   }
+  /** Returns the agents that announced a chunk of a version. */
+  const holdersOfVersion = ({ model, version }: Goal): ReadonlySet<string> => new Set([...holdersOf].flatMap(([key, holders]) => key.startsWith(`${model}/${version}/`) ? [...holders] : []))
   const openChunkSet = async (goal: Goal): Promise<void> => {
     if (manifestPending || clock() < originNotBeforeMs) return
+    const source = Choosing.chooseManifestSource({
+      isDrawer: currentPlan().isDrawer(`${goal.model}/${goal.version}`, own),
+      wasNamedBeforeStart: goal.namedAtMs < createdAtMs,
+      hasHolder: holdersOfVersion(goal).size > 0,
+      elapsedMs: clock() - goal.namedAtMs
+    })
+    if (source === 'wait') return
     manifestPending = true
     startRollCall()
     try {
-      const originResult = await options.origin()?.manifest(goal.model, goal.version)
+      const originResult = source === 'origin' ? await options.origin()?.manifest(goal.model, goal.version) : undefined
       const manifest = originResult?.isOk() === true ? originResult.value : await fetchManifestFromAgents(goal)
       if (manifest === undefined) {
         originNotBeforeMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACKOFF_MS)
-        log('weights', 'Manifest not had.', { model: goal.model, version: goal.version, reason: originResult === undefined ? 'origin not known' : originResult.isErr() ? originResult.error : '' })
+        log('weights', 'Manifest not had.', { model: goal.model, version: goal.version, reason: source === 'agents' ? 'no agent gave it' : originResult === undefined ? 'origin not known' : originResult.isErr() ? originResult.error : '' })
         return
       }
       log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, chunkCount: manifest.digests.length, agentCount: reachableAgents().length + 1 })
@@ -191,9 +200,9 @@
     }
   }
   const fetchManifestFromAgents = async (goal: Goal): Promise<Ports.WeightManifest | undefined> => {
-    const holders = holdersOf.get(`${goal.model}/${goal.version}/0`)
-    const candidates = reachableAgents().filter(other => holders?.has(other.name) === true || other.region === options.region)
-    for (const agent of candidates.sort((a, b) => Number(holders?.has(b.name) ?? false) - Number(holders?.has(a.name) ?? false)).slice(0, MANIFEST_AGENT_LIMIT_COUNT)) {
+    const holders = holdersOfVersion(goal)
+    const candidates = reachableAgents().filter(other => holders.has(other.name) || other.region === options.region)
+    for (const agent of candidates.sort((a, b) => Number(holders.has(b.name)) - Number(holders.has(a.name))).slice(0, MANIFEST_AGENT_LIMIT_COUNT)) {
       const manifest = await Exchange.fetchManifest(agent, goal.model, goal.version)
       if (manifest !== undefined) return manifest
     }
--- a/src/filling/sources.ts
+++ b/src/filling/sources.ts
@@ -40,6 +40,14 @@
 
 /** Plan of which agent fetches which chunk from where. */
 export interface FetchPlan {
+  /**
+   * Returns whether an agent is one of those that fetch chunks of a version from the origin.
+   *
+   * @param version - Model and version, as in `Chunk`.
+   * @param own - The name of the agent.
+   * @returns Whether it is.
+   */
+  isDrawer: (version: string, own: string) => boolean
   /**
    * Returns the sources of a chunk in the order in which they are tried.
    *
@@ -168,6 +176,7 @@
     return headOf(candidates, regionOf.get(own) ?? '') === own ? 'head' : 'follower'
   }
   return {
+    isDrawer: (version, own) => rotationOf(version).includes(own),
     sourcesOf: (chunk, own) => {
       const candidates = candidatesOf(chunk)
       const [originFetcher] = candidates
--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Filling from '../src/filling/index.ts'
 import * as Follow from '../src/follow/index.ts'
 import * as PlatformStore from '../standins/platformStore.ts'
 import * as Direct from '../testkit/direct.ts'
@@ -81,6 +82,18 @@
   })
 
   describe('that was just named', () => {
+    it('leaves the origin to the agents that draw chunks, also for its manifest', async () => {
+      const { fleet, store } = await createFleet()
+      const names = Array.from({ length: Filling.Sources.DRAWER_LIMIT_COUNT + 8 }, (_, at) => `a${at}`)
+      const agents = await Promise.all(names.map(async (name, at) => await fleet.start(name, at % 2 === 0 ? 'ra' : 'rb', { version: 1 })))
+      stops.push(...agents.map(agent => agent.stop))
+      await TestKit.Wait.until('the agents know one another', LIMIT_MS, () => store.rows(Follow.Members.MEMBERS_TABLE).length === names.length)
+      await TestKit.Wait.sleep(4_000)
+      store.put('op', `version/${MODEL}`, { model: MODEL, version: 2 })
+      await TestKit.Wait.until('every engine serves the version', 2 * VERSION_MS, () => agents.every(agent => agent.version === 2))
+      expect(fleet.manifestCounts.get(2)).toEqual(Filling.Sources.DRAWER_LIMIT_COUNT)
+    })
+
     it('draws each chunk from the origin once, also while an engine is gone', async () => {
       const { fleet, store } = await createFleet()
       const names = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3']
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -49,6 +49,8 @@
 export interface Fleet {
   /** How often each chunk was drawn from the origin, by `version/index`. */
   readonly drawnCounts: Map<string, number>
+  /** How often the manifest of a version was fetched from the origin, by version. */
+  readonly manifestCounts: Map<number, number>
   /** The bytes of a chunk. */
   chunkOf: (version: number, index: number) => Buffer
   start: (name: string, region: string, engine: Partial<Pick<FleetAgent, 'staged' | 'version' | 'isEngineUp'>>, faults?: FleetFaults) => Promise<FleetAgent>
@@ -63,12 +65,15 @@
 export function createFleet (options: FleetOptions): Fleet {
   const { store, model, chunkCount, chunkBytes } = options
   const drawnCounts = new Map<string, number>()
+  const manifestCounts = new Map<number, number>()
   const chunkOf = (version: number, index: number): Buffer => Buffer.alloc(chunkBytes, `${version}/${index} `)
   const digestOf = (bytes: Buffer): string => Crypto.createHash('sha256').update(bytes).digest('hex')
   const origin: Filling.Ports.Origin = {
-    manifest: async (_model, version) => options.isOriginUp()
-      ? Neverthrow.ok({ model, version, digests: Array.from({ length: chunkCount }, (_, index) => digestOf(chunkOf(version, index))) })
-      : Neverthrow.err('down'),
+    manifest: async (_model, version) => {
+      if (!options.isOriginUp()) return Neverthrow.err('down')
+      manifestCounts.set(version, (manifestCounts.get(version) ?? 0) + 1)
+      return Neverthrow.ok({ model, version, digests: Array.from({ length: chunkCount }, (_, index) => digestOf(chunkOf(version, index))) })
+    },
     chunk: async (_model, version, index) => {
       if (!options.isOriginUp()) return Neverthrow.err('down')
       const key = `${version}/${index}`
@@ -129,5 +134,5 @@
       }
     })
   }
-  return { drawnCounts, chunkOf, start }
+  return { drawnCounts, manifestCounts, chunkOf, start }
 }
