A manifest is taken from other agents also after a restart of all

Change: the wait for a holder counts from when an agent wants the manifest, whenever the version was named; one roll call goes out at that moment, and more only while the origin fails. Test: test/direct-filling.test.ts.

--- a/src/filling/choosing.ts
+++ b/src/filling/choosing.ts
@@ -47,29 +47,27 @@
 /** Time after which the agent of rank 1 fetches a chunk from the origin although others are still fetching it, in milliseconds; rank n waits n times as long. It is half of the usual time allowed for a version. */
 const ORIGIN_FALLBACK_MS = 4_000
 
-/** Time after a version was named from which every agent asks the origin for its manifest, in milliseconds. */
+/** Time after which an agent asks the origin for a manifest that no other agent has, in milliseconds. */
 const MANIFEST_WAIT_MS = 1_500
 
 /** State of a version whose manifest is to be fetched, as seen by this agent. */
 export interface ManifestInput {
   /** Whether this agent may fetch chunks of the version from the origin. */
   readonly isDrawer: boolean
-  /** Whether the version was named before this process started. */
-  readonly wasNamedBeforeStart: boolean
   /** Whether any agent announced a chunk of the version, so that it has the manifest. */
   readonly hasHolder: boolean
-  /** Time since the version was named, in milliseconds. */
+  /** Time since this agent wants the manifest, in milliseconds. */
   readonly elapsedMs: number
 }
 
 /**
- * Chooses the source of a manifest. When a version was just named, the manifests of hundreds of agents would take as much of the origin's link as a quarter of the chunks, so only the agents that fetch chunks there ask it.
+ * Chooses the source of a manifest. The manifests of hundreds of agents that want a version at once, as it was named or as all lost power, would take as much of the origin's link as a quarter of the chunks, so only the agents that fetch chunks there ask it.
  *
  * @param input - The state of the version.
  * @returns The source, or `wait` until an agent announces a chunk.
  */
 export function chooseManifestSource (input: ManifestInput): 'origin' | 'agents' | 'wait' {
-  if (input.isDrawer || input.wasNamedBeforeStart || input.elapsedMs >= MANIFEST_WAIT_MS) return 'origin'
+  if (input.isDrawer || input.elapsedMs >= MANIFEST_WAIT_MS) return 'origin'
   return input.hasHolder ? 'agents' : 'wait'
 }
 
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -121,6 +121,8 @@
   const tryCounts = new Map<string, number>()
   const inFlightKeys = new Set<string>()
   let manifestPending = false
+  /** The version whose manifest is wanted, and since when, in milliseconds. */
+  let wantedManifest = { versionKey: '', sinceMs: -Infinity }
   const rotations: Sources.OriginRotations = new Map()
   const orders = Sources.createChunkOrders()
   let cachedPlan: CachedPlan | undefined
@@ -174,15 +176,13 @@
   const holdersOfVersion = ({ model, version }: Goal): ReadonlySet<string> => new Set([...holdersOf].flatMap(([key, holders]) => key.startsWith(`${model}/${version}/`) ? [...holders] : []))
   const openChunkSet = async (goal: Goal): Promise<void> => {
     if (manifestPending || clock() < originNotBeforeMs) return
-    const source = Choosing.chooseManifestSource({
-      isDrawer: currentPlan().isDrawer(`${goal.model}/${goal.version}`, own),
-      wasNamedBeforeStart: goal.namedAtMs < createdAtMs,
-      hasHolder: holdersOfVersion(goal).size > 0,
-      elapsedMs: clock() - goal.namedAtMs
-    })
+    const versionKey = `${goal.model}/${goal.version}`
+    const isFirstTry = wantedManifest.versionKey !== versionKey
+    if (isFirstTry) wantedManifest = { versionKey, sinceMs: clock() }
+    const source = Choosing.chooseManifestSource({ isDrawer: currentPlan().isDrawer(versionKey, own), hasHolder: holdersOfVersion(goal).size > 0, elapsedMs: clock() - wantedManifest.sinceMs })
+    if (isFirstTry || source === 'origin') startRollCall()
     if (source === 'wait') return
     manifestPending = true
-    startRollCall()
     try {
       const originResult = source === 'origin' ? await options.origin()?.manifest(goal.model, goal.version) : undefined
       const manifest = originResult?.isOk() === true ? originResult.value : await fetchManifestFromAgents(goal)
