No calls to an endpoint whose later start was seen at its address

Reports of agents that named the new start were dropped, since they did not fit the entry. Ruled out: endpoints that were not listed (none). Change: a report or an entry of a later start (born) at the address ends the listed one for choices, until the entry of the new start arrives; an earlier start, as of a late message, is still ignored.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -141,7 +141,10 @@
   const applyLoad = (load: Follow.News.LoadNews, atMs: number): void => {
     const row = endpointByAddress.get(`${load.host}:${load.port}`)
     if (row === undefined || endpoints.get(row.listing.endpointId) !== row) return
-    if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) return
+    if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) {
+      Routing.Endpoints.recordOtherStart(row, load.bornAtMs)
+      return
+    }
     if (row.load !== undefined && atMs < row.loadAtMs) return
     Routing.Endpoints.applyLoadReport(row, load, atMs, random.next())
     ingress.retryWaiting()
@@ -190,7 +193,12 @@
       const currentRow = Routing.Endpoints.applyListing(endpoints, listing, nowMs)
       const address = `${listing.host}:${listing.port}`
       // Only one endpoint can be at an address, and an endpoint has one start at a time: an earlier one has ended.
-      for (const ended of [before, endpointByAddress.get(address)]) if (ended !== undefined && ended !== currentRow) ingress.recordEndpointEnd(ended)
+      const atAddress = endpointByAddress.get(address)
+      for (const ended of [before, atAddress]) if (ended !== undefined && ended !== currentRow) ingress.recordEndpointEnd(ended)
+      if (atAddress !== undefined && atAddress !== currentRow) {
+        Routing.Endpoints.recordOtherStart(atAddress, listing.bornAtMs)
+        Routing.Endpoints.recordOtherStart(currentRow, atAddress.listing.bornAtMs)
+      }
       endpointByAddress.set(address, currentRow)
       if (before?.listing.draining !== listing.draining || before.listing.bornAtMs !== listing.bornAtMs || before.weights?.[0]?.version !== listing.weights?.[0]?.version) {
         log('endpoints', 'Endpoint listed.', { endpointId: listing.endpointId, service: listing.service, host: listing.host, port: listing.port, zone: listing.zone, draining: listing.draining, coldForMs: listing.coldForMs, weights: listing.weights, ...Follow.Positions.logFields(row.revision) })
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -84,6 +84,8 @@
   avoidUntilMs: number
   /** When an endpoint that is missing from the platform's list is removed, in milliseconds; undefined while it is listed. */
   keptUntilMs: number | undefined
+  /** Whether this start of the endpoint has ended although its entry is still listed. */
+  hasEnded: boolean
 }
 
 /** The endpoints by id. */
@@ -121,6 +123,16 @@
   return row
 }
 
+/**
+ * Records that another start was seen at the address of an endpoint. A later one shows that the listed start has ended: its entry stays listed for some seconds, and calls for it would only be turned away.
+ *
+ * @param row - The endpoint.
+ * @param bornAtMs - When the other start began, in milliseconds; undefined if it does not tell.
+ */
+export function recordOtherStart (row: EndpointRow, bornAtMs: number | undefined): void {
+  if (bornAtMs !== undefined && row.listing.bornAtMs !== undefined && bornAtMs > row.listing.bornAtMs) row.hasEnded = true
+}
+
 /**
  * Handles an endpoint that is missing from the list. Entries that expired during a store outage are listed again soon after the store returns, so the endpoint is kept until then; otherwise it is removed.
  *
@@ -267,6 +279,7 @@
 
 /** States of an endpoint at a gateway; the first one that matches applies. */
 const STATES: ReadonlyArray<{ readonly state: string, readonly matches: (row: EndpointRow, nowMs: number, notices: HoldSource) => boolean }> = [
+  { state: 'ended', matches: row => row.hasEnded },
   { state: 'unlisted', matches: row => row.keptUntilMs !== undefined },
   { state: 'draining', matches: row => row.listing.draining },
   { state: 'leaving', matches: (row, nowMs, notices) => notices.holdOf(row.listing, nowMs) === 'leaving' },
@@ -316,6 +329,7 @@
     limitTurns: Turns.createTurns(listing.endpointId, LIMIT_TURN_LIFETIME_MS),
     failureCount: 0,
     avoidUntilMs: 0,
-    keptUntilMs: undefined
+    keptUntilMs: undefined,
+    hasEnded: false
   }
 }
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -91,7 +91,7 @@
   route: text('The route'),
   routeCount: number('Routes in force'),
   rowCount: number('Rows taken'),
-  ruledOut: { schema: Schema.Record(Schema.String, Schema.Number), about: 'Endpoints of the service by what rules them out: unlisted, draining, leftOut, silent, tried, zoneDrained, region, loading, weights (none or too old), cold, limited (by a limit that the endpoint named), leaving (it said so), quiet (it wants no calls for now, or is asked one at a time after that)' },
+  ruledOut: { schema: Schema.Record(Schema.String, Schema.Number), about: 'Endpoints of the service by what rules them out: unlisted, ended (another start was seen at its address), draining, leftOut, silent, tried, zoneDrained, region, loading, weights (none or too old), cold, limited (by a limit that the endpoint named), leaving (it said so), quiet (it wants no calls for now, or is asked one at a time after that)' },
   service: text('The service'),
   sinceNamedMs: number('Time since the version was named; absent where it was named before the start'),
   source: text('Where a chunk was asked for, the process that told, or where rows are read: store or a process'),
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -431,6 +431,20 @@
     replacement: 'false',
     checks: [test('restored-store')]
   },
+  {
+    name: 'endpoints: none is called whose later start was seen',
+    file: 'src/routing/choice.ts',
+    text: '  ended: row => row.hasEnded,\n',
+    replacement: '',
+    checks: [test('ended-starts')]
+  },
+  {
+    name: 'manifests: agents that draw no chunks wait for a holder',
+    file: 'src/filling/choosing.ts',
+    text: "return input.hasHolder ? 'agents' : 'wait'",
+    replacement: "return 'origin'",
+    checks: [test('direct-filling')]
+  },
   {
     name: 'direct: rows never go back',
     file: 'src/follow/rows.ts',
