Reads wait for a second at most while the store does not answer

The store is silent from 18.0 to 26.0 s, and versions 2 and 3 are written one after the other when it is back. Change: from the first failed read until the next answer a read waits for a second at most. Test: test/silent-store.test.ts, waits up to 12 s before, 1 s after.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -68,6 +68,8 @@
 
 /** Mean delay between retries while the store does not answer, in milliseconds: allows several retries within time limits of a few seconds. */
 const RETRY_DELAY_MS = 250
+/** Maximum time that a read waits for a change while the store does not answer, in milliseconds: a longer one would hang past the store's return, and operators may write twice before the first process reads. */
+const OUTAGE_WAIT_MS = 1_000
 /** Time that the read under way is given to deliver a newer revision that another process holds, in milliseconds. */
 const CATCH_UP_DELAY_MS = 300
 /** Minimum time between two restarts of a read that may hang, in milliseconds. */
@@ -177,9 +179,13 @@
     freshAtMs = clock()
     log('store', 'Rows taken from another process.', { table, rowCount: rows.length, ...Positions.logFields(page.revision) })
   }
+  const readWaitMs = (): number => {
+    const waitMs = Math.round(options.waitMs() * (MIN_WAIT_RATIO + options.random.next()))
+    return outageStartAtMs === undefined ? waitMs : Math.min(waitMs, OUTAGE_WAIT_MS)
+  }
   const readOnce = async (): Promise<void> => {
     const generationAtStart = generation
-    const answer = hasSnapshot ? await store.readSince(table, mirror.revision(), Math.round(options.waitMs() * (MIN_WAIT_RATIO + options.random.next()))) : await store.readAll(table)
+    const answer = hasSnapshot ? await store.readSince(table, mirror.revision(), readWaitMs()) : await store.readAll(table)
     if (generationAtStart !== generation) return
     if (answer.isOk()) {
       recordAnswer()
