A process that starts waits for the list of processes for as long as it is being read

Change: the wait ends when the list is read or its read fails, after 5 s at most; the two seconds for neighbours that start too count from then.

--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -92,10 +92,10 @@
 const FIRST_STALL_TIMEOUT_MS = 2_000
 /** Interval at which a read is checked for a stall, in milliseconds. */
 const STALL_CHECK_INTERVAL_MS = 50
-/** Time after its start during which a process without rows waits for neighbours that have just started too, in milliseconds. */
+/** Time during which a process without rows waits for neighbours that have just started too, in milliseconds, once it knows the other processes. */
 const START_PATIENCE_MS = 2_000
-/** Time after its start for which a process waits for the list of processes, which tells whether it reads the store, in milliseconds. */
-const MEMBERS_PATIENCE_MS = 1_000
+/** Maximum time for which a process waits for the list of processes, which tells whether it reads the store, in milliseconds: on a full link the list takes seconds, and a read of it that fails ends the wait. */
+const MEMBERS_PATIENCE_MS = 5_000
 /** Interval at which a process that has just started asks its neighbours again, in milliseconds. */
 const START_RETRY_INTERVAL_MS = 100
 /** Interval at which a process that has just started checks whether the list of processes has been read, in milliseconds. */
@@ -116,6 +116,8 @@
   const listeners = new Set<() => void>()
   let pendingRead: PendingRead | undefined
   const createdAtMs = clock()
+  /** When the first read began, with the other processes known if possible, in milliseconds. */
+  let firstReadAtMs: number | undefined
   /** Whether the last read was one of the store. */
   let isReadingStore = false
   let isStoreLost = false
@@ -131,7 +133,7 @@
   const availableNeighbours = (): readonly Members.Member[] => rankedNeighbours().filter(({ name }) => (backoffs.get(name)?.untilMs ?? -Infinity) <= clock()).slice(0, NEIGHBOUR_TRY_LIMIT_COUNT)
 
   /** Whether no rows were read yet, so that neighbours may still be starting too. */
-  const isStarting = (): boolean => sourceBefore === undefined && clock() - createdAtMs < START_PATIENCE_MS
+  const isStarting = (): boolean => sourceBefore === undefined && clock() - (firstReadAtMs ?? clock()) < START_PATIENCE_MS
   const isWaitingForMembers = (): boolean => options.awaitsMembers() && clock() - createdAtMs < MEMBERS_PATIENCE_MS
   const untilMembersKnown = async (): Promise<void> => {
     while (isWaitingForMembers()) await sleep(MEMBERS_CHECK_INTERVAL_MS)
@@ -185,6 +187,7 @@
   }
   const readNeighboursOrStore = async (pending: PendingRead): Promise<SourcedAnswer> => {
     await untilMembersKnown()
+    firstReadAtMs ??= clock()
     for (;;) {
       const answer = await readNeighbours(pending)
       if (answer !== undefined) return answer
--- a/test/start-of-a-region.test.ts
+++ b/test/start-of-a-region.test.ts
@@ -15,6 +15,8 @@
 const BORDER_BYTES_PER_SECOND = 500_000
 /** A border over which two copies take longer than processes wait for neighbours that do not listen yet, in bytes per second. */
 const SLOW_BORDER_BYTES_PER_SECOND = 200_000
+/** Entries of other regions; ten copies of the list take 1.5 s on the slow border. */
+const OTHER_PROCESS_COUNT = 100
 const TIMEOUT_MS = 15_000
 
 type Line = { readonly sentence: string, readonly fields: Readonly<Record<string, any>> }
@@ -27,7 +29,7 @@
     await TestKit.Wait.until('the deployment is in force', TIMEOUT_MS, () => processes.every(({ lines }) => lines.some(line => line.sentence === 'Deployment in force.' && line.fields.version === 2)))
   }
   /** Starts the processes behind a full border; their entries of before they lost power are still listed, and those of `deadNames` do not come back. */
-  const startRegion = async (deadNames: readonly string[] = [], borderBytesPerSecond = BORDER_BYTES_PER_SECOND): Promise<{ readonly readCount: () => number, readonly processes: ReadonlyArray<{ readonly lines: readonly Line[] }> }> => {
+  const startRegion = async (deadNames: readonly string[] = [], borderBytesPerSecond = BORDER_BYTES_PER_SECOND, otherProcessCount = 0): Promise<{ readonly readCount: () => number, readonly processes: ReadonlyArray<{ readonly lines: readonly Line[] }> }> => {
     const stage = await Direct.startDirectStage([])
     stops.push(stage.stop)
     const deployment = Direct.deploymentOf({ origin: '127.0.0.1:9' }) as { routes: object[] }
@@ -40,6 +42,7 @@
       ports.set(name, port)
       stage.store.put(Follow.Members.MEMBERS_TABLE, name, { name, kind: 'gateway', host: '127.0.0.1', port, zone: 'b', region: REGION, incarnation: 'before' })
     }
+    for (let at = 0; at < otherProcessCount; at++) stage.store.put(Follow.Members.MEMBERS_TABLE, `other-${at}`, { name: `other-${at}`, kind: 'agent', host: '127.0.0.1', port: 1, zone: 'c', region: 'rc', incarnation: 'before' })
     const fleet = Fleet.createFleet({ store: stage.store, model: 'm', chunkCount: 1, chunkBytes: 1, linkBitsPerSecond: 1e9, versionMs: 8_000, isOriginUp: () => false })
     stage.store.faults.link = Link.createLink(borderBytesPerSecond)
     const isConfig = (read: { readonly table: string, readonly keys: readonly string[] }): boolean => read.table === 'op' && read.keys.includes('config')
@@ -64,6 +67,12 @@
     expect(readCount()).toEqual(Follow.Shared.READER_COUNT)
   })
 
+  it('draws it so also where the list of processes takes longer than a second', async () => {
+    const { readCount, processes } = await startRegion([], SLOW_BORDER_BYTES_PER_SECOND, OTHER_PROCESS_COUNT)
+    await untilInForce(processes)
+    expect(readCount()).toEqual(Follow.Shared.READER_COUNT)
+  })
+
   it('draws it once while one of the readers stays gone', async () => {
     const [dead = ''] = Follow.Shared.readersOf(REGION, GATEWAY_NAMES)
     const { readCount, processes } = await startRegion([dead])
