An endpoint counts as ended by another start for some seconds only

Cause: found by reading the whole change: a start whose clock ran ahead, or a late report of it, left the next start at its address excluded for good, as nothing but another start took the mark back. Change: the mark ends 4.5 s after the last sign of the later start (three heartbeats and a margin), which an agent's reports renew; the entry of a start that ended is gone by then.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -142,7 +142,7 @@
     const row = endpointByAddress.get(`${load.host}:${load.port}`)
     if (row === undefined || endpoints.get(row.listing.endpointId) !== row) return
     if (load.bornAtMs !== undefined && row.listing.bornAtMs !== undefined && load.bornAtMs !== row.listing.bornAtMs) {
-      Routing.Endpoints.recordOtherStart(row, load.bornAtMs)
+      Routing.Endpoints.recordOtherStart(row, load.bornAtMs, clock())
       return
     }
     if (row.load !== undefined && atMs < row.loadAtMs) return
@@ -196,8 +196,8 @@
       const atAddress = endpointByAddress.get(address)
       for (const ended of [before, atAddress]) if (ended !== undefined && ended !== currentRow) ingress.recordEndpointEnd(ended)
       if (atAddress !== undefined && atAddress !== currentRow) {
-        Routing.Endpoints.recordOtherStart(atAddress, listing.bornAtMs)
-        Routing.Endpoints.recordOtherStart(currentRow, atAddress.listing.bornAtMs)
+        Routing.Endpoints.recordOtherStart(atAddress, listing.bornAtMs, nowMs)
+        Routing.Endpoints.recordOtherStart(currentRow, atAddress.listing.bornAtMs, nowMs)
       }
       endpointByAddress.set(address, currentRow)
       if (before?.listing.draining !== listing.draining || before.listing.bornAtMs !== listing.bornAtMs || before.weights?.[0]?.version !== listing.weights?.[0]?.version) {
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -169,7 +169,7 @@
 /** Checks that exclude an endpoint of the service, with the cheapest checks first. */
 const EXCLUSION_CHECKS: ReadonlyArray<readonly [string, ExclusionCheck]> = Object.entries<ExclusionCheck>({
   unlisted: (row, _requirements, _context, nowMs) => (row.keptUntilMs ?? Infinity) <= nowMs,
-  ended: row => row.hasEnded,
+  ended: (row, _requirements, _context, nowMs) => row.endedUntilMs > nowMs,
   draining: row => row.listing.draining,
   leaving: (row, _requirements, context, nowMs) => context.notices.holdOf(row.listing, nowMs) === 'leaving',
   leftOut: (row, _requirements, _context, nowMs) => row.avoidUntilMs > nowMs,
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -84,8 +84,8 @@
   avoidUntilMs: number
   /** When an endpoint that is missing from the platform's list is removed, in milliseconds; undefined while it is listed. */
   keptUntilMs: number | undefined
-  /** Whether this start of the endpoint has ended although its entry is still listed. */
-  hasEnded: boolean
+  /** Until when this start of the endpoint counts as ended although its entry is listed, in milliseconds. */
+  endedUntilMs: number
 }
 
 /** The endpoints by id. */
@@ -95,6 +95,8 @@
 export const LOAD_MAX_AGE_MS = 1_000
 /** Time after the return of the store within which entries that expired during an outage are listed again, in milliseconds, as guaranteed by the platform. */
 export const LAPSED_ENTRY_GRACE_MS = 2_000
+/** Time for which the entry of a start that has ended may stay listed, in milliseconds: three heartbeats and a margin. The clocks that date starts may jump back, so the exclusion ends by itself. */
+const ENDED_ENTRY_LIFETIME_MS = 4_500
 /** Time for which a gateway may use its turn at an endpoint with a rate limit, in milliseconds: any four seconds then contain at most the calls of five and a half seconds, and the platform allows those of six. */
 const LIMIT_TURN_LIFETIME_MS = 1_500
 /** Time for which a gateway may use its turn at a cold endpoint, in milliseconds: any second then contains at most a quarter more calls than the limit, and the platform allows half as many more. */
@@ -128,9 +130,10 @@
  *
  * @param row - The endpoint.
  * @param bornAtMs - When the other start began, in milliseconds; undefined if it does not tell.
+ * @param nowMs - The current time, in milliseconds.
  */
-export function recordOtherStart (row: EndpointRow, bornAtMs: number | undefined): void {
-  if (bornAtMs !== undefined && row.listing.bornAtMs !== undefined && bornAtMs > row.listing.bornAtMs) row.hasEnded = true
+export function recordOtherStart (row: EndpointRow, bornAtMs: number | undefined, nowMs: number): void {
+  if (bornAtMs !== undefined && row.listing.bornAtMs !== undefined && bornAtMs > row.listing.bornAtMs) row.endedUntilMs = nowMs + ENDED_ENTRY_LIFETIME_MS
 }
 
 /**
@@ -279,7 +282,7 @@
 
 /** States of an endpoint at a gateway; the first one that matches applies. */
 const STATES: ReadonlyArray<{ readonly state: string, readonly matches: (row: EndpointRow, nowMs: number, notices: HoldSource) => boolean }> = [
-  { state: 'ended', matches: row => row.hasEnded },
+  { state: 'ended', matches: (row, nowMs) => row.endedUntilMs > nowMs },
   { state: 'unlisted', matches: row => row.keptUntilMs !== undefined },
   { state: 'draining', matches: row => row.listing.draining },
   { state: 'leaving', matches: (row, nowMs, notices) => notices.holdOf(row.listing, nowMs) === 'leaving' },
@@ -330,6 +333,6 @@
     failureCount: 0,
     avoidUntilMs: 0,
     keptUntilMs: undefined,
-    hasEnded: false
+    endedUntilMs: -Infinity
   }
 }
--- a/test/ended-starts.test.ts
+++ b/test/ended-starts.test.ts
@@ -11,21 +11,23 @@
 const REQUIREMENTS: Routing.Choice.CallRequirements = { service: Direct.ENGINE_SERVICE, model: 'm', promptTokens: 100, regions: [], triedIds: new Set() }
 
 describe('recordOtherStart', () => {
-  const excludedAfter = (bornAtMs: number | undefined): Readonly<Record<string, number>> => {
+  const excludedAfter = (bornAtMs: number | undefined, elapsedMs = 0): Readonly<Record<string, number>> => {
     const context = Direct.surroundingsOf([Direct.listingOf('e', { bornAtMs: 50 })])
-    for (const row of context.endpoints.rows()) Routing.Endpoints.recordOtherStart(row, bornAtMs)
-    return Routing.Choice.countExcluded(REQUIREMENTS, context, NOW_MS)
+    for (const row of context.endpoints.rows()) Routing.Endpoints.recordOtherStart(row, bornAtMs, NOW_MS)
+    return Routing.Choice.countExcluded(REQUIREMENTS, context, NOW_MS + elapsedMs)
   }
 
   it('excludes an endpoint whose machine shows a later start', () => { expect(excludedAfter(51)).toEqual({ ended: 1 }) })
 
+  it('does not exclude a start for good that only seems earlier, as its clock jumped back', () => { expect([excludedAfter(51, 4_000), excludedAfter(51, 5_000)]).toEqual([{ ended: 1 }, {}]) })
+
   it('takes no notice of an earlier start, the same one, or one that does not tell', () => {
-    expect([49, 50, undefined].map(excludedAfter)).toEqual([{}, {}, {}])
+    expect([49, 50, undefined].map(bornAtMs => excludedAfter(bornAtMs))).toEqual([{}, {}, {}])
   })
 
   it('does not outlast the entry of the later start', () => {
     const context = Direct.surroundingsOf([Direct.listingOf('e', { bornAtMs: 50 })])
-    for (const row of context.endpoints.rows()) Routing.Endpoints.recordOtherStart(row, 51)
+    for (const row of context.endpoints.rows()) Routing.Endpoints.recordOtherStart(row, 51, NOW_MS)
     Routing.Endpoints.applyListing(context.endpoints, Direct.listingOf('e', { bornAtMs: 51 }), NOW_MS)
     expect(Routing.Choice.countExcluded(REQUIREMENTS, context, NOW_MS)).toEqual({})
   })
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -434,7 +434,7 @@
   {
     name: 'endpoints: none is called whose later start was seen',
     file: 'src/routing/choice.ts',
-    text: '  ended: row => row.hasEnded,\n',
+    text: '  ended: (row, _requirements, _context, nowMs) => row.endedUntilMs > nowMs,\n',
     replacement: '',
     checks: [test('ended-starts')]
   },
