--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -67,6 +67,8 @@
   failure: EndpointFailure | undefined
   /** Identifies the request, the same for each attempt of its caller; undefined until it is needed. */
   digest: string | undefined
+  /** Ids of the parts of the prompt that other calls may share; undefined until they are needed. */
+  sharedParts: readonly string[] | undefined
   /** Whether the call was sent to test whether its quarantined request still crashes endpoints. */
   isQuarantineProbe: boolean
   /** Whether the head of an answer was sent to the caller. */
--- a/src/ingress/dialect.ts
+++ b/src/ingress/dialect.ts
@@ -55,6 +55,8 @@
 /** Reads and makes headers. */
 export interface Dialect {
   readCall: (headers: Http.IncomingHttpHeaders) => CallMetadata
+  /** Returns the ids of the parts of a call's prompt that other calls may share, in the order of the prompt and without duplicates; limited in number and size. */
+  sharedPartsOf: (headers: Http.IncomingHttpHeaders) => readonly string[]
   /** Returns the headers of a call to an endpoint, made from those of the caller, as a flat list of names and values. */
   forwardHeaders: (rawHeaders: readonly string[], call: ForwardedCall) => string[]
   readAnswer: (status: number, headers: Http.IncomingHttpHeaders) => AnswerMetadata
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -165,6 +165,7 @@
       possibleRunCount: 0,
       failure: undefined,
       digest: undefined,
+      sharedParts: undefined,
       isQuarantineProbe: false,
       isHeadSent: false,
       lastEventId: metadata.lastEventId,
@@ -191,7 +192,7 @@
     if (quarantineAction === 'keepBack') {
       waiting.remove(call)
       if (call.possibleRunCount > 0 || call.failure !== undefined) endUnanswered(call, 'quarantined')
-      else refuse(call, 'quarantined', { digest: digestOf(call) })
+      else refuse(call, 'quarantined', requestFields(call))
       return
     }
     const context = options.routingContext()
@@ -416,6 +417,17 @@
     return call.digest
   }
 
+  const sharedPartsOf = (call: Calls.Call): readonly string[] => {
+    call.sharedParts ??= dialect.sharedPartsOf(call.request.headers)
+    return call.sharedParts
+  }
+
+  /** Log fields that name the request of a call. */
+  const requestFields = (call: Calls.Call): { readonly digest: string, readonly parts?: readonly string[] } => {
+    const parts = sharedPartsOf(call)
+    return { digest: digestOf(call), ...(parts.length === 0 ? {} : { parts }) }
+  }
+
   const quarantineActionOf = (call: Calls.Call): Routing.Suspects.RequestAction => quarantine.isEmpty() ? 'send' : quarantine.actionOf(digestOf(call))
 
   /** Records a complete successful answer. One with a length or chunked encoding shows that the request does not crash endpoints. */
@@ -455,7 +467,7 @@
     const step = isQuarantined ? Routing.Retries.finalStep(end, history) : Routing.Retries.nextStep(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingGatewayCount(options.routingContext()), nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : isQuarantined ? 'quarantined' : step
-    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, ...(mayHaveCrashed ? { digest: digestOf(call) } : {}) })
+    log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, attemptCount: call.attemptCount, ...(mayHaveCrashed ? requestFields(call) : {}) })
     metrics.count('attempts_ended_total', { end, next })
     if (mayHaveCrashed) metrics.count('attempts_cut_total')
     if (isRetry) {
@@ -553,13 +565,13 @@
   }
 
   /** Aborts the current attempt of a call that ends before its answer, and returns the log fields of the attempt. */
-  const abandonAttempt = (call: Calls.Call): { readonly endpointId?: string, readonly digest?: string } => {
+  const abandonAttempt = (call: Calls.Call): { readonly endpointId?: string, readonly digest?: string, readonly parts?: readonly string[] } => {
     const { attempt } = call
     if (attempt === undefined) return {}
     metrics.count('attempts_abandoned_total')
     abortAttempt(call, attempt)
     releaseAttempt(call)
-    return { endpointId: attempt.listing.endpointId, digest: digestOf(call) }
+    return { endpointId: attempt.listing.endpointId, ...requestFields(call) }
   }
 
   const finish = (call: Calls.Call, outcome: keyof typeof END_SENTENCES, fields: object): void => {
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -68,6 +68,13 @@
         .toEqual(['Host', 'h', 'X-Mine', '2', 'X-Fescuespread-Expect-Instance', 'i', 'X-Fescuespread-Deadline-Ms', '5', 'X-Fescuespread-Tenant', 'w'])
     })
 
+    it('reads the ids of all parts of a prompt but the last, whatever their form', () => {
+      const partsOf = (value: string): readonly string[] => dialect.sharedPartsOf({ 'x-fescuespread-prefix-hash': value })
+      expect(partsOf('5C1e07a2:800, 91bd3f06:410,e4402b7d:250')).toEqual(['5c1e07a2', '91bd3f06'])
+      expect([partsOf('aa:1'), partsOf(''), dialect.sharedPartsOf({}), partsOf(',,:3,zz:1,aa,aa:x,bb:1')]).toEqual([[], [], [], ['aa']])
+      expect([partsOf(`${'f'.repeat(33)}:1,bb:1`).length, partsOf(Array.from({ length: 2_000 }, (_, at) => at.toString(16)).join(',')).length]).toEqual([0, 32])
+    })
+
     it('takes only status 421 and the runner\'s header as proof that a call was not executed', () => {
       const proofs = [421, 503, 429, 500].map(status => dialect.readAnswer(status, {}).isProvenNotRun)
       expect([...proofs, dialect.readAnswer(503, { 'x-fescuespread-not-executed': '1' }).isProvenNotRun]).toEqual([true, false, false, false, true])
