--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -26,6 +26,8 @@
   limitPerSecond: number | undefined
   /** Ends a moment after it began to run a call with this body, and is back later as another start; undefined for never. */
   crashBody: string | undefined
+  /** Ends a moment after it began to run a call with this part in its prompt, and is back later as another start; undefined for never. */
+  crashPart: string | undefined
   /** Says in all its answers that it leaves, and serves on. */
   leaving: boolean
   /** What it names as the time of return in refusals, as text in seconds; undefined for nothing. */
@@ -90,7 +92,7 @@
  */
 export async function startRunner (options: RunnerOptions): Promise<Runner> {
   const { eventCount = 5, eventMs = 5, model = 'm', clock = () => performance.now() } = options
-  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined, leaving: false, returnAfter: undefined, crashesSilently: false }
+  const faults: RunnerFaults = { breakAfterCount: undefined, stallAfterCount: undefined, full: false, failing: false, crossed: false, unframedReset: false, dark: false, limitPerSecond: undefined, crashBody: undefined, crashPart: undefined, leaving: false, returnAfter: undefined, crashesSilently: false }
   const sockets = new Set<Net.Socket>()
   const staged = new Map<number, Buffer>()
   const ran: string[] = []
@@ -141,7 +143,8 @@
     if (faults.full) { response.writeHead(503, { ...headers, 'X-Fescuespread-Not-Executed': '1', ...(faults.returnAfter === undefined ? {} : { 'Retry-After': faults.returnAfter }) }).end(); return }
     ran.push(id)
     response.once('close', () => { if (!response.writableFinished) abandoned.push(id) })
-    if (body === faults.crashBody) { setTimeout(crash, CRASH_AFTER_MS); return }
+    const isCrashing = body === faults.crashBody || (faults.crashPart !== undefined && hasPart(request.headers, faults.crashPart))
+    if (isCrashing) { setTimeout(crash, CRASH_AFTER_MS); return }
     const sealed = { ...headers, 'X-Fescuespread-Response-Seal': `seal-${runner.instanceId}`, 'X-Fescuespread-Weight-Versions': String(runner.version) }
     if (faults.failing) { response.writeHead(500, sealed).end('failed'); return }
     if (faults.unframedReset) {
@@ -213,3 +216,14 @@
     }
   })
 }
+
+/**
+ * Checks whether a prompt has a part, as its call's headers list them.
+ *
+ * @param headers - The headers.
+ * @param part - The part's id.
+ * @returns Whether it does.
+ */
+export function hasPart (headers: Http.IncomingHttpHeaders, part: string): boolean {
+  return String(headers['x-fescuespread-prefix-hash'] ?? '').split(',').some(entry => entry.split(':', 1)[0] === part)
+}
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -108,6 +108,8 @@
   readonly key?: string
   readonly deadlineMs?: number
   readonly body?: string
+  /** Ids of the parts of the prompt, in order. */
+  readonly parts?: readonly string[]
   /** Leaves when the first bytes of the answer come. */
   readonly leavesAtFirstBytes?: boolean
   /** Leaves so long after the call was sent, in milliseconds. */
@@ -246,7 +248,7 @@
 }
 
 async function call (port: number, options: CallOptions): Promise<CallAnswer> {
-  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', leavesAtFirstBytes = false, leavesAfterMs } = options
+  const { path = '/stream/1', id = 'call', key = 'key-1', deadlineMs = 2_000, body = 'prompt', parts: promptParts = [], leavesAtFirstBytes = false, leavesAfterMs } = options
   return await new Promise(resolve => {
     const parts: Buffer[] = []
     let answer: Http.IncomingMessage | undefined
@@ -262,6 +264,7 @@
         'X-Fescuespread-Attempt-Id': id,
         'X-Fescuespread-Deadline-Ms': String(deadlineMs),
         ...(path.startsWith('/stream/') ? { 'X-Fescuespread-Model': 'm', 'X-Fescuespread-Token-Usage': '100,50' } : {}),
+        ...(promptParts.length === 0 ? {} : { 'X-Fescuespread-Prefix-Hash': promptParts.map(part => `${part}:40`).join(',') }),
         ...(key === '' ? {} : { authorization: `Bearer ${key}` })
       }
     }, response => {
