Parts of prompts that crash endpoints are found and kept from endpoints

Cause: evidence was kept by the digest of a whole request. Class: what is counted is not what is at fault. Change: evidence is kept for each part of a prompt but the last, beside that of the request, and travels in the same messages and rows under keys of its own. An answer clears a part of the cuts before it was begun, not of later ones. The part that explains most crashes is found first (routing/crashingParts); parts that were always cut together keep back only requests with all of them, so that sound ones tell them apart. Cuts within 100 ms count as one incident. A request with a part that was cut in two incidents is not repeated elsewhere. First trial after 2 s.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -45,7 +45,7 @@
 /** The rate of calls that an endpoint accepts, as it stated. */
 export type LimitNews = typeof LimitNews.Type
 
-/** Evidence on a request that was running when endpoints ended (`Routing.Suspects.Evidence`); times are by the store's clock. */
+/** Evidence on a request that was running when endpoints ended (`Routing.Evidence.Evidence`); times are by the store's clock. */
 export const RequestNews = Schema.Struct({
   digest: Schema.String,
   cuts: Schema.Array(Schema.Struct({ endpointId: Schema.String, bornAtMs: Schema.optional(Schema.Number), atMs: Schema.Number })),
@@ -131,7 +131,7 @@
  * @param storeClock - The store's clock.
  * @returns The evidence with times of the store; undefined while the store's time is unknown.
  */
-export function requestNews (evidence: Routing.Suspects.Evidence, storeClock: StoreClock.StoreClock): RequestNews | undefined {
+export function requestNews (evidence: Routing.Evidence.Evidence, storeClock: StoreClock.StoreClock): RequestNews | undefined {
   const toRoundedStoreMs = (localMs: number): number => Math.round(storeClock.toStoreMs(localMs))
   if (!Number.isFinite(storeClock.now())) return undefined
   const { digest, cuts, triedAtMs, answeredAtMs } = evidence
@@ -150,7 +150,7 @@
  * @param storeClock - The store's clock.
  * @returns The evidence with times of this process; undefined while the store's time is unknown.
  */
-export function toEvidence (news: RequestNews, storeClock: StoreClock.StoreClock): Routing.Suspects.Evidence | undefined {
+export function toEvidence (news: RequestNews, storeClock: StoreClock.StoreClock): Routing.Evidence.Evidence | undefined {
   if (!Number.isFinite(storeClock.now())) return undefined
   const { digest, cuts, triedAtMs = [], answeredAtMs } = news
   return {
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -7,6 +7,7 @@
 import type * as Routing from '../routing/index.ts'
 import type * as Dialect from './dialect.ts'
 import type * as Events from './events.ts'
+import type * as Quarantine from './quarantine.ts'
 import type * as Upstream from './upstream.ts'
 
 /** An attempt in flight: one call sent to one endpoint. */
@@ -17,8 +18,8 @@
   readonly exchange: Upstream.Exchange
   readonly sentAtMs: number
   readonly isResumption: boolean
-  /** Whether a complete event has arrived from the endpoint. */
-  hasBegun: boolean
+  /** When the first complete event arrived from the endpoint, in milliseconds; undefined before that. */
+  begunAtMs: number | undefined
   /** Prompt tokens that count as not yet processed by the endpoint; 0 once the answer has begun. */
   pendingPromptTokens: number
   /** When the answer last made progress, in milliseconds: the head, bytes of a body, or a complete event of a stream. */
@@ -65,10 +66,8 @@
   attemptCount: number
   possibleRunCount: number
   failure: EndpointFailure | undefined
-  /** Identifies the request, the same for each attempt of its caller; undefined until it is needed. */
-  digest: string | undefined
-  /** Ids of the parts of the prompt that other calls may share; undefined until they are needed. */
-  sharedParts: readonly string[] | undefined
+  /** Identify the request and its shared parts, the same for each attempt of its caller; undefined until they are needed. */
+  keys: Quarantine.RequestKeys | undefined
   /** Whether the call was sent to test whether its quarantined request still crashes endpoints. */
   isQuarantineProbe: boolean
   /** Whether the head of an answer was sent to the caller. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -35,7 +35,7 @@
   /** What endpoints announced to this gateway: that they are shutting down, or want no calls for a while. */
   readonly notices: Routing.Notices.Notices
   /** Quarantine of requests that crash endpoints. */
-  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
+  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Edge.Metrics.Metrics
@@ -164,8 +164,7 @@
       attemptCount: 0,
       possibleRunCount: 0,
       failure: undefined,
-      digest: undefined,
-      sharedParts: undefined,
+      keys: undefined,
       isQuarantineProbe: false,
       isHeadSent: false,
       lastEventId: metadata.lastEventId,
@@ -192,7 +191,7 @@
     if (quarantineAction === 'keepBack') {
       waiting.remove(call)
       if (call.possibleRunCount > 0 || call.failure !== undefined) endUnanswered(call, 'quarantined')
-      else refuse(call, 'quarantined', requestFields(call))
+      else refuse(call, 'quarantined', { ...requestFields(call), quarantinedParts: quarantine.quarantinedPartsOf(keysOf(call)) })
       return
     }
     const context = options.routingContext()
@@ -214,7 +213,7 @@
       waiting.remove(call)
       if (quarantineAction === 'try') {
         call.isQuarantineProbe = true
-        quarantine.recordProbe(digestOf(call))
+        quarantine.recordProbe(keysOf(call))
       }
       send(call, decision.candidate, nowMs)
     } else if (decision.kind === 'wait') {
@@ -269,7 +268,7 @@
         if (stage === 'refused') recordEndpointEnd(row)
         if (call.stalledAttempt === attempt) {
           call.stalledAttempt = undefined
-          quarantine.recordInterruption(digestOf(call), listing)
+          quarantine.recordInterruption(keysOf(call), listing)
         }
         endAttempt(call, attempt, end, `${stage}: ${reason}`, wasSent)
       }
@@ -280,7 +279,7 @@
       exchange,
       sentAtMs: nowMs,
       isResumption: call.resuming,
-      hasBegun: false,
+      begunAtMs: undefined,
       pendingPromptTokens: call.requirements.promptTokens,
       lastReceivedAtMs: nowMs,
       isKeptDespiteSilence: false,
@@ -351,7 +350,7 @@
     if (call.stalledAttempt === attempt) reinstateStalled(call, attempt)
     attempt.lastReceivedAtMs = nowMs
     abortStalled(call)
-    attempt.hasBegun = true
+    attempt.begunAtMs ??= nowMs
     if (attempt.pendingPromptTokens > 0) clearPendingPrompt(attempt)
     beginStream(call, attempt)
     if (call.eventCount > 0) call.longestPauseMs = Math.max(call.longestPauseMs, attempt.lastReceivedAtMs - call.lastEventAtMs)
@@ -397,7 +396,7 @@
       endAttempt(call, attempt, 'broken', `endpoint answered ${head.status} in place of the rest of a stream`)
     } else {
       releaseAttempt(call)
-      recordAnswered(call, head)
+      recordAnswered(call, attempt, head)
       finish(call, 'answered', { status: head.status, endpointId: attempt.row.listing.endpointId })
       writeEndpointAnswer(call.response, head.status, dialect.answerHeaders(head.rawHeaders), body, head.isFramed)
     }
@@ -407,33 +406,28 @@
     if ((attempt.splitter?.pendingBytes() ?? 0) > 0) { endAttempt(call, attempt, 'broken', 'last event not whole'); return }
     releaseAttempt(call)
     beginStream(call, attempt)
-    if (attempt.head !== undefined) recordAnswered(call, attempt.head)
+    if (attempt.head !== undefined) recordAnswered(call, attempt, attempt.head)
     finish(call, 'answered', { status: 200, endpointId: attempt.row.listing.endpointId, firstMs: Math.round(call.firstEventAtMs - call.arrivedAtMs), version: attempt.head?.metadata.weightsVersion })
     call.response.end()
   }
 
-  const digestOf = (call: Calls.Call): string => {
-    call.digest ??= Digests.digestOf(call.request.url ?? '/', call.workspace?.name ?? '', call.body)
-    return call.digest
-  }
-
-  const sharedPartsOf = (call: Calls.Call): readonly string[] => {
-    call.sharedParts ??= dialect.sharedPartsOf(call.request.headers)
-    return call.sharedParts
+  const keysOf = (call: Calls.Call): Quarantine.RequestKeys => {
+    call.keys ??= [Digests.digestOf(call.request.url ?? '/', call.workspace?.name ?? '', call.body), ...dialect.sharedPartsOf(call.request.headers).map(Routing.Evidence.partKeyOf)]
+    return call.keys
   }
 
   /** Log fields that name the request of a call. */
   const requestFields = (call: Calls.Call): { readonly digest: string, readonly parts?: readonly string[] } => {
-    const parts = sharedPartsOf(call)
-    return { digest: digestOf(call), ...(parts.length === 0 ? {} : { parts }) }
+    const [digest, ...partKeys] = keysOf(call)
+    return { digest, ...(partKeys.length === 0 ? {} : { parts: partKeys.flatMap(key => Routing.Evidence.partIdOf(key) ?? []) }) }
   }
 
-  const quarantineActionOf = (call: Calls.Call): Routing.Suspects.RequestAction => quarantine.isEmpty() ? 'send' : quarantine.actionOf(digestOf(call))
+  const quarantineActionOf = (call: Calls.Call): Routing.Suspects.RequestAction => quarantine.isEmpty() ? 'send' : quarantine.actionOf(keysOf(call))
 
   /** Records a complete successful answer. One with a length or chunked encoding shows that the request does not crash endpoints. */
-  const recordAnswered = (call: Calls.Call, head: NonNullable<Calls.Attempt['head']>): void => {
+  const recordAnswered = (call: Calls.Call, attempt: Calls.Attempt, head: NonNullable<Calls.Attempt['head']>): void => {
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && head.isFramed) quarantine.recordAnswered(digestOf(call))
+    if (isSuccess && head.isFramed) quarantine.recordAnswered(keysOf(call), attempt.begunAtMs ?? attempt.sentAtMs)
   }
 
   const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
@@ -461,9 +455,9 @@
     const nowMs = clock()
     releaseAttempt(call)
     if (end !== 'notRun') call.possibleRunCount++
-    if (mayHaveCrashed) quarantine.recordInterruption(digestOf(call), attempt.listing)
+    if (mayHaveCrashed) quarantine.recordInterruption(keysOf(call), attempt.listing)
     const history = historyOf(call, nowMs)
-    const isQuarantined = call.isQuarantineProbe || quarantineActionOf(call) !== 'send'
+    const isQuarantined = call.isQuarantineProbe || quarantineActionOf(call) !== 'send' || (mayHaveCrashed && quarantine.isSuspected(keysOf(call)))
     const step = isQuarantined ? Routing.Retries.finalStep(end, history) : Routing.Retries.nextStep(end, history)
     const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingGatewayCount(options.routingContext()), nowMs)
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : isQuarantined ? 'quarantined' : step
@@ -547,7 +541,7 @@
 
   /** Aborts an attempt. Its endpoint may go on to run it, and may crash on it later. */
   const abortAttempt = (call: Calls.Call, attempt: Calls.Attempt): void => {
-    if (attempt.exchange.isSent()) quarantine.recordAbandoned(digestOf(call), attempt.listing)
+    if (attempt.exchange.isSent()) quarantine.recordAbandoned(keysOf(call), attempt.listing)
     attempt.exchange.abort()
   }
 
@@ -560,7 +554,7 @@
   const recordEndpointEnd = (row: Routing.Endpoints.EndpointRow): void => {
     quarantine.recordEndpointEnd(row.listing, row.aliveAtMs)
     for (const call of calls) {
-      for (const attempt of [call.attempt, call.stalledAttempt]) if (attempt?.row === row && attempt.exchange.isSent()) quarantine.recordInterruption(digestOf(call), attempt.listing)
+      for (const attempt of [call.attempt, call.stalledAttempt]) if (attempt?.row === row && attempt.exchange.isSent()) quarantine.recordInterruption(keysOf(call), attempt.listing)
     }
   }
 
@@ -608,7 +602,7 @@
     if (quietMs < limitMs || nowMs - attempt.reinstatedAtMs < limitMs) return
     if (route.kind === 'nonIdempotent') {
       // Keep waiting: the answer may still come, and the call must not run twice.
-      if (isEndpointSilent && !attempt.isKeptDespiteSilence) quarantine.recordInterruption(digestOf(call), attempt.listing)
+      if (isEndpointSilent && !attempt.isKeptDespiteSilence) quarantine.recordInterruption(keysOf(call), attempt.listing)
       attempt.isKeptDespiteSilence ||= isEndpointSilent
       return
     }
@@ -618,7 +612,7 @@
       attempt.isKeptDespiteSilence = true
       return
     }
-    if (attempt.hasBegun) call.stalledAttempt = attempt
+    if (attempt.begunAtMs !== undefined) call.stalledAttempt = attempt
     else abortAttempt(call, attempt)
     if (isEndpointSilent) reportFailure(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.closeIdle(attempt.row.listing.host, attempt.row.listing.port)
@@ -628,7 +622,7 @@
   /** Withdraws a stream that is still queued at an endpoint when calls may no longer begin on the endpoint's version. */
   const withdrawOutdated = (call: Calls.Call): void => {
     const { attempt, requirements, route } = call
-    if (attempt === undefined || attempt.hasBegun || requirements.service.engine === undefined || route.kind !== 'stream' || !route.resumable) return
+    if (attempt === undefined || attempt.begunAtMs !== undefined || requirements.service.engine === undefined || route.kind !== 'stream' || !route.resumable) return
     const weights = Routing.Endpoints.findWeights(attempt.row, requirements.model)
     const { load } = attempt.row
     const isLoadingNext = load?.loading === true && load.retiring !== true
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -8,6 +8,9 @@
 import * as Follow from '../follow/index.ts'
 import * as Routing from '../routing/index.ts'
 
+/** The digest of a request and the keys of the parts that its prompt shares with others (`Routing.Evidence`). */
+export type RequestKeys = readonly [digest: string, ...partKeys: string[]]
+
 /** Dependencies of the quarantine. */
 export interface QuarantineOptions {
   readonly name: string
@@ -21,20 +24,24 @@
 
 /** The quarantine of one gateway. */
 export interface Quarantine {
-  /** Whether no request is quarantined, so that no digest needs to be computed. */
+  /** Whether nothing is quarantined, so that no digest needs to be computed. */
   isEmpty: () => boolean
   /** Decides whether a request is sent, sent as a probe, or refused. */
-  actionOf: (digest: string) => Routing.Suspects.RequestAction
+  actionOf: (keys: RequestKeys) => Routing.Suspects.RequestAction
+  /** Returns whether a request may crash another endpoint because of a part of its prompt, so that it is not repeated. */
+  isSuspected: (keys: RequestKeys) => boolean
+  /** Returns the ids of the parts because of which a request is quarantined. */
+  quarantinedPartsOf: (keys: RequestKeys) => readonly string[]
   /** Records that the connection to an endpoint ended, or that the endpoint fell silent, while it had a request. */
-  recordInterruption: (digest: string, start: Routing.Endpoints.EndpointStart) => void
-  /** Records that an attempt was aborted while its endpoint may still have been running the request. */
-  recordAbandoned: (digest: string, start: Routing.Endpoints.EndpointStart) => void
+  recordInterruption: (keys: RequestKeys, start: Routing.Endpoints.EndpointStart) => void
+  /** Records that an attempt was aborted, or ended in a way that a crash may also cause, while its endpoint may still have been running the request. */
+  recordAbandoned: (keys: RequestKeys, start: Routing.Endpoints.EndpointStart) => void
   /** Records that a start of an endpoint has ended, and when it was last known to be alive, in milliseconds. */
   recordEndpointEnd: (start: Routing.Endpoints.EndpointStart, aliveAtMs: number) => void
   /** Records that a quarantined request is sent as a probe. */
-  recordProbe: (digest: string) => void
-  /** Records that a request got a complete answer. */
-  recordAnswered: (digest: string) => void
+  recordProbe: (keys: RequestKeys) => void
+  /** Records that a request got a complete answer, which its endpoint began at the given time or later, in milliseconds. */
+  recordAnswered: (keys: RequestKeys, begunAtMs: number) => void
   /** Merges evidence received from another gateway. */
   applyNews: (reports: readonly Follow.News.RequestNews[]) => void
   /** Rebroadcasts evidence that others may have missed, drops expired evidence, and updates the rows in the store. */
@@ -73,7 +80,7 @@
   const pendingDigests = new Set<string>()
 
   const gatewayNames = (): string[] => [options.name, ...node.members().filter(member => member.kind === 'gateway').map(member => member.name)]
-  const isFirstProber = (digest: string): boolean => Core.Hash.rendezvous(digest, gatewayNames())[0] === options.name
+  const isFirstProber = (key: string): boolean => Core.Hash.rendezvous(key, gatewayNames())[0] === options.name
   const isDrawnToBroadcast = (): boolean => random.next() * gatewayNames().length < BROADCASTER_COUNT
   const broadcast = (digests: Iterable<string>): void => {
     const requests = [...digests].flatMap(digest => suspects.get(digest) ?? []).flatMap(evidence => Follow.News.requestNews(evidence, node.storeClock) ?? [])
@@ -91,20 +98,24 @@
     pendingDigests.add(digest)
   }
   const logChanges = (): void => {
-    for (const { evidence: { digest, cuts }, isQuarantined } of suspects.takeChanges()) {
-      if (isQuarantined) log('quarantine', 'Request kept from endpoints.', { digest, endpointIds: cuts.map(({ endpointId }) => endpointId) })
-      else log('quarantine', 'Request let through again.', { digest })
+    for (const { evidence: { digest, cuts }, isQuarantined, group } of suspects.takeChanges()) {
+      const part = Routing.Evidence.partIdOf(digest)
+      const endpointIds = cuts.map(({ endpointId }) => endpointId)
+      if (part === undefined && isQuarantined) log('quarantine', 'Request kept from endpoints.', { digest, endpointIds })
+      else if (part === undefined) log('quarantine', 'Request let through again.', { digest })
+      else if (isQuarantined) log('quarantine', 'Part of prompts kept from endpoints.', { part, parts: partIdsOf(group), endpointIds })
+      else log('quarantine', 'Part of prompts let through again.', { part })
     }
     metrics.gauge('requests_quarantined', suspects.quarantinedCount())
   }
-  const recordEvidence = (evidence: Routing.Suspects.Evidence): void => {
+  const recordEvidence = (evidence: Routing.Evidence.Evidence): void => {
     if (!suspects.addEvidence(evidence)) return
     lastEvidenceAtMs.set(evidence.digest, clock())
     scheduleBroadcast(evidence.digest)
     logChanges()
   }
-  const recordInterruption: Quarantine['recordInterruption'] = (digest, { endpointId, bornAtMs }) => { recordEvidence(Routing.Suspects.evidenceOfCut(digest, { endpointId, bornAtMs, atMs: clock() })) }
-  const recordEndpointEnd: Quarantine['recordEndpointEnd'] = (start, aliveAtMs) => { for (const digest of abandoned.takeAffectedDigests(start, aliveAtMs, clock())) recordInterruption(digest, start) }
+  const recordCut = (key: string, { endpointId, bornAtMs }: Routing.Endpoints.EndpointStart): void => { recordEvidence(Routing.Evidence.evidenceOfCut(key, { endpointId, bornAtMs, atMs: clock() })) }
+  const recordEndpointEnd: Quarantine['recordEndpointEnd'] = (start, aliveAtMs) => { for (const key of abandoned.takeAffectedDigests(start, aliveAtMs, clock())) recordCut(key, start) }
   const applyNews = (reports: readonly Follow.News.RequestNews[]): void => {
     for (const news of reports) {
       const evidence = Follow.News.toEvidence(news, node.storeClock)
@@ -145,18 +156,31 @@
   }
   return {
     isEmpty: () => suspects.quarantinedCount() === 0,
-    actionOf: digest => suspects.actionOf(digest, clock(), () => isFirstProber(digest)),
-    recordInterruption,
-    recordAbandoned: (digest, start) => { abandoned.record({ digest, start, atMs: clock() }) },
+    actionOf: keys => suspects.actionOf(keys, clock(), isFirstProber),
+    isSuspected: suspects.isSuspected,
+    quarantinedPartsOf: keys => partIdsOf(suspects.quarantinedKeysOf(keys)),
+    recordInterruption: (keys, start) => {
+      for (const key of keys) recordCut(key, start)
+      recordEndpointEnd(start, clock())
+    },
+    recordAbandoned: (keys, start) => { for (const digest of keys) abandoned.record({ digest, start, atMs: clock() }) },
     recordEndpointEnd,
-    recordProbe: digest => {
-      log('quarantine', 'Request tried again.', { digest })
-      recordEvidence({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
+    recordProbe: keys => {
+      for (const digest of suspects.quarantinedKeysOf(keys)) {
+        const part = Routing.Evidence.partIdOf(digest)
+        if (part === undefined) log('quarantine', 'Request tried again.', { digest })
+        else log('quarantine', 'Part of prompts tried again.', { part })
+        recordEvidence({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
+      }
     },
-    recordAnswered: digest => {
+    recordAnswered: ([digest, ...partKeys], begunAtMs) => {
       const nowMs = clock()
       suspects.recordAnswer(digest, nowMs)
       if ((suspects.get(digest)?.cuts.length ?? 0) > 0) recordEvidence({ digest, cuts: [], triedAtMs: [], answeredAtMs: nowMs })
+      for (const key of partKeys) {
+        const [oldestCut] = suspects.get(key)?.cuts ?? []
+        if (oldestCut !== undefined && oldestCut.atMs < begunAtMs) recordEvidence({ digest: key, cuts: [], triedAtMs: [], answeredAtMs: begunAtMs })
+      }
     },
     applyNews,
     tick: () => {
@@ -172,3 +196,7 @@
     stop: rowFollower.stop
   }
 }
+
+function partIdsOf (keys: readonly string[]): string[] {
+  return keys.flatMap(key => Routing.Evidence.partIdOf(key) ?? [])
+}
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -7,7 +7,7 @@
 type Cuts = ReadonlyArray<readonly [string, string, number]>
 
 /** Creates evidence of a cut at an endpoint that does not report its start time. */
-const cutEvidence = (digest: string, endpointId: string, atMs: number): Routing.Suspects.Evidence => Suspects.evidenceOfCut(digest, { endpointId, bornAtMs: undefined, atMs })
+const cutEvidence = (digest: string, endpointId: string, atMs: number): Routing.Evidence.Evidence => Routing.Evidence.evidenceOfCut(digest, { endpointId, bornAtMs: undefined, atMs })
 /** Adds cuts, each given by the digest of its request, its endpoint and its time in milliseconds. */
 const suspectsOf = (cuts: Cuts): Routing.Suspects.Suspects => {
   const suspects = Suspects.createSuspects()
@@ -15,8 +15,8 @@
   return suspects
 }
 const quarantinedDigests = (cuts: Cuts): string[] => suspectsOf(cuts).quarantined().map(({ digest }) => digest).sort()
-const answerEvidence = (digest: string, atMs: number): Routing.Suspects.Evidence => ({ digest, cuts: [], triedAtMs: [], answeredAtMs: atMs })
-const trialEvidence = (digest: string, atMs: number): Routing.Suspects.Evidence => ({ digest, cuts: [], triedAtMs: [atMs], answeredAtMs: -Infinity })
+const answerEvidence = (digest: string, atMs: number): Routing.Evidence.Evidence => ({ digest, cuts: [], triedAtMs: [], answeredAtMs: atMs })
+const trialEvidence = (digest: string, atMs: number): Routing.Evidence.Evidence => ({ digest, cuts: [], triedAtMs: [atMs], answeredAtMs: -Infinity })
 const THREE_CUTS: Cuts = [['bad', 'a', 1_000], ['bad', 'b', 3_000], ['bad', 'c', 5_000]]
 
 describe('Suspects', () => {
@@ -38,7 +38,7 @@
 
     it('counts one start of an endpoint once, however long its connections are being cut', () => {
       const suspects = Suspects.createSuspects()
-      const addCut = (bornAtMs: number, atMs: number): void => { suspects.addEvidence(Suspects.evidenceOfCut('bad', { endpointId: 'a', bornAtMs, atMs })) }
+      const addCut = (bornAtMs: number, atMs: number): void => { suspects.addEvidence(Routing.Evidence.evidenceOfCut('bad', { endpointId: 'a', bornAtMs, atMs })) }
       for (const atMs of [1_000, 3_000, 5_000, 7_000]) addCut(1, atMs)
       const countForOneStart = suspects.quarantined().length
       addCut(2, 9_000)
@@ -108,7 +108,7 @@
   describe('actionOf', () => {
     it('allows two trials of a quarantined request, after increasing delays, and then no more', () => {
       const suspects = suspectsOf(THREE_CUTS)
-      const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.actionOf('bad', atMs, () => true))
+      const verdicts = (...times: number[]): string[] => times.map(atMs => suspects.actionOf(['bad'], atMs, () => true))
       expect(verdicts(5_001, 14_999, 15_000)).toEqual(['keepBack', 'keepBack', 'try'])
       suspects.addEvidence(trialEvidence('bad', 15_000))
       suspects.addEvidence(cutEvidence('bad', 'd', 15_100))
@@ -119,11 +119,11 @@
 
     it('leaves the first trial to one gateway, while the others wait twice as long', () => {
       const suspects = suspectsOf(THREE_CUTS)
-      expect([15_000, 24_999, 25_000].map(atMs => suspects.actionOf('bad', atMs, () => false))).toEqual(['keepBack', 'keepBack', 'try'])
+      expect([15_000, 24_999, 25_000].map(atMs => suspects.actionOf(['bad'], atMs, () => false))).toEqual(['keepBack', 'keepBack', 'try'])
     })
 
     it('sends requests without evidence', () => {
-      expect(suspectsOf(THREE_CUTS).actionOf('good', 6_000, () => true)).toEqual('send')
+      expect(suspectsOf(THREE_CUTS).actionOf(['good'], 6_000, () => true)).toEqual('send')
     })
   })
 
--- a/testkit/crashModel.ts
+++ b/testkit/crashModel.ts
@@ -27,7 +27,7 @@
 
 interface Running { readonly digest: string, readonly gateway: number, readonly endsAtMs: number, readonly crashes: boolean, readonly sendsLeft: number, readonly leavesAtMs: number }
 interface Ended { readonly atMs: number, readonly gateway: number, readonly endpointId: string, readonly bornAtMs: number, readonly aliveAtMs: number }
-interface Message { readonly atMs: number, readonly to: number, readonly evidence: Routing.Suspects.Evidence }
+interface Message { readonly atMs: number, readonly to: number, readonly evidence: Routing.Evidence.Evidence }
 
 const STEP_MS = 10
 const PLAYED_MS = 40_000
@@ -68,24 +68,24 @@
       if (to !== from && random.next() >= lossShare) messages.push({ atMs: nowMs + between(2, 60), to, evidence })
     }
   }
-  const hear = (at: number, evidence: Routing.Suspects.Evidence, nowMs: number): void => {
+  const hear = (at: number, evidence: Routing.Evidence.Evidence, nowMs: number): void => {
     const suspects = gateways[at]?.suspects
     if (suspects?.addEvidence(evidence) !== true) return
     for (const end of evidence.cuts) noteEnded(at, end, end.atMs, nowMs)
     const isVouchedFor = (suspects.get(evidence.digest)?.answeredAtMs ?? -Infinity) > evidence.answeredAtMs
     if (isVouchedFor && random.next() * gateways.length < TELLER_COUNT) tell(at, evidence.digest, nowMs)
   }
-  const see = (at: number, evidence: Routing.Suspects.Evidence, nowMs: number): void => {
+  const see = (at: number, evidence: Routing.Evidence.Evidence, nowMs: number): void => {
     const gateway = gateways[at]
     if (gateway?.suspects.addEvidence(evidence) !== true) return
     gateway.seenAtMs.set(evidence.digest, nowMs)
     tell(at, evidence.digest, nowMs)
   }
   const noteEnded = (at: number, { endpointId, bornAtMs }: Routing.Endpoints.EndpointStart, aliveAtMs: number, nowMs: number): void => {
-    for (const digest of gateways[at]?.abandoned.takeAffectedDigests({ endpointId, bornAtMs }, aliveAtMs, nowMs) ?? []) see(at, Routing.Suspects.evidenceOfCut(digest, { endpointId, bornAtMs, atMs: nowMs }), nowMs)
+    for (const digest of gateways[at]?.abandoned.takeAffectedDigests({ endpointId, bornAtMs }, aliveAtMs, nowMs) ?? []) see(at, Routing.Evidence.evidenceOfCut(digest, { endpointId, bornAtMs, atMs: nowMs }), nowMs)
   }
   const send = (digest: string, gateway: number, sendsLeft: number, nowMs: number, tookMs: number): void => {
-    const verdict = gateways[gateway]?.suspects.actionOf(digest, nowMs, () => Core.Hash.rankOf(digest) % gateways.length === gateway)
+    const verdict = gateways[gateway]?.suspects.actionOf([digest], nowMs, () => Core.Hash.rankOf(digest) % gateways.length === gateway)
     const culprit = crashing.find(each => each.digest === digest)
     if (culprit === undefined) otherCount++
     if (verdict === 'keepBack') {
@@ -109,7 +109,7 @@
     // A gateway finds nothing at the address when it sends there again, or another start when it is back.
     if (isLeaving) for (let gateway = 0; gateway < gateways.length; gateway++) ends.push({ atMs: random.next() < 0.5 ? nowMs + between(5, 400) : endpoint.upAtMs + between(50, 400), gateway, endpointId: endpoint.id, bornAtMs, aliveAtMs: nowMs - between(0, 300) })
     endpoint.bornAtMs = endpoint.upAtMs
-    for (const { digest, gateway } of cut) see(gateway, Routing.Suspects.evidenceOfCut(digest, { endpointId: endpoint.id, bornAtMs, atMs: nowMs + between(0, 30) }), nowMs)
+    for (const { digest, gateway } of cut) see(gateway, Routing.Evidence.evidenceOfCut(digest, { endpointId: endpoint.id, bornAtMs, atMs: nowMs + between(0, 30) }), nowMs)
     for (const { digest, gateway, sendsLeft } of cut) if (sendsLeft > 0) send(digest, gateway, sendsLeft, nowMs, between(100, 400))
   }
   const beat = (at: number, nowMs: number): void => {
@@ -162,6 +162,6 @@
     crashCount: crashing.reduce((sum, { crashedAtMs }) => sum + crashedAtMs.length, 0),
     keptBackCount,
     otherCount,
-    lockedOut: popular.map(({ digest }) => digest).filter(digest => gateways.some(({ suspects }) => suspects.actionOf(digest, PLAYED_MS, () => false) === 'keepBack'))
+    lockedOut: popular.map(({ digest }) => digest).filter(digest => gateways.some(({ suspects }) => suspects.actionOf([digest], PLAYED_MS, () => false) === 'keepBack'))
   }
 }
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -692,14 +692,14 @@
   },
   {
     name: 'suspects: cuts soon after an answer count for nothing',
-    file: 'src/routing/suspects.ts',
-    text: 'atMs > answeredAtMs + ANSWER_TRUST_MS',
+    file: 'src/routing/evidence.ts',
+    text: 'atMs > answeredAtMs + trustMs',
     replacement: 'atMs > answeredAtMs',
     checks: [test('suspects')]
   },
   {
     name: 'suspects: cuts by one end count once',
-    file: 'src/routing/suspects.ts',
+    file: 'src/routing/evidence.ts',
     text: '&& !cuts.some(other => isSameCrash(cut, other))',
     replacement: '',
     checks: [test('suspects')]
@@ -707,10 +707,38 @@
   {
     name: 'suspects: tries end',
     file: 'src/routing/suspects.ts',
-    text: 'TRIAL_DELAYS_MS[evidence.triedAtMs.length] ?? Infinity',
-    replacement: 'TRIAL_DELAYS_MS[0] ?? Infinity',
+    text: 'delaysMs[Math.max(...evidence.map(({ triedAtMs }) => triedAtMs.length))] ?? Infinity',
+    replacement: 'delaysMs[0] ?? Infinity',
     checks: [test('suspects')]
   },
+  {
+    name: 'crashing parts: an answer before a cut is no credit',
+    file: 'src/routing/evidence.ts',
+    text: 'partIdOf(current.digest) === undefined ? ANSWER_TRUST_MS : 0',
+    replacement: 'ANSWER_TRUST_MS',
+    checks: [test('crashing-parts')]
+  },
+  {
+    name: 'crashing parts: cuts that are explained speak against no other part',
+    file: 'src/routing/crashingParts.ts',
+    text: '.filter(cut => !explained.some(other => Evidence.isSameCrash(cut, other)))',
+    replacement: '',
+    checks: [test('crashing-parts')]
+  },
+  {
+    name: 'crashing parts: crashes at one moment are one incident',
+    file: 'src/routing/crashingParts.ts',
+    text: 'if (atMs - startedAtMs < SAME_INCIDENT_MS) continue',
+    replacement: '',
+    checks: [test('crashing-parts')]
+  },
+  {
+    name: 'crashing parts: parts that cannot be told apart count together',
+    file: 'src/routing/crashingParts.ts',
+    text: 'best.incidentCount >= CERTAIN_INCIDENT_COUNT ? keys',
+    replacement: 'best.incidentCount > 0 ? keys',
+    checks: [test('crashing-parts')]
+  },
   {
     name: 'suspects: other gateways are told',
     file: 'src/ingress/gateway.ts',
@@ -742,7 +770,7 @@
   {
     name: 'abandoned: attempts of calls that end before their answer',
     file: 'src/ingress/ingress.ts',
-    text: 'if (attempt.exchange.isSent()) quarantine.recordAbandoned(digestOf(call), attempt.listing)',
+    text: 'if (attempt.exchange.isSent()) quarantine.recordAbandoned(keysOf(call), attempt.listing)',
     replacement: '',
     checks: [test('crashing-unseen')]
   },
@@ -763,7 +791,7 @@
   {
     name: 'abandoned: silence under a call that runs once',
     file: 'src/ingress/ingress.ts',
-    text: 'if (isEndpointSilent && !attempt.isKeptDespiteSilence) quarantine.recordInterruption(digestOf(call), attempt.listing)',
+    text: 'if (isEndpointSilent && !attempt.isKeptDespiteSilence) quarantine.recordInterruption(keysOf(call), attempt.listing)',
     replacement: '',
     checks: [test('crashing-seldom')]
   },
