Parts count together only where they came in the same requests

Change: evidence of a part names the shared parts that were in all of its cut requests; only those form a group. Parts cut by the same crashes in different requests are each kept back until an answer or a trial clears them, so the separate bound of six incidents is gone, and its test with it: the case stands in 'keeps back each of the parts that were cut by the same crashes in different requests', now from three incidents on. Test: 'keeps back a part whatever else is in a request ...' fails before.

--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -50,7 +50,8 @@
   digest: Schema.String,
   cuts: Schema.Array(Schema.Struct({ endpointId: Schema.String, bornAtMs: Schema.optional(Schema.Number), atMs: Schema.Number })),
   triedAtMs: Schema.optional(Schema.Array(Schema.Number)),
-  answeredAtMs: Schema.optional(Schema.Number)
+  answeredAtMs: Schema.optional(Schema.Number),
+  sharedWith: Schema.optional(Schema.Array(Schema.String))
 })
 /** Evidence on a request that was running when endpoints ended. */
 export type RequestNews = typeof RequestNews.Type
@@ -134,12 +135,13 @@
 export function requestNews (evidence: Routing.Evidence.Evidence, storeClock: StoreClock.StoreClock): RequestNews | undefined {
   const toRoundedStoreMs = (localMs: number): number => Math.round(storeClock.toStoreMs(localMs))
   if (!Number.isFinite(storeClock.now())) return undefined
-  const { digest, cuts, triedAtMs, answeredAtMs } = evidence
+  const { digest, cuts, triedAtMs, answeredAtMs, sharedWith } = evidence
   return {
     digest,
     cuts: cuts.map(cut => ({ ...cut, atMs: toRoundedStoreMs(cut.atMs) })),
     ...(triedAtMs.length === 0 ? {} : { triedAtMs: triedAtMs.map(toRoundedStoreMs) }),
-    ...(Number.isFinite(answeredAtMs) ? { answeredAtMs: toRoundedStoreMs(answeredAtMs) } : {})
+    ...(Number.isFinite(answeredAtMs) ? { answeredAtMs: toRoundedStoreMs(answeredAtMs) } : {}),
+    ...(sharedWith === undefined ? {} : { sharedWith })
   }
 }
 
@@ -152,12 +154,13 @@
  */
 export function toEvidence (news: RequestNews, storeClock: StoreClock.StoreClock): Routing.Evidence.Evidence | undefined {
   if (!Number.isFinite(storeClock.now())) return undefined
-  const { digest, cuts, triedAtMs = [], answeredAtMs } = news
+  const { digest, cuts, triedAtMs = [], answeredAtMs, sharedWith } = news
   return {
     digest,
     cuts: cuts.map(({ endpointId, bornAtMs, atMs }) => ({ endpointId, bornAtMs, atMs: storeClock.toLocalMs(atMs) })),
     triedAtMs: triedAtMs.map(storeClock.toLocalMs),
-    answeredAtMs: answeredAtMs === undefined ? -Infinity : storeClock.toLocalMs(answeredAtMs)
+    answeredAtMs: answeredAtMs === undefined ? -Infinity : storeClock.toLocalMs(answeredAtMs),
+    ...(sharedWith === undefined ? {} : { sharedWith })
   }
 }
 
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -57,7 +57,9 @@
 const BROADCASTER_COUNT = 4
 /** Mean number of gateways that update the rows in a tick: one may fail, and the others see that in the next tick. */
 const WRITER_COUNT = 2
-/** Table of the store with the quarantined requests, by digest. */
+/** Joins the keys of an abandoned request. */
+const KEY_SEPARATOR = ' '
+/** Table of the store with the quarantined requests and parts, by digest or key. */
 const TABLE = 'fescue_requests'
 /** Time that the store may hold a read of the table open, in milliseconds. It may be long: gateways learn of requests from one another, and need the rows only when they start. */
 const ROWS_WAIT_MS = 20_000
@@ -114,8 +116,12 @@
     scheduleBroadcast(evidence.digest)
     logChanges()
   }
-  const recordCut = (key: string, { endpointId, bornAtMs }: Routing.Endpoints.EndpointStart): void => { recordEvidence(Routing.Evidence.evidenceOfCut(key, { endpointId, bornAtMs, atMs: clock() })) }
-  const recordEndpointEnd: Quarantine['recordEndpointEnd'] = (start, aliveAtMs) => { for (const key of abandoned.takeAffectedDigests(start, aliveAtMs, clock())) recordCut(key, start) }
+  const recordCuts = ([digest, ...partKeys]: RequestKeys, { endpointId, bornAtMs }: Routing.Endpoints.EndpointStart): void => {
+    const cut = { endpointId, bornAtMs, atMs: clock() }
+    recordEvidence(Routing.Evidence.evidenceOfCut(digest, cut))
+    for (const key of partKeys) recordEvidence(Routing.Evidence.evidenceOfCut(key, cut, partKeys.filter(other => other !== key)))
+  }
+  const recordEndpointEnd: Quarantine['recordEndpointEnd'] = (start, aliveAtMs) => { for (const keys of abandoned.takeAffectedDigests(start, aliveAtMs, clock())) recordCuts(keys.split(KEY_SEPARATOR) as [string, ...string[]], start) }
   const applyNews = (reports: readonly Follow.News.RequestNews[]): void => {
     for (const news of reports) {
       const evidence = Follow.News.toEvidence(news, node.storeClock)
@@ -160,10 +166,10 @@
     isSuspected: suspects.isSuspected,
     quarantinedPartsOf: keys => partIdsOf(suspects.quarantinedKeysOf(keys)),
     recordInterruption: (keys, start) => {
-      for (const key of keys) recordCut(key, start)
+      recordCuts(keys, start)
       recordEndpointEnd(start, clock())
     },
-    recordAbandoned: (keys, start) => { for (const digest of keys) abandoned.record({ digest, start, atMs: clock() }) },
+    recordAbandoned: (keys, start) => { abandoned.record({ digest: keys.join(KEY_SEPARATOR), start, atMs: clock() }) },
     recordEndpointEnd,
     recordProbe: keys => {
       for (const digest of suspects.quarantinedKeysOf(keys)) {
--- a/src/routing/crashingParts.ts
+++ b/src/routing/crashingParts.ts
@@ -3,9 +3,9 @@
  *
  * No two requests with such a part are alike, so none of them crashes endpoints again and again, and
  * sound requests share all else with them. What singles the part out is that no answer on it is
- * completed: other parts are cut beside it, but are answered in between. Parts that were cut by the same crashes
- * cannot be told apart yet, and only requests with all of them are quarantined, since the sound
- * requests with one of them soon clear it.
+ * completed: other parts are cut beside it, but are answered in between. Parts of the same requests that
+ * were cut by the same crashes cannot be told apart yet. Only requests with all of them are quarantined,
+ * and the sound requests that have one of them soon clear it.
  *
  * @packageDocumentation
  */
@@ -16,8 +16,6 @@
 
 /** Number of incidents after which requests with a part are quarantined. */
 const QUARANTINE_INCIDENT_COUNT = 3
-/** Number of incidents after which a part is quarantined by itself even if others were always cut together with it. */
-const CERTAIN_INCIDENT_COUNT = 6
 /** Time within which crashes count as one incident, in milliseconds: the failure of a zone or a rack ends many endpoints at once, whatever they run. */
 const SAME_INCIDENT_MS = 100
 
@@ -61,8 +59,9 @@
     const request = requests.find(each => toOpen(each).incidentCount >= best.incidentCount)
     if (request === undefined) {
       const rivals = open.filter(other => other.incidentCount >= best.incidentCount - 1 && other.cuts.every(cut => best.cuts.some(each => Evidence.isSameCrash(cut, each))))
-      const keys = rivals.map(({ evidence }) => evidence.digest).sort()
-      groups.push(...(best.incidentCount >= CERTAIN_INCIDENT_COUNT ? keys.map(key => [key]) : [keys]))
+      for (const rival of rivals.filter(({ incidentCount }) => incidentCount === best.incidentCount)) {
+        groups.push(rivals.filter(other => other === rival || cameTogether(rival.evidence, other.evidence)).map(({ evidence }) => evidence.digest).sort())
+      }
     }
     requests = requests.filter(each => each !== request)
     explained = [...explained, ...(request ?? best).cuts]
@@ -71,6 +70,11 @@
   return groups
 }
 
+/** Checks whether all cut requests with one of two parts had the other one as well. */
+function cameTogether (a: Evidence.Evidence, b: Evidence.Evidence): boolean {
+  return a.sharedWith?.includes(b.digest) === true || b.sharedWith?.includes(a.digest) === true
+}
+
 /** Evidence with the cuts that nothing else explains. */
 interface OpenEvidence {
   readonly evidence: Evidence.Evidence
--- a/src/routing/evidence.ts
+++ b/src/routing/evidence.ts
@@ -24,6 +24,8 @@
   readonly triedAtMs: readonly number[]
   /** When the request last got a complete answer, or when the last complete answer on the part was begun; -Infinity if none was seen. */
   readonly answeredAtMs: number
+  /** Keys of the other shared parts that were in all of a part's cut requests, a few at most; undefined for a request, and where no cut says so. */
+  readonly sharedWith?: readonly string[] | undefined
 }
 
 /** Prefix of the keys of parts. Messages and rows carry keys in place of digests, so that builds without parts can read them. */
@@ -34,6 +36,8 @@
 const SAME_TRIAL_MS = 1_000
 /** Time after a complete answer within which cuts do not count against a request, in milliseconds. */
 export const ANSWER_TRUST_MS = 60_000
+/** Maximum number of other parts that are kept with a part. */
+const SHARED_WITH_LIMIT_COUNT = 4
 /** Maximum number of cuts that are kept. */
 const CUT_LIMIT_COUNT = 8
 
@@ -62,10 +66,11 @@
  *
  * @param digest - The digest of the request, or the key of the part.
  * @param end - Where and when it was cut.
+ * @param sharedWith - Keys of the other shared parts of the request, for a part.
  * @returns The evidence.
  */
-export function evidenceOfCut (digest: string, end: Cut): Evidence {
-  return { digest, cuts: [end], triedAtMs: [], answeredAtMs: -Infinity }
+export function evidenceOfCut (digest: string, end: Cut, sharedWith?: readonly string[]): Evidence {
+  return { digest, cuts: [end], triedAtMs: [], answeredAtMs: -Infinity, ...(sharedWith === undefined ? {} : { sharedWith: sharedWith.slice(0, SHARED_WITH_LIMIT_COUNT) }) }
 }
 
 /**
@@ -84,9 +89,10 @@
   for (const cut of received.cuts) if (isLater(cut.atMs) && !cuts.some(other => isSameCrash(cut, other))) cuts.push(cut)
   const triedAtMs = [...current.triedAtMs.filter(isLater)]
   for (const atMs of received.triedAtMs) if (isLater(atMs) && !triedAtMs.some(otherMs => Math.abs(otherMs - atMs) < SAME_TRIAL_MS)) triedAtMs.push(atMs)
-  const isNew = answeredAtMs > current.answeredAtMs || cuts.length > current.cuts.length || triedAtMs.length > current.triedAtMs.length
+  const sharedWith = current.sharedWith === undefined ? received.sharedWith : current.sharedWith.filter(key => received.sharedWith?.includes(key) !== false)
+  const isNew = answeredAtMs > current.answeredAtMs || cuts.length > current.cuts.length || triedAtMs.length > current.triedAtMs.length || sharedWith?.length !== current.sharedWith?.length
   if (!isNew) return current
-  return { digest: current.digest, cuts: cuts.sort((a, b) => a.atMs - b.atMs).slice(-CUT_LIMIT_COUNT), triedAtMs: triedAtMs.sort((a, b) => a - b), answeredAtMs }
+  return { digest: current.digest, cuts: cuts.sort((a, b) => a.atMs - b.atMs).slice(-CUT_LIMIT_COUNT), triedAtMs: triedAtMs.sort((a, b) => a - b), answeredAtMs, ...(sharedWith === undefined ? {} : { sharedWith }) }
 }
 
 /**
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -8,10 +8,12 @@
 
 const part = Evidence.partKeyOf
 const [DEAD, SHARED, BESIDE] = ['dead', 'shared', 'beside'].map(part) as [string, string, string]
+/** The crashing part came only in requests with the shared one, which came in others too. */
+const TOGETHER = { [DEAD]: [SHARED], [SHARED]: [] }
 /** Adds cuts, each given by the digest of a request or the key of a part, its endpoint and its time in milliseconds. */
-const suspectsOf = (cuts: Cuts): Routing.Suspects.Suspects => {
+const suspectsOf = (cuts: Cuts, sharedWith: Readonly<Record<string, readonly string[]>> = {}): Routing.Suspects.Suspects => {
   const suspects = Suspects.createSuspects()
-  for (const [key, endpointId, atMs] of cuts) suspects.addEvidence(Evidence.evidenceOfCut(key, { endpointId, bornAtMs: 1, atMs }))
+  for (const [key, endpointId, atMs] of cuts) suspects.addEvidence(Evidence.evidenceOfCut(key, { endpointId, bornAtMs: 1, atMs }, sharedWith[key]))
   return suspects
 }
 const cutsOf = (key: string, times: readonly number[]): Cuts => times.map(atMs => [key, `e${atMs}`, atMs] as const)
@@ -29,28 +31,32 @@
       expect(actionOf(suspectsOf(cutsOf(DEAD, [4_900, 4_930, 4_960, 4_990])), ['request', DEAD])).toEqual('send')
     })
 
-    it('keeps back only requests with all of the parts that were always cut together', () => {
-      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 3_000, 5_000])])
+    it('keeps back only requests with all of the parts that always came together', () => {
+      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 3_000, 5_000])], TOGETHER)
       expect([['a', SHARED, DEAD], ['b', SHARED], ['c', DEAD]].map(keys => actionOf(suspects, keys))).toEqual(['keepBack', 'send', 'send'])
     })
 
     it('tells the parts apart as soon as an answer on one of them was begun after the last cut', () => {
-      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 3_000, 5_000])])
+      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 3_000, 5_000])], TOGETHER)
       answer(suspects, SHARED, 5_001)
       expect([['a', SHARED], ['b', DEAD]].map(keys => actionOf(suspects, keys, 5_010))).toEqual(['send', 'keepBack'])
     })
 
-    it('keeps back each of the parts that are still cut together after six incidents', () => {
-      const times = [1_000, 2_000, 3_000, 4_000, 4_500, 5_000]
-      const suspects = suspectsOf([...cutsOf(DEAD, times), ...cutsOf(BESIDE, times)])
+    it('keeps back each of the parts that were cut by the same crashes in different requests', () => {
+      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(BESIDE, [1_000, 3_000, 5_000])])
       expect([['a', DEAD], ['b', BESIDE]].map(keys => actionOf(suspects, keys))).toEqual(['keepBack', 'keepBack'])
     })
 
     it('takes requests with both parts first where one was cut once more than the other', () => {
-      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 2_000, 3_000, 5_000])])
+      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 3_000, 5_000]), ...cutsOf(SHARED, [1_000, 2_000, 3_000, 5_000])], TOGETHER)
       expect([['a', SHARED], ['b', SHARED, DEAD]].map(keys => actionOf(suspects, keys))).toEqual(['send', 'keepBack'])
     })
 
+    it('keeps back a part whatever else is in a request although other parts were cut beside it nearly as often', () => {
+      const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 2_000, 3_000, 5_000]), ...cutsOf(BESIDE, [1_000, 3_000, 5_000])])
+      expect([['a', DEAD], ['b', BESIDE]].map(keys => actionOf(suspects, keys))).toEqual(['keepBack', 'send'])
+    })
+
     it('omits parts that were cut beside the one that explains more crashes', () => {
       const suspects = suspectsOf([...cutsOf(DEAD, [1_000, 2_000, 3_000, 4_000, 5_000]), ...cutsOf(BESIDE, [2_000, 3_000, 4_000])])
       expect([['a', BESIDE], ['b', DEAD]].map(keys => actionOf(suspects, keys))).toEqual(['send', 'keepBack'])
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -735,8 +735,8 @@
   {
     name: 'crashing parts: parts that cannot be told apart count together',
     file: 'src/routing/crashingParts.ts',
-    text: 'best.incidentCount >= CERTAIN_INCIDENT_COUNT ? keys',
-    replacement: 'best.incidentCount > 0 ? keys',
+    text: 'other === rival || cameTogether(rival.evidence, other.evidence)',
+    replacement: 'other === rival',
     checks: [test('crashing-parts')]
   },
   {
