An answer that ends with its connection is no proof that its endpoint lives on

Change: a listener before Node's own asks whether the socket still has a peer when it ends: a reset one has none. An answer without a length counts as an attempt that may have been running at the crash of its endpoint, and clears its request and parts only after a later sign of life of the same start. A stream without a length that has no event or ends inside one may have been ended by a crash. Attempts recorded up to 200 ms after the end of a start count.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -18,6 +18,7 @@
 import type * as Quarantine from './quarantine.ts'
 import * as Replies from './replies.ts'
 import * as Signals from './signals.ts'
+import * as UnframedAnswers from './unframedAnswers.ts'
 import type * as Upstream from './upstream.ts'
 
 /** Dependencies of the ingress. */
@@ -78,6 +79,8 @@
   failedByEndpoint: 'Failure passed on.',
   cancelled: 'Call cancelled.'
 } as const
+/** Maximum number of refused calls that are remembered for a connection. */
+const REFUSED_LIMIT_COUNT = 64
 /** Statuses that promise the caller that its call was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -94,6 +97,7 @@
   const ages = Routing.Ages.createCallAges()
   const crowding = Routing.Crowding.createCrowding()
   const signals = Signals.createSignalReader(options)
+  const unframedAnswers = UnframedAnswers.createUnframedAnswers()
   const standstill = Routing.Standstill.createPauseDetector(TICK_INTERVAL_MS, clock())
   const { write, writeEndpointAnswer, withConnectionHeader } = Replies.createReplies(options.isStopping)
   let isPlacingScheduled = false
@@ -321,13 +325,17 @@
     Routing.Endpoints.recordSuccess(row, nowMs)
     signals.applyState(row, metadata, nowMs)
     const isOk = status >= 200 && status < 300
-    const isMismatched = metadata.callId !== call.callId || headers['content-encoding'] !== undefined || (isOk && !metadata.isSealed)
+    const refusedCallIds = attempt.exchange.connectionNotes()?.refusedCallIds
+    // Caller's ids may come again: a refusal that repeats one on the same connection proves nothing about this call.
+    const isRepeatedRefusal = metadata.isProvenNotRun && refusedCallIds?.has(call.callId) === true
+    const isMismatched = metadata.callId !== call.callId || isRepeatedRefusal || headers['content-encoding'] !== undefined || (isOk && !metadata.isSealed)
     if (!isMismatched) signals.applyAvailability(call, attempt, { status, metadata }, nowMs)
     if (isMismatched) {
       abortAttempt(call, attempt)
       endAttempt(call, attempt, 'unknown', 'answer does not belong to the call')
       return
     }
+    if (metadata.isProvenNotRun && refusedCallIds !== undefined) rememberRefusal(refusedCallIds, call.callId)
     const isStream = isOk && call.route.kind === 'stream'
     const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     attempt.head = { status, metadata, rawHeaders, isStream, isFramed }
@@ -403,7 +411,10 @@
   }
 
   const endStream = (call: Calls.Call, attempt: Calls.Attempt): void => {
-    if ((attempt.splitter?.pendingBytes() ?? 0) > 0) { endAttempt(call, attempt, 'broken', 'last event not whole'); return }
+    // An answer that ends with its connection may have been cut by a crash, also before its first event.
+    const mayHaveCrashed = attempt.head?.isFramed === false
+    if ((attempt.splitter?.pendingBytes() ?? 0) > 0) { endAttempt(call, attempt, 'broken', 'last event not whole', mayHaveCrashed); return }
+    if (mayHaveCrashed && attempt.begunAtMs === undefined) { endAttempt(call, attempt, call.isHeadSent ? 'broken' : 'unknown', 'stream ended without an event', mayHaveCrashed); return }
     releaseAttempt(call)
     beginStream(call, attempt)
     if (attempt.head !== undefined) recordAnswered(call, attempt, attempt.head)
@@ -424,10 +435,14 @@
 
   const quarantineActionOf = (call: Calls.Call): Routing.Suspects.RequestAction => quarantine.isEmpty() ? 'send' : quarantine.actionOf(keysOf(call))
 
-  /** Records a complete successful answer. One with a length or chunked encoding shows that the request does not crash endpoints. */
+  /** Records a complete successful answer. One with a length or chunked encoding shows that the request does not crash endpoints; another one may have been ended by a crash. */
   const recordAnswered = (call: Calls.Call, attempt: Calls.Attempt, head: NonNullable<Calls.Attempt['head']>): void => {
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && head.isFramed) quarantine.recordAnswered(keysOf(call), attempt.begunAtMs ?? attempt.sentAtMs)
+    if (!isSuccess) return
+    const begunAtMs = attempt.begunAtMs ?? attempt.sentAtMs
+    if (head.isFramed) { quarantine.recordAnswered(keysOf(call), begunAtMs); return }
+    quarantine.recordAbandoned(keysOf(call), attempt.listing)
+    unframedAnswers.add({ keys: keysOf(call), row: attempt.row, begunAtMs, endedAtMs: clock() })
   }
 
   const historyOf = (call: Calls.Call, nowMs: number): Routing.Retries.CallHistory => ({
@@ -638,6 +653,7 @@
       withdrawOutdated(call)
       checkSilence(call, nowMs)
     }
+    for (const { keys, begunAtMs } of unframedAnswers.takeConfirmed(nowMs)) quarantine.recordAnswered(keys, begunAtMs)
     retryWaiting()
   }, TICK_INTERVAL_MS)
 
@@ -649,3 +665,10 @@
     stop: () => { clearInterval(tickTimer) }
   }
 }
+
+/** Adds the id of a refused call, and drops the oldest one if there are too many. */
+function rememberRefusal (refusedCallIds: Set<string>, callId: string): void {
+  refusedCallIds.add(callId)
+  const [oldest] = refusedCallIds
+  if (refusedCallIds.size > REFUSED_LIMIT_COUNT && oldest !== undefined) refusedCallIds.delete(oldest)
+}
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -169,7 +169,7 @@
       recordCuts(keys, start)
       recordEndpointEnd(start, clock())
     },
-    recordAbandoned: (keys, start) => { abandoned.record({ digest: keys.join(KEY_SEPARATOR), start, atMs: clock() }) },
+    recordAbandoned: (keys, start) => { if (!abandoned.record({ digest: keys.join(KEY_SEPARATOR), start, atMs: clock() })) recordCuts(keys, start) },
     recordEndpointEnd,
     recordProbe: keys => {
       for (const digest of suspects.quarantinedKeysOf(keys)) {
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -37,10 +37,20 @@
   abort: () => void
   /** Whether the connection was open, so that the endpoint may have received the call and may run it. */
   isSent: () => boolean
+  /** Notes on the connection that outlive the exchange; undefined before there is a connection. */
+  connectionNotes: () => ConnectionNotes | undefined
   pause: () => void
   resume: () => void
 }
 
+/** What is known of a connection over all of its exchanges. */
+export interface ConnectionNotes {
+  /** Ids of the last calls that were refused as not run on the connection. */
+  readonly refusedCallIds: Set<string>
+  /** Whether the connection ended with a reset. */
+  wasReset: boolean
+}
+
 /** Connections to all endpoints. */
 export interface Upstream {
   send: (outgoing: OutgoingCall, listener: ExchangeListener) => Exchange
@@ -90,10 +100,26 @@
   }
 }
 
+const notesBySocket = new WeakMap<Net.Socket, ConnectionNotes>()
+
+/**
+ * Returns the notes on a connection. A reset that is read together with the last bytes is reported as an end, and shows only in that the socket has no peer any more.
+ * The peer has to be asked for before Node's own listener closes the socket, and not earlier, since Node keeps the answer.
+ */
+function notesOf (socket: Net.Socket): ConnectionNotes {
+  const known = notesBySocket.get(socket)
+  if (known !== undefined) return known
+  const notes: ConnectionNotes = { refusedCallIds: new Set(), wasReset: false }
+  notesBySocket.set(socket, notes)
+  socket.prependListener('end', () => { notes.wasReset = socket.remotePort === undefined })
+  return notes
+}
+
 function startExchange (agent: Http.Agent, outgoing: OutgoingCall, listener: ExchangeListener): Exchange {
   let stage: ExchangeStage = 'connecting'
   let isSettled = false
   let incoming: Http.IncomingMessage | undefined
+  let notes: ConnectionNotes | undefined
   const request = Http.request({
     agent,
     host: outgoing.host,
@@ -115,6 +141,7 @@
     setImmediate(() => { if (stage === 'connecting') fail('no connection in time') })
   }, CONNECT_TIMEOUT_MS)
   request.on('socket', socket => {
+    notes = notesOf(socket)
     const onConnected = (): void => {
       clearTimeout(timer)
       if (stage === 'connecting') stage = 'sent'
@@ -137,7 +164,7 @@
     response.on('aborted', () => { fail('answer cut short') })
     response.on('end', () => {
       if (isSettled) return
-      if (!response.complete) { fail('answer cut short'); return }
+      if (!response.complete || notes?.wasReset === true) { fail('answer cut short'); return }
       isSettled = true
       listener.onEnd()
     })
@@ -151,6 +178,7 @@
       request.destroy()
     },
     isSent: () => stage === 'sent' || stage === 'answering',
+    connectionNotes: () => notes,
     pause: () => { incoming?.pause() },
     resume: () => { incoming?.resume() }
   }
--- a/src/routing/abandoned.ts
+++ b/src/routing/abandoned.ts
@@ -20,7 +20,8 @@
 
 /** The recently aborted attempts. */
 export interface AbandonedAttempts {
-  record: (attempt: AbandonedAttempt) => void
+  /** Records an attempt. Returns false if the start of its endpoint ended a moment before: then the attempt is affected already, and is not kept. */
+  record: (attempt: AbandonedAttempt) => boolean
   /**
    * Removes all attempts at a start of an endpoint that has ended, and returns the requests that may have crashed it.
    *
@@ -35,6 +36,8 @@
 
 /** Maximum time between the abort of an attempt and the last sign of life of the endpoint for which a crash is attributed to the attempt, in milliseconds: most endpoints cancel the work of a closed connection. */
 const ATTRIBUTION_WINDOW_MS = 500
+/** Time after the end of a start within which attempts at it count as affected, in milliseconds: the connections of a crashed endpoint close in any order. */
+const ENDED_WINDOW_MS = 200
 /** Time for which attempts are kept, in milliseconds: the crash of an endpoint that did not close its connections shows only when it is back after some seconds. */
 const RETENTION_MS = 10_000
 /** Maximum number of attempts kept; about 100 bytes each. */
@@ -48,15 +51,20 @@
 export function createAbandonedAttempts (): AbandonedAttempts {
   /** Ordered from oldest to newest. */
   let attempts: AbandonedAttempt[] = []
+  /** Starts that ended within the last moments. */
+  let ended: Array<{ readonly start: Endpoints.EndpointStart, readonly atMs: number }> = []
   return {
     record: attempt => {
+      if (ended.some(({ start, atMs }) => isSameStart(start, attempt.start) && attempt.atMs - atMs <= ENDED_WINDOW_MS)) return false
       attempts.push(attempt)
       if (attempts.length > ATTEMPT_LIMIT_COUNT) attempts.shift()
+      return true
     },
     takeAffectedDigests: (start, aliveAtMs, nowMs) => {
       const isOfStart = (attempt: AbandonedAttempt): boolean => isSameStart(attempt.start, start)
       const affected = attempts.filter(attempt => isOfStart(attempt) && nowMs - attempt.atMs <= RETENTION_MS && aliveAtMs - attempt.atMs <= ATTRIBUTION_WINDOW_MS)
       attempts = attempts.filter(attempt => !isOfStart(attempt) && nowMs - attempt.atMs <= RETENTION_MS)
+      ended = [...ended.filter(each => nowMs - each.atMs <= ENDED_WINDOW_MS && !isSameStart(each.start, start)), { start, atMs: nowMs }]
       return [...new Set(affected.map(({ digest }) => digest))]
     },
     count: () => attempts.length
