--- a/src/routing/crashingParts.ts
+++ b/src/routing/crashingParts.ts
@@ -58,9 +58,11 @@
     // A request that crashes endpoints by itself explains its crashes before any part does that explains no more.
     const request = requests.find(each => toOpen(each).incidentCount >= best.incidentCount)
     if (request === undefined) {
-      const rivals = open.filter(other => other.incidentCount >= best.incidentCount - 1 && other.cuts.every(cut => best.cuts.some(each => Evidence.isSameCrash(cut, each))))
-      for (const rival of rivals.filter(({ incidentCount }) => incidentCount === best.incidentCount)) {
-        groups.push(rivals.filter(other => other === rival || cameTogether(rival.evidence, other.evidence)).map(({ evidence }) => evidence.digest).sort())
+      const sharedCount = (other: OpenEvidence): number => countIncidents(best.cuts.filter(cut => other.cuts.some(each => Evidence.isSameCrash(cut, each))))
+      const rivals = open.filter(other => sharedCount(other) === best.incidentCount)
+      const companions = open.filter(other => sharedCount(other) >= best.incidentCount - 1)
+      for (const rival of rivals) {
+        groups.push(companions.filter(other => other === rival || cameTogether(rival.evidence, other.evidence)).map(({ evidence }) => evidence.digest).sort())
       }
     }
     requests = requests.filter(each => each !== request)
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -63,11 +63,13 @@
 /** Delays after the last crash or trial before a quarantined request is sent as a trial, in milliseconds: a trial releases a request that was quarantined by mistake, and the platform allows three such sends. */
 const TRIAL_DELAYS_MS = [10_000, 60_000]
 /** The same delays for parts, in milliseconds. The first trial follows soon: sound requests share a part that was quarantined by mistake, and the platform allows more crashes. */
-const PART_TRIAL_DELAYS_MS = [2_000, 15_000, 60_000]
+const PART_TRIAL_DELAYS_MS = [2_000, 20_000, 60_000]
 /** Number of incidents without a completed answer after which requests with a part are no longer repeated at another endpoint. */
 const SUSPECTED_INCIDENT_COUNT = 2
 /** Factor by which the other gateways wait longer than the first one, so that they do not send trials at the same time. */
 const OTHER_GATEWAYS_DELAY_FACTOR = 2
+/** Factor by which a trial waits longer that would not tell which of several suspected parts crashes endpoints. */
+const INCONCLUSIVE_DELAY_FACTOR = 6
 /** Time for which evidence is kept after the last cut or trial, in milliseconds. */
 const EVIDENCE_RETENTION_MS = 10 * 60_000
 /** Time for which evidence on a quarantined request is kept after the last cut or trial, in milliseconds. */
@@ -142,12 +144,16 @@
   /** Returns the groups of parts, and the request itself, because of which a request is quarantined. */
   const reasonsOf = (keys: readonly string[]): ReadonlyArray<readonly string[]> =>
     [...keys.filter(key => crashing.has(key)).map(key => [key]), ...groups.filter(group => group.every(key => keys.includes(key)))]
-  const actionFor = (reason: readonly string[], nowMs: number, isFirstToTry: (key: string) => boolean): RequestAction => {
+  const isSuspected = (key: string): boolean => Evidence.partIdOf(key) !== undefined && CrashingParts.countIncidents(table.get(key)?.cuts ?? []) >= SUSPECTED_INCIDENT_COUNT
+  const actionFor = (reason: readonly string[], keys: readonly string[], nowMs: number, isFirstToTry: (key: string) => boolean): RequestAction => {
     const evidence = reason.map(key => table.get(key) ?? emptyEvidenceOf(key))
     const [firstKey = ''] = reason
     const delaysMs = Evidence.partIdOf(firstKey) === undefined ? TRIAL_DELAYS_MS : PART_TRIAL_DELAYS_MS
     const waitMs = delaysMs[Math.max(...evidence.map(({ triedAtMs }) => triedAtMs.length))] ?? Infinity
-    return nowMs - Math.max(...evidence.map(Evidence.lastActivityAtMs)) >= (isFirstToTry(firstKey) ? waitMs : OTHER_GATEWAYS_DELAY_FACTOR * waitMs) ? 'try' : 'keepBack'
+    // A crash of a request with another suspected part would not tell which of them caused it; so such a request is tried only if no other one comes.
+    const isConclusive = !keys.some(key => !reason.includes(key) && isSuspected(key))
+    const factor = isConclusive ? (isFirstToTry(firstKey) ? 1 : OTHER_GATEWAYS_DELAY_FACTOR) : INCONCLUSIVE_DELAY_FACTOR
+    return nowMs - Math.max(...evidence.map(Evidence.lastActivityAtMs)) >= factor * waitMs ? 'try' : 'keepBack'
   }
   return {
     addEvidence: received => {
@@ -173,9 +179,9 @@
     quarantinedCount: () => crashing.size + groupByKey.size,
     quarantined: () => [...crashing, ...groupByKey.keys()].flatMap(digest => table.get(digest) ?? []),
     quarantinedKeysOf: keys => [...new Set(reasonsOf(keys).flat())],
-    isSuspected: keys => keys.some(key => Evidence.partIdOf(key) !== undefined && CrashingParts.countIncidents(table.get(key)?.cuts ?? []) >= SUSPECTED_INCIDENT_COUNT),
+    isSuspected: keys => keys.some(isSuspected),
     actionOf: (keys, nowMs, isFirstToTry) => {
-      const actions = reasonsOf(keys).map(reason => actionFor(reason, nowMs, isFirstToTry))
+      const actions = reasonsOf(keys).map(reason => actionFor(reason, keys, nowMs, isFirstToTry))
       return actions.includes('keepBack') ? 'keepBack' : actions[0] ?? 'send'
     },
     removeExpired: nowMs => {
