--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -326,7 +326,7 @@
     signals.applyState(row, metadata, nowMs)
     const isOk = status >= 200 && status < 300
     const refusedCallIds = attempt.exchange.connectionNotes()?.refusedCallIds
-    // Caller's ids may come again: a refusal that repeats one on the same connection proves nothing about this call.
+    // A second refusal of the same id on a connection may be a copy of the first, and proves nothing about this call.
     const isRepeatedRefusal = metadata.isProvenNotRun && refusedCallIds?.has(call.callId) === true
     const isMismatched = metadata.callId !== call.callId || isRepeatedRefusal || headers['content-encoding'] !== undefined || (isOk && !metadata.isSealed)
     if (!isMismatched) signals.applyAvailability(call, attempt, { status, metadata }, nowMs)
