Failing test: a large deployment does not reach a gateway that the store turns away

The test shows it on the stand-ins: a gateway that the store refuses, or to which it is silent, asks another one over a link of 17, 5 or 2.5 Mbit/s. 1,680 routes are in force at 17, and not within 3 s at 5 and 2.5, in each run.

--- /dev/null
+++ b/test/large-deployments.test.ts
@@ -0,0 +1,68 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Neverthrow from 'neverthrow'
+import type * as Follow from '../src/follow/index.ts'
+import * as Store from '../platform/store.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as TestKit from '../testkit/index.ts'
+
+/** Time within which a change has to be in force, in milliseconds. */
+const BOUND_MS = 3_000
+/** Time within which gateways know one another, in milliseconds. */
+const SETTLE_MS = 15_000
+const BITS_PER_BYTE = 8
+const ROUTE_COUNT = 1_680
+
+/** How a store treats the reads of one gateway. */
+type StoreState = 'reachable' | 'refusing' | 'silent'
+type Line = Direct.DirectStage['lines'][number]
+
+const versionOf = (lines: readonly Line[]): number => lines.filter(line => line.sentence === 'Deployment in force.').at(-1)?.fields.version ?? 0
+
+describe('a deployment of many routes', () => {
+  const closes: Array<() => Promise<void>> = []
+  afterEach(async () => { for (const close of closes.splice(0).reverse()) await close() })
+
+  /** Starts a gateway that reaches the first one, and any other, only over a slow link. */
+  const startFarGateway = async (stage: Direct.DirectStage, linkMbps: number): Promise<{ readonly gateway: Direct.StartedGateway, setStore: (state: StoreState) => void }> => {
+    const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port }))
+    const proxy = await TestKit.SlowProxy.createSlowProxy(stage.first.peerPort, linkMbps * 1e6 / BITS_PER_BYTE)
+    closes.push(proxy.close)
+    let state: StoreState = 'reachable'
+    const overLink = (row: Follow.Rows.Row): Follow.Rows.Row => row.key === 'g1' && row.value !== undefined ? { ...row, value: { ...row.value as object, port: proxy.port } } : row
+    const answers: Record<StoreState, (read: ReturnType<Follow.Rows.RowSource['readAll']>) => ReturnType<Follow.Rows.RowSource['readAll']>> = {
+      reachable: async read => (await read).map(page => ({ ...page, rows: page.rows.map(overLink) })),
+      refusing: async () => Neverthrow.err({ kind: 'unavailable', reason: 'status 503' }),
+      silent: async () => await new Promise<never>(() => {})
+    }
+    const answer = async (read: ReturnType<Follow.Rows.RowSource['readAll']>): ReturnType<Follow.Rows.RowSource['readAll']> => await read.then(async () => await answers[state](read))
+    const gateway = await stage.addGateway('far', {
+      region: 'rb',
+      zone: 'b',
+      store: { ...source, readAll: async (...args) => await answer(source.readAll(...args)), readSince: async (...args) => await answer(source.readSince(...args)) }
+    })
+    return { gateway, setStore: next => { state = next } }
+  }
+  const deployRoutes = (stage: Direct.DirectStage, version: number): void => {
+    const { routes, ...deployment } = Direct.deploymentOf({ origin: '127.0.0.1:9' }) as { routes: object[] }
+    const added = Array.from({ length: ROUTE_COUNT }, (_, at) => ({ ...routes[3], name: `added-${at}`, prefix: `/added/${at}/`, hostname: `host-${at}.example` }))
+    stage.deploy({ ...deployment, version, routes: [...routes, ...added] })
+  }
+
+  for (const state of ['refusing', 'silent'] as const) {
+    for (const linkMbps of [17, 5, 2.5]) {
+      it(`is in force in time at a gateway whose store is ${state} and whose link to the others carries ${linkMbps} Mbit/s`, async () => {
+        const stage = await Direct.startDirectStage([])
+        closes.push(stage.stop)
+        const { gateway, setStore } = await startFarGateway(stage, linkMbps)
+        await TestKit.Wait.until('the gateway knows the first one', SETTLE_MS, () => versionOf(gateway.lines) === 1)
+        await TestKit.Wait.sleep(2_500)
+        setStore(state)
+        deployRoutes(stage, 2)
+        await TestKit.Wait.until('the deployment is in force at the first gateway', BOUND_MS, () => versionOf(stage.lines) === 2)
+        await TestKit.Wait.until('the deployment is in force at the far gateway', BOUND_MS, () => versionOf(gateway.lines) === 2)
+        expect(versionOf(gateway.lines)).toEqual(2)
+      })
+    }
+  }
+})
