Reads of other processes that fail, and being behind them, leave lines and a metric

Now there are 'Rows not taken from another process.' with the bytes that had arrived, 'Still behind other processes.' once a second while that lasts, and peer_reads_total. No change of logic.

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -31,8 +31,8 @@
   readonly headMs?: number
   /** Past its time, the exchange goes on while bytes of the answer come with no longer pause than this, in milliseconds. */
   readonly arrivingMs?: number
-  /** Told of bytes of the answer. */
-  readonly onArriving?: () => void
+  /** Called with the number of bytes whenever bytes of the answer arrive. */
+  readonly onArriving?: (sizeBytes: number) => void
 }
 
 /** A whole answer. */
@@ -113,9 +113,9 @@
     }
     let timer = setTimeout(expire, request.timeoutMs)
     const headTimer = request.headMs === undefined ? undefined : setTimeout(expire, request.headMs)
-    const arrive = (): void => {
+    const arrive = (partBytes: number): void => {
       arrivedMs = performance.now()
-      request.onArriving?.()
+      request.onArriving?.(partBytes)
     }
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
@@ -124,7 +124,7 @@
       let sizeBytes = 0
       clearTimeout(headTimer)
       incoming.on('data', (part: Buffer) => {
-        arrive()
+        arrive(part.length)
         sizeBytes += part.length
         if (sizeBytes > maxAnswerBytes) { fail('answer too large'); return }
         parts.push(part)
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -72,6 +72,8 @@
 const OUTAGE_WAIT_MS = 1_000
 /** Time that the read under way is given to deliver a newer revision that another process holds, in milliseconds. */
 const CATCH_UP_DELAY_MS = 300
+/** Minimum time between two log lines on how far this process is behind others, in milliseconds. */
+const BEHIND_LOG_INTERVAL_MS = 1_000
 /** Minimum time between two restarts of a read that may hang, in milliseconds. */
 const RESTART_INTERVAL_MS = 1_000
 /** Maximum delay before the table is read whole after its history was lost, in milliseconds: spreads the processes that lose it together. Doubles while the history keeps being lost. */
@@ -104,6 +106,8 @@
   let outage: Routing.Versions.Outage | undefined
   let stopped = false
   let latestPeerRevision = 0
+  /** Time since which another process has been known to hold newer rows, and of the last log line on it, in milliseconds; undefined while none is known to. */
+  let behind: { readonly sinceMs: number, loggedAtMs: number } | undefined
   /** Revision up to which rows have been read from other processes. */
   let peerReadRevision = 0
   let generation = 0
@@ -115,6 +119,7 @@
   const deliver = (rows: readonly Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): void => {
     const isFirst = !hasRead
     hasRead = true
+    if (mirror.rowRevision() >= latestPeerRevision) behind = undefined
     if (rows.length > 0 || isFirst) options.onRows(rows, { fromStore, isFirst, ...context })
   }
   /** Records the store's time and revision as of a page, and how far this process has read. */
@@ -217,6 +222,15 @@
       })
     }
   }
+  /** Tracks for how long another process has been known to hold newer rows. */
+  const trackBehind = (revision: number): void => {
+    if (stopped || revision <= mirror.rowRevision()) return
+    const nowMs = clock()
+    behind ??= { sinceMs: nowMs, loggedAtMs: nowMs }
+    if (nowMs - behind.loggedAtMs < BEHIND_LOG_INTERVAL_MS) return
+    behind.loggedAtMs = nowMs
+    log('store', 'Still behind other processes.', { table, ...Positions.logFields(mirror.rowRevision()), heardRevision: Positions.revisionOf(revision), behindForMs: Math.round(nowMs - behind.sinceMs) })
+  }
   /** Reads newer rows from another process, and restarts the read of the store, as the one under way may hang. */
   const catchUp = (revision: number): void => {
     if (stopped || mirror.rowRevision() >= revision) return
@@ -242,6 +256,7 @@
     completeness,
     isStoreReachable: () => outageStartAtMs === undefined,
     handlePeerRevision: revision => {
+      trackBehind(revision)
       if (revision <= Math.max(mirror.rowRevision(), latestPeerRevision) || stopped) return
       latestPeerRevision = revision
       setTimeout(() => { catchUp(revision) }, CATCH_UP_DELAY_MS)
--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -10,6 +10,7 @@
 import type * as Core from '../core/index.ts'
 import * as HttpClient from '../edge/httpClient.ts'
 import * as HttpServer from '../edge/httpServer.ts'
+import type * as Metrics from '../edge/metrics.ts'
 import * as Decode from '../schema/decode.ts'
 import type * as Members from './members.ts'
 import type * as Rows from './rows.ts'
@@ -170,24 +171,40 @@
 /** A process of the system that may be asked for rows. */
 export type Peer = Pick<Members.Member, 'host' | 'port'>
 
+/** Options of `createPeerReader`. */
+export interface PeerReaderOptions {
+  /** The processes that may be asked. */
+  readonly peers: () => readonly Peer[]
+  /** Chooses among them. */
+  readonly random: Core.Random.Random
+  /** Whether reduced rows suffice. */
+  readonly isPart: boolean
+  readonly metrics: Pick<Metrics.Metrics, 'count'>
+  readonly log: Core.Loop.Tick<never, never>['log']
+}
+
 /**
  * Creates a function that asks other processes for rows.
  *
- * @param peers - The processes that may be asked.
- * @param random - Chooses among them.
- * @param isPart - Whether reduced rows suffice.
+ * @param options - The processes, and how they are asked.
  * @returns The function: it asks a few processes in turn for the rows of a table that changed after a revision, and returns undefined if none of them knows the table.
  */
-export function createPeerReader (peers: () => readonly Peer[], random: Core.Random.Random, isPart = false): (table: string, revision: number) => Promise<Rows.Page | undefined> {
+export function createPeerReader (options: PeerReaderOptions): (table: string, revision: number) => Promise<Rows.Page | undefined> {
+  const { peers, random, isPart, metrics, log } = options
   return async (table, revision) => {
     const remaining = [...peers()]
     for (let count = 0; count < PEER_TRY_LIMIT_COUNT && remaining.length > 0; count++) {
       const [target] = remaining.splice(random.below(remaining.length), 1)
       if (target === undefined) break
+      const startedAtMs = performance.now()
+      let receivedBytes = 0
       const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&after=${revision}${isPart ? '&part=1' : ''}`
-      const answer = await HttpClient.sendJson(target, 'GET', path, undefined, RELAY_TIMEOUT_MS).catch(() => undefined)
-      const page = decode(answer?.value)
-      if (page.isOk() && page.value.known) return { rows: page.value.rows, revision: page.value.revision }
+      const answer = await HttpClient.sendText({ target, method: 'GET', path, timeoutMs: RELAY_TIMEOUT_MS, onArriving: sizeBytes => { receivedBytes += sizeBytes } })
+        .then(({ value }) => decode(value).mapErr(Decode.describe), (error: Error) => Neverthrow.err<typeof RelayPage.Type, string>(error.message))
+      const page = answer.andThen(value => value.known ? Neverthrow.ok(value) : Neverthrow.err('unknown'))
+      metrics.count('peer_reads_total', { table, result: page.isOk() ? 'taken' : 'failed' })
+      if (page.isOk()) return { rows: page.value.rows, revision: page.value.revision }
+      log('store', 'Rows not taken from another process.', { table, peer: `${target.host}:${target.port}`, reason: page.error, receivedBytes, tookMs: Math.round(performance.now() - startedAtMs) })
     }
     return undefined
   }
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -226,9 +226,10 @@
       if (pendingRead === pending) pendingRead = undefined
     }
   }
-  const askRegion = Relay.createPeerReader(regionGateways, options.random, options.isPart)
+  const createReader = (peers: () => readonly Relay.Peer[]): SharedSource['askPeer'] => Relay.createPeerReader({ ...options, peers })
+  const askRegion = createReader(regionGateways)
   const knownPeers = (): readonly Relay.Peer[] => [gateways(), options.members(), options.seeds()].find(peers => peers.length > 0) ?? []
-  const askAny = Relay.createPeerReader(knownPeers, options.random, options.isPart)
+  const askAny = createReader(knownPeers)
   /** Asks the own region first, so that large rows do not cross links between regions for a process that is only slightly behind. */
   const askPeer: SharedSource['askPeer'] = async (_table, revision) => {
     if (isStoreLost) return await askAny(table, revision)
@@ -239,7 +240,7 @@
       await sleep(delayMs)
       const [peer] = remainingPeers.splice(options.random.below(Math.max(1, remainingPeers.length)), 1)
       if (peer === undefined || (mirror !== undefined && mirror.revision() > revision)) return undefined
-      const page = await Relay.createPeerReader(() => [peer], options.random, options.isPart)(table, revision)
+      const page = await createReader(() => [peer])(table, revision)
       if (page !== undefined && page.rows.length > 0) return page
     }
     return undefined
