A read of another process goes on while its rows arrive

Cause: such a gateway asks others for the row, two of them in turn, and gave each 400 ms for the whole answer, large row included. Each attempt put the same bytes on the link again. The class: a bound on the whole of a transfer whose size operators choose.

Change: no bound on the whole. A process that is silent for 400 ms is not given up but another one is asked beside it, three at most, and the first answer counts; so a full link and a process that is gone need not be told apart. A transfer ends after 1.5 s without a byte; one that takes longer than 2.5 s gets another beside it in case it only trickles. Processes of the own region come before others also while the store is lost.

Ruled out: a longer time-out alone (a process that is gone would then cost it in full); telling the size ahead (nothing at a slow link's reader follows from it).

Six tests of the read itself in test/direct-shared.test.ts.

--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -33,6 +33,8 @@
   readonly arrivingMs?: number
   /** Called with the number of bytes whenever bytes of the answer arrive. */
   readonly onArriving?: (sizeBytes: number) => void
+  /** Gives the exchange up when it is aborted. */
+  readonly signal?: AbortSignal
 }
 
 /** A whole answer. */
@@ -95,7 +97,8 @@
       method: request.method,
       path: request.path,
       headers: { ...request.headers, 'content-length': String(request.body === undefined ? 0 : Buffer.byteLength(request.body)) },
-      agent: request.fresh === true ? false : pool
+      agent: request.fresh === true ? false : pool,
+      ...(request.signal === undefined ? {} : { signal: request.signal })
     })
     let arrivedMs = -Infinity
     const fail = (message: string, timedOut = false): void => {
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -8,6 +8,7 @@
 import type * as Routing from '../routing/index.ts'
 import * as Positions from './positions.ts'
 import type * as Readings from './readings.ts'
+import type * as Relay from './relay.ts'
 import * as Restores from './restores.ts'
 import * as Rows from './rows.ts'
 import type * as StoreClock from './storeClock.ts'
@@ -28,8 +29,8 @@
 export interface FollowerOptions {
   readonly table: string
   readonly store: Rows.RowSource
-  /** Asks another process for the rows that changed after a revision; undefined if none answers. */
-  readonly askPeer: (table: string, revision: number) => Promise<Rows.Page | undefined>
+  /** Asks other processes for the rows that changed after a revision; undefined if none answers. */
+  readonly askPeer: Relay.AskPeers
   /** Mean time that a read waits at the store for a change, in milliseconds. */
   readonly waitMs: () => number
   /** Delay between an answer and the next read, so that changes are read in batches, in milliseconds; no delay if undefined. */
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -79,7 +79,7 @@
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
   const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
-  const askPeer = Relay.createPeerReader({ peers, random, isPart: false, metrics, log })
+  const askPeer = Relay.createPeerReader({ peers: () => [peers()], random, isPart: false, metrics, log })
   const storeClock = StoreClock.createStoreClock(options.clock)
   const readings = Readings.createReadings()
   /** Time since which unlisted processes have sent news, in milliseconds, by name. */
--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -16,10 +16,18 @@
 import type * as Rows from './rows.ts'
 
 const RELAY_PATH = '/relay'
-/** Timeout of a read from another process, in milliseconds: it answers from memory, so this is a round trip between regions with a wide margin. */
-const RELAY_TIMEOUT_MS = 400
-/** Maximum number of processes asked in turn before the store is tried again. */
-const PEER_TRY_LIMIT_COUNT = 2
+/** Maximum number of processes asked for the same rows before the store is tried again. */
+const PEER_TRY_LIMIT_COUNT = 3
+/** Time without a byte after which a further process is asked beside the ones that were asked before, in milliseconds: a process answers from memory, so this is a round trip between regions with a wide margin. */
+const PEER_HEDGE_DELAY_MS = 400
+/** Time after which a further process is asked although rows are arriving, in milliseconds: they may come from a process that has slowed down. */
+const PEER_TRANSFER_HEDGE_DELAY_MS = 2_500
+/** Maximum time until the first byte of the answer, in milliseconds: it queues behind other traffic on a full link. */
+const PEER_HEAD_TIMEOUT_MS = 3_000
+/** Maximum time without a byte while rows arrive, in milliseconds. Large rows may take many seconds in all. */
+const PEER_IDLE_TIMEOUT_MS = 1_500
+/** Interval at which the answers under way are checked for delays, in milliseconds. */
+const PEER_CHECK_INTERVAL_MS = 25
 /** Maximum wait of a long poll, in milliseconds. */
 const LONG_POLL_LIMIT_MS = 10_000
 /** Maximum number of concurrent long polls; further ones are refused. */
@@ -169,13 +177,16 @@
 }
 
 /** A process of the system that may be asked for rows. */
-export type Peer = Pick<Members.Member, 'host' | 'port'>
+export type Peer = Pick<Members.Member, 'host' | 'port'> & Partial<Pick<Members.Member, 'name'>>
+
+/** Asks other processes for the rows of a table that changed after a revision. The holders are those that are known to have newer rows, by name. */
+export type AskPeers = (table: string, revision: number, holders?: ReadonlySet<string>) => Promise<Rows.Page | undefined>
 
 /** Options of `createPeerReader`. */
 export interface PeerReaderOptions {
-  /** The processes that may be asked. */
-  readonly peers: () => readonly Peer[]
-  /** Chooses among them. */
+  /** The processes that may be asked, in order of preference or in groups of equal preference. */
+  readonly peers: () => ReadonlyArray<readonly Peer[]>
+  /** Chooses among processes of equal preference. */
   readonly random: Core.Random.Random
   /** Whether reduced rows suffice. */
   readonly isPart: boolean
@@ -183,31 +194,86 @@
   readonly log: Core.Loop.Tick<never, never>['log']
 }
 
+/** A read of one process without an answer yet. */
+interface PeerRead {
+  readonly startedAtMs: number
+  /** Time at which bytes of the answer last arrived, in milliseconds; -Infinity before the first. */
+  lastBytesAtMs: number
+  receivedBytes: number
+  result: Promise<Rows.Page | undefined>
+}
+
 /**
- * Creates a function that asks other processes for rows.
+ * Creates a function that asks other processes for rows. A process that is slow to answer is not given up:
+ * its rows may be large and its link full. Another one is asked beside it, and the first answer counts.
  *
  * @param options - The processes, and how they are asked.
- * @returns The function: it asks a few processes in turn for the rows of a table that changed after a revision, and returns undefined if none of them knows the table.
+ * @returns The function; it returns undefined if no process delivers the table.
  */
-export function createPeerReader (options: PeerReaderOptions): (table: string, revision: number) => Promise<Rows.Page | undefined> {
-  const { peers, random, isPart, metrics, log } = options
-  return async (table, revision) => {
-    const remaining = [...peers()]
-    for (let count = 0; count < PEER_TRY_LIMIT_COUNT && remaining.length > 0; count++) {
-      const [target] = remaining.splice(random.below(remaining.length), 1)
-      if (target === undefined) break
-      const startedAtMs = performance.now()
-      let receivedBytes = 0
-      const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&after=${revision}${isPart ? '&part=1' : ''}`
-      const answer = await HttpClient.sendText({ target, method: 'GET', path, timeoutMs: RELAY_TIMEOUT_MS, onArriving: sizeBytes => { receivedBytes += sizeBytes } })
-        .then(({ value }) => decode(value).mapErr(Decode.describe), (error: Error) => Neverthrow.err<typeof RelayPage.Type, string>(error.message))
-      const page = answer.andThen(value => value.known ? Neverthrow.ok(value) : Neverthrow.err('unknown'))
-      metrics.count('peer_reads_total', { table, result: page.isOk() ? 'taken' : 'failed' })
-      if (page.isOk()) return { rows: page.value.rows, revision: page.value.revision }
-      log('store', 'Rows not taken from another process.', { table, peer: `${target.host}:${target.port}`, reason: page.error, receivedBytes, tookMs: Math.round(performance.now() - startedAtMs) })
+export function createPeerReader (options: PeerReaderOptions): AskPeers {
+  const { isPart, metrics, log } = options
+  const startRead = (target: Peer, table: string, revision: number, signal: AbortSignal): PeerRead => {
+    const read: PeerRead = { startedAtMs: performance.now(), lastBytesAtMs: -Infinity, receivedBytes: 0, result: Promise.resolve(undefined) }
+    const onArriving = (sizeBytes: number): void => {
+      read.receivedBytes += sizeBytes
+      read.lastBytesAtMs = performance.now()
     }
-    return undefined
+    const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&after=${revision}${isPart ? '&part=1' : ''}`
+    read.result = HttpClient.sendText({ target, method: 'GET', path, timeoutMs: PEER_HEAD_TIMEOUT_MS, arrivingMs: PEER_IDLE_TIMEOUT_MS, onArriving, signal })
+      .then(({ value }) => decode(value).mapErr(Decode.describe), (error: Error) => Neverthrow.err<typeof RelayPage.Type, string>(error.message))
+      .then(answer => answer.andThen(page => page.known ? Neverthrow.ok(page) : Neverthrow.err('unknown')).match(({ rows, revision }) => {
+        metrics.count('peer_reads_total', { table, result: 'taken' })
+        return { rows, revision }
+      }, reason => {
+        if (signal.aborted) return undefined
+        metrics.count('peer_reads_total', { table, result: 'failed' })
+        log('store', 'Rows not taken from another process.', { table, peer: `${target.host}:${target.port}`, reason, receivedBytes: read.receivedBytes, tookMs: Math.round(performance.now() - read.startedAtMs) })
+        return undefined
+      }))
+    return read
   }
+  return async (table, revision, holders = new Set()) => {
+    const remaining = rankPeers(options.peers(), holders, options.random).slice(0, PEER_TRY_LIMIT_COUNT)
+    const reads = new Set<PeerRead>()
+    const ended = new AbortController()
+    let emptyPage: Rows.Page | undefined
+    try {
+      while (reads.size > 0 || remaining.length > 0) {
+        if ([...reads].every(isDelayed)) {
+          const target = remaining.shift()
+          if (target !== undefined) reads.add(startRead(target, table, revision, ended.signal))
+        }
+        const answer = await Promise.race([...[...reads].map(async read => ({ read, page: await read.result })), sleep(PEER_CHECK_INTERVAL_MS)])
+        if (answer === undefined) continue
+        reads.delete(answer.read)
+        if (answer.page === undefined) continue
+        // A process without newer rows may itself be behind one that has them.
+        if (answer.page.rows.length > 0 || holders.size === 0) return answer.page
+        emptyPage = answer.page
+      }
+      return emptyPage
+    } finally {
+      ended.abort()
+    }
+  }
+}
+
+/** Orders processes: holders of newer rows before the others, then by preference, and at random among equals. */
+function rankPeers (groups: ReadonlyArray<readonly Peer[]>, holders: ReadonlySet<string>, random: Core.Random.Random): Peer[] {
+  const isHolder = (peer: Peer): boolean => peer.name !== undefined && holders.has(peer.name)
+  const shuffled = groups.flatMap(group => shuffle(group, random))
+  return [...shuffled.filter(isHolder), ...shuffled.filter(peer => !isHolder(peer))]
+}
+
+function shuffle (peers: readonly Peer[], random: Core.Random.Random): Peer[] {
+  const remaining = [...peers]
+  return peers.flatMap(() => remaining.splice(random.below(remaining.length), 1))
+}
+
+/** Whether a further process is to be asked beside one that is slow to answer. */
+function isDelayed (read: PeerRead): boolean {
+  const nowMs = performance.now()
+  return nowMs - Math.max(read.startedAtMs, read.lastBytesAtMs) > PEER_HEDGE_DELAY_MS || nowMs - read.startedAtMs > PEER_TRANSFER_HEDGE_DELAY_MS
 }
 
 /** A long poll of another process, instead of a read of the store. */
@@ -264,3 +330,7 @@
   const { partOf } = relayed
   return (isPart && partOf !== undefined ? rows.map(partOf) : rows).map(row => ({ key: row.key, revision: row.revision, value: row.value ?? null, deleted: row.deleted }))
 }
+
+async function sleep (delayMs: number): Promise<undefined> {
+  return await new Promise(resolve => { setTimeout(resolve, delayMs) })
+}
--- a/src/follow/shared.ts
+++ b/src/follow/shared.ts
@@ -100,8 +100,8 @@
 const START_RETRY_INTERVAL_MS = 100
 /** Interval at which a process that has just started checks whether the list of processes has been read, in milliseconds. */
 const MEMBERS_CHECK_INTERVAL_MS = 20
-/** Delays before each read from a process of any region, in milliseconds, when there are newer rows that neither the store nor the own region delivers; several, since the process asked may be behind too. */
-const FAR_READ_DELAYS_MS = [1_000, 150, 150, 150]
+/** Delay before a read from processes of any region, in milliseconds, when there are newer rows that the own region does not have: the store may be delivering them. */
+const FAR_READ_DELAY_MS = 1_000
 const STORE = 'store'
 
 /**
@@ -226,24 +226,22 @@
       if (pendingRead === pending) pendingRead = undefined
     }
   }
-  const createReader = (peers: () => readonly Relay.Peer[]): SharedSource['askPeer'] => Relay.createPeerReader({ ...options, peers })
-  const askRegion = createReader(regionGateways)
-  const knownPeers = (): readonly Relay.Peer[] => [gateways(), options.members(), options.seeds()].find(peers => peers.length > 0) ?? []
-  const askAny = createReader(knownPeers)
+  const askRegion = Relay.createPeerReader({ ...options, peers: () => [regionGateways()] })
+  /** The gateways of the own region before those of others; if there are none, any process. */
+  const knownPeers = (): ReadonlyArray<readonly Relay.Peer[]> => {
+    const own = regionGateways()
+    const groups = [[own, gateways().filter(member => !own.includes(member))], [options.members()], [options.seeds()]]
+    return groups.find(group => group.some(peers => peers.length > 0)) ?? []
+  }
+  const askAny = Relay.createPeerReader({ ...options, peers: knownPeers })
   /** Asks the own region first, so that large rows do not cross links between regions for a process that is only slightly behind. */
-  const askPeer: SharedSource['askPeer'] = async (_table, revision) => {
-    if (isStoreLost) return await askAny(table, revision)
-    const page = await askRegion(table, revision)
+  const askPeer: SharedSource['askPeer'] = async (_table, revision, holders) => {
+    if (isStoreLost) return await askAny(table, revision, holders)
+    const page = await askRegion(table, revision, holders)
     if (page !== undefined && page.rows.length > 0) return page
-    const remainingPeers = [...knownPeers()]
-    for (const delayMs of FAR_READ_DELAYS_MS) {
-      await sleep(delayMs)
-      const [peer] = remainingPeers.splice(options.random.below(Math.max(1, remainingPeers.length)), 1)
-      if (peer === undefined || (mirror !== undefined && mirror.revision() > revision)) return undefined
-      const page = await createReader(() => [peer])(table, revision)
-      if (page !== undefined && page.rows.length > 0) return page
-    }
-    return undefined
+    await sleep(FAR_READ_DELAY_MS)
+    if (mirror !== undefined && mirror.revision() > revision) return undefined
+    return await askAny(table, revision, holders)
   }
   return {
     readAll: async () => await read(undefined, 0),
--- a/test/direct-shared.test.ts
+++ b/test/direct-shared.test.ts
@@ -193,6 +193,69 @@
   })
 })
 
+describe('a read from other processes', () => {
+  const closes: Array<() => Promise<void>> = []
+  afterEach(async () => { for (const close of closes.splice(0)) await close() })
+  const page = (keys: readonly string[]): string => JSON.stringify({ known: true, revision: 9, rows: keys.map(key => row(key, 9)) })
+  /** Serves a page in pieces. */
+  const servePage = async (name: string, text: string, pieceCount = 1, pieceMs = 0, firstPieceMs = 0): Promise<Follow.Relay.Peer & { readonly requestCount: () => number }> => {
+    let requestCount = 0
+    const server = Http.createServer((_request, response) => {
+      requestCount++
+      const pieceLength = Math.ceil(text.length / pieceCount)
+      const write = (at: number): void => {
+        if (at >= text.length) { response.end(); return }
+        response.write(text.slice(at, at + pieceLength))
+        setTimeout(() => { write(at + pieceLength) }, pieceMs)
+      }
+      setTimeout(() => { write(0) }, firstPieceMs)
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    closes.push(async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => { server.close(resolve) })
+    })
+    return { name, host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port, requestCount: () => requestCount }
+  }
+  const ask = async (groups: ReadonlyArray<readonly Follow.Relay.Peer[]>, holders: readonly string[] = []): Promise<readonly string[] | undefined> => {
+    const reader = Follow.Relay.createPeerReader({ peers: () => groups, random: Core.Random.createRandom(1), isPart: false, metrics: Metrics.createMetrics(), log: () => {} })
+    return (await reader('t', 1, new Set(holders)))?.rows.map(pageRow => pageRow.key)
+  }
+
+  it('takes rows that arrive slowly, and asks nobody else meanwhile', async () => {
+    const [slow, other] = [await servePage('slow', page(['a']), 7, 200), await servePage('other', page(['b']))]
+    expect([await ask([[slow], [other]]), other.requestCount()]).toEqual([['a'], 0])
+  })
+
+  it('asks another process beside one that does not answer, and takes the first answer', async () => {
+    const [silent, other] = [await servePage('silent', page(['a']), 1, 0, 60_000), await servePage('other', page(['b']))]
+    const startedAtMs = performance.now()
+    expect(await ask([[silent], [other]])).toEqual(['b'])
+    expect(performance.now() - startedAtMs < BOUND_MS).toEqual(true)
+  })
+
+  it('takes the late answer of a process whose link is full where no other has the rows', async () => {
+    const [late, gone] = [await servePage('late', page(['a']), 1, 0, 1_200), { name: 'gone', host: '127.0.0.1', port: await Direct.freePort() }]
+    expect(await ask([[late], [gone]])).toEqual(['a'])
+  })
+
+  it('does not wait for a process that sends a byte now and then', async () => {
+    const [trickling, other] = [await servePage('trickling', page(['a']), 1_000, 300), await servePage('other', page(['b']))]
+    expect(await ask([[trickling], [other]])).toEqual(['b'])
+  })
+
+  it('asks processes that are known to have newer rows first, then others, and passes over those that have none', async () => {
+    const [behind, holder] = [await servePage('behind', page([])), await servePage('holder', page(['b']))]
+    expect([await ask([[behind], [holder]], ['holder']), behind.requestCount()]).toEqual([['b'], 0])
+    expect(await ask([[behind], [holder]], ['a process that is gone'])).toEqual(['b'])
+  })
+
+  it('gives up when no process has the table', async () => {
+    const unknown = await servePage('unknown', JSON.stringify({ known: false, revision: 0, rows: [] }))
+    expect([await ask([[unknown], [unknown]]), await ask([])]).toEqual([undefined, undefined])
+  })
+})
+
 describe('a change of operators', () => {
   const stages: Direct.DirectStage[] = []
   const stops: Array<() => Promise<void>> = []
