A process that is behind asks others until it has caught up

Cause: a revision that another process told of started one read from other processes and one new read of the store, and was ignored when it was told of again.

Change: a process reads from others again as long as they say that they are ahead (they repeat it every second), asks those first that said so, and never has two such reads of a table under way. A failed read of the store waits 400 ms for them and then tries the store again.

test/direct-platform.test.ts, 'first attempts failed', fails without the change.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -94,7 +94,7 @@
   const download = Pacer.createPacer(linkBytesPerSecond() * CHUNK_LINK_SHARE, 0)
   const onNews = (news: Follow.News.News): void => {
     Follow.News.learnVersions(versions, news, operators.follower, node.storeClock, log)
-    operators.follower.handlePeerRevision(news.revisions[options.operatorsTable] ?? 0)
+    operators.follower.handlePeerRevision(news.revisions[options.operatorsTable] ?? 0, news.sender)
     fetcher.recordContact(news.sender)
     if (news.rollCall === true) {
       node.sendNews({ revisions: {}, rollCall: false, named: versionNews() }, 'agent', member => member.name === news.sender)
--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -62,8 +62,8 @@
   completeness: () => Routing.Versions.ReadProgress
   /** Whether the store answers: false from a failed read until the next answer. */
   isStoreReachable: () => boolean
-  /** Handles the newest revision that another process holds: if this process still lacks it after a short delay, it reads from other processes and restarts the read of the store. */
-  handlePeerRevision: (revision: number) => void
+  /** Handles the newest revision that another process holds: if this process still lacks it after a short delay, it restarts the read of the store, and reads from other processes until it has the rows. Processes repeat their revisions. */
+  handlePeerRevision: (revision: number, holder?: string) => void
   stop: () => void
 }
 
@@ -73,6 +73,10 @@
 const OUTAGE_WAIT_MS = 1_000
 /** Time that the read under way is given to deliver a newer revision that another process holds, in milliseconds. */
 const CATCH_UP_DELAY_MS = 300
+/** Time for which a failed read of the store waits for rows of another process before the store is tried again, in milliseconds. */
+const PEER_READ_PATIENCE_MS = 400
+/** Maximum number of processes that are remembered to hold newer rows. */
+const HOLDER_LIMIT_COUNT = 1_024
 /** Minimum time between two log lines on how far this process is behind others, in milliseconds. */
 const BEHIND_LOG_INTERVAL_MS = 1_000
 /** Minimum time between two restarts of a read that may hang, in milliseconds. */
@@ -109,6 +113,11 @@
   let latestPeerRevision = 0
   /** Time since which another process has been known to hold newer rows, and of the last log line on it, in milliseconds; undefined while none is known to. */
   let behind: { readonly sinceMs: number, loggedAtMs: number } | undefined
+  /** Newest revisions that other processes hold, by name. */
+  const heldRevisions = new Map<string, number>()
+  let isCatchingUp = false
+  /** The read from other processes that is under way: a second one would put the same rows on the link again. */
+  let peerRead: Promise<void> | undefined
   /** Revision up to which rows have been read from other processes. */
   let peerReadRevision = 0
   let generation = 0
@@ -176,7 +185,12 @@
     return rows
   }
   const readFromPeer = async (): Promise<void> => {
-    const page = await options.askPeer(table, Math.max(mirror.revision(), peerReadRevision))
+    peerRead ??= takeFromPeer().finally(() => { peerRead = undefined })
+    await peerRead
+  }
+  const takeFromPeer = async (): Promise<void> => {
+    const holders = new Set([...heldRevisions].filter(([, revision]) => revision > mirror.rowRevision()).map(([name]) => name))
+    const page = await options.askPeer(table, Math.max(mirror.revision(), peerReadRevision), holders)
     if (page === undefined) return
     peerReadRevision = Math.max(peerReadRevision, page.revision)
     // The other process may not know all removals, so the next read of the store still starts at the revision of the store's last answer.
@@ -211,7 +225,7 @@
     // A single read may time out without an outage; a second one over a new connection shows an outage. A store that limits the rate of reads is not out.
     if (answer.error.kind === 'unavailable' || (answer.error.kind === 'silent' && outageStartAtMs !== undefined)) recordRefusal()
     recordLoss(answer.error.reason)
-    await readFromPeer()
+    await Promise.race([readFromPeer(), sleep(PEER_READ_PATIENCE_MS)])
     await sleep(RETRY_DELAY_MS * (0.5 + options.random.next()))
   }
   const run = async (ownGeneration: number): Promise<void> => {
@@ -232,15 +246,14 @@
     behind.loggedAtMs = nowMs
     log('store', 'Still behind other processes.', { table, ...Positions.logFields(mirror.rowRevision()), heardRevision: Positions.revisionOf(revision), behindForMs: Math.round(nowMs - behind.sinceMs) })
   }
-  /** Reads newer rows from another process, and restarts the read of the store, as the one under way may hang. */
-  const catchUp = (revision: number): void => {
+  /** Restarts the read of the store if it has not delivered a revision, as it may hang. */
+  const restartRead = (revision: number): void => {
     if (stopped || mirror.rowRevision() >= revision) return
     if (!hasRead) {
       // The first read brings the newest rows; another one beside it would only slow it down.
-      setTimeout(() => { catchUp(revision) }, CATCH_UP_DELAY_MS)
+      setTimeout(() => { restartRead(revision) }, CATCH_UP_DELAY_MS)
       return
     }
-    void readFromPeer()
     const nowMs = clock()
     if (outageStartAtMs !== undefined || nowMs - restartedAtMs < RESTART_INTERVAL_MS) return
     restartedAtMs = nowMs
@@ -248,6 +261,12 @@
     generation++
     void run(generation)
   }
+  /** Reads newer rows from other processes. */
+  const catchUp = async (): Promise<void> => {
+    await sleep(CATCH_UP_DELAY_MS)
+    if (stopped || !hasRead || mirror.rowRevision() >= latestPeerRevision) return
+    await readFromPeer()
+  }
   void run(generation)
   return {
     mirror,
@@ -256,11 +275,19 @@
     freshAtMs: () => freshAtMs,
     completeness,
     isStoreReachable: () => outageStartAtMs === undefined,
-    handlePeerRevision: revision => {
+    handlePeerRevision: (revision, holder) => {
+      if (stopped || revision <= mirror.rowRevision()) return
       trackBehind(revision)
-      if (revision <= Math.max(mirror.rowRevision(), latestPeerRevision) || stopped) return
-      latestPeerRevision = revision
-      setTimeout(() => { catchUp(revision) }, CATCH_UP_DELAY_MS)
+      if (holder !== undefined && (heldRevisions.has(holder) || heldRevisions.size < HOLDER_LIMIT_COUNT)) heldRevisions.set(holder, revision)
+      if (revision > latestPeerRevision) {
+        latestPeerRevision = revision
+        setTimeout(() => { restartRead(revision) }, CATCH_UP_DELAY_MS)
+      }
+      if (isCatchingUp) return
+      isCatchingUp = true
+      void catchUp()
+        .catch((error: Error) => { log('store', 'Rows could not be taken.', { table, reason: error.message }) })
+        .finally(() => { isCatchingUp = false })
     },
     stop: () => { stopped = true }
   }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -122,8 +122,8 @@
     for (const limitNews of message.limits ?? []) applyLimitNews(limitNews, message.sender)
     if (message.requests !== undefined) quarantine.applyNews(message.requests)
     if (message.callsPerSecond !== undefined) sharerOf(message.sender).weight = message.callsPerSecond
-    operators.follower.handlePeerRevision(message.revisions[options.tables.operators] ?? 0)
-    endpointFollower.handlePeerRevision(message.revisions[options.tables.endpoints] ?? 0)
+    operators.follower.handlePeerRevision(message.revisions[options.tables.operators] ?? 0, message.sender)
+    endpointFollower.handlePeerRevision(message.revisions[options.tables.endpoints] ?? 0, message.sender)
   })
   const quarantine = Quarantine.createQuarantine({ name: options.name, node, store: options.store, clock, random, metrics, log })
   const members = (): readonly Follow.Members.Member[] => node.members()
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -167,6 +167,21 @@
     follower.stop()
   })
 
+  it('takes rows from another process when its own read hangs and the first attempts failed', async () => {
+    const seen: string[] = []
+    const answers: ReadonlyArray<Follow.Rows.Page | undefined> = [undefined, { rows: [], revision: 1 }, page(7, 'b')]
+    let askCount = 0
+    const follower = createFollower({}, async () => answers[askCount++], seen)
+    await TestKit.Wait.until('the first read', 2_000, () => seen.includes('a'))
+    await TestKit.Wait.until('the rows of the peer', 3_000, async () => {
+      // Processes repeat the revision that they hold.
+      follower.handlePeerRevision(7, 'peer')
+      await TestKit.Wait.sleep(100)
+      return seen.includes('b')
+    })
+    follower.stop()
+  })
+
   it('gets removals from the store that another process did not know of when it was asked in the meantime', async () => {
     const seen: string[] = []
     const live = (): string[] => follower.mirror.live().map(entry => entry.key)
