Large rows are compressed between processes

Cause: a deployment of 1,680 routes is some 600 KB, and each process that the store turns away draws it from another one.

Change: a value of 4 KB or more is sent compressed to processes that ask for it, whether they read now and then or in the store's place. It is compressed once for a change, not once for a reader. Processes of the build before neither ask nor send.

Ruled out: a compressed body, since answers that wait begin with single bytes that keep them alive; a difference of two deployments, which needs the reader's state.

--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import * as Zlib from 'node:zlib'
 import * as Schema from 'effect/Schema'
 import * as Neverthrow from 'neverthrow'
 import type * as Core from '../core/index.ts'
@@ -38,10 +39,15 @@
 const LONG_POLL_SLACK_MS = 600
 /** Minimum time between keep-alive bytes to a long poll while rows arrive from the store, in milliseconds. */
 const KEEP_ALIVE_INTERVAL_MS = 100
+/** Minimum size of a row's value that is compressed, in bytes of its JSON. */
+const PACK_MIN_BYTES = 4_096
+/** Maximum size of an unpacked value, in bytes: well above what the store takes. */
+const UNPACK_LIMIT_BYTES = 64 * 1024 * 1024
 /** Written ahead of the JSON of a pending answer; JSON parsers skip it. */
 const KEEP_ALIVE_BYTE = ' '
 
-const RelayRows = Schema.Array(Schema.Struct({ key: Schema.String, revision: Schema.Int, value: Schema.Unknown, deleted: Schema.Boolean }))
+const RelayRow = Schema.Struct({ key: Schema.String, revision: Schema.Int, value: Schema.optional(Schema.Unknown), packed: Schema.optional(Schema.String), deleted: Schema.Boolean })
+const RelayRows = Schema.Array(RelayRow)
 const RelayPage = Schema.Struct({ known: Schema.Boolean, revision: Schema.Int, rows: RelayRows })
 const LongPollAnswer = Schema.Struct({
   /** Rows as of a revision, `historyGone` where removals may be missing, or a refusal. */
@@ -84,12 +90,18 @@
   close: () => void
 }
 
+/** How rows are sent. */
+interface RowFormat {
+  /** Whether reduced rows suffice. */
+  readonly isPart: boolean
+  /** Whether the reader takes compressed values; processes of earlier builds do not. */
+  readonly isPacked: boolean
+}
+
 /** What a long poll asks for. */
-interface LongPollQuery {
+interface LongPollQuery extends RowFormat {
   /** The revision after which rows are asked for; undefined for the whole table. */
   readonly after: number | undefined
-  /** Whether reduced rows suffice. */
-  readonly isPart: boolean
 }
 
 /**
@@ -114,7 +126,7 @@
     const rows = query.after === undefined ? mirror.live() : storeChangesAfter(mirror, query.after)
     // A row from another process may be newer than the page, and it replaces the previous row of its key: then the rows are not complete as of any one time.
     const madeAtMs = mirror.rowRevision() > mirror.revision() ? undefined : mirror.madeAtMs()
-    return { answer: 'rows', revision: mirror.revision(), rows: toWireRows(relayed, rows, query.isPart), ...(madeAtMs === undefined ? {} : { madeAtMs }) }
+    return { answer: 'rows', revision: mirror.revision(), rows: toWireRows(relayed, rows, query), ...(madeAtMs === undefined ? {} : { madeAtMs }) }
   }
   /** Waits for rows changed after a revision; for the first rows of the table if that is undefined. */
   const waitForChange = (relayed: RelayedTable, after: number | undefined, waitMs: number, response: Http.ServerResponse, finish: () => void): void => {
@@ -160,13 +172,13 @@
       handle: (request, response) => {
         const params = new URL(request.url ?? '/', 'http://relay').searchParams
         const relayed = tableOf(params.get('table') ?? '')
-        const isPart = params.has('part')
+        const format: RowFormat = { isPart: params.has('part'), isPacked: params.has('pack') }
         const after = Number(params.get('after') ?? 0)
         const wait = params.get('wait')
-        if (wait !== null) { serveLongPoll(relayed, { after: params.has('after') ? after : undefined, isPart }, Math.min(Number(wait), LONG_POLL_LIMIT_MS), response); return }
-        const isServed = relayed !== undefined && relayed.isKnown() && canServe(relayed, isPart)
+        if (wait !== null) { serveLongPoll(relayed, { ...format, after: params.has('after') ? after : undefined }, Math.min(Number(wait), LONG_POLL_LIMIT_MS), response); return }
+        const isServed = relayed !== undefined && relayed.isKnown() && canServe(relayed, format.isPart)
         const page = isServed ? relayed.mirror.since(after) : { rows: [], revision: 0 }
-        HttpServer.sendJson(response, 200, { known: isServed, revision: page.revision, rows: isServed ? toWireRows(relayed, page.rows, isPart) : [] })
+        HttpServer.sendJson(response, 200, { known: isServed, revision: page.revision, rows: isServed ? toWireRows(relayed, page.rows, format) : [] })
       }
     },
     close: () => {
@@ -218,10 +230,10 @@
       read.receivedBytes += sizeBytes
       read.lastBytesAtMs = performance.now()
     }
-    const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&after=${revision}${isPart ? '&part=1' : ''}`
+    const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&after=${revision}&pack=1${isPart ? '&part=1' : ''}`
     read.result = HttpClient.sendText({ target, method: 'GET', path, timeoutMs: PEER_HEAD_TIMEOUT_MS, arrivingMs: PEER_IDLE_TIMEOUT_MS, onArriving, signal })
       .then(({ value }) => decode(value).mapErr(Decode.describe), (error: Error) => Neverthrow.err<typeof RelayPage.Type, string>(error.message))
-      .then(answer => answer.andThen(page => page.known ? Neverthrow.ok(page) : Neverthrow.err('unknown')).match(({ rows, revision }) => {
+      .then(answer => answer.andThen(page => page.known ? fromWireRows(page.rows).map(rows => ({ ...page, rows })) : Neverthrow.err('unknown')).match(({ rows, revision }) => {
         metrics.count('peer_reads_total', { table, result: 'taken' })
         return { rows, revision }
       }, reason => {
@@ -300,7 +312,7 @@
  */
 export async function longPoll (read: LongPollRead): Promise<Neverthrow.Result<Rows.Page, Rows.ReadFailure>> {
   const { target, table, after, waitMs, patienceMs = waitMs, isPart, onArriving } = read
-  const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&wait=${waitMs}${after === undefined ? '' : `&after=${after}`}${isPart ? '&part=1' : ''}`
+  const path = `${RELAY_PATH}?table=${encodeURIComponent(table)}&wait=${waitMs}&pack=1${after === undefined ? '' : `&after=${after}`}${isPart ? '&part=1' : ''}`
   const timeoutMs = patienceMs + LONG_POLL_SLACK_MS
   try {
     const answer = await HttpClient.sendText({ target, method: 'GET', path, timeoutMs, headMs: Math.min(LONG_POLL_HEAD_TIMEOUT_MS, timeoutMs), arrivingMs: LONG_POLL_SLACK_MS, onArriving })
@@ -313,7 +325,7 @@
 function toResult ({ answer, reason = 'no rows', revision, madeAtMs, rows }: typeof LongPollAnswer.Type): Neverthrow.Result<Rows.Page, Rows.ReadFailure> {
   if (answer === 'historyGone') return Neverthrow.err({ kind: 'historyGone' })
   if (answer === 'refused' || revision === undefined || rows === undefined) return Neverthrow.err({ kind: 'unavailable', reason })
-  return Neverthrow.ok({ rows, revision, madeAtMs })
+  return fromWireRows(rows).map(unpacked => ({ rows: unpacked, revision, madeAtMs })).mapErr(problem => ({ kind: 'unavailable', reason: problem }))
 }
 
 /** Returns the rows changed after a revision, without rows from other processes that are newer than the store's last page. */
@@ -326,11 +338,36 @@
   return isPart ? relayed.partOf !== undefined : relayed.isPart !== true
 }
 
-function toWireRows (relayed: RelayedTable, rows: readonly Rows.Row[], isPart: boolean): Rows.Row[] {
+function toWireRows (relayed: RelayedTable, rows: readonly Rows.Row[], { isPart, isPacked }: RowFormat): Array<typeof RelayRow.Type> {
   const { partOf } = relayed
-  return (isPart && partOf !== undefined ? rows.map(partOf) : rows).map(row => ({ key: row.key, revision: row.revision, value: row.value ?? null, deleted: row.deleted }))
+  return (isPart && partOf !== undefined ? rows.map(partOf) : rows).map(row => {
+    const { key, revision, deleted, value } = row
+    const packed = isPacked ? packedValueOf(row) : undefined
+    return packed === undefined ? { key, revision, value: value ?? null, deleted } : { key, revision, packed, deleted }
+  })
 }
 
+const packedValues = new WeakMap<Rows.Row, { readonly packed: string | undefined }>()
+
+/** Returns the compressed value of a row in base64, computed once; undefined for a small value. */
+function packedValueOf (row: Rows.Row): string | undefined {
+  const known = packedValues.get(row)
+  if (known !== undefined) return known.packed
+  const text = JSON.stringify(row.value ?? null)
+  const packed = text.length < PACK_MIN_BYTES ? undefined : Zlib.gzipSync(text).toString('base64')
+  packedValues.set(row, { packed })
+  return packed
+}
+
+function fromWireRows (rows: typeof RelayRows.Type): Neverthrow.Result<Rows.Row[], string> {
+  return Neverthrow.Result.combine(rows.map(({ key, revision, value, packed, deleted }) => unpack(value, packed).map(unpacked => ({ key, revision, value: unpacked, deleted }))))
+}
+
+const unpack = Neverthrow.Result.fromThrowable(
+  (value: unknown, packed: string | undefined): unknown => packed === undefined ? value : JSON.parse(Zlib.gunzipSync(Buffer.from(packed, 'base64'), { maxOutputLength: UNPACK_LIMIT_BYTES }).toString()),
+  error => `unreadable row: ${(error as Error).message}`
+)
+
 async function sleep (delayMs: number): Promise<undefined> {
   return await new Promise(resolve => { setTimeout(resolve, delayMs) })
 }
--- a/test/large-deployments.test.ts
+++ b/test/large-deployments.test.ts
@@ -23,11 +23,14 @@
   const closes: Array<() => Promise<void>> = []
   afterEach(async () => { for (const close of closes.splice(0).reverse()) await close() })
 
-  /** Starts a gateway that reaches the first one, and any other, only over a slow link. */
-  const startFarGateway = async (stage: Direct.DirectStage, linkMbps: number): Promise<{ readonly gateway: Direct.StartedGateway, setStore: (state: StoreState) => void }> => {
+  const startLink = async (stage: Direct.DirectStage, linkMbps: number): Promise<TestKit.SlowProxy.SlowProxy> => {
+    const link = await TestKit.SlowProxy.createSlowProxy(stage.first.peerPort, linkMbps * 1e6 / BITS_PER_BYTE)
+    closes.push(link.close)
+    return link
+  }
+  /** Starts a gateway in a region of its own that reaches the first one only over a link. */
+  const startFarGateway = async (stage: Direct.DirectStage, proxy: TestKit.SlowProxy.SlowProxy, name = 'far'): Promise<{ readonly gateway: Direct.StartedGateway, setStore: (state: StoreState) => void }> => {
     const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port }))
-    const proxy = await TestKit.SlowProxy.createSlowProxy(stage.first.peerPort, linkMbps * 1e6 / BITS_PER_BYTE)
-    closes.push(proxy.close)
     let state: StoreState = 'reachable'
     const overLink = (row: Follow.Rows.Row): Follow.Rows.Row => row.key === 'g1' && row.value !== undefined ? { ...row, value: { ...row.value as object, port: proxy.port } } : row
     const answers: Record<StoreState, (read: ReturnType<Follow.Rows.RowSource['readAll']>) => ReturnType<Follow.Rows.RowSource['readAll']>> = {
@@ -36,9 +39,9 @@
       silent: async () => await new Promise<never>(() => {})
     }
     const answer = async (read: ReturnType<Follow.Rows.RowSource['readAll']>): ReturnType<Follow.Rows.RowSource['readAll']> => await read.then(async () => await answers[state](read))
-    const gateway = await stage.addGateway('far', {
-      region: 'rb',
-      zone: 'b',
+    const gateway = await stage.addGateway(name, {
+      region: `region of ${name}`,
+      zone: `zone of ${name}`,
       store: { ...source, readAll: async (...args) => await answer(source.readAll(...args)), readSince: async (...args) => await answer(source.readSince(...args)) }
     })
     return { gateway, setStore: next => { state = next } }
@@ -54,7 +57,7 @@
       it(`is in force in time at a gateway whose store is ${state} and whose link to the others carries ${linkMbps} Mbit/s`, async () => {
         const stage = await Direct.startDirectStage([])
         closes.push(stage.stop)
-        const { gateway, setStore } = await startFarGateway(stage, linkMbps)
+        const { gateway, setStore } = await startFarGateway(stage, await startLink(stage, linkMbps))
         await TestKit.Wait.until('the gateway knows the first one', SETTLE_MS, () => versionOf(gateway.lines) === 1)
         await TestKit.Wait.sleep(2_500)
         setStore(state)
@@ -65,4 +68,19 @@
       })
     }
   }
+
+  it('is in force in time at six gateways that the store refuses and that share a link of 5 Mbit/s to the only one that has it', async () => {
+    const stage = await Direct.startDirectStage([])
+    closes.push(stage.stop)
+    const link = await startLink(stage, 5)
+    const far = await Promise.all(Array.from({ length: 6 }, async (_, at) => await startFarGateway(stage, link, `far-${at}`)))
+    const isInForce = (version: number): boolean => far.every(({ gateway }) => versionOf(gateway.lines) === version)
+    await TestKit.Wait.until('the gateways know the first one', SETTLE_MS, () => isInForce(1))
+    await TestKit.Wait.sleep(2_500)
+    for (const { setStore } of far) setStore('refusing')
+    deployRoutes(stage, 2)
+    await TestKit.Wait.until('the deployment is in force at the first gateway', BOUND_MS, () => versionOf(stage.lines) === 2)
+    await TestKit.Wait.until('the deployment is in force at the far gateways', BOUND_MS, () => isInForce(2))
+    expect(far.map(({ gateway }) => versionOf(gateway.lines))).toEqual(far.map(() => 2))
+  })
 })
