Calls that an outdated deployment does not allow are refused for now, not denied

Cause: 401 and 404 were answered from the deployment at hand, whether or not the gateway knew that it was not the newest. Such an answer is not true.

Change: while other processes say that they hold newer rows (each repeats it every second; it counts for 3 s), a call that the deployment does not allow is answered 503 with a time of return, reason 'outdated'. Calls that it allows go on, also with keys that the newer one may have revoked: a gateway that is behind can't tell those, and refusing all would be worse.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -58,6 +58,8 @@
   recoveredAtMs: () => number | undefined
   /** Time at which the rows were last known to be current, in milliseconds: the last answer of the store, or of another process that had newer rows; -Infinity before the first. */
   freshAtMs: () => number
+  /** Whether other processes say that they hold newer rows. */
+  isBehind: () => boolean
   /** As of when all rows of the store have been read, and the store's outage since then. */
   completeness: () => Routing.Versions.ReadProgress
   /** Whether the store answers: false from a failed read until the next answer. */
@@ -77,6 +79,8 @@
 const PEER_READ_PATIENCE_MS = 400
 /** Maximum number of processes that are remembered to hold newer rows. */
 const HOLDER_LIMIT_COUNT = 1_024
+/** Time for which a process counts as behind after another one last said that it holds newer rows, in milliseconds: processes say so every second. */
+const BEHIND_LIFETIME_MS = 3_000
 /** Minimum time between two log lines on how far this process is behind others, in milliseconds. */
 const BEHIND_LOG_INTERVAL_MS = 1_000
 /** Minimum time between two restarts of a read that may hang, in milliseconds. */
@@ -111,8 +115,8 @@
   let outage: Routing.Versions.Outage | undefined
   let stopped = false
   let latestPeerRevision = 0
-  /** Time since which another process has been known to hold newer rows, and of the last log line on it, in milliseconds; undefined while none is known to. */
-  let behind: { readonly sinceMs: number, loggedAtMs: number } | undefined
+  /** The newest revision that another process is known to hold beyond the rows here, since when, when that was last heard and last logged, in milliseconds; undefined while none is known to. */
+  let behind: { readonly sinceMs: number, loggedAtMs: number, heardAtMs: number, revision: number } | undefined
   /** Newest revisions that other processes hold, by name. */
   const heldRevisions = new Map<string, number>()
   let isCatchingUp = false
@@ -129,7 +133,7 @@
   const deliver = (rows: readonly Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): void => {
     const isFirst = !hasRead
     hasRead = true
-    if (mirror.rowRevision() >= latestPeerRevision) behind = undefined
+    if (behind !== undefined && mirror.rowRevision() >= behind.revision) behind = undefined
     if (rows.length > 0 || isFirst) options.onRows(rows, { fromStore, isFirst, ...context })
   }
   /** Records the store's time and revision as of a page, and how far this process has read. */
@@ -241,7 +245,9 @@
   const trackBehind = (revision: number): void => {
     if (stopped || revision <= mirror.rowRevision()) return
     const nowMs = clock()
-    behind ??= { sinceMs: nowMs, loggedAtMs: nowMs }
+    behind ??= { sinceMs: nowMs, loggedAtMs: nowMs, heardAtMs: nowMs, revision }
+    behind.heardAtMs = nowMs
+    behind.revision = Math.max(behind.revision, revision)
     if (nowMs - behind.loggedAtMs < BEHIND_LOG_INTERVAL_MS) return
     behind.loggedAtMs = nowMs
     log('store', 'Still behind other processes.', { table, ...Positions.logFields(mirror.rowRevision()), heardRevision: Positions.revisionOf(revision), behindForMs: Math.round(nowMs - behind.sinceMs) })
@@ -273,6 +279,7 @@
     isKnown: () => hasRead,
     recoveredAtMs: () => recoveredAtMs,
     freshAtMs: () => freshAtMs,
+    isBehind: () => behind !== undefined && clock() - behind.heardAtMs < BEHIND_LIFETIME_MS,
     completeness,
     isStoreReachable: () => outageStartAtMs === undefined,
     handlePeerRevision: (revision, holder) => {
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -251,6 +251,7 @@
     dialect: options.dialect,
     upstream,
     deploymentIndex: () => index,
+    isDeploymentOutdated: () => operators.follower.isBehind(),
     routingContext: () => ({
       endpoints,
       notices,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -27,6 +27,8 @@
   readonly upstream: Upstream.Upstream
   /** Returns the deployment in force; undefined before one was read. */
   readonly deploymentIndex: () => Routing.Deployment.DeploymentIndex | undefined
+  /** Whether a newer deployment than the one in force here is known to exist. */
+  readonly isDeploymentOutdated: () => boolean
   /** Returns what routing decisions are based on. */
   readonly routingContext: () => Routing.Choice.RoutingContext
   /** Returns the oldest version of a model on which a call that was already sent may still begin. */
@@ -111,9 +113,9 @@
     const arrivedAtMs = clock()
     const [path = '/'] = (request.url ?? '/').split('?', 1)
     const route = index.routeOf((request.headers.host ?? '').split(':', 1)[0] ?? '', path)
-    if (route === undefined) { deny(request, response, metadata, 'routeUnknown'); return }
+    if (route === undefined) { denyByDeployment(request, response, metadata, 'routeUnknown'); return }
     const workspace = metadata.apiKey === undefined ? undefined : index.workspaceOf(metadata.apiKey)
-    if (workspace === undefined && index.deployment.workspaces !== undefined && !route.anonymous) { deny(request, response, metadata, 'unauthorized'); return }
+    if (workspace === undefined && index.deployment.workspaces !== undefined && !route.anonymous) { denyByDeployment(request, response, metadata, 'unauthorized'); return }
     Bodies.read(request, index.deployment.limits, body => {
       if (body === 'tooLarge') { deny(request, response, metadata, 'bodyTooLarge'); return }
       if (body === 'gone') return
@@ -138,6 +140,12 @@
     write(response, Core.Codes.CODES[code].httpStatus, { ...dialect.refusalHeaders(metadata.callId, undefined), ...closing }, code)
   }
 
+  /** Denies a call that the deployment does not allow. While a newer one is known to exist, which may allow it, the call is refused for now. */
+  const denyByDeployment: typeof deny = (request, response, metadata, code) => {
+    if (options.isDeploymentOutdated()) refuseEarly(request, response, metadata, 'outdated')
+    else deny(request, response, metadata, code)
+  }
+
   const accept = (index: Routing.Deployment.DeploymentIndex, arrival: Pick<Calls.Call, 'metadata' | 'route' | 'workspace' | 'request' | 'response' | 'body' | 'arrivedAtMs'>): void => {
     const { metadata, route, workspace, response, arrivedAtMs } = arrival
     const nowMs = clock()
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -19,6 +19,8 @@
   retriesUsedUp: 500,
   /** A process knows its deployment within a second of its start. */
   notReady: 400,
+  /** A newer deployment that is known to exist arrives within about a second. */
+  outdated: 400,
   /** Nothing changes for the caller before its deadline. */
   quarantined: 30_000
 }
