Ports out of range in entries and messages do not end processes

It could happen here: an endpoint's entry with port 99999 ended each gateway that sent a call there, and the entry of a process with such a port ended all others by their next datagram, as Node throws for a port out of range where the socket is made, outside of any request.

Change: a port is 1 to 65535 wherever entries and messages are decoded (Decode.Port). A call that Node refuses to make fails without having been sent, and a datagram that cannot be addressed is reported, so another such value cannot end a process either.

Ruled out: hosts (names that do not resolve are reported to callbacks), numbers beyond the safe ones (refused by Schema.Int), ports in loads (only compared).

--- a/src/follow/members.ts
+++ b/src/follow/members.ts
@@ -15,7 +15,7 @@
   name: Schema.String,
   kind: Schema.Literals(['gateway', 'agent']),
   host: Schema.String,
-  port: Schema.Int,
+  port: Decode.Port,
   zone: Schema.String,
   region: Schema.String,
   incarnation: Schema.String
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -16,7 +16,7 @@
 /** The load of the endpoint beside an agent, sent to gateways. */
 export const LoadNews = Schema.Struct({
   host: Schema.String,
-  port: Schema.Int,
+  port: Decode.Port,
   bornAtMs: Schema.optional(Schema.Number),
   activeCount: Schema.Int,
   queuedCount: Schema.Int,
@@ -198,11 +198,19 @@
     socket.bind(address.port, address.host, () => { resolve() })
   })
   let closed = false
+  const sendTo = (target: { readonly host: string, readonly port: number }, bytes: Buffer): void => {
+    try {
+      socket.send(bytes, target.port, target.host, error => { if (error !== null) onError(error.message) })
+    } catch (error) {
+      // An address that cannot be used is not reported to the callback.
+      onError((error as Error).message)
+    }
+  }
   return {
     send: (news, targets) => {
       if (closed) return
       const bytes = Buffer.from(JSON.stringify(news))
-      for (const target of targets) socket.send(bytes, target.port, target.host, error => { if (error !== null) onError(error.message) })
+      for (const target of targets) sendTo(target, bytes)
     },
     close: () => {
       closed = true
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -93,7 +93,11 @@
   return {
     send: (outgoing, listener) => {
       closeIdleFor(outgoing.host, outgoing.port, outgoing.maxIdleMs)
-      return startExchange(agent, outgoing, listener)
+      try {
+        return startExchange(agent, outgoing, listener)
+      } catch (error) {
+        return failExchange(listener, (error as Error).message)
+      }
     },
     closeIdle: (host, port) => { closeIdleFor(host, port, -1) },
     close: () => { agent.destroy() }
@@ -184,6 +188,12 @@
   }
 }
 
+/** Returns an exchange that fails soon, since no request could be made. */
+function failExchange (listener: ExchangeListener, reason: string): Exchange {
+  const timer = setImmediate(() => { listener.onFailed('connecting', reason) })
+  return { abort: () => { clearImmediate(timer) }, isSent: () => false, connectionNotes: () => undefined, pause: () => {}, resume: () => {} }
+}
+
 /** Closes an idle connection that receives bytes, before it carries another call: the bytes belong to no call. */
 function closeOnUnexpectedBytes (hooks: AgentHooks, idleSinceMs: WeakMap<Net.Socket, number>): void {
   const keepSocketAlive = hooks.keepSocketAlive.bind(hooks)
--- a/src/schema/decode.ts
+++ b/src/schema/decode.ts
@@ -16,6 +16,9 @@
 /** A schema that decodes without services. */
 export type Codec<T> = Schema.Codec<T, any, never, never>
 
+/** A TCP or UDP port that can be connected to. */
+export const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }))
+
 const STRICT = { errors: 'all', onExcessProperty: 'error' } as const
 const LENIENT = { errors: 'first' } as const
 
--- a/src/schema/platform.ts
+++ b/src/schema/platform.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Schema from 'effect/Schema'
+import * as Decode from './decode.ts'
 
 /** A row of the table service. Its revision rises with each write. */
 export const Row = Schema.Struct({
@@ -49,7 +50,7 @@
   zone: Schema.String,
   region: Schema.String,
   host: Schema.String,
-  port: Schema.Int,
+  port: Decode.Port,
   service: Schema.optional(Schema.String),
   state: Schema.Literals(['live', 'leaving'])
 })
