Values nested too deeply do not keep other processes from following a table

It could happen here: JSON of any depth can be parsed, but not written again, so a process that held such a row could not hand on any row of its table. A gateway that the store turned away then got no deployment.

Change: rows, datagrams and compressed rows nested deeper than 100 are unreadable, as torn ones are. What the system itself writes is nested less than 10 deep.

Ruled out: a limit where rows are written to others, which would leave the same fault wherever a value is compared as text (restored rows).

--- a/src/follow/relay.ts
+++ b/src/follow/relay.ts
@@ -363,11 +363,15 @@
   return Neverthrow.Result.combine(rows.map(({ key, revision, value, packed, deleted }) => unpack(value, packed).map(unpacked => ({ key, revision, value: unpacked, deleted }))))
 }
 
-const unpack = Neverthrow.Result.fromThrowable(
-  (value: unknown, packed: string | undefined): unknown => packed === undefined ? value : JSON.parse(Zlib.gunzipSync(Buffer.from(packed, 'base64'), { maxOutputLength: UNPACK_LIMIT_BYTES }).toString()),
+const gunzip = Neverthrow.Result.fromThrowable(
+  (packed: string) => Zlib.gunzipSync(Buffer.from(packed, 'base64'), { maxOutputLength: UNPACK_LIMIT_BYTES }).toString(),
   error => `unreadable row: ${(error as Error).message}`
 )
 
+function unpack (value: unknown, packed: string | undefined): Neverthrow.Result<unknown, string> {
+  return packed === undefined ? Neverthrow.ok(value) : gunzip(packed).andThen(text => Decode.parseJson(text).mapErr(Decode.describe))
+}
+
 async function sleep (delayMs: number): Promise<undefined> {
   return await new Promise(resolve => { setTimeout(resolve, delayMs) })
 }
--- a/src/schema/decode.ts
+++ b/src/schema/decode.ts
@@ -19,6 +19,14 @@
 /** A TCP or UDP port that can be connected to. */
 export const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }))
 
+/** Maximum nesting of JSON from outside: values nested much deeper can be parsed, but not written again. */
+const NESTING_LIMIT_COUNT = 100
+
+const QUOTE_CODE = 0x22
+const BACKSLASH_CODE = 0x5c
+const OPENING_CODES: ReadonlySet<number> = new Set([0x5b, 0x7b])
+const CLOSING_CODES: ReadonlySet<number> = new Set([0x5d, 0x7d])
+
 const STRICT = { errors: 'all', onExcessProperty: 'error' } as const
 const LENIENT = { errors: 'first' } as const
 
@@ -82,7 +90,14 @@
   return problems.map(problem => `${problem.path.join('.') || 'value'}: ${problem.message}`).join('; ')
 }
 
-function parseJson (text: string): Neverthrow.Result<unknown, Problem[]> {
+/**
+ * Parses JSON from outside.
+ *
+ * @param text - The text.
+ * @returns The value; a problem for text that is not JSON or is nested too deeply.
+ */
+export function parseJson (text: string): Neverthrow.Result<unknown, Problem[]> {
+  if (isNestedTooDeeply(text)) return Neverthrow.err([{ path: [], message: `nested deeper than ${NESTING_LIMIT_COUNT}` }])
   try {
     return Neverthrow.ok(JSON.parse(text))
   } catch (error) {
@@ -90,6 +105,22 @@
   }
 }
 
+/** Whether JSON text is nested too deeply. Brackets within strings do not count. */
+function isNestedTooDeeply (text: string): boolean {
+  let depth = 0
+  let isInString = false
+  for (let at = 0; at < text.length; at++) {
+    const code = text.charCodeAt(at)
+    if (code === QUOTE_CODE) isInString = !isInString
+    else if (code === BACKSLASH_CODE) at++
+    else if (isInString) continue
+    else if (OPENING_CODES.has(code)) depth++
+    else if (CLOSING_CODES.has(code)) depth--
+    if (depth > NESTING_LIMIT_COUNT) return true
+  }
+  return false
+}
+
 function problemsOf (text: string): Problem[] {
   const problems: Problem[] = []
   let message = ''
--- a/test/malformed-entries.test.ts
+++ b/test/malformed-entries.test.ts
@@ -9,8 +9,12 @@
 const TIMEOUT_MS = 5_000
 /** Time in which each gateway sends news several times, in milliseconds. */
 const NEWS_MS = 1_500
+const DEPTH = 100_000
 const BAD_PORTS: readonly unknown[] = [0, -1, 65_536, 99_999, 1e308, 1.5, '8080']
 
+/** Text of a JSON object with a very deeply nested field beside others. */
+const deepText = (fields: object = {}): Buffer => Buffer.from(`${JSON.stringify({ ...fields, depth: 0 }).slice(0, -1)},"layers":${'['.repeat(DEPTH)}${']'.repeat(DEPTH)}}`)
+
 describe('a malformed entry of another writer', () => {
   let stage: Direct.DirectStage
   let second: Direct.StartedGateway
@@ -63,6 +67,21 @@
       await untilServed()
     })
   }
+
+  for (const [table, key] of [['op', 'evacuate/odd'], ['op', 'version/odd'], ['servers', 'odd'], [Follow.Members.MEMBERS_TABLE, 'odd']] as const) {
+    it(`does not keep other processes from following the table when ${table}/${key} is very deeply nested`, async () => {
+      const cutOff = await stage.addGateway(`cut-off-${table}-${key.replace('/', '-')}`)
+      await TestKit.Wait.until('the gateway serves', TIMEOUT_MS, async () => await isServed(cutOff))
+      cutOff.refuse(true)
+      stage.store.cut()
+      stage.store.put(table, key, deepText({ backend: 'plain', address: '127.0.0.1:1', zone: 'a', slots: 1, state: 'ready', name: 'odd', kind: 'gateway', host: '127.0.0.1', port: 1, region: 'ra', incarnation: 'odd', model: 'odd', version: 1 }))
+      const version = 1_000 + stage.lines.length
+      stage.deploy({ version })
+      await TestKit.Wait.until('the deployment is in force at the gateway that the store refuses', TIMEOUT_MS, () => cutOff.lines.some(line => line.sentence === 'Deployment in force.' && line.fields.version === version))
+      stage.store.drop(table, key)
+      await untilServed()
+    })
+  }
 })
 
 describe('a call to an address that cannot be used', () => {
