A gateway that is about to end takes only calls that end before it

It could happen here: connections that were opened before and not used stay open until the end, as closeIdleConnections of Node does not count them as idle, and a caller that goes on at once on a connection whose answer began before the stop gets its next call taken whatever time is left.

Change: once a stopping gateway no longer listens, it takes calls whose deadline lies before its end, and refuses the others as not run, with 'Connection: close' and a return at once: another gateway takes them. Unused connections are closed, half a second after they were opened at the earliest. What still runs at the end is ended with a whole answer where none has begun.

Ruled out: refusing by how long such calls usually take (nothing promises that they will); closing the used connections earlier (answers are under way on them).

--- a/src/ctl/story.ts
+++ b/src/ctl/story.ts
@@ -9,7 +9,7 @@
 
 /** Why a call ended as it did. */
 export type Cause =
-  | 'served' | 'late' | 'overCapacity' | 'noEndpoint' | 'notReady' | 'outdated' | 'retriesUsedUp' | 'outOfTime' | 'quarantined'
+  | 'served' | 'late' | 'overCapacity' | 'noEndpoint' | 'notReady' | 'outdated' | 'stopping' | 'retriesUsedUp' | 'outOfTime' | 'quarantined'
   | 'versionChange' | 'endpointGone' | 'endpointSilent' | 'endpointRefused' | 'endpointFailed' | 'answerLost' | 'answerSpoilt'
   | 'tooSlow' | 'callerLeft' | 'denied' | 'unknown'
 
@@ -142,6 +142,7 @@
 const REFUSALS: Readonly<Record<string, (end: Line, around: readonly Line[], lines: readonly Line[]) => Found>> = {
   overCapacity: end => end.candidateCount === 0 ? { cause: 'overCapacity', because: nobodySentence(end) } : ({ cause: 'overCapacity', because: `${String(end.candidateCount)} endpoints could serve the call; the best, ${String(end.bestId)} with ${String(end.busyCount)} calls, would have begun after ${String(end.bestMs)} ms, the goal being ${String(end.goalMs)} ms and ${String(end.ageMs)} ms gone` }),
   noEndpoint: end => ({ cause: 'noEndpoint', because: nobodySentence(end) }),
+  stopping: () => ({ cause: 'stopping', because: 'the gateway was stopping, and the call might not have ended before the process' }),
   outdated: () => ({ cause: 'outdated', because: 'the deployment in force does not allow the call, and the gateway knew that a newer one exists' }),
   notReady: () => ({ cause: 'notReady', because: 'the gateway knew no deployment yet' }),
   outOfTime: end => ({ cause: 'outOfTime', because: `no endpoint had room within the deadline; the call waited ${String(end.tookMs)} ms` }),
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
+import type * as Net from 'node:net'
 import * as Core from '../core/index.ts'
 import * as HttpServer from '../edge/httpServer.ts'
 import * as Follow from '../follow/index.ts'
@@ -76,6 +77,8 @@
 const BALANCER_REMOVAL_MS = 2_600
 /** Time reserved for closing before the process is killed, in milliseconds. */
 const STOP_RESERVE_MS = 700
+/** Time within which the first call has to arrive on a connection that was opened shortly before the stop, in milliseconds. */
+const FIRST_CALL_PATIENCE_MS = 500
 /** Interval at which idle connections are closed during a stop, in milliseconds. */
 const STOP_POLL_INTERVAL_MS = 20
 /** Margin for queueing and the network delay, in milliseconds: calls are no longer sent to an old version from this time before the new one has to be in use everywhere. */
@@ -114,6 +117,7 @@
   /** The oldest version on which calls may begin, as logged last, by model. */
   const loggedOldestVersions = new Map<string, { readonly version: number, readonly atMs: number }>()
   let stopping = false
+  let callsEndByMs = Infinity
 
   const node = await Node.open(options, 'gateway', message => {
     if (message.load !== undefined) recordLoad(message.load)
@@ -280,9 +284,21 @@
       if (!applyLimit(row, statement, options.name)) return
       node.sendNews({ revisions: {}, limits: Follow.News.recentLimitNews([row], node.storeClock, clock()) }, 'gateway')
     },
-    isStopping: () => stopping
+    isStopping: () => stopping,
+    callsEndByMs: () => callsEndByMs
   })
   const server = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, ingress.handle)
+  /** When each open connection of a caller was opened, in milliseconds. */
+  const openedAtMs = new Map<Net.Socket, number>()
+  server.on('connection', socket => {
+    openedAtMs.set(socket, clock())
+    socket.once('close', () => { openedAtMs.delete(socket) })
+  })
+  /** Closes idle connections. Node does not count a connection as idle that has not been used yet. */
+  const closeIdleConnections = (): void => {
+    server.closeIdleConnections()
+    for (const [socket, atMs] of openedAtMs) if (socket.bytesRead === 0 && clock() - atMs > FIRST_CALL_PATIENCE_MS) socket.destroySoon()
+  }
   const isReady = (): boolean => index !== undefined && endpointFollower.isKnown() && !stopping
   const readiness = Http.createServer((_request, response) => { HttpServer.sendJson(response, isReady() ? 200 : 503, { ready: isReady() }) })
   await listen(server, options.callerAddress)
@@ -360,14 +376,15 @@
       log('gateway', 'Gateway stops.', { activeCount: ingress.activeCount() })
       await sleep(BALANCER_REMOVAL_MS)
       server.close()
-      const untilMs = startedMs + options.bounds().graceMs - STOP_RESERVE_MS
+      callsEndByMs = startedMs + options.bounds().graceMs - STOP_RESERVE_MS
       do {
         // An answer that began before the stop has no `Connection: close`, so its connection has to be closed here.
-        server.closeIdleConnections()
+        closeIdleConnections()
         await sleep(STOP_POLL_INTERVAL_MS)
-      } while (ingress.activeCount() > 0 && clock() < untilMs)
+      } while (ingress.activeCount() > 0 && clock() < callsEndByMs)
+      ingress.endCalls()
       await sleep(STOP_POLL_INTERVAL_MS)
-      server.closeIdleConnections()
+      closeIdleConnections()
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(tickTimer)
       clearInterval(gaugeTimer)
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -45,6 +45,8 @@
   readonly log: Core.Loop.Tick<never, never>['log']
   /** Whether the process is shutting down, so that callers have to use other connections. */
   readonly isStopping: () => boolean
+  /** Time by which calls that are taken from now on have to end, in milliseconds; Infinity unless the process is about to end. */
+  readonly callsEndByMs: () => number
 }
 
 /** The part of a gateway that handles callers' calls. */
@@ -56,6 +58,8 @@
   recordEndpointEnd: (row: Routing.Endpoints.EndpointRow) => void
   /** Number of calls that have not ended. */
   activeCount: () => number
+  /** Ends all calls that still run, each with a whole answer where none has begun. */
+  endCalls: () => void
   stop: () => void
 }
 
@@ -153,6 +157,7 @@
     const deadlineMs = metadata.deadlineMs ?? route.timeoutMs
     const ageAtArrivalMs = metadata.deadlineMs === undefined ? 0 : ages.estimateAgeMs(route.name, metadata.deadlineMs)
     const deadlineAtMs = arrivedAtMs + Math.min(deadlineMs, route.timeoutMs)
+    if (deadlineAtMs > options.callsEndByMs()) { refuseEarly(arrival.request, response, metadata, 'stopping'); return }
     if (service === undefined) { refuseEarly(arrival.request, response, metadata, 'noEndpoint'); return }
     const call: Calls.Call = {
       ...arrival,
@@ -558,6 +563,14 @@
     else fail(call, 504, 'deadlineRunning', abandonedFields)
   }
 
+  const endCalls = (): void => {
+    for (const call of [...calls]) {
+      const hasRun = call.attempt !== undefined || call.stalledAttempt !== undefined || call.possibleRunCount > 0
+      if (!hasRun && call.failure === undefined && !call.isHeadSent) refuse(call, 'stopping', {})
+      else fail(call, 502, 'outcomeUnknown', abandonAttempt(call))
+    }
+  }
+
   const cancel = (call: Calls.Call): void => {
     finish(call, 'cancelled', { answering: call.isHeadSent, ...abandonAttempt(call) })
   }
@@ -670,6 +683,7 @@
     retryWaiting,
     recordEndpointEnd,
     activeCount: () => calls.size,
+    endCalls,
     stop: () => { clearInterval(tickTimer) }
   }
 }
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -39,7 +39,7 @@
   | { readonly kind: 'refuse', readonly reason: RefusalReason }
 
 /** Why a call is refused. */
-export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady' | 'outdated' | 'quarantined'
+export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady' | 'outdated' | 'stopping' | 'quarantined'
 
 /** Share of its goal for which a call may wait for a slot: a longer wait leaves the engine too little time. */
 const GOAL_WAIT_SHARE = 0.3
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -21,6 +21,8 @@
   notReady: 400,
   /** A newer deployment that is known to exist arrives within about a second. */
   outdated: 400,
+  /** Another gateway takes the call at once. */
+  stopping: 0,
   /** Nothing changes for the caller before its deadline. */
   quarantined: 30_000
 }
