--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -78,8 +78,13 @@
   const relayedTables = new Map<string, Relay.RelayedTable>()
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
-  const peers = (): ReadonlyArray<{ readonly host: string, readonly port: number }> => members.length > 0 ? members : options.seeds()
-  const askPeer = Relay.createPeerReader({ peers: () => [peers()], random, isPart: false, metrics, log })
+  /** Gateways come first, those of the own region before others: agents do not follow all tables. */
+  const peers = (): ReadonlyArray<readonly Relay.Peer[]> => {
+    if (members.length === 0) return [options.seeds()]
+    const rankOf = (member: Members.Member): number => member.kind !== 'gateway' ? 2 : member.region === region ? 0 : 1
+    return [0, 1, 2].map(rank => members.filter(member => rankOf(member) === rank))
+  }
+  const askPeer = Relay.createPeerReader({ peers, random, isPart: false, metrics, log })
   const storeClock = StoreClock.createStoreClock(options.clock)
   const readings = Readings.createReadings()
   /** Time since which unlisted processes have sent news, in milliseconds, by name. */
--- a/test/direct-shared.test.ts
+++ b/test/direct-shared.test.ts
@@ -402,6 +402,32 @@
     })
   })
 
+  it('and entries of endpoints are asked of gateways by one that the store refuses, not of agents that do not follow them', async () => {
+    const stage = await start()
+    const cutOff = await stage.addGateway('g2')
+    const tablesAsked: string[] = []
+    const agent = Http.createServer((request, response) => {
+      tablesAsked.push(new URL(request.url ?? '/', 'http://agent').searchParams.get('table') ?? '')
+      HttpServer.sendJson(response, 200, { known: false, revision: 0, rows: [] })
+    })
+    await new Promise<void>(resolve => { agent.listen(0, '127.0.0.1', resolve) })
+    stops.push(async () => {
+      agent.closeAllConnections()
+      await new Promise(resolve => { agent.close(resolve) })
+    })
+    for (const name of Array.from({ length: 12 }, (_, at) => `agent-${at}`)) stage.store.put(Follow.Members.MEMBERS_TABLE, name, { ...memberOf(name, (agent.address() as Net.AddressInfo).port), kind: 'agent' })
+    await TestKit.Wait.until('the deployment is in force', SETTLE_MS, () => versionOf(cutOff.lines) === 1)
+    await TestKit.Wait.sleep(2_500)
+    cutOff.refuse(true)
+    stage.store.cut()
+    await TestKit.Wait.sleep(500)
+    for (const key of ['e1', 'e2', 'e3']) {
+      stage.store.put('servers', key, { backend: 'plain', address: '127.0.0.1:9', zone: 'a', version: 'v1', slots: 16, state: 'draining', cold_remaining_ms: 0, born: 1 })
+      await TestKit.Wait.until('the entry is known', BOUND_MS, () => cutOff.lines.some(line => line.sentence === 'Endpoint listed.' && line.fields.endpointId === key))
+    }
+    expect(tablesAsked.filter(table => table === 'servers')).toEqual([])
+  })
+
   it('that removed a row before the readers started is not missed', async () => {
     const stage = await start()
     const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: stage.store.port }))
