A removal seen before the first read does not make a process count as behind

A process that reads the table whole after a row was removed (an evacuation that ended) never gets a row of that revision, so beside processes that saw the removal it counted as behind until the next change of the table. It would have asked others again and again, and refused calls for now that it has to deny.

Change: what a page of the store covers counts as held.

test/direct-platform.test.ts, 'is not behind': failed before.

--- a/src/follow/follower.ts
+++ b/src/follow/follower.ts
@@ -129,11 +129,13 @@
   /** Number of times that the history was lost since changes were last read. */
   let historyLossCount = 0
 
+  /** Whether this process has the rows up to a revision. A page of the store covers removals that left no row. */
+  const covers = (revision: number): boolean => Math.max(mirror.rowRevision(), mirror.revision()) >= revision
   const completeness = (): Routing.Versions.ReadProgress => ({ completeAtMs, outage })
   const deliver = (rows: readonly Rows.Row[], fromStore: boolean, context: Pick<RowsContext, 'madeAtMs' | 'before'>): void => {
     const isFirst = !hasRead
     hasRead = true
-    if (behind !== undefined && mirror.rowRevision() >= behind.revision) behind = undefined
+    if (behind !== undefined && covers(behind.revision)) behind = undefined
     if (rows.length > 0 || isFirst) options.onRows(rows, { fromStore, isFirst, ...context })
   }
   /** Records the store's time and revision as of a page, and how far this process has read. */
@@ -193,7 +195,7 @@
     await peerRead
   }
   const takeFromPeer = async (): Promise<void> => {
-    const holders = new Set([...heldRevisions].filter(([, revision]) => revision > mirror.rowRevision()).map(([name]) => name))
+    const holders = new Set([...heldRevisions].filter(([, revision]) => !covers(revision)).map(([name]) => name))
     const page = await options.askPeer(table, Math.max(mirror.revision(), peerReadRevision), holders)
     if (page === undefined) return
     peerReadRevision = Math.max(peerReadRevision, page.revision)
@@ -243,7 +245,6 @@
   }
   /** Tracks for how long another process has been known to hold newer rows. */
   const trackBehind = (revision: number): void => {
-    if (stopped || revision <= mirror.rowRevision()) return
     const nowMs = clock()
     behind ??= { sinceMs: nowMs, loggedAtMs: nowMs, heardAtMs: nowMs, revision }
     behind.heardAtMs = nowMs
@@ -254,7 +255,7 @@
   }
   /** Restarts the read of the store if it has not delivered a revision, as it may hang. */
   const restartRead = (revision: number): void => {
-    if (stopped || mirror.rowRevision() >= revision) return
+    if (stopped || covers(revision)) return
     if (!hasRead) {
       // The first read brings the newest rows; another one beside it would only slow it down.
       setTimeout(() => { restartRead(revision) }, CATCH_UP_DELAY_MS)
@@ -270,7 +271,7 @@
   /** Reads newer rows from other processes. */
   const catchUp = async (): Promise<void> => {
     await sleep(CATCH_UP_DELAY_MS)
-    if (stopped || !hasRead || mirror.rowRevision() >= latestPeerRevision) return
+    if (stopped || !hasRead || covers(latestPeerRevision)) return
     await readFromPeer()
   }
   void run(generation)
@@ -279,11 +280,11 @@
     isKnown: () => hasRead,
     recoveredAtMs: () => recoveredAtMs,
     freshAtMs: () => freshAtMs,
-    isBehind: () => behind !== undefined && clock() - behind.heardAtMs < BEHIND_LIFETIME_MS,
+    isBehind: () => behind !== undefined && !covers(behind.revision) && clock() - behind.heardAtMs < BEHIND_LIFETIME_MS,
     completeness,
     isStoreReachable: () => outageStartAtMs === undefined,
     handlePeerRevision: (revision, holder) => {
-      if (stopped || revision <= mirror.rowRevision()) return
+      if (stopped || covers(revision)) return
       trackBehind(revision)
       if (holder !== undefined && (heldRevisions.has(holder) || heldRevisions.size < HOLDER_LIMIT_COUNT)) heldRevisions.set(holder, revision)
       if (revision > latestPeerRevision) {
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -100,7 +100,7 @@
     unlistedSinceMs.set(sender, sinceMs)
     if (nowMs - sinceMs < UNLISTED_SENDER_DELAY_MS) return
     unlistedSinceMs.delete(sender)
-    follower.handlePeerRevision(follower.mirror.rowRevision() + 1)
+    follower.handlePeerRevision(Math.max(follower.mirror.rowRevision(), follower.mirror.revision()) + 1)
   }
   const handleNews = (news: News.News): void => {
     checkSender(news.sender)
--- a/test/direct-platform.test.ts
+++ b/test/direct-platform.test.ts
@@ -182,6 +182,22 @@
     follower.stop()
   })
 
+  it('is not behind processes that saw a removal before its own first read', async () => {
+    const seen: string[] = []
+    let askCount = 0
+    const follower = createFollower({ readAll: async () => Neverthrow.ok({ rows: [{ key: 'a', revision: 1, value: {}, deleted: false }], revision: 9 }) }, async () => {
+      askCount++
+      return undefined
+    }, seen)
+    await TestKit.Wait.until('the first read', 2_000, () => seen.includes('a'))
+    for (let count = 0; count < 5; count++) {
+      follower.handlePeerRevision(7, 'peer')
+      await TestKit.Wait.sleep(100)
+    }
+    expect([follower.isBehind(), askCount]).toEqual([false, 0])
+    follower.stop()
+  })
+
   it('gets removals from the store that another process did not know of when it was asked in the meantime', async () => {
     const seen: string[] = []
     const live = (): string[] => follower.mirror.live().map(entry => entry.key)
