Documents of the control plane are pulled however long they take

A process that lacks a manifest asks another one for it and gave it 2 s for the whole, whatever its size and the link.

Change: the 2 s hold until bytes arrive; then it goes on until 1.5 s pass without one. Gossip and probes keep their bounds: they are small and tell whether a process lives.

--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -62,6 +62,8 @@
 const GOSSIP_TIMEOUT_MS = 800
 const RELAY_TIMEOUT_MS = 2_000
 const PULL_TIMEOUT_MS = 2_000
+/** Maximum time without a byte while documents arrive, in milliseconds: a manifest may be large, and the link slow. */
+const PULL_IDLE_TIMEOUT_MS = 1_500
 const decodeGossip = Schemas.Decode.lenient(Schemas.Membership.Gossip)
 const decodeProbe = Schemas.Decode.lenient(Schemas.Membership.ProbeAnswer)
 const decodeDocument = Schemas.Decode.lenient(Schemas.Control.Document)
@@ -74,7 +76,7 @@
  * @returns The client. A failed call resolves to undefined.
  */
 export function createClient (peerKey: () => string): PeerClient {
-  const connect = (target: Edge.HttpClient.Target, timeoutMs: number) => Edge.Rpc.createClient<PeerRouter>(target, peerKey, timeoutMs, true)
+  const connect = (target: Edge.HttpClient.Target, timeoutMs: number, arrivingMs = 0) => Edge.Rpc.createClient<PeerRouter>(target, peerKey, timeoutMs, true, arrivingMs)
   return {
     gossip: async (target, message) => {
       const answer = await connect(target, GOSSIP_TIMEOUT_MS).gossip.mutate(message).catch(() => undefined)
@@ -85,7 +87,7 @@
       return decodeProbe(answer).unwrapOr(undefined)
     },
     pull: async (target, versions) => {
-      const answer = await connect(target, PULL_TIMEOUT_MS).exchange.mutate(versions).catch(() => undefined)
+      const answer = await connect(target, PULL_TIMEOUT_MS, PULL_IDLE_TIMEOUT_MS).exchange.mutate(versions).catch(() => undefined)
       const heldVersions = decodeVersions(answer?.versions)
       if (answer === undefined || heldVersions.isErr() || !Array.isArray(answer.documents)) return undefined
       const documents = (answer.documents as unknown[]).flatMap(document => decodeDocument(document).unwrapOr(undefined) ?? [])
--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -87,14 +87,15 @@
  * @param key - Returns the key or token to sign with.
  * @param timeoutMs - Time for each call in milliseconds.
  * @param fresh - Whether each call opens a connection of its own.
+ * @param arrivingMs - Time without a byte, in milliseconds, after which an answer that is arriving is given up; such an answer may take longer than `timeoutMs`.
  * @returns The client. Its calls fail with a TRPCClientError.
  */
-export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number, fresh = false): TrpcClient.TRPCClient<Router> {
+export function createClient<Router extends AnyRouter> (target: HttpClient.Target, key: () => string, timeoutMs: number, fresh = false, arrivingMs = 0): TrpcClient.TRPCClient<Router> {
   const link: TrpcClient.TRPCLink<Router> = () => ({ op }) => Observable.observable(observer => {
     const path = RPC_PATH + op.path
     const body = op.input === undefined ? '' : JSON.stringify(op.input)
     const authorization = Auth.sign(key(), { method: 'POST', path, body })
-    HttpClient.sendText({ target, method: 'POST', path, body, timeoutMs, fresh, headers: { authorization, 'accept-encoding': 'gzip' } }).then(
+    HttpClient.sendText({ target, method: 'POST', path, body, timeoutMs, fresh, arrivingMs, headers: { authorization, 'accept-encoding': 'gzip' } }).then(
       answer => {
         const value = answer.value as { result?: unknown, error?: { code: string, message: string } }
         if (answer.status !== 200) { observer.error(TrpcClient.TRPCClientError.from(new Error(value.error?.message ?? `status ${answer.status}`))); return }
