--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -595,10 +595,80 @@
   {
     name: 'shared rows: a process that is behind in a region that is all behind asks elsewhere',
     file: 'src/follow/shared.ts',
-    text: 'const remainingPeers = [...knownPeers()]',
-    replacement: 'const remainingPeers = [...regionGateways()].slice(0, 0)',
+    text: 'await sleep(FAR_READ_DELAY_MS)\n    if (mirror !== undefined && mirror.revision() > revision) return undefined\n    return await askAny(table, revision, holders)',
+    replacement: 'return undefined',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'reads of other processes: rows that arrive slowly are waited for',
+    file: 'src/follow/relay.ts',
+    text: 'const PEER_IDLE_TIMEOUT_MS = 1_500',
+    replacement: 'const PEER_IDLE_TIMEOUT_MS = 0',
+    checks: [test('direct-shared'), test('large-deployments')]
+  },
+  {
+    name: 'reads of other processes: another one is asked beside a silent one',
+    file: 'src/follow/relay.ts',
+    text: 'const PEER_HEDGE_DELAY_MS = 400',
+    replacement: 'const PEER_HEDGE_DELAY_MS = 60_000',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'reads of other processes: another one is asked beside one that only trickles',
+    file: 'src/follow/relay.ts',
+    text: ' || nowMs - read.startedAtMs > PEER_TRANSFER_HEDGE_DELAY_MS',
+    replacement: '',
+    checks: [test('direct-shared')]
+  },
+  {
+    name: 'reads of other processes: holders of newer rows come first',
+    file: 'src/follow/relay.ts',
+    text: 'return [...shuffled.filter(isHolder), ...shuffled.filter(peer => !isHolder(peer))]',
+    replacement: 'return shuffled',
     checks: [test('direct-shared')]
   },
+  {
+    name: 'reads of other processes: large values are compressed',
+    file: 'src/follow/relay.ts',
+    text: 'const packed = isPacked ? packedValueOf(row) : undefined',
+    replacement: 'const packed = undefined',
+    checks: [test('large-deployments')]
+  },
+  {
+    name: 'rows: a removal that left no row makes nobody behind',
+    file: 'src/follow/follower.ts',
+    text: 'Math.max(mirror.rowRevision(), mirror.revision()) >= revision',
+    replacement: 'mirror.rowRevision() >= revision',
+    checks: [test('direct-platform')]
+  },
+  {
+    name: 'calls: none is denied by a deployment that is known to be outdated',
+    file: 'src/ingress/ingress.ts',
+    text: "if (options.isDeploymentOutdated()) refuseEarly(request, response, metadata, 'outdated')\n    else deny",
+    replacement: 'deny',
+    checks: [test('large-deployments')]
+  },
+  {
+    name: 'calls: none is taken that may outlive the process',
+    file: 'src/ingress/ingress.ts',
+    text: 'if (deadlineAtMs > options.callsEndByMs())',
+    replacement: 'if (deadlineAtMs === Infinity)',
+    checks: [test('late-stop')]
+  },
+  {
+    name: 'entries: ports are in range',
+    file: 'src/schema/decode.ts',
+    text: 'minimum: 1, maximum: 65_535',
+    replacement: 'minimum: -1e9, maximum: 1e9',
+    checks: [test('malformed-entries')]
+  },
+  {
+    name: 'entries: values are not nested too deeply',
+    file: 'src/schema/decode.ts',
+    text: 'if (depth > NESTING_LIMIT_COUNT) return true',
+    replacement: '',
+    checks: [test('malformed-entries')]
+  },
   {
     name: 'shared rows: a neighbour that says nothing at once is passed over',
     file: 'src/follow/relay.ts',
