--- a/test/direct-shared.test.ts
+++ b/test/direct-shared.test.ts
@@ -227,6 +227,15 @@
     expect([await ask([[slow], [other]]), other.requestCount()]).toEqual([['a'], 0])
   })
 
+  it('takes rows however long they arrive, where no other process has them', async () => {
+    expect(await ask([[await servePage('slow', page(['a']), 7, 700)]])).toEqual(['a'])
+  })
+
+  it('asks another process beside a slow one well before that answers', async () => {
+    const [slow, other] = [await servePage('slow', page(['a']), 1, 0, 2_000), await servePage('other', page(['b']))]
+    expect(await ask([[slow], [other]])).toEqual(['b'])
+  })
+
   it('asks another process beside one that does not answer, and takes the first answer', async () => {
     const [silent, other] = [await servePage('silent', page(['a']), 1, 0, 60_000), await servePage('other', page(['b']))]
     const startedAtMs = performance.now()
