--- a/test/malformed-entries.test.ts
+++ b/test/malformed-entries.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl'
 import * as Follow from '../src/follow/index.ts'
 import * as Upstream from '../src/ingress/upstream.ts'
+import * as Endpoints from '../platform/endpoints.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as TestKit from '../testkit/index.ts'
 
@@ -38,6 +39,14 @@
   })
   afterEach(() => { expect(uncaughtErrors.splice(0)).toEqual([]) })
 
+  it('with a port out of range names neither an endpoint nor a process', () => {
+    const rowOf = (value: object): Follow.Rows.Row => ({ key: 'odd', revision: 1, value, deleted: false })
+    const listingOf = (port: unknown): unknown => Endpoints.listingOf(rowOf({ backend: 'plain', address: `127.0.0.1:${String(port)}`, zone: 'a', slots: 16, state: 'ready' }), () => 'ra')
+    const memberOf = (port: unknown): unknown => Follow.Members.membersOf([rowOf({ name: 'odd', kind: 'gateway', host: '127.0.0.1', port, zone: 'a', region: 'ra', incarnation: 'odd' })])[0]
+    expect([listingOf(8080), memberOf(8080)].map(known => known === undefined)).toEqual([false, false])
+    expect(BAD_PORTS.filter(port => typeof port === 'number').flatMap(port => [listingOf(port), memberOf(port)]).filter(known => known !== undefined)).toEqual([])
+  })
+
   for (const port of BAD_PORTS) {
     it(`does not end processes when it names the port ${String(port)} of an endpoint`, async () => {
       const runner = stage.runners[0]
