Calls have ranks, free slots follow demand, and clients are bounded

(52) Free slots were divided evenly among more gateways than an endpoint has slots, and every gateway chose the endpoint that looked best. (53) Nothing bounded the memory that a client can make a gateway hold, or the time that its bytes take to parse.

Change. src/routing/ranks.ts: the rank of a call among the priorities of its service, its place in the endpoint's queue, and a prediction of its wait that counts only what goes first there. src/routing/slotShares.ts and spreading.ts: shares by demand, and a choice by what all gateways are expected to send before the next reports; both only for engines with fewer slots than there are gateways. src/edge/clientMemory.ts, clientConnections.ts, fairReader.ts, requestBodies.ts: one budget of bytes, bounds of connections and of requests sent ahead, and a turn for each connection's bytes.

--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -71,7 +71,7 @@
   const clock = (): number => performance.now()
 
   const handleCall: Edge.HttpServer.Handler = async (request, response) => {
-    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, BODY_TIMEOUT_MS)
+    const body = await Edge.HttpServer.readBody(request, response, options.maxBodyBytes, BODY_TIMEOUT_MS)
     if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error); return }
     const envelopeText = String(request.headers[CallWire.ENVELOPE_HEADER] ?? '')
     const caller = options.guard.identify(request, CallWire.CALL_PATH, body.value, envelopeText)
--- /dev/null
+++ b/src/edge/clientConnections.ts
@@ -0,0 +1,228 @@
+/**
+ * Bounds what the connections of clients may make a server hold.
+ *
+ * Answers crowds of connections that stay open without progress: heads and bodies that stop half-way,
+ * requests sent ahead without reading the answers, and answers that are read slowly or never. Connections
+ * without a request in progress are closed before those with one, those without progress for longest first.
+ *
+ * @packageDocumentation
+ */
+import type * as Http from 'node:http'
+import type * as Net from 'node:net'
+import type * as ClientMemory from './clientMemory.ts'
+import * as FairReader from './fairReader.ts'
+
+/** Why a client's connection was closed. */
+export type ClosedCause = 'connectionLimit' | 'sentAhead' | 'headNotWhole' | 'bodyNotWhole' | 'notRead'
+
+/** Settings of the bounds. */
+export interface ConnectionBounds {
+  /** Returns the maximum number of connections. */
+  readonly limitCount: () => number
+  readonly memory: ClientMemory.ClientMemory
+  readonly clock: () => number
+  /** Called when a connection is closed because of its client. */
+  readonly onClosed: (cause: ClosedCause) => void
+}
+
+/** The bounded connections of a server. */
+export interface ClientConnections {
+  count: () => number
+  stop: () => void
+}
+
+interface ConnectionState {
+  readonly holding: ClientMemory.Holding
+  readonly unanswered: Set<Http.ServerResponse>
+  /** When a request last began or was answered, in milliseconds. */
+  activeAtMs: number
+  /** Bytes read when the last request was answered. */
+  readBytesAtIdle: number
+  /** When an answered request was first seen that the client had not sent in full, in milliseconds. */
+  notWholeSinceMs: number | undefined
+  lastRequest: Http.IncomingMessage | undefined
+  /** Bytes of answers that were taken for the connection and not yet sent, and since when there was no progress, in milliseconds. */
+  unreadBytes: number
+  writtenBytes: number
+  blockedSinceMs: number | undefined
+}
+
+/** Maximum number of requests of one connection whose answers are not complete: the next request may arrive while the end of an answer is still being reported. */
+const UNANSWERED_LIMIT_COUNT = 2
+/** Interval between checks, in milliseconds. */
+const CHECK_INTERVAL_MS = 250
+/** Time within which the client has to send the rest of a request that was answered early, in milliseconds. */
+const REST_TIMEOUT_MS = 1_000
+/** Time after which a connection whose client reads nothing is closed, in milliseconds: longer than callers wait for an event of a stream. */
+const UNREAD_TIMEOUT_MS = 8_000
+/** Memory of an incomplete head for each of its bytes, in bytes: a head may consist of very short fields. */
+const HEAD_FACTOR = 16
+/** Memory of a connection that is not used for anything else, in bytes: its socket, its parser and an incomplete head of many fields. */
+const CONNECTION_BYTES = 96 * 1024
+/** Descriptors that are kept for files, connections to endpoints and to other processes. */
+const RESERVED_DESCRIPTOR_COUNT = 400
+/** Share of the remaining descriptors that clients may use; each call in flight needs another one to its endpoint. */
+const DESCRIPTOR_SHARE = 0.5
+/** Time without closed connections after which the pressure counts as ended, in milliseconds. */
+const CALM_AFTER_MS = 5_000
+/** Minimum limit, for machines whose settings leave less. */
+const MIN_LIMIT_COUNT = 64
+
+/** Reports when connections begin to be closed because of their clients, and when that has ended. */
+export interface PressureLog {
+  record: (cause: ClosedCause) => void
+  /** To be called regularly. */
+  check: () => void
+}
+
+/**
+ * Calculates the maximum number of clients' connections.
+ *
+ * @param limits - Memory for clients, in bytes, and number of descriptors of the process; undefined if they are not limited.
+ * @returns The number of connections.
+ */
+export function connectionLimitOf (limits: { readonly budgetBytes: number, readonly descriptorCount: number | undefined }): number {
+  const byDescriptors = ((limits.descriptorCount ?? Infinity) - RESERVED_DESCRIPTOR_COUNT) * DESCRIPTOR_SHARE
+  return Math.max(MIN_LIMIT_COUNT, Math.floor(Math.min(byDescriptors, limits.budgetBytes / CONNECTION_BYTES)))
+}
+
+/**
+ * Bounds the connections of a server. To be called before the server's own request listener is added, so that requests of closed connections do not reach it.
+ *
+ * @param server - The server.
+ * @param handle - Handles a request that is within the bounds.
+ * @param bounds - The bounds.
+ * @returns The connections, checked until `stop` is called.
+ */
+export function bound (server: Http.Server, handle: Http.RequestListener, bounds: ConnectionBounds): ClientConnections {
+  const { clock, memory } = bounds
+  const states = new Map<Net.Socket, ConnectionState>()
+  // Fields beyond Node's default number would be left out without notice; the size of the head bounds their number.
+  server.maxHeadersCount = 0
+
+  const close = (socket: Net.Socket, cause: ClosedCause): void => {
+    if (!states.has(socket)) return
+    forget(socket)
+    bounds.onClosed(cause)
+    socket.destroy()
+  }
+  const forget = (socket: Net.Socket): void => {
+    const state = states.get(socket)
+    if (state === undefined) return
+    states.delete(socket)
+    state.holding.release()
+    // Node reports the end of the connection only to the answer that is being written.
+    for (const response of state.unanswered) if (response.socket === null) response.emit('close')
+  }
+  const isIdle = ({ unanswered }: ConnectionState): boolean => unanswered.size === 0
+  /** Finds the connection that is closed first when there are too many. */
+  const findDispensable = (): Net.Socket | undefined => {
+    let found: { readonly socket: Net.Socket, readonly state: ConnectionState } | undefined
+    for (const [socket, state] of states) {
+      if (isIdle(state) && (found === undefined || state.activeAtMs < found.state.activeAtMs)) found = { socket, state }
+    }
+    return found?.socket
+  }
+
+  const reader = FairReader.createFairReader(clock)
+  server.on('connection', socket => {
+    const nowMs = clock()
+    reader.add(socket)
+    states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, lastRequest: undefined, unreadBytes: 0, writtenBytes: 0, blockedSinceMs: undefined })
+    socket.once('close', () => { forget(socket) })
+    if (states.size > bounds.limitCount()) close(findDispensable() ?? socket, 'connectionLimit')
+  })
+  server.on('request', (request, response) => {
+    const { socket } = request
+    const state = states.get(socket)
+    if (state === undefined) return
+    if (state.unanswered.size >= UNANSWERED_LIMIT_COUNT) { close(socket, 'sentAhead'); return }
+    state.unanswered.add(response)
+    state.activeAtMs = clock()
+    state.lastRequest = request
+    response.once('close', () => {
+      state.unanswered.delete(response)
+      state.activeAtMs = clock()
+      state.readBytesAtIdle = socket.bytesRead
+    })
+    handle(request, response)
+  })
+
+  /** Charges what has been read of a head that is not complete yet. */
+  const checkHead = (socket: Net.Socket, state: ConnectionState): number => {
+    if (!isIdle(state) || (state.lastRequest !== undefined && !state.lastRequest.complete)) return 0
+    return Math.max(0, socket.bytesRead - state.readBytesAtIdle) * HEAD_FACTOR
+  }
+  /** Returns whether the client has left the rest of an answered request unsent for too long. */
+  const isRestOverdue = (state: ConnectionState, nowMs: number): boolean => {
+    if (!isIdle(state) || state.lastRequest === undefined || state.lastRequest.complete) {
+      state.notWholeSinceMs = undefined
+      return false
+    }
+    state.notWholeSinceMs ??= nowMs
+    return nowMs - state.notWholeSinceMs > REST_TIMEOUT_MS
+  }
+  /** Returns whether the client has not read anything of its answers for too long. */
+  const isUnreadOverdue = (socket: Net.Socket, state: ConnectionState, nowMs: number): boolean => {
+    state.unreadBytes = socket.writableLength
+    const isBlocked = state.unreadBytes > 0 && socket.bytesWritten === state.writtenBytes
+    state.writtenBytes = socket.bytesWritten
+    if (!isBlocked) {
+      state.blockedSinceMs = undefined
+      return false
+    }
+    state.blockedSinceMs ??= nowMs
+    return nowMs - state.blockedSinceMs > UNREAD_TIMEOUT_MS
+  }
+  /** Closes the connections whose answers were unread for longest until the rest fits. */
+  const makeRoomForUnread = (): void => {
+    const blocked = [...states].filter(([, { blockedSinceMs }]) => blockedSinceMs !== undefined).sort(([, a], [, b]) => (a.blockedSinceMs ?? 0) - (b.blockedSinceMs ?? 0))
+    const [longest] = blocked
+    if (longest !== undefined) close(longest[0], 'notRead')
+  }
+  const timer = setInterval(() => {
+    const nowMs = clock()
+    memory.evictOverdue(nowMs)
+    for (const [socket, state] of states) {
+      if (isRestOverdue(state, nowMs)) { close(socket, 'bodyNotWhole'); continue }
+      if (isUnreadOverdue(socket, state, nowMs)) { close(socket, 'notRead'); continue }
+      const headBytes = checkHead(socket, state)
+      if (!state.holding.resize(headBytes + state.unreadBytes, nowMs)) {
+        if (headBytes > 0) close(socket, 'headNotWhole')
+        else makeRoomForUnread()
+      }
+    }
+  }, CHECK_INTERVAL_MS)
+  timer.unref()
+  return {
+    count: () => states.size,
+    stop: () => { clearInterval(timer) }
+  }
+}
+
+/**
+ * Creates the reports of a process: one when the pressure begins and one when it has ended, not one for each client.
+ *
+ * @param clock - Returns the current time, in milliseconds.
+ * @param log - Writes a report.
+ * @returns The reports.
+ */
+export function createPressureLog (clock: () => number, log: (sentence: string, fields: Readonly<Record<string, unknown>>) => void): PressureLog {
+  let counts: Partial<Record<ClosedCause, number>> = {}
+  let lastAtMs = -Infinity
+  let isPressed = false
+  return {
+    record: cause => {
+      lastAtMs = clock()
+      counts[cause] = (counts[cause] ?? 0) + 1
+      if (!isPressed) log('Clients are cut off.', { reason: cause })
+      isPressed = true
+    },
+    check: () => {
+      if (!isPressed || clock() - lastAtMs < CALM_AFTER_MS) return
+      log('Clients keep to the bounds again.', { closedCounts: counts })
+      isPressed = false
+      counts = {}
+    }
+  }
+}
--- a/src/edge/httpServer.ts
+++ b/src/edge/httpServer.ts
@@ -7,6 +7,9 @@
 import type * as Net from 'node:net'
 import * as Neverthrow from 'neverthrow'
 import * as Core from '../core/index.ts'
+import * as ClientConnections from './clientConnections.ts'
+import * as ClientMemory from './clientMemory.ts'
+import * as RequestBodies from './requestBodies.ts'
 import * as Traffic from './traffic.ts'
 
 /** Handles one request. */
@@ -29,6 +32,8 @@
   readonly fallback?: Handler
   /** Time for the headers to arrive in milliseconds. */
   readonly headersTimeoutMs: number
+  /** Called when a connection is closed because its client keeps it from being of use. */
+  readonly onClientClosed?: (cause: ClientConnections.ClosedCause) => void
 }
 
 /** A listening server. */
@@ -40,6 +45,14 @@
 }
 
 const KEEP_ALIVE_MS = 30_000
+/** Memory for the clients of all servers of the process, in bytes: some bodies of the usual maximum size. */
+const CLIENT_BUDGET_BYTES = 24 * 1024 * 1024
+/** Maximum number of connections of one server. */
+const CONNECTION_LIMIT_COUNT = 2_048
+/** Result codes of requests whose body could not be read. */
+const BODY_CODES: Readonly<Record<RequestBodies.BodyFailure, Core.Codes.CodeName>> = { tooLarge: 'bodyTooLarge', tooSlow: 'bodyTooSlow', noRoom: 'overCapacity', gone: 'callerGone' }
+const clientMemory = ClientMemory.createClientMemory(CLIENT_BUDGET_BYTES)
+const clock = (): number => performance.now()
 /** Stands for the paths of callers where bytes are counted. */
 const CALLS_PATH = '/calls'
 
@@ -53,7 +66,8 @@
   let activeCount = 0
   let closing = false
   const sockets = new Set<Net.Socket>()
-  const server = Http.createServer((request, response) => {
+  const server = Http.createServer()
+  const connections = ClientConnections.bound(server, (request, response) => {
     activeCount++
     if (closing) response.setHeader('connection', 'close')
     response.once('close', () => {
@@ -61,7 +75,7 @@
       if (closing) setImmediate(() => { server.closeIdleConnections() })
     })
     void serve(options, request, response)
-  })
+  }, { limitCount: () => CONNECTION_LIMIT_COUNT, memory: clientMemory, clock, onClosed: options.onClientClosed ?? (() => {}) })
   server.headersTimeout = options.headersTimeoutMs
   server.requestTimeout = 0
   server.keepAliveTimeout = KEEP_ALIVE_MS
@@ -85,35 +99,27 @@
       const timer = setTimeout(() => { for (const socket of sockets) socket.destroy() }, graceMs)
       await closed
       clearTimeout(timer)
+      connections.stop()
     }
   }
 }
 
 /**
- * Reads a request body within a size and a time.
+ * Reads a request body within a size, a time and the memory for clients, which is given back when the answer has been sent.
  *
  * @param request - The request.
+ * @param response - Its answer.
  * @param maxBytes - The largest body in bytes.
  * @param timeoutMs - Time for the whole body in milliseconds.
  * @returns The body, or the name of the result code to refuse with.
  */
-export async function readBody (request: Http.IncomingMessage, maxBytes: number, timeoutMs: number): Promise<Neverthrow.Result<Buffer, Core.Codes.CodeName>> {
+export async function readBody (request: Http.IncomingMessage, response: Http.ServerResponse, maxBytes: number, timeoutMs: number): Promise<Neverthrow.Result<Buffer, Core.Codes.CodeName>> {
   return await new Promise(resolve => {
-    const parts: Buffer[] = []
-    let sizeBytes = 0
-    const finish = (result: Neverthrow.Result<Buffer, Core.Codes.CodeName>): void => {
-      clearTimeout(timer)
-      resolve(result)
-    }
-    const timer = setTimeout(() => { finish(Neverthrow.err('bodyTooSlow')) }, timeoutMs)
-    request.on('data', (part: Buffer) => {
-      sizeBytes += part.length
-      if (sizeBytes > maxBytes) { finish(Neverthrow.err('bodyTooLarge')); return }
-      parts.push(part)
+    const reading = { limitBytes: maxBytes, deadlineAtMs: clock() + timeoutMs, memory: clientMemory, clock }
+    RequestBodies.read(request, reading, (body, holding) => {
+      response.once('close', holding.release)
+      resolve(typeof body === 'string' ? Neverthrow.err(BODY_CODES[body]) : Neverthrow.ok(body ?? Buffer.alloc(0)))
     })
-    request.on('end', () => { finish(request.complete ? Neverthrow.ok(Buffer.concat(parts)) : Neverthrow.err('badRequest')) })
-    request.on('error', () => { finish(Neverthrow.err('badRequest')) })
-    request.on('close', () => { if (!request.complete) finish(Neverthrow.err('callerGone')) })
   })
 }
 
--- a/src/edge/rpc.ts
+++ b/src/edge/rpc.ts
@@ -54,7 +54,7 @@
     method: 'POST',
     path: `${RPC_PATH}*`,
     handle: async (request, response, path) => {
-      const body = await HttpServer.readBody(request, MAX_INPUT_BYTES, INPUT_TIMEOUT_MS)
+      const body = await HttpServer.readBody(request, response, MAX_INPUT_BYTES, INPUT_TIMEOUT_MS)
       if (body.isErr()) { HttpServer.sendCode(response, body.error); return }
       const name = path.slice(RPC_PATH.length)
       const caller = guard.identify(request, path, body.value)
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -55,7 +55,7 @@
 
   const handle: Edge.HttpServer.Handler = async (request, response, path) => {
     const callId = options.makeId()
-    const body = await Edge.HttpServer.readBody(request, options.maxBodyBytes, options.bodyTimeoutMs)
+    const body = await Edge.HttpServer.readBody(request, response, options.maxBodyBytes, options.bodyTimeoutMs)
     if (body.isErr()) { Edge.HttpServer.sendCode(response, body.error, { callId }); return }
     const call = arrivedCall(options, callId, request, path, body.value)
     if (typeof call === 'string') { Edge.HttpServer.sendCode(response, 'badRequest', { callId, reason: call }); return }
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -20,6 +20,8 @@
   readonly isResumption: boolean
   /** When the first complete event arrived from the endpoint, in milliseconds; undefined before that. */
   begunAtMs: number | undefined
+  /** Rank with which the attempt counts as not begun; undefined once it has begun, and for a service without ranks. */
+  pendingRank: Routing.Ranks.Rank | undefined
   /** Prompt tokens that count as not yet processed by the endpoint; 0 once the answer has begun. */
   pendingPromptTokens: number
   /** When the answer last made progress, in milliseconds: the head, bytes of a body, or a complete event of a stream. */
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -6,6 +6,8 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 import * as Core from '../core/index.ts'
+import * as ClientConnections from '../edge/clientConnections.ts'
+import * as ClientMemory from '../edge/clientMemory.ts'
 import * as HttpServer from '../edge/httpServer.ts'
 import * as Follow from '../follow/index.ts'
 import * as Node from '../follow/node.ts'
@@ -30,6 +32,12 @@
   readonly graceMs: number
 }
 
+/** Resources that a gateway may use. */
+export interface GatewayLimits {
+  readonly memoryBytes: number | undefined
+  readonly descriptorCount: number | undefined
+}
+
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions extends Node.NodeOptions {
   /** Where callers connect. */
@@ -37,6 +45,8 @@
   /** Where the balancer's readiness probes connect. */
   readonly readinessAddress: Address
   readonly bounds: () => GatewayBounds
+  /** Resources that the process may use; undefined if they are not limited. */
+  readonly limits: () => GatewayLimits
   readonly dialect: Dialect.Dialect
   /** Decodes an operators' row; undefined for a row without meaning to the system. */
   readonly operatorChangeOf: (row: Follow.Rows.Row) => Routing.Deployment.OperatorChange | undefined
@@ -94,6 +104,8 @@
 /** Interval at which evidence on requests that crash endpoints is sent again, in milliseconds, in case a datagram was lost. */
 const QUARANTINE_TICK_INTERVAL_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** Maximum number of connections on the readiness address: the balancer needs one, operators a few. */
+const PROBE_CONNECTION_LIMIT_COUNT = 64
 /** Interval at which the version that calls may begin on is logged again while a new one spreads, in milliseconds: the lines of calls displace older lines in a log of limited length. */
 const VERSIONS_LOG_INTERVAL_MS = 2_000
 
@@ -112,10 +124,21 @@
   const upstream = Upstream.createUpstream()
   const budget = Routing.Budgets.createRetryBudget(() => options.bounds().retries)
   const demand = Routing.Demand.createDemand(clock())
+  const rankShares = Routing.Ranks.createRankShares()
   const notices = Routing.Notices.createNotices()
+  const { memoryBytes, descriptorCount } = options.limits()
+  const clientBudgetBytes = ClientMemory.budgetBytesOf(memoryBytes)
+  const clientMemory = ClientMemory.createClientMemory(clientBudgetBytes)
+  const connectionLimitCount = (): number => ClientConnections.connectionLimitOf({ budgetBytes: clientBudgetBytes, descriptorCount })
+  const clientPressure = ClientConnections.createPressureLog(clock, (sentence, fields) => { log('clients', sentence, fields) })
+  const recordClosedClient = (cause: ClientConnections.ClosedCause): void => {
+    metrics.count('client_connections_closed_total', { cause })
+    clientPressure.record(cause)
+  }
   let index: Routing.Deployment.DeploymentIndex | undefined
   /** The oldest version on which calls may begin, as logged last, by model. */
   const loggedOldestVersions = new Map<string, { readonly version: number, readonly atMs: number }>()
+  let sharing: { readonly shares: Routing.SlotShares.SlotShares, readonly totalCallsPerSecond: number } | undefined
   let stopping = false
   let callsEndByMs = Infinity
 
@@ -266,11 +289,16 @@
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone)),
       sharers: node.knowsMembers() ? sharersOf(members()) : undefined,
-      storeMs: node.storeClock.now()
+      storeMs: node.storeClock.now(),
+      rankShares,
+      slotShares: sharing?.shares,
+      totalCallsPerSecond: sharing?.totalCallsPerSecond
     }),
     oldestStartableVersionOf: model => versions.oldestBeginnableOf(model, node.storeClock.now()),
     budget,
     demand,
+    rankShares,
+    clientMemory,
     notices,
     quarantine,
     clock,
@@ -287,7 +315,8 @@
     isStopping: () => stopping,
     callsEndByMs: () => callsEndByMs
   })
-  const server = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, ingress.handle)
+  const server = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS })
+  const callers = ClientConnections.bound(server, ingress.handle, { limitCount: connectionLimitCount, memory: clientMemory, clock, onClosed: recordClosedClient })
   /** When each open connection of a caller was opened, in milliseconds. */
   const openedAtMs = new Map<Net.Socket, number>()
   server.on('connection', socket => {
@@ -300,10 +329,26 @@
     for (const [socket, atMs] of openedAtMs) if (socket.bytesRead === 0 && clock() - atMs > FIRST_CALL_PATIENCE_MS) socket.destroySoon()
   }
   const isReady = (): boolean => index !== undefined && endpointFollower.isKnown() && !stopping
-  const readiness = Http.createServer((_request, response) => { HttpServer.sendJson(response, isReady() ? 200 : 503, { ready: isReady() }) })
+  const readiness = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS })
+  const probes = ClientConnections.bound(readiness, (request, response) => {
+    request.resume()
+    HttpServer.sendJson(response, isReady() ? 200 : 503, { ready: isReady() })
+  }, { limitCount: () => PROBE_CONNECTION_LIMIT_COUNT, memory: clientMemory, clock, onClosed: recordClosedClient })
   await listen(server, options.callerAddress)
   await listen(readiness, options.readinessAddress)
 
+  /** Computes this gateway's shares of free slots anew. */
+  const updateSharing = (nowMs: number): void => {
+    if (!node.knowsMembers()) { sharing = undefined; return }
+    const own = { zone: options.zone, callsPerSecond: demand.perSecond(nowMs) }
+    const others = members().filter(member => member.kind === 'gateway').map(member => ({ zone: member.zone, callsPerSecond: sharerOf(member.name).weight }))
+    const slotCountByZone = new Map<string, number>()
+    for (const { listing, load } of endpoints.rows()) {
+      if (listing.draining || operators.drainedZones.has(listing.zone) || load?.loading === true) continue
+      slotCountByZone.set(listing.zone, (slotCountByZone.get(listing.zone) ?? 0) + listing.slotCount)
+    }
+    sharing = { shares: Routing.SlotShares.computeShares({ own, others, slotCountByZone }), totalCallsPerSecond: others.reduce((sum, { callsPerSecond = own.callsPerSecond }) => sum + callsPerSecond, own.callsPerSecond) }
+  }
   let sentRevision = 0
   let revisionsSentAtMs = 0
   const broadcastRevisions = (nowMs: number): void => {
@@ -336,6 +381,9 @@
     const nowMs = clock()
     const ages = { operators: operators.follower.freshAtMs(), endpoints: endpointFollower.freshAtMs(), loads: Math.min(...[...endpoints.rows()].map(row => row.load === undefined ? nowMs : row.loadAtMs)) }
     for (const [belief, atMs] of Object.entries(ages)) metrics.gauge('belief_age_seconds', Math.max(0, nowMs - Math.min(atMs, nowMs)) / MS_PER_SECOND, { belief })
+    metrics.gauge('client_connections', callers.count() + probes.count())
+    metrics.gauge('client_memory_bytes', clientMemory.usedBytes())
+    clientPressure.check()
     for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs, notices))) metrics.gauge('endpoints', count, { state })
     for (const { model, version } of versions.newestVersions()) {
       metrics.gauge('weights_version', version, { model })
@@ -361,6 +409,7 @@
     const nowMs = clock()
     for (const endpointId of Routing.Endpoints.removeLapsed(endpoints, nowMs)) log('endpoints', 'Endpoint gone.', { endpointId, reason: 'its entry did not come back' })
     versions.applyRevisionTimes(node.readings)
+    updateSharing(nowMs)
     broadcastRevisions(nowMs)
     forwardLoads(nowMs)
     notifyAgents()
@@ -394,6 +443,8 @@
       quarantine.stop()
       ingress.stop()
       upstream.close()
+      callers.stop()
+      probes.stop()
       readiness.close()
       readiness.closeAllConnections()
       await node.close()
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -7,7 +7,9 @@
  */
 import type * as Http from 'node:http'
 import * as Core from '../core/index.ts'
-import type * as Edge from '../edge/index.ts'
+import type * as Metrics from '../edge/metrics.ts'
+import type * as ClientMemory from '../edge/clientMemory.ts'
+import * as RequestBodies from '../edge/requestBodies.ts'
 import * as Routing from '../routing/index.ts'
 import * as Bodies from './bodies.ts'
 import type * as Calls from './calls.ts'
@@ -35,13 +37,16 @@
   readonly oldestStartableVersionOf: (model: string) => number
   readonly budget: Routing.Budgets.RetryBudget
   readonly demand: Routing.Demand.Demand
+  readonly rankShares: Routing.Ranks.RankShares
+  /** Accounts for what is held for callers. */
+  readonly clientMemory: ClientMemory.ClientMemory
   /** What endpoints announced to this gateway: that they are shutting down, or want no calls for a while. */
   readonly notices: Routing.Notices.Notices
   /** Quarantine of requests that crash endpoints. */
   readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
-  readonly metrics: Edge.Metrics.Metrics
+  readonly metrics: Metrics.Metrics
   readonly log: Core.Loop.Tick<never, never>['log']
   /** Whether the process is shutting down, so that callers have to use other connections. */
   readonly isStopping: () => boolean
@@ -102,6 +107,7 @@
   const waiting = Routing.Waiting.createWaitingQueue<Calls.Call>()
   const ages = Routing.Ages.createCallAges()
   const crowding = Routing.Crowding.createCrowding()
+  const { rankShares } = options
   const signals = Signals.createSignalReader(options)
   const unframedAnswers = UnframedAnswers.createUnframedAnswers()
   const standstill = Routing.Standstill.createPauseDetector(TICK_INTERVAL_MS, clock())
@@ -120,19 +126,28 @@
     if (route === undefined) { denyByDeployment(request, response, metadata, 'routeUnknown'); return }
     const workspace = metadata.apiKey === undefined ? undefined : index.workspaceOf(metadata.apiKey)
     if (workspace === undefined && index.deployment.workspaces !== undefined && !route.anonymous) { denyByDeployment(request, response, metadata, 'unauthorized'); return }
-    Bodies.read(request, index.deployment.limits, body => {
-      if (body === 'tooLarge') { deny(request, response, metadata, 'bodyTooLarge'); return }
-      if (body === 'gone') return
+    const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    RequestBodies.read(request, { limitBytes: index.deployment.limits.bodyBytes, deadlineAtMs, memory: options.clientMemory, clock }, (body, holding) => {
+      if (typeof body === 'string') { endUnread[body](request, response, metadata); return }
+      response.once('close', holding.release)
       accept(index, { metadata, route, workspace, request, response, body, arrivedAtMs })
     })
   }
 
+  /** Ends the calls whose bodies could not be read. They were not run. */
+  const endUnread: Readonly<Record<RequestBodies.BodyFailure, (request: Http.IncomingMessage, response: Http.ServerResponse, metadata: Dialect.CallMetadata) => void>> = {
+    tooLarge: (request, response, metadata) => { deny(request, response, metadata, 'bodyTooLarge') },
+    tooSlow: (request, response, metadata) => { deny(request, response, metadata, 'bodyTooSlow') },
+    noRoom: (request, response, metadata) => { refuseEarly(request, response, metadata, 'noMemory') },
+    gone: () => {}
+  }
+
   const refuseEarly = (request: Http.IncomingMessage, response: Http.ServerResponse, metadata: Dialect.CallMetadata, reason: Routing.Admission.RefusalReason): void => {
     request.resume()
     const returnMs = Routing.Refusals.returnAfterMs(reason, metadata.deadlineMs ?? 0, random)
     log('routing', 'Call refused.', { callId: metadata.callId, reason, returnAfterMs: Math.round(returnMs) })
     metrics.count('calls_refused_total', { reason })
-    write(response, 503, dialect.refusalHeaders(metadata.callId, returnMs), reason)
+    write(response, 503, { ...dialect.refusalHeaders(metadata.callId, returnMs), ...(reason === 'noMemory' ? { connection: 'close' } : {}) }, reason)
   }
 
   const deny = (request: Http.IncomingMessage, response: Http.ServerResponse, metadata: Dialect.CallMetadata, code: Core.Codes.CodeName): void => {
@@ -140,7 +155,7 @@
     const version = options.deploymentIndex()?.deployment.version
     log('routing', 'Call denied.', { callId: metadata.callId, code, host: request.headers.host, path: request.url, deploymentVersion: version })
     metrics.count('calls_denied_total', { code })
-    const closing: Record<string, string> = code === 'bodyTooLarge' ? { connection: 'close' } : {}
+    const closing: Record<string, string> = code === 'bodyTooLarge' || code === 'bodyTooSlow' ? { connection: 'close' } : {}
     write(response, Core.Codes.CODES[code].httpStatus, { ...dialect.refusalHeaders(metadata.callId, undefined), ...closing }, code)
   }
 
@@ -159,6 +174,7 @@
     const deadlineAtMs = arrivedAtMs + Math.min(deadlineMs, route.timeoutMs)
     if (deadlineAtMs > options.callsEndByMs()) { refuseEarly(arrival.request, response, metadata, 'stopping'); return }
     if (service === undefined) { refuseEarly(arrival.request, response, metadata, 'noEndpoint'); return }
+    const rank = Routing.Ranks.rankOf(index.prioritiesOf(service.name), workspace?.priority ?? route.priority)
     const call: Calls.Call = {
       ...arrival,
       callId: metadata.callId ?? '',
@@ -167,10 +183,11 @@
         service,
         model: metadata.model,
         promptTokens: metadata.promptTokens,
+        rank,
         regions: [route.regions, workspace?.regions ?? []],
         triedIds: new Set()
       },
-      priority: workspace?.priority ?? route.priority,
+      rank,
       ageAtArrivalMs,
       deadlineAtMs,
       resuming: false,
@@ -200,6 +217,11 @@
     place(call)
   }
 
+  const choose = ({ engine }: Routing.Deployment.Service, candidates: readonly Routing.Choice.Candidate[], context: Routing.Choice.RoutingContext, nowMs: number): Routing.Choice.Candidate | undefined =>
+    engine !== undefined && Routing.SlotShares.areByDemand(context.gatewayCount, engine.slotCount)
+      ? Routing.Choice.chooseAmongMany(candidates, engine, context, random, nowMs)
+      : Routing.Choice.choose(candidates, random)
+
   /** Sends a call, queues it or refuses it. */
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
@@ -214,7 +236,7 @@
     const context = options.routingContext()
     call.late = call.ageAtArrivalMs + nowMs - call.arrivedAtMs > call.route.goalMs
     const candidates = Routing.Choice.findCandidates(call.requirements, context, nowMs)
-    const best = quarantineAction === 'try' ? Routing.Choice.leastBusy(candidates, nowMs) : Routing.Choice.choose(candidates, random)
+    const best = quarantineAction === 'try' ? Routing.Choice.leastBusy(candidates, nowMs) : choose(call.requirements.service, candidates, context, nowMs)
     const opensInMs = best === undefined ? Routing.Choice.opensInMs(call.requirements, context, nowMs, call.route.goalMs) : undefined
     const admissionInput: Routing.Admission.PendingCall = {
       ageMs: call.ageAtArrivalMs + nowMs - call.arrivedAtMs,
@@ -222,7 +244,8 @@
       goalMs: call.route.goalMs,
       leftMs: call.deadlineAtMs - nowMs,
       resuming: call.resuming,
-      isCrowded: crowding.isCrowded(call.service, nowMs)
+      isCrowded: crowding.isCrowded(call.service, nowMs, call.rank),
+      rank: call.rank
     }
     const slotIntervalMs = opensInMs ?? Routing.Choice.slotIntervalMs(call.requirements.service, candidates.length, context.gatewayCount)
     const decision = Routing.Admission.decide(admissionInput, best, { aheadCount: waiting.aheadCount(call), slotIntervalMs }, candidates.length > 0 || opensInMs !== undefined)
@@ -238,7 +261,7 @@
       waiting.add(call)
     } else {
       waiting.remove(call)
-      if (decision.reason === 'overCapacity' && !call.late) crowding.recordRefusal(call.service, nowMs)
+      if (decision.reason === 'overCapacity' && !call.late) crowding.recordRefusal(call.service, nowMs, call.rank)
       if (call.possibleRunCount > 0 || call.failure !== undefined) endUnanswered(call, decision.reason)
       else refuse(call, decision.reason, LogFields.refusedFields(call, { admissionInput, candidates, best }, context, nowMs))
     }
@@ -270,7 +293,7 @@
       port: listing.port,
       method: call.request.method ?? 'GET',
       path: call.request.url ?? '/',
-      rawHeaders: dialect.forwardHeaders(call.request.rawHeaders, { endpointId: listing.endpointId, workspace: call.workspace?.name, leftMs, lastEventId: call.lastEventId, bodyBytes: call.body?.length ?? (BODILESS_METHODS.has(call.request.method ?? 'GET') ? undefined : 0) }),
+      rawHeaders: dialect.forwardHeaders(call.request.rawHeaders, { endpointId: listing.endpointId, workspace: call.workspace?.name, leftMs, lastEventId: call.lastEventId, queuePosition: call.rank === undefined ? undefined : Routing.Ranks.queuePositionOf(call.rank, call), bodyBytes: call.body?.length ?? (BODILESS_METHODS.has(call.request.method ?? 'GET') ? undefined : 0) }),
       body: call.body,
       maxIdleMs: call.route.kind === 'nonIdempotent' ? NON_IDEMPOTENT_MAX_IDLE_MS : MAX_IDLE_MS
     }, {
@@ -290,9 +313,11 @@
         endAttempt(call, attempt, end, `${stage}: ${reason}`, wasSent)
       }
     })
+    if (call.rank !== undefined) rankShares.recordSent(call.service, call.rank)
     const attempt: Calls.Attempt = {
       row,
       listing,
+      pendingRank: call.rank,
       exchange,
       sentAtMs: nowMs,
       isResumption: call.resuming,
@@ -317,6 +342,8 @@
   const clearPendingPrompt = (attempt: Calls.Attempt): void => {
     attempt.row.unreadTokens = Math.max(0, attempt.row.unreadTokens - attempt.pendingPromptTokens)
     attempt.pendingPromptTokens = 0
+    if (attempt.pendingRank !== undefined) rankShares.recordSettled(attempt.listing.service, attempt.pendingRank)
+    attempt.pendingRank = undefined
   }
 
   /** Detaches the current attempt from its call and takes it off its endpoint's counters. */
@@ -371,8 +398,9 @@
     if (call.stalledAttempt === attempt) reinstateStalled(call, attempt)
     attempt.lastReceivedAtMs = nowMs
     abortStalled(call)
+    if (attempt.begunAtMs === undefined && call.rank !== undefined) rankShares.recordBegun(call.service, call.rank, nowMs)
     attempt.begunAtMs ??= nowMs
-    if (attempt.pendingPromptTokens > 0) clearPendingPrompt(attempt)
+    clearPendingPrompt(attempt)
     beginStream(call, attempt)
     if (call.eventCount > 0) call.longestPauseMs = Math.max(call.longestPauseMs, attempt.lastReceivedAtMs - call.lastEventAtMs)
     call.lastEventAtMs = attempt.lastReceivedAtMs
@@ -549,7 +577,7 @@
 
   const refuse = (call: Calls.Call, reason: Routing.Admission.RefusalReason, inputs: object): void => {
     const nowMs = clock()
-    const returnMs = Routing.Refusals.returnAfterMs(reason, call.deadlineAtMs - nowMs, random, Routing.Choice.quietEndsInMs(call.requirements, options.routingContext(), nowMs))
+    const returnMs = Routing.Refusals.returnAfterMs(reason, call.deadlineAtMs - nowMs, random, Routing.Choice.quietEndsInMs(call.requirements, options.routingContext(), nowMs), call.rank)
     metrics.count('calls_refused_total', { reason })
     finish(call, 'refused', { reason, returnAfterMs: Math.round(returnMs), waitingCount: waiting.count(), ...inputs })
     write(call.response, 503, dialect.refusalHeaders(call.callId, returnMs), reason)
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import type * as Choice from './choice.ts'
+import type * as Ranks from './ranks.ts'
 
 /** A call that is to be sent. */
 export interface PendingCall {
@@ -23,6 +24,8 @@
   readonly resuming: boolean
   /** Whether on-time calls are being refused, so that free slots are reserved for them. */
   readonly isCrowded: boolean
+  /** Undefined if all calls of the service have the same priority. */
+  readonly rank?: Ranks.Rank | undefined
 }
 
 /** The calls that wait ahead of a call. */
@@ -39,7 +42,7 @@
   | { readonly kind: 'refuse', readonly reason: RefusalReason }
 
 /** Why a call is refused. */
-export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady' | 'outdated' | 'stopping' | 'quarantined'
+export type RefusalReason = 'noEndpoint' | 'overCapacity' | 'outOfTime' | 'retriesUsedUp' | 'notReady' | 'outdated' | 'stopping' | 'quarantined' | 'noMemory'
 
 /** Share of its goal for which a call may wait for a slot: a longer wait leaves the engine too little time. */
 const GOAL_WAIT_SHARE = 0.3
@@ -47,6 +50,8 @@
 const LATE_WAIT_SHARE = 0.1
 /** Assumed maximum ratio of actual to predicted time for a call that queues at an endpoint: other gateways send calls there meanwhile. */
 const QUEUED_PREDICTION_FACTOR = 1.5
+/** The same ratio for calls of the most urgent rank: endpoints begin them before all others that are queued there. */
+const MOST_URGENT_PREDICTION_FACTOR = 1.1
 /** Minimum number of free slots at which a late call is sent to a crowded service: one for itself and one for an on-time call. */
 const MIN_FREE_SLOT_COUNT = 2
 /** Minimum remaining time of a call, in milliseconds; with less it is refused, as no answer would arrive in time. */
@@ -68,7 +73,7 @@
   if (late && call.isCrowded && !call.resuming && !leavesFreeSlot) return refuse(best, hasEligibleEndpoint)
   if (best !== undefined && queue.aheadCount === 0) {
     if (call.resuming && best.predictedMs < call.leftMs) return { kind: 'send', candidate: best }
-    if (best.hasFreeSlot || (!late && call.ageMs + best.predictedMs * QUEUED_PREDICTION_FACTOR <= call.goalMs)) return { kind: 'send', candidate: best }
+    if (best.hasFreeSlot || (!late && mayQueueAtEndpoint(call.rank) && call.ageMs + best.predictedMs * predictionFactorOf(call.rank) <= call.goalMs)) return { kind: 'send', candidate: best }
   }
   const waitLimitMs = late || call.resuming ? call.leftMs * LATE_WAIT_SHARE : call.goalMs * GOAL_WAIT_SHARE
   const expectedMs = call.waitedMs + (queue.aheadCount + 1) * queue.slotIntervalMs
@@ -77,6 +82,15 @@
   return refuse(best, hasEligibleEndpoint)
 }
 
+/** Returns whether a call may queue at an endpoint. One of the least urgent rank would be overtaken there by calls of all gateways, so it waits for a free slot at its gateway. */
+function mayQueueAtEndpoint (rank: Ranks.Rank | undefined): boolean {
+  return rank === undefined || rank.index < rank.count - 1
+}
+
+function predictionFactorOf (rank: Ranks.Rank | undefined): number {
+  return rank?.index === 0 ? MOST_URGENT_PREDICTION_FACTOR : QUEUED_PREDICTION_FACTOR
+}
+
 function refuse (best: Choice.Candidate | undefined, hasEligibleEndpoint: boolean): Decision {
   return { kind: 'refuse', reason: best !== undefined || hasEligibleEndpoint ? 'overCapacity' : 'noEndpoint' }
 }
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -14,6 +14,9 @@
 import * as Endpoints from './endpoints.ts'
 import * as EngineModel from './engineModel.ts'
 import type * as Notices from './notices.ts'
+import type * as Ranks from './ranks.ts'
+import * as SlotShares from './slotShares.ts'
+import * as Spreading from './spreading.ts'
 import * as Turns from './turns.ts'
 
 /** The properties of a call that determine which endpoints may take it. */
@@ -22,6 +25,8 @@
   /** The model that the call requests; undefined if it names none. */
   readonly model: string | undefined
   readonly promptTokens: number
+  /** Undefined if all calls of the service have the same priority. */
+  readonly rank?: Ranks.Rank | undefined
   /** Lists of regions in which the call may be served, each of which applies; an empty list allows any region. */
   readonly regions: ReadonlyArray<readonly string[]>
   /** Ids of endpoints that the call was already sent to. */
@@ -47,6 +52,12 @@
   readonly sharers: Turns.Sharers | undefined
   /** Current time by the store's clock, in milliseconds; not finite while it is not known. */
   readonly storeMs: number
+  /** This gateway's shares of free slots by demand; undefined while the demand of the others is not known. */
+  readonly slotShares?: SlotShares.SlotShares | undefined
+  /** Calls per second at all gateways together, as far as they are known. */
+  readonly totalCallsPerSecond?: number | undefined
+  /** How this gateway's calls are spread over ranks. */
+  readonly rankShares?: Ranks.RankShares | undefined
 }
 
 /** An endpoint that may take a call. */
@@ -76,6 +87,7 @@
 const STALE_LOAD_PENALTY_MS = 200
 /** Window of the limit on calls to cold endpoints, in milliseconds: the limit is given per second. */
 const COLD_WINDOW_MS = 1_000
+const MS_PER_SECOND = 1_000
 /** Predicted time of a call to a plain service at an endpoint with a free slot, in milliseconds. */
 const PLAIN_CALL_MS = 1
 /** Approximate interval at which a full endpoint of a plain service finishes calls, in milliseconds. */
@@ -112,6 +124,28 @@
   return similar[random.below(similar.length)]
 }
 
+/**
+ * Chooses a candidate for a call to a batching engine while there are more gateways than an endpoint has slots: by what all of them are expected to send before the next load reports.
+ *
+ * @param all - The candidates; those with a free slot for this gateway go first, as no other gateway claims it.
+ * @param engine - The parameters of the engines.
+ * @param context - The state of the gateway.
+ * @param random - The source of randomness.
+ * @param nowMs - The current time, in milliseconds.
+ * @returns The chosen candidate; undefined if there are none.
+ */
+export function chooseAmongMany (all: readonly Candidate[], engine: Deployment.Engine, context: RoutingContext, random: Core.Random.Random, nowMs: number): Candidate | undefined {
+  const { totalCallsPerSecond = 0 } = context
+  const withFreeSlot = all.filter(({ hasFreeSlot }) => hasFreeSlot)
+  const candidates = withFreeSlot.length > 0 ? withFreeSlot : all
+  const ages = candidates.map(({ row }) => Math.min(Endpoints.LOAD_MAX_AGE_MS, nowMs - row.loadAtMs))
+  const meanAgeMs = ages.reduce((sum, ageMs) => sum + ageMs, 0) / Math.max(1, ages.length)
+  const turnoverMs = EngineModel.turnoverMs(engine)
+  const readMs = engine.usualPromptTokens / engine.readTokensPerMs
+  const parts = Spreading.spread(candidates.map(({ predictedMs, penaltyMs, hasFreeSlot }) => ({ costMs: predictedMs + penaltyMs, costPerCallMs: hasFreeSlot ? readMs : turnoverMs })), 1 + totalCallsPerSecond * meanAgeMs / MS_PER_SECOND, TIE_TOLERANCE_MS)
+  return candidates[Spreading.drawIndex(parts, random.next())]
+}
+
 /**
  * Chooses the candidate with the fewest calls, so that a call that may crash its endpoint cuts as few others as possible.
  *
@@ -278,6 +312,8 @@
   const freeCount = Math.max(0, slotCount - row.load.activeCount - row.load.queuedCount)
   // At an endpoint with a rate limit, the turns already divide the calls among the gateways.
   if (row.limit?.callsPerSecond !== undefined) return freeCount - (row.ownCallCount - row.ownAtLoadCount)
+  const demandShare = row.listing.weights !== undefined && SlotShares.areByDemand(context.gatewayCount, slotCount) ? context.slotShares?.get(zone) : undefined
+  if (demandShare !== undefined) return Math.floor(freeCount * demandShare + row.loadDraw) - (row.ownCallCount - row.ownAtLoadCount)
   const otherZoneGatewayCount = context.gatewayCount - context.zoneGatewayCount
   const sameZoneShare = otherZoneGatewayCount === 0 ? 1 : SAME_ZONE_SHARE
   const share = zone === context.zone ? sameZoneShare / context.zoneGatewayCount : (1 - SAME_ZONE_SHARE) / Math.max(1, otherZoneGatewayCount)
@@ -292,9 +328,18 @@
   const busyCount = Endpoints.busyCount(row, nowMs)
   const freeSlotCount = availableSlotCount(row, context, nowMs)
   const waitingCount = Math.max(0, 1 - freeSlotCount)
-  const { engine } = requirements.service
+  const { engine, name: service } = requirements.service
   if (engine === undefined) return { row, predictedMs: PLAIN_CALL_MS * (busyCount + 1) * (1 + waitingCount), hasFreeSlot: waitingCount === 0, freeSlotCount, penaltyMs }
   const othersTokens = engine.usualPromptTokens * Math.min(1, busyCount / engine.slotCount)
+  const { rank } = requirements
+  if (rank !== undefined && context.rankShares !== undefined) {
+    const aheadShare = context.rankShares.aheadShare(service, rank)
+    const aheadCount = Math.max(0, busyCount - engine.slotCount) * aheadShare
+    const slotWaitCount = waitingCount === 0 ? 0 : (1 + aheadCount) / (1 - context.rankShares.overtakingShare(service, rank, nowMs))
+    const tokensAheadCount = othersTokens + Math.max(row.unreadTokens * aheadShare, aheadCount * engine.usualPromptTokens)
+    const predictedMs = EngineModel.firstTokenMs(engine, { busyCount, waitingCount: slotWaitCount, tokensAheadCount, pace: row.load?.pace ?? 1 }, requirements.promptTokens)
+    return { row, predictedMs, hasFreeSlot: waitingCount === 0, freeSlotCount, penaltyMs }
+  }
   const tokensAheadCount = othersTokens + Math.max(row.unreadTokens, (row.load?.queuedCount ?? 0) * engine.usualPromptTokens)
   const predictedMs = EngineModel.firstTokenMs(engine, { busyCount, waitingCount, tokensAheadCount, pace: row.load?.pace ?? 1 }, requirements.promptTokens)
   return { row, predictedMs, hasFreeSlot: waitingCount === 0, freeSlotCount, penaltyMs }
--- a/src/routing/crowding.ts
+++ b/src/routing/crowding.ts
@@ -7,12 +7,14 @@
  *
  * @packageDocumentation
  */
+import type * as Ranks from './ranks.ts'
 
 /** Services at which one gateway recently refused on-time calls. */
 export interface Crowding {
   /** Records that an on-time call was refused. */
-  recordRefusal: (service: string, nowMs: number) => void
-  isCrowded: (service: string, nowMs: number) => boolean
+  recordRefusal: (service: string, nowMs: number, rank?: Ranks.Rank) => void
+  /** Tells whether on-time calls of a rank, or of a more urgent one, are being refused. */
+  isCrowded: (service: string, nowMs: number, rank?: Ranks.Rank) => boolean
 }
 
 /** Time for which a service counts as crowded after an on-time call was refused, in milliseconds: in replays, 300 ms answered fewer calls on time, and 1,000 ms answered fewer calls in total during bursts. */
@@ -24,9 +26,15 @@
  * @returns The state.
  */
 export function createCrowding (): Crowding {
-  const refusedAtMs = new Map<string, number>()
+  /** When an on-time call was last refused, by service and index of the rank. */
+  const refusedAtMs = new Map<string, number[]>()
   return {
-    recordRefusal: (service, nowMs) => { refusedAtMs.set(service, nowMs) },
-    isCrowded: (service, nowMs) => nowMs - (refusedAtMs.get(service) ?? -Infinity) < CROWDED_MS
+    recordRefusal: (service, nowMs, rank) => {
+      const times = refusedAtMs.get(service) ?? []
+      times[rank?.index ?? 0] = nowMs
+      refusedAtMs.set(service, times)
+    },
+    isCrowded: (service, nowMs, rank) =>
+      (refusedAtMs.get(service) ?? []).slice(0, (rank?.index ?? 0) + 1).some(atMs => nowMs - atMs < CROWDED_MS)
   }
 }
--- a/src/routing/deployment.ts
+++ b/src/routing/deployment.ts
@@ -117,6 +117,8 @@
   routeOf: (host: string, path: string) => Route | undefined
   workspaceOf: (key: string) => Workspace | undefined
   serviceOf: (name: string) => Service | undefined
+  /** Returns the priorities that calls of a service may have, in ascending order. */
+  prioritiesOf: (service: string) => readonly number[]
 }
 
 /**
@@ -135,14 +137,26 @@
   for (const hostRoutes of routes.values()) hostRoutes.sort((a, b) => b.prefix.length - a.prefix.length)
   const workspaces = new Map((deployment.workspaces ?? []).flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
   const services = new Map(deployment.services.map(service => [service.name, service]))
+  const priorities = prioritiesByService(deployment)
   return {
     deployment,
     routeOf: (host, path) => routes.get(host)?.find(route => path.startsWith(route.prefix)),
     workspaceOf: key => workspaces.get(key),
-    serviceOf: name => services.get(name)
+    serviceOf: name => services.get(name),
+    prioritiesOf: service => priorities.get(service) ?? []
   }
 }
 
+/** Collects the priorities of the routes to each service and those of the workspaces, which override them. */
+function prioritiesByService ({ routes, workspaces = [] }: Deployment): ReadonlyMap<string, readonly number[]> {
+  const overriding = workspaces.flatMap(({ priority }) => priority ?? [])
+  const byService = new Map<string, Set<number>>()
+  for (const { targets, priority } of routes) {
+    for (const { service } of targets) byService.set(service, (byService.get(service) ?? new Set(overriding)).add(priority))
+  }
+  return new Map([...byService].map(([service, priorities]) => [service, [...priorities].sort((a, b) => a - b)]))
+}
+
 /**
  * Chooses one of a route's services at random, in proportion to their weights.
  *
--- a/src/routing/waiting.ts
+++ b/src/routing/waiting.ts
@@ -1,19 +1,21 @@
 /**
  * Queue of calls that wait for a slot, which absorbs short bursts.
  *
- * Streams that have begun go first, since their callers are already reading. After them, calls that can
- * still be answered on time go before late ones, then calls with a higher priority go before others,
- * then calls that arrived earlier go first, so that no call starves.
+ * Streams that have begun go first, since their callers are already reading. After them, calls of a more
+ * urgent rank go before others, also late ones; within a rank, calls that can still be answered on time go
+ * before late ones, then calls that arrived earlier go first.
  *
  * @packageDocumentation
  */
+import type * as Ranks from './ranks.ts'
 
 /** The properties of a waiting call that determine its order. */
 export interface WaitingCall {
   readonly service: string
   readonly resuming: boolean
   readonly late: boolean
-  readonly priority: number
+  /** Undefined if all calls of the service have the same priority. */
+  readonly rank: Ranks.Rank | undefined
   readonly arrivedAtMs: number
 }
 
@@ -37,8 +39,8 @@
  */
 export function compare (a: WaitingCall, b: WaitingCall): number {
   return Number(b.resuming) - Number(a.resuming) ||
+    (a.rank?.index ?? 0) - (b.rank?.index ?? 0) ||
     Number(a.late) - Number(b.late) ||
-    a.priority - b.priority ||
     a.arrivedAtMs - b.arrivedAtMs
 }
 
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import * as StreamConsumers from 'node:stream/consumers'
 import * as Schema from 'effect/Schema'
 import * as Core from '../src/core/index.ts'
 import * as HttpServer from '../src/edge/httpServer.ts'
@@ -42,8 +43,6 @@
   readonly fallback?: HttpServer.Handler
 }
 
-const MAX_BODY_BYTES = 64 * 1024 * 1024
-const BODY_TIMEOUT_MS = 60_000
 const decodeFaults = Decode.json(Faults)
 
 /**
@@ -106,8 +105,7 @@
  * @returns The bytes; empty when the body did not arrive whole.
  */
 export async function readBytes (request: Http.IncomingMessage): Promise<Buffer> {
-  const body = await HttpServer.readBody(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
-  return body.isOk() ? body.value : Buffer.alloc(0)
+  return await StreamConsumers.buffer(request).catch(() => Buffer.alloc(0))
 }
 
 function loseAnswer (response: Http.ServerResponse): void {
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -186,6 +186,7 @@
       callerAddress: { host: '127.0.0.1', port },
       readinessAddress: { host: '127.0.0.1', port: readyPort },
       bounds: () => ({ retries: { ratio: 0.2, slackCount: 100, windowMs: 10_000 }, versionMs: VERSION_MS, graceMs: 8_000 }),
+      limits: () => ({ memoryBytes: undefined, descriptorCount: undefined }),
       dialect: Dialect.createDialect(),
       operatorChangeOf: Operators.changeOf,
       agentRowOf: Operators.agentPartOf,
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -212,7 +212,7 @@
     const call: Call = {
       service: SERVICE.name,
       resuming: false,
-      priority: 0,
+      rank: undefined,
       firstAtMs: nowMs,
       arrivedAtMs: nowMs,
       late: false,
