Less urgent calls leave the last free slots to urgent ones that find none; a replay with ranks, a play of clients

A gateway whose on-time calls of a rank find no free slot keeps the last free slot of its share from less urgent calls for a second. Requests that were sent ahead on a connection are seen before the first one is passed on, so that nothing is done for such a client.

--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -125,6 +125,14 @@
   }
 
   const reader = FairReader.createFairReader(clock)
+  /** Passes a request on, unless it turns out to be followed by requests that were sent ahead: those are seen first, so that nothing is done for such a client. */
+  const pass = (request: Http.IncomingMessage, response: Http.ServerResponse): void => {
+    const { socket } = request
+    if (!states.has(socket)) return
+    if (request.complete && reader.hasUnparsed(socket)) { setImmediate(pass, request, response); return }
+    handle(request, response)
+  }
+
   server.on('connection', socket => {
     const nowMs = clock()
     reader.add(socket)
@@ -145,7 +153,7 @@
       state.activeAtMs = clock()
       state.readBytesAtIdle = socket.bytesRead
     })
-    handle(request, response)
+    process.nextTick(pass, request, response)
   })
 
   /** Charges what has been read of a head that is not complete yet. */
--- a/src/edge/fairReader.ts
+++ b/src/edge/fairReader.ts
@@ -14,6 +14,8 @@
 export interface FairReader {
   /** Takes over the reading of a connection that an HTTP server has just accepted. */
   add: (socket: Net.Socket) => void
+  /** Whether bytes of a connection have been received and not yet parsed. */
+  hasUnparsed: (socket: Net.Socket) => boolean
 }
 
 interface Reading {
@@ -76,7 +78,8 @@
     let next: Reading | undefined
     for (const reading of queue) {
       if (reading.socket.destroyed) queue.delete(reading)
-      else if (next === undefined || reading.usedMs < next.usedMs) next = reading
+      // Of those that have used the same, the one that came last: an ordinary request behind a crowd.
+      else if (next === undefined || reading.usedMs <= next.usedMs) next = reading
     }
     if (next !== undefined) parseSome(next, clock())
     if (queue.size === 0 || isScheduled) return
@@ -84,11 +87,14 @@
     setImmediate(runTurn)
   }
 
+  const readings = new WeakMap<Net.Socket, Reading>()
   return {
+    hasUnparsed: socket => (readings.get(socket)?.parts.length ?? 0) > 0,
     add: socket => {
       const [parse] = socket.listeners('data') as Array<(this: Net.Socket, bytes: Buffer) => void>
       if (parse === undefined) return
       const reading: Reading = { socket, parse: parse.bind(socket), parts: [], usedMs: 0 }
+      readings.set(socket, reading)
       socket.removeListener('data', parse)
       socket.on('data', (bytes: Buffer) => {
         const nowMs = clock()
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -245,10 +245,12 @@
       leftMs: call.deadlineAtMs - nowMs,
       resuming: call.resuming,
       isCrowded: crowding.isCrowded(call.service, nowMs, call.rank),
+      isOutranked: crowding.isOutranked(call.service, nowMs, call.rank),
       rank: call.rank
     }
     const slotIntervalMs = opensInMs ?? Routing.Choice.slotIntervalMs(call.requirements.service, candidates.length, context.gatewayCount)
     const decision = Routing.Admission.decide(admissionInput, best, { aheadCount: waiting.aheadCount(call), slotIntervalMs }, candidates.length > 0 || opensInMs !== undefined)
+    if (call.rank !== undefined && !call.late && !(decision.kind === 'send' && decision.candidate.hasFreeSlot)) crowding.recordPressure(call.service, nowMs, call.rank)
     if (decision.kind === 'send') {
       waiting.remove(call)
       if (quarantineAction === 'try') {
--- /dev/null
+++ b/test/ranks.test.ts
@@ -0,0 +1,100 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Routing from '../src/routing/index.ts'
+import * as Dialect from '../platform/dialect.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as LoadReplay from '../testkit/loadReplay.ts'
+
+const rankOf = (index: number): Routing.Ranks.Rank => ({ index, count: 3 })
+
+describe('Ranks', () => {
+  describe('rankOf', () => {
+    it('gives no rank where all calls of a service have the same priority, so that they are served as without ranks', () => {
+      expect(Routing.Ranks.rankOf([1], 1)).toEqual(undefined)
+    })
+
+    it('orders by priority, where 0 is the most urgent', () => {
+      expect([0, 2, 5].map(priority => Routing.Ranks.rankOf([0, 2, 5], priority)?.index)).toEqual([0, 1, 2])
+    })
+  })
+
+  describe('prioritiesOf', () => {
+    it('collects the priorities of the routes to a service and of workspaces, which override them', () => {
+      const route = { name: 'r', host: 'h', prefix: '/', kind: 'stream', runLimitCount: 1, timeoutMs: 1, goalMs: 1, pauseGoalMs: 1, anonymous: false, resumable: true, regions: [] } as const
+      const index = Routing.Deployment.createIndex({
+        version: 1,
+        routes: [{ ...route, priority: 2, targets: [{ service: 'a', weight: 1 }] }, { ...route, priority: 1, targets: [{ service: 'a', weight: 1 }, { service: 'b', weight: 1 }] }],
+        services: [],
+        workspaces: [{ name: 'w', keys: [], priority: 0, regions: [] }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+      })
+      expect([index.prioritiesOf('a'), index.prioritiesOf('b'), index.prioritiesOf('c')]).toEqual([[0, 1, 2], [0, 1], []])
+    })
+  })
+
+  describe('queuePositionOf', () => {
+    it('puts late calls behind those of their rank, less urgent ranks behind both, and resumed streams first', () => {
+      const positions = [0, 1].flatMap(index => [false, true].map(late => Routing.Ranks.queuePositionOf(rankOf(index), { resuming: false, late })))
+      expect([positions, Routing.Ranks.queuePositionOf(rankOf(2), { resuming: true, late: true })]).toEqual([[0, 1, 2, 3], 0])
+    })
+
+    it('is sent to the endpoint in place of what the caller asks for', () => {
+      const forwarded = Dialect.createDialect().forwardHeaders(['X-Fescuespread-Request-Priority', '0'], { endpointId: 'i', workspace: undefined, leftMs: 5, lastEventId: undefined, bodyBytes: undefined, queuePosition: 4 })
+      expect(forwarded.filter((_, at) => forwarded[at - 1] === 'X-Fescuespread-Request-Priority')).toEqual(['4'])
+    })
+  })
+
+  describe('createRankShares', () => {
+    it('counts as ahead only calls of the same and of more urgent ranks that have not begun', () => {
+      const shares = Routing.Ranks.createRankShares()
+      for (const index of [0, 1, 1, 2]) shares.recordSent('s', rankOf(index))
+      shares.recordSettled('s', rankOf(1))
+      expect([0, 1, 2].map(index => shares.aheadShare('s', rankOf(index)))).toEqual([1 / 3, 2 / 3, 1])
+    })
+
+    it('forgets begun calls, so that a burst of urgent calls does not keep others out after its end', () => {
+      const shares = Routing.Ranks.createRankShares()
+      for (let call = 0; call < 50; call++) shares.recordBegun('s', rankOf(0), 0)
+      const during = shares.overtakingShare('s', rankOf(2), 0)
+      for (let call = 0; call < 20; call++) shares.recordBegun('s', rankOf(2), 8_000)
+      expect([during, shares.overtakingShare('s', rankOf(2), 8_000) < 0.05]).toEqual([0.9, true])
+    })
+  })
+})
+
+describe('Calls of several ranks', () => {
+  const RANKS = [{ share: 0.43, goalMs: 400 }, { share: 0.23, goalMs: 400 }, { share: 0.34, goalMs: 1_000 }]
+  /** About nine tenths of what the engines of the replay can serve. */
+  const BASE_PER_SECOND = 75
+  const playAt = (factor: number, changes: LoadReplay.Changes = {}): LoadReplay.Outcome =>
+    LoadReplay.play({ seed: 1, durationMs: 10_000, callsPerSecond: () => BASE_PER_SECOND * factor, promptTokens: draw => 400 + 1_154 * draw, ranks: RANKS }, changes)
+  /** Minimum share of a rank's calls that are served more often than those of the next rank, as operators allow. */
+  const ORDER_TOLERANCE = 0.05
+
+  for (const factor of [1.3, 2, 4]) {
+    it(`serve the urgent ones first at ${factor} times the usual load, and those that can wait first without ranks`, t => {
+      const [ranked, alternative] = [playAt(factor), playAt(factor, { ignoresRanks: true })]
+      t.diagnostic(`ranks ${JSON.stringify(ranked.byRank)}`)
+      t.diagnostic(`no ranks ${JSON.stringify(alternative.byRank)}`)
+      const served = ranked.byRank.map(rank => rank.served)
+      const isInOrder = served.every((share, at) => at === 0 || share <= (served[at - 1] ?? 0) + ORDER_TOLERANCE)
+      expect([isInOrder, (ranked.byRank[0]?.inGoal ?? 0) > (alternative.byRank[0]?.inGoal ?? 0) + 0.2]).toEqual([true, true])
+    })
+  }
+
+  it('are all served in calm', () => {
+    expect(playAt(0.8).byRank.every(({ inGoal }) => inGoal > 0.98)).toEqual(true)
+  })
+
+  it('serve the least urgent again at once when a burst of urgent calls ends', () => {
+    // Callers that were refused in the burst come back for up to two seconds after its end.
+    const outcome = LoadReplay.play({ seed: 2, durationMs: 12_000, countFromMs: 5_500, callsPerSecond: atMs => atMs < 3_000 ? 200 : 50, promptTokens: draw => 400 + 1_154 * draw, ranks: RANKS })
+    expect((outcome.byRank[2]?.inGoal ?? 0) > 0.95).toEqual(true)
+  })
+
+  it('leave a slot to urgent calls that find none, and take it when two are free', () => {
+    const candidateWith = (freeSlotCount: number): Routing.Choice.Candidate => ({ row: [...Direct.surroundingsOf([Direct.listingOf('e')]).endpoints.rows()][0] as Routing.Endpoints.EndpointRow, predictedMs: 50, hasFreeSlot: true, freeSlotCount, penaltyMs: 0 })
+    const decide = (isOutranked: boolean, freeSlotCount: number): string => Routing.Admission.decide({ ageMs: 0, waitedMs: 0, goalMs: 1_000, leftMs: 5_000, resuming: false, isCrowded: false, isOutranked, rank: rankOf(2) }, candidateWith(freeSlotCount), { aheadCount: 0, slotIntervalMs: 50 }, true).kind
+    expect([decide(false, 1), decide(true, 1), decide(true, 2)]).toEqual(['send', 'wait', 'send'])
+  })
+})
