--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -384,6 +384,8 @@
     metrics.gauge('client_connections', callers.count() + probes.count())
     metrics.gauge('client_memory_bytes', clientMemory.usedBytes())
     clientPressure.check()
+    for (const [zone, share] of sharing?.shares ?? []) metrics.gauge('free_slot_share', share, { zone })
+    for (const [service, variation] of Routing.Endpoints.loadVariations(endpoints, nowMs)) metrics.gauge('load_variation', variation, { service })
     for (const [state, count] of Object.entries(Routing.Endpoints.countStates(endpoints, nowMs, notices))) metrics.gauge('endpoints', count, { state })
     for (const { model, version } of versions.newestVersions()) {
       metrics.gauge('weights_version', version, { model })
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -642,6 +642,7 @@
     calls.delete(call)
     const tookMs = clock() - call.arrivedAtMs
     metrics.count('calls_ended_total', { outcome })
+    if (call.rank !== undefined) metrics.count('ranked_calls_ended_total', { outcome, service: call.service, rank: String(call.rank.index), workspace: call.workspace?.name ?? '' })
     metrics.observeSeconds('call_seconds', tookMs / 1000, { outcome })
     if (call.eventCount > 1) metrics.observeSeconds('longest_pause_seconds', call.longestPauseMs / 1000)
     log('routing', END_SENTENCES[outcome], { callId: call.callId, route: call.route.name, workspace: call.workspace?.name, tookMs: Math.round(tookMs), attemptCount: call.attemptCount, eventCount: call.eventCount, goalMs: call.route.goalMs, deploymentVersion: options.deploymentIndex()?.deployment.version, ...fields })
--- a/src/ingress/logFields.ts
+++ b/src/ingress/logFields.ts
@@ -37,6 +37,7 @@
     attemptCount: call.attemptCount,
     ...(row.limit?.callsPerSecond === undefined ? {} : { limitPerSecond: row.limit.callsPerSecond }),
     ...(weights === undefined ? {} : { version: weights.version, oldestVersion: context.oldestVersionOf(weights.model) }),
+    ...(call.rank === undefined ? {} : { rankIndex: call.rank.index, queuePosition: Routing.Ranks.queuePositionOf(call.rank, call) }),
     ...(call.resuming ? { lastEventId: call.lastEventId } : {})
   }
 }
@@ -60,6 +61,7 @@
     waitedMs: Math.round(admissionInput.waitedMs),
     ageMs: Math.round(admissionInput.ageMs),
     isCrowded: admissionInput.isCrowded,
+    ...(call.rank === undefined ? {} : { isOutranked: admissionInput.isOutranked, rankIndex: call.rank.index }),
     freeCount: best?.freeSlotCount,
     ...(candidates.length > 0 ? {} : { ruledOut: Routing.Choice.countExcluded(call.requirements, context, nowMs) }),
     ...(candidates.length > 0 || service.engine === undefined || model === undefined ? {} : { oldestVersion: context.oldestVersionOf(model) })
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -311,6 +311,28 @@
   return counts
 }
 
+/**
+ * Measures how unevenly the endpoints of each service are loaded, for the metrics.
+ *
+ * @param endpoints - The endpoints.
+ * @param nowMs - The current time, in milliseconds.
+ * @returns The coefficient of variation of the calls at the endpoints with current reports, by service; 0 for an idle service.
+ */
+export function loadVariations (endpoints: Endpoints, nowMs: number): ReadonlyMap<string, number> {
+  const countsByService = new Map<string, number[]>()
+  for (const row of endpoints.rows()) {
+    if (row.load === undefined || nowMs - row.loadAtMs > LOAD_MAX_AGE_MS || row.listing.draining) continue
+    const counts = countsByService.get(row.listing.service) ?? []
+    counts.push(busyCount(row, nowMs))
+    countsByService.set(row.listing.service, counts)
+  }
+  return new Map([...countsByService].map(([service, counts]) => {
+    const mean = counts.reduce((sum, count) => sum + count, 0) / counts.length
+    const variance = counts.reduce((sum, count) => sum + (count - mean) ** 2, 0) / counts.length
+    return [service, mean === 0 ? 0 : Math.sqrt(variance) / mean]
+  }))
+}
+
 function createRow (listing: Listing, nowMs: number): EndpointRow {
   return {
     listing,
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -64,6 +64,9 @@
   host: text('Host'),
   incarnation: text('Tells apart starts of a process'),
   index: number('The chunk'),
+  isOutranked: flag('Whether more urgent calls found no free slot shortly before, so that this one leaves the last one to them'),
+  rankIndex: number('Rank of the call among those of its service; 0 is the most urgent, absent where all calls have the same priority'),
+  queuePosition: number('Position that the endpoint\'s queue was asked for; 0 goes first'),
   isCrowded: flag('Whether calls in time were turned away shortly before, so that late ones leave the last place to them'),
   key: text('The key of a row'),
   lapsed: flag('Whether the endpoint is kept for now, since entries lapsed while the store was away'),
@@ -134,12 +137,12 @@
 
 /** The kinds of lines, by their `msg`. */
 export const LINES: Readonly<Record<string, Line>> = {
-  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion', 'limitPerSecond'] },
+  'routing: Call sent.': { about: 'An attempt goes to an endpoint', fields: ['service', 'endpointId', 'predictedMs', 'busyCount', 'loadAgeMs', 'leftMs', 'attemptCount'], optional: ['callId', 'lastEventId', 'version', 'oldestVersion', 'limitPerSecond', 'rankIndex', 'queuePosition'] },
   'routing: Call waits.': { about: 'No endpoint would begin in time now; the call waits for one', fields: ['service', 'aheadCount', 'goalMs'], optional: ['callId', 'bestMs'] },
   'routing: Attempt ended.': { about: 'An attempt ended without a whole answer', fields: ['endpointId', 'end', 'reason', 'tookMs', 'next'], optional: ['callId', 'attemptCount', 'digest', 'parts'] },
   'routing: Attempt kept.': { about: 'The endpoint of a stream sent nothing for long, and no other goes on with the stream', fields: ['endpointId', 'quietMs'], optional: ['callId'] },
   'routing: Call answered.': { about: 'The caller has a whole answer', fields: [...END, 'status', 'endpointId'], optional: [...END_OPTIONAL, 'firstMs', 'version'] },
-  'routing: Call refused.': { about: 'The caller was told that the call did not run, and when to come back', fields: ['reason', 'returnAfterMs'], optional: [...END, ...END_OPTIONAL, 'waitingCount', 'candidateCount', 'bestMs', 'bestId', 'busyCount', 'waitedMs', 'ageMs', 'isCrowded', 'freeCount', 'ruledOut', 'oldestVersion', 'digest', 'parts', 'quarantinedParts'] },
+  'routing: Call refused.': { about: 'The caller was told that the call did not run, and when to come back', fields: ['reason', 'returnAfterMs'], optional: [...END, ...END_OPTIONAL, 'waitingCount', 'candidateCount', 'bestMs', 'bestId', 'busyCount', 'waitedMs', 'ageMs', 'isCrowded', 'isOutranked', 'rankIndex', 'freeCount', 'ruledOut', 'oldestVersion', 'digest', 'parts', 'quarantinedParts'] },
   'routing: Call failed.': { about: 'The outcome is unknown or the answer was cut', fields: [...END, 'status', 'code', 'answering'], optional: [...END_OPTIONAL, 'endpointId', 'digest', 'parts'] },
   'routing: Failure passed on.': { about: 'The endpoint\'s own failure is the answer', fields: [...END, 'status'], optional: END_OPTIONAL },
   'routing: Call cancelled.': { about: 'The caller left', fields: [...END, 'answering'], optional: [...END_OPTIONAL, 'endpointId', 'digest', 'parts'] },
