--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -245,7 +245,7 @@
       leftMs: call.deadlineAtMs - nowMs,
       resuming: call.resuming,
       isCrowded: crowding.isCrowded(call.service, nowMs, call.rank),
-      isOutranked: crowding.isOutranked(call.service, nowMs, call.rank),
+      isOutranked: crowding.isOutranked(call.service, nowMs, call.rank, call.late),
       rank: call.rank
     }
     const slotIntervalMs = opensInMs ?? Routing.Choice.slotIntervalMs(call.requirements.service, candidates.length, context.gatewayCount)
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -24,7 +24,7 @@
   readonly resuming: boolean
   /** Whether on-time calls are being refused, so that free slots are reserved for them. */
   readonly isCrowded: boolean
-  /** Whether on-time calls of a more urgent rank find no free slots, so that free slots are reserved for them. */
+  /** Whether on-time calls that go before this one find no free slots, so that free slots are reserved for them. */
   readonly isOutranked?: boolean
   /** Undefined if all calls of the service have the same priority. */
   readonly rank?: Ranks.Rank | undefined
@@ -52,8 +52,6 @@
 const LATE_WAIT_SHARE = 0.1
 /** Assumed maximum ratio of actual to predicted time for a call that queues at an endpoint: other gateways send calls there meanwhile. */
 const QUEUED_PREDICTION_FACTOR = 1.5
-/** The same ratio for calls of the most urgent rank: endpoints begin them before all others that are queued there. */
-const MOST_URGENT_PREDICTION_FACTOR = 1.3
 /** Minimum number of free slots at which a late call is sent to a crowded service: one for itself and one for an on-time call. */
 const MIN_FREE_SLOT_COUNT = 2
 /** Minimum remaining time of a call, in milliseconds; with less it is refused, as no answer would arrive in time. */
@@ -76,7 +74,7 @@
   const mayTakeLastSlot = call.isOutranked !== true || leavesFreeSlot
   if (best !== undefined && queue.aheadCount === 0 && mayTakeLastSlot) {
     if (call.resuming && best.predictedMs < call.leftMs) return { kind: 'send', candidate: best }
-    if (best.hasFreeSlot || (!late && mayQueueAtEndpoint(call.rank) && call.ageMs + best.predictedMs * predictionFactorOf(call.rank) <= call.goalMs)) return { kind: 'send', candidate: best }
+    if (best.hasFreeSlot || (!late && mayQueueAtEndpoint(call.rank) && call.ageMs + best.predictedMs * QUEUED_PREDICTION_FACTOR <= call.goalMs)) return { kind: 'send', candidate: best }
   }
   const waitLimitMs = late || call.resuming ? call.leftMs * LATE_WAIT_SHARE : call.goalMs * GOAL_WAIT_SHARE
   const expectedMs = call.waitedMs + (queue.aheadCount + 1) * queue.slotIntervalMs
@@ -90,10 +88,6 @@
   return rank === undefined || rank.index < rank.count - 1
 }
 
-function predictionFactorOf (rank: Ranks.Rank | undefined): number {
-  return rank?.index === 0 ? MOST_URGENT_PREDICTION_FACTOR : QUEUED_PREDICTION_FACTOR
-}
-
 function refuse (best: Choice.Candidate | undefined, hasEligibleEndpoint: boolean): Decision {
   return { kind: 'refuse', reason: best !== undefined || hasEligibleEndpoint ? 'overCapacity' : 'noEndpoint' }
 }
--- a/src/routing/crowding.ts
+++ b/src/routing/crowding.ts
@@ -18,8 +18,8 @@
   recordPressure: (service: string, nowMs: number, rank: Ranks.Rank) => void
   /** Tells whether on-time calls of a rank, or of a more urgent one, are being refused. */
   isCrowded: (service: string, nowMs: number, rank?: Ranks.Rank) => boolean
-  /** Tells whether on-time calls of a more urgent rank find no free slots. */
-  isOutranked: (service: string, nowMs: number, rank?: Ranks.Rank) => boolean
+  /** Tells whether on-time calls of a more urgent rank find no free slots; for a late call, also those of its own rank. */
+  isOutranked: (service: string, nowMs: number, rank?: Ranks.Rank, late?: boolean) => boolean
 }
 
 /** Time for which a service counts as crowded after an on-time call was refused, in milliseconds: in replays, 300 ms answered fewer calls on time, and 1,000 ms answered fewer calls in total during bursts. */
@@ -39,7 +39,7 @@
     recordRefusal: (service, nowMs, rank) => { refusals.record(service, rank?.index ?? 0, nowMs) },
     recordPressure: (service, nowMs, { index }) => { pressures.record(service, index, nowMs) },
     isCrowded: (service, nowMs, rank) => refusals.hasAnySince(service, (rank?.index ?? 0) + 1, nowMs - CROWDED_MS),
-    isOutranked: (service, nowMs, rank) => pressures.hasAnySince(service, rank?.index ?? 0, nowMs - PRESSED_MS)
+    isOutranked: (service, nowMs, rank, late = false) => pressures.hasAnySince(service, (rank?.index ?? 0) + Number(late && rank !== undefined), nowMs - PRESSED_MS)
   }
 }
 
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -167,7 +167,7 @@
     const aheadCount = [...gateway.waiting].filter(other => other !== call && compare(other, call) < 0).length
     const opensInMs = best === undefined ? Routing.Choice.opensInMs(placing, surroundingsOf(gateway), nowMs, call.goalMs) : undefined
     const turnMs = opensInMs ?? Routing.Choice.slotIntervalMs(SERVICE, found.length, gatewayTotal)
-    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: call.goalMs, leftMs, resuming: false, isCrowded: changes.ignoresCrowding !== true && gateway.crowding.isCrowded(SERVICE.name, nowMs, call.rank), isOutranked: gateway.crowding.isOutranked(SERVICE.name, nowMs, call.rank), rank: call.rank }, best, { aheadCount, slotIntervalMs: turnMs }, found.length > 0 || opensInMs !== undefined)
+    const verdict = decide({ ageMs, waitedMs: nowMs - call.arrivedAtMs, goalMs: call.goalMs, leftMs, resuming: false, isCrowded: changes.ignoresCrowding !== true && gateway.crowding.isCrowded(SERVICE.name, nowMs, call.rank), isOutranked: gateway.crowding.isOutranked(SERVICE.name, nowMs, call.rank, call.late), rank: call.rank }, best, { aheadCount, slotIntervalMs: turnMs }, found.length > 0 || opensInMs !== undefined)
     if (call.rank !== undefined && !call.late && !(verdict.kind === 'send' && verdict.candidate.hasFreeSlot)) gateway.crowding.recordPressure(SERVICE.name, nowMs, call.rank)
     if (verdict.kind === 'wait') { gateway.waiting.add(call); return }
     gateway.waiting.delete(call)
