--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -28,6 +28,8 @@
 /** The bounded connections of a server. */
 export interface ClientConnections {
   count: () => number
+  /** To be called when a request's body arrives in very small parts: its connection is read in turns from now on. */
+  handleSmallParts: (socket: Net.Socket) => void
   stop: () => void
 }
 
@@ -49,6 +51,11 @@
 
 /** Maximum number of requests of one connection whose answers are not complete: the next request may arrive while the end of an answer is still being reported. */
 const UNANSWERED_LIMIT_COUNT = 2
+/** Number of new connections within a window that counts as a crowd, and the length of the window, in milliseconds. */
+const CROWD_COUNT = 8
+const CROWD_WINDOW_MS = 50
+/** Time after the last sign of a crowd or of misbehaviour for which all connections are read in turns, in milliseconds. */
+const STRAINED_MS = 10_000
 /** Interval between checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 250
 /** Time within which the client has to send the rest of a request that was answered early, in milliseconds. */
@@ -125,6 +132,21 @@
   }
 
   const reader = FairReader.createFairReader(clock)
+  /** When the last connections were accepted, in milliseconds. */
+  const acceptedAtMs: number[] = []
+  let strainedUntilMs = -Infinity
+  /** Reads all connections in turns for a while. */
+  const strain = (nowMs: number): void => {
+    const isNew = nowMs >= strainedUntilMs
+    strainedUntilMs = nowMs + STRAINED_MS
+    // Bytes of a connection may just be being parsed.
+    if (isNew) setImmediate(() => { for (const socket of states.keys()) reader.add(socket) })
+  }
+  const recordAccepted = (socket: Net.Socket, nowMs: number): void => {
+    acceptedAtMs.push(nowMs)
+    if (acceptedAtMs.length > CROWD_COUNT && nowMs - (acceptedAtMs.shift() ?? 0) < CROWD_WINDOW_MS) strain(nowMs)
+    if (nowMs < strainedUntilMs) reader.add(socket)
+  }
   /** Passes a request on, unless it turns out to be followed by requests that were sent ahead: those are seen first, so that nothing is done for such a client. */
   const pass = (request: Http.IncomingMessage, response: Http.ServerResponse): void => {
     const { socket } = request
@@ -135,7 +157,7 @@
 
   server.on('connection', socket => {
     const nowMs = clock()
-    reader.add(socket)
+    recordAccepted(socket, nowMs)
     states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, lastRequest: undefined, unreadBytes: 0, writtenBytes: 0, blockedSinceMs: undefined })
     socket.once('close', () => { forget(socket) })
     if (states.size > bounds.limitCount()) close(findDispensable() ?? socket, 'connectionLimit')
@@ -144,7 +166,11 @@
     const { socket } = request
     const state = states.get(socket)
     if (state === undefined) return
-    if (state.unanswered.size >= UNANSWERED_LIMIT_COUNT) { close(socket, 'sentAhead'); return }
+    if (state.unanswered.size >= UNANSWERED_LIMIT_COUNT) {
+      strain(clock())
+      close(socket, 'sentAhead')
+      return
+    }
     state.unanswered.add(response)
     state.activeAtMs = clock()
     state.lastRequest = request
@@ -204,6 +230,15 @@
   timer.unref()
   return {
     count: () => states.size,
+    handleSmallParts: socket => {
+      strain(clock())
+      // Ends the read that is under way: otherwise up to 2 MB of such parts are parsed at once.
+      socket.pause()
+      setImmediate(() => {
+        reader.add(socket)
+        socket.resume()
+      })
+    },
     stop: () => { clearInterval(timer) }
   }
 }
--- a/src/edge/fairReader.ts
+++ b/src/edge/fairReader.ts
@@ -4,7 +4,8 @@
  * Answers crowds whose bytes take long to parse: very small chunks, very many header fields, requests sent
  * ahead. Bytes are handed to the parser in small pieces. A connection that has used up its turn is read on
  * only after those that have used less, so that an ordinary request is parsed soon after it has arrived, and
- * what follows on a connection that was closed meanwhile is not parsed at all.
+ * what follows on a connection that was closed meanwhile is not parsed at all. This costs some processor time
+ * for each read, so connections are taken over only while crowds connect or clients misbehave.
  *
  * @packageDocumentation
  */
@@ -12,7 +13,7 @@
 
 /** Reads the connections of one server. */
 export interface FairReader {
-  /** Takes over the reading of a connection that an HTTP server has just accepted. */
+  /** Takes over the reading of a connection of an HTTP server; not to be called while its bytes are being parsed. */
   add: (socket: Net.Socket) => void
   /** Whether bytes of a connection have been received and not yet parsed. */
   hasUnparsed: (socket: Net.Socket) => boolean
@@ -91,6 +92,7 @@
   return {
     hasUnparsed: socket => (readings.get(socket)?.parts.length ?? 0) > 0,
     add: socket => {
+      if (readings.has(socket) || socket.destroyed) return
       const [parse] = socket.listeners('data') as Array<(this: Net.Socket, bytes: Buffer) => void>
       if (parse === undefined) return
       const reading: Reading = { socket, parse: parse.bind(socket), parts: [], usedMs: 0 }
--- a/src/edge/requestBodies.ts
+++ b/src/edge/requestBodies.ts
@@ -7,6 +7,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import type * as Net from 'node:net'
 import type * as ClientMemory from './clientMemory.ts'
 
 /** Why there is no body: it exceeds the size limit, the client disconnected, it arrived too slowly, or there is no memory for it. */
@@ -23,12 +24,15 @@
   readonly deadlineAtMs: number
   readonly memory: ClientMemory.ClientMemory
   readonly clock: () => number
+  /** Called once if the body arrives in very small parts, each of which takes as long to handle as a large one. */
+  readonly onSmallParts?: ((socket: Net.Socket) => void) | undefined
 }
 
+/** Number of parts of a body at which their mean size is checked, and the mean size below which they count as very small, in bytes. */
+const SMALL_PARTS_COUNT = 512
+const SMALL_PART_BYTES = 64
 /** Memory that is taken for a body whose length is not known, in bytes. */
 const FIRST_CAPACITY_BYTES = 4_096
-/** Maximum memory that is taken for a body before its bytes arrive, in bytes: a client could announce a large body and send nothing. */
-const ANNOUNCED_CAPACITY_BYTES = 16_384
 /** Estimated memory of a header field after parsing, in bytes: two strings and their entries in two tables. */
 const HEADER_FIELD_BYTES = 160
 /** Number of header fields that count for nothing, as in any usual request. */
@@ -47,6 +51,7 @@
   const hasBody = announcedBytes > 0 || request.headers['transfer-encoding'] !== undefined
   let buffer: Buffer | undefined
   let sizeBytes = 0
+  let partCount = 0
   let isSettled = false
   const settle = (body: BodyResult): void => {
     if (isSettled) return
@@ -75,14 +80,20 @@
   const onData = (part: Buffer): void => {
     const nowMs = clock()
     if (sizeBytes + part.length > limitBytes) { settle('tooLarge'); return }
+    // A body that arrives in one piece is used as it is.
+    if (part.length === announcedBytes && holding.resize(headerBytes + part.length, nowMs)) {
+      buffer = part
+      sizeBytes = part.length
+      return
+    }
     if (!reserve(sizeBytes + part.length, nowMs)) { settle('noRoom'); return }
     if (buffer !== undefined) part.copy(buffer, sizeBytes)
     sizeBytes += part.length
     holding.recordProgress(part.length, nowMs)
+    if (++partCount === SMALL_PARTS_COUNT && sizeBytes < SMALL_PARTS_COUNT * SMALL_PART_BYTES) options.onSmallParts?.(request.socket)
   }
   if (announcedBytes > limitBytes) { settle('tooLarge'); return }
   if (!holding.resize(headerBytes, clock())) { settle('noRoom'); return }
-  if (announcedBytes > 0 && !reserve(Math.min(announcedBytes, ANNOUNCED_CAPACITY_BYTES), clock())) { settle('noRoom'); return }
   request.on('data', onData)
   request.on('end', () => { settle(buffer?.subarray(0, sizeBytes)) })
   request.on('close', () => { if (!request.complete) settle('gone') })
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -299,6 +299,7 @@
     demand,
     rankShares,
     clientMemory,
+    onSmallParts: socket => { callers.handleSmallParts(socket) },
     notices,
     quarantine,
     clock,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -40,6 +40,8 @@
   readonly rankShares: Routing.Ranks.RankShares
   /** Accounts for what is held for callers. */
   readonly clientMemory: ClientMemory.ClientMemory
+  /** Called when a call's body arrives in very small parts. */
+  readonly onSmallParts: RequestBodies.BodyReadOptions['onSmallParts']
   /** What endpoints announced to this gateway: that they are shutting down, or want no calls for a while. */
   readonly notices: Routing.Notices.Notices
   /** Quarantine of requests that crash endpoints. */
@@ -127,7 +129,7 @@
     const workspace = metadata.apiKey === undefined ? undefined : index.workspaceOf(metadata.apiKey)
     if (workspace === undefined && index.deployment.workspaces !== undefined && !route.anonymous) { denyByDeployment(request, response, metadata, 'unauthorized'); return }
     const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? route.timeoutMs, route.timeoutMs)
-    RequestBodies.read(request, { limitBytes: index.deployment.limits.bodyBytes, deadlineAtMs, memory: options.clientMemory, clock }, (body, holding) => {
+    RequestBodies.read(request, { limitBytes: index.deployment.limits.bodyBytes, deadlineAtMs, memory: options.clientMemory, clock, onSmallParts: options.onSmallParts }, (body, holding) => {
       if (typeof body === 'string') { endUnread[body](request, response, metadata); return }
       response.once('close', holding.release)
       accept(index, { metadata, route, workspace, request, response, body, arrivedAtMs })
