Ranks follow the priority of the workspace, then that of the route; only services with engines have them

The workspace's priority goes first and that of the route decides among equal ones. Without ranks the waiting queue is ordered as before, by lateness and then priority; both orders have a test.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -176,7 +176,7 @@
     const deadlineAtMs = arrivedAtMs + Math.min(deadlineMs, route.timeoutMs)
     if (deadlineAtMs > options.callsEndByMs()) { refuseEarly(arrival.request, response, metadata, 'stopping'); return }
     if (service === undefined) { refuseEarly(arrival.request, response, metadata, 'noEndpoint'); return }
-    const rank = Routing.Ranks.rankOf(index.prioritiesOf(service.name), workspace?.priority ?? route.priority)
+    const rank = Routing.Ranks.rankOf(index.ranksOf(service.name), { workspacePriority: workspace?.priority ?? route.priority, routePriority: route.priority })
     const call: Calls.Call = {
       ...arrival,
       callId: metadata.callId ?? '',
@@ -190,6 +190,7 @@
         triedIds: new Set()
       },
       rank,
+      priority: workspace?.priority ?? route.priority,
       ageAtArrivalMs,
       deadlineAtMs,
       resuming: false,
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -26,7 +26,7 @@
   readonly isCrowded: boolean
   /** Whether on-time calls that go before this one find no free slots, so that free slots are reserved for them. */
   readonly isOutranked?: boolean
-  /** Undefined if all calls of the service have the same priority. */
+  /** Undefined if calls of the service have no ranks. */
   readonly rank?: Ranks.Rank | undefined
 }
 
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -25,7 +25,7 @@
   /** The model that the call requests; undefined if it names none. */
   readonly model: string | undefined
   readonly promptTokens: number
-  /** Undefined if all calls of the service have the same priority. */
+  /** Undefined if calls of the service have no ranks. */
   readonly rank?: Ranks.Rank | undefined
   /** Lists of regions in which the call may be served, each of which applies; an empty list allows any region. */
   readonly regions: ReadonlyArray<readonly string[]>
--- a/src/routing/deployment.ts
+++ b/src/routing/deployment.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import * as Ranks from './ranks.ts'
 
 /** Whether the calls of a route may be retried, and how they are answered. */
 export type RouteKind = 'idempotent' | 'nonIdempotent' | 'stream'
@@ -117,8 +118,8 @@
   routeOf: (host: string, path: string) => Route | undefined
   workspaceOf: (key: string) => Workspace | undefined
   serviceOf: (name: string) => Service | undefined
-  /** Returns the priorities that calls of a service may have, in ascending order. */
-  prioritiesOf: (service: string) => readonly number[]
+  /** Returns the ranks of the calls of a service, the most urgent first; empty if they have none. */
+  ranksOf: (service: string) => readonly Ranks.Priorities[]
 }
 
 /**
@@ -137,24 +138,23 @@
   for (const hostRoutes of routes.values()) hostRoutes.sort((a, b) => b.prefix.length - a.prefix.length)
   const workspaces = new Map((deployment.workspaces ?? []).flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
   const services = new Map(deployment.services.map(service => [service.name, service]))
-  const priorities = prioritiesByService(deployment)
+  const ranks = ranksByService(deployment)
   return {
     deployment,
     routeOf: (host, path) => routes.get(host)?.find(route => path.startsWith(route.prefix)),
     workspaceOf: key => workspaces.get(key),
     serviceOf: name => services.get(name),
-    prioritiesOf: service => priorities.get(service) ?? []
+    ranksOf: service => ranks.get(service) ?? []
   }
 }
 
-/** Collects the priorities of the routes to each service and those of the workspaces, which override them. */
-function prioritiesByService ({ routes, workspaces = [] }: Deployment): ReadonlyMap<string, readonly number[]> {
-  const overriding = workspaces.flatMap(({ priority }) => priority ?? [])
-  const byService = new Map<string, Set<number>>()
-  for (const { targets, priority } of routes) {
-    for (const { service } of targets) byService.set(service, (byService.get(service) ?? new Set(overriding)).add(priority))
-  }
-  return new Map([...byService].map(([service, priorities]) => [service, [...priorities].sort((a, b) => a - b)]))
+/** Puts the priorities of the calls of each service with an engine in order; other services have no queue to be ordered. */
+function ranksByService ({ routes, services, workspaces = [] }: Deployment): ReadonlyMap<string, readonly Ranks.Priorities[]> {
+  const workspacePriorities = workspaces.map(({ priority }) => priority)
+  return new Map(services.filter(({ engine }) => engine !== undefined).map(({ name }) => {
+    const routePriorities = routes.filter(({ targets }) => targets.some(({ service }) => service === name)).map(({ priority }) => priority)
+    return [name, Ranks.orderOf(routePriorities, workspacePriorities)]
+  }))
 }
 
 /**
--- a/src/routing/ranks.ts
+++ b/src/routing/ranks.ts
@@ -47,17 +47,41 @@
 /** Queue positions for each rank: calls that are on time, then late ones. */
 const POSITIONS_PER_RANK = 2
 
+/** The priorities that decide the rank of a call; 0 is the highest. */
+export interface Priorities {
+  /** Priority of the workspace, which goes before that of the route; that of the route if the workspace has none. */
+  readonly workspacePriority: number
+  readonly routePriority: number
+}
+
+/**
+ * Puts the priorities that calls of a service may have in order.
+ *
+ * @param routePriorities - The priorities of the routes to the service.
+ * @param workspacePriorities - The priorities of workspaces; undefined for one whose calls have that of their route.
+ * @returns The ranks, the most urgent first; empty if the routes to the service all have the same priority, so that its calls have no ranks.
+ */
+export function orderOf (routePriorities: readonly number[], workspacePriorities: ReadonlyArray<number | undefined>): readonly Priorities[] {
+  const routes = [...new Set(routePriorities)]
+  if (routes.length < 2) return []
+  const workspaces = [...new Set(workspacePriorities.flatMap(priority => priority ?? []))]
+  const ofWorkspaces = workspaces.flatMap(workspacePriority => routes.map(routePriority => ({ workspacePriority, routePriority })))
+  const hasOthers = workspacePriorities.length === 0 || workspacePriorities.includes(undefined)
+  const ofRoutes = routes.filter(routePriority => hasOthers && !workspaces.includes(routePriority)).map(routePriority => ({ workspacePriority: routePriority, routePriority }))
+  return [...ofWorkspaces, ...ofRoutes].sort((a, b) => a.workspacePriority - b.workspacePriority || a.routePriority - b.routePriority)
+}
+
 /**
  * Determines the rank of a call.
  *
- * @param priorities - The priorities that calls of the service may have, in ascending order and without duplicates.
- * @param priority - The priority of the call; 0 is the highest.
- * @returns The rank; undefined if all calls of the service have the same priority.
+ * @param order - The ranks of the call's service, from `orderOf`.
+ * @param priorities - The priorities of the call.
+ * @returns The rank; undefined if the calls of the service have no ranks.
  */
-export function rankOf (priorities: readonly number[], priority: number): Rank | undefined {
-  if (priorities.length < 2) return undefined
-  const index = priorities.filter(other => other < priority).length
-  return { index: Math.min(index, priorities.length - 1), count: priorities.length }
+export function rankOf (order: readonly Priorities[], { workspacePriority, routePriority }: Priorities): Rank | undefined {
+  if (order.length === 0) return undefined
+  const index = order.findIndex(rank => rank.workspacePriority === workspacePriority && rank.routePriority === routePriority)
+  return { index: index === -1 ? order.length - 1 : index, count: order.length }
 }
 
 /**
@@ -65,11 +89,12 @@
  *
  * @param rank - The rank of the call.
  * @param call - Whether the call continues a stream that has begun, and whether it is late.
- * @returns The position from 0 to 9; 0 goes first.
+ * @returns The position from 0 to 9; 0 goes first. Late calls stand behind those of their rank where there are positions enough.
  */
-export function queuePositionOf (rank: Rank, call: { readonly resuming: boolean, readonly late: boolean }): number {
+export function queuePositionOf ({ index, count }: Rank, call: { readonly resuming: boolean, readonly late: boolean }): number {
   if (call.resuming) return 0
-  return Math.min(LAST_QUEUE_POSITION, rank.index * POSITIONS_PER_RANK + Number(call.late))
+  if (count * POSITIONS_PER_RANK > LAST_QUEUE_POSITION + 1) return Math.min(LAST_QUEUE_POSITION, index)
+  return index * POSITIONS_PER_RANK + Number(call.late)
 }
 
 /**
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -42,7 +42,7 @@
  * @param leftMs - Remaining time of the caller, in milliseconds.
  * @param random - The source of randomness.
  * @param opensInMs - Time until the first endpoint accepts calls again, in milliseconds; 0 if not known.
- * @param rank - The rank of the call; undefined if all calls of its service have the same priority.
+ * @param rank - The rank of the call; undefined if calls of its service have no ranks.
  * @returns The delay, in milliseconds.
  */
 export function returnAfterMs (reason: Admission.RefusalReason, leftMs: number, random: Core.Random.Random, opensInMs = 0, rank?: Ranks.Rank): number {
--- a/src/routing/waiting.ts
+++ b/src/routing/waiting.ts
@@ -2,8 +2,9 @@
  * Queue of calls that wait for a slot, which absorbs short bursts.
  *
  * Streams that have begun go first, since their callers are already reading. After them, calls of a more
- * urgent rank go before others, also late ones; within a rank, calls that can still be answered on time go
- * before late ones, then calls that arrived earlier go first.
+ * urgent rank go before others, also late ones. Without ranks and within a rank, calls that can still be
+ * answered on time go before late ones, then calls with a higher priority go before others, then calls that
+ * arrived earlier go first.
  *
  * @packageDocumentation
  */
@@ -14,8 +15,10 @@
   readonly service: string
   readonly resuming: boolean
   readonly late: boolean
-  /** Undefined if all calls of the service have the same priority. */
+  /** Undefined if calls of the service have no ranks. */
   readonly rank: Ranks.Rank | undefined
+  /** 0 is the highest. */
+  readonly priority: number
   readonly arrivedAtMs: number
 }
 
@@ -41,6 +44,7 @@
   return Number(b.resuming) - Number(a.resuming) ||
     (a.rank?.index ?? 0) - (b.rank?.index ?? 0) ||
     Number(a.late) - Number(b.late) ||
+    a.priority - b.priority ||
     a.arrivedAtMs - b.arrivedAtMs
 }
 
--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -65,7 +65,7 @@
   incarnation: text('Tells apart starts of a process'),
   index: number('The chunk'),
   isOutranked: flag('Whether more urgent calls found no free slot shortly before, so that this one leaves the last one to them'),
-  rankIndex: number('Rank of the call among those of its service; 0 is the most urgent, absent where all calls have the same priority'),
+  rankIndex: number('Rank of the call among those of its service; 0 is the most urgent, absent where calls of the service have no ranks'),
   queuePosition: number('Position that the endpoint\'s queue was asked for; 0 goes first'),
   isCrowded: flag('Whether calls in time were turned away shortly before, so that late ones leave the last place to them'),
   key: text('The key of a row'),
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -242,11 +242,19 @@
   it('orders resumed streams first, then by rank, then on-time calls before late ones, then by age', () => {
     const rankOf = (index: number): Routing.Ranks.Rank => ({ index, count: 2 })
     const entry = (name: string, changes: Partial<Routing.Waiting.WaitingCall>): Routing.Waiting.WaitingCall & { name: string } =>
-      ({ name, service: 's', resuming: false, late: false, rank: rankOf(1), arrivedAtMs: 0, ...changes })
+      ({ name, service: 's', resuming: false, late: false, rank: rankOf(1), priority: 1, arrivedAtMs: 0, ...changes })
     const waiting = Routing.Waiting.createWaitingQueue<Routing.Waiting.WaitingCall & { name: string }>()
     for (const waiter of [entry('late', { late: true }), entry('second', { arrivedAtMs: 5 }), entry('first', { arrivedAtMs: 1 }), entry('urgent', { rank: rankOf(0), arrivedAtMs: 9 }), entry('lateUrgent', { rank: rankOf(0), late: true }), entry('resuming', { resuming: true, late: true })]) waiting.add(waiter)
     expect(waiting.inOrder().map(waiter => waiter.name)).toEqual(['resuming', 'urgent', 'lateUrgent', 'first', 'second', 'late'])
   })
+
+  it('orders on-time calls first, then by priority, then by age, where calls have no ranks', () => {
+    const entry = (name: string, changes: Partial<Routing.Waiting.WaitingCall>): Routing.Waiting.WaitingCall & { name: string } =>
+      ({ name, service: 's', resuming: false, late: false, rank: undefined, priority: 1, arrivedAtMs: 0, ...changes })
+    const waiting = Routing.Waiting.createWaitingQueue<Routing.Waiting.WaitingCall & { name: string }>()
+    for (const waiter of [entry('late', { late: true }), entry('second', { arrivedAtMs: 5 }), entry('first', { arrivedAtMs: 1 }), entry('urgent', { priority: 0, arrivedAtMs: 9 }), entry('resuming', { resuming: true, late: true })]) waiting.add(waiter)
+    expect(waiting.inOrder().map(waiter => waiter.name)).toEqual(['resuming', 'urgent', 'first', 'second', 'late'])
+  })
 })
 
 describe('Retries', () => {
--- a/test/ranks.test.ts
+++ b/test/ranks.test.ts
@@ -8,27 +8,36 @@
 const rankOf = (index: number): Routing.Ranks.Rank => ({ index, count: 3 })
 
 describe('Ranks', () => {
-  describe('rankOf', () => {
-    it('gives no rank where all calls of a service have the same priority, so that they are served as without ranks', () => {
-      expect(Routing.Ranks.rankOf([1], 1)).toEqual(undefined)
+  describe('orderOf', () => {
+    it('gives no ranks where the routes to a service have the same priority, so that its calls are served as without ranks', () => {
+      expect([Routing.Ranks.orderOf([1, 1], [0, 1]), Routing.Ranks.rankOf([], { workspacePriority: 0, routePriority: 1 })]).toEqual([[], undefined])
     })
 
-    it('orders by priority, where 0 is the most urgent', () => {
-      expect([0, 2, 5].map(priority => Routing.Ranks.rankOf([0, 2, 5], priority)?.index)).toEqual([0, 1, 2])
+    it('orders by the priority of the workspace, then by that of the route, where 0 is the most urgent', () => {
+      const order = Routing.Ranks.orderOf([2, 0, 1, 0], [1, 0, 1])
+      const pairs = [[0, 0], [0, 1], [0, 2], [1, 0], [1, 1], [1, 2]] as const
+      const indexes = pairs.map(([workspacePriority, routePriority]) => Routing.Ranks.rankOf(order, { workspacePriority, routePriority })?.index)
+      expect([indexes, order.length]).toEqual([[0, 1, 2, 3, 4, 5], 6])
+    })
+
+    it('orders calls of workspaces without a priority by that of the route', () => {
+      const order = Routing.Ranks.orderOf([0, 2], [])
+      expect([0, 2].map(priority => Routing.Ranks.rankOf(order, { workspacePriority: priority, routePriority: priority })?.index)).toEqual([0, 1])
     })
   })
 
-  describe('prioritiesOf', () => {
-    it('collects the priorities of the routes to a service and of workspaces, which override them', () => {
+  describe('ranksOf', () => {
+    it('ranks the calls of services with an engine only', () => {
       const route = { name: 'r', host: 'h', prefix: '/', kind: 'stream', runLimitCount: 1, timeoutMs: 1, goalMs: 1, pauseGoalMs: 1, anonymous: false, resumable: true, regions: [] } as const
+      const both = [{ service: 'llm', weight: 1 }, { service: 'plain', weight: 1 }]
       const index = Routing.Deployment.createIndex({
         version: 1,
-        routes: [{ ...route, priority: 2, targets: [{ service: 'a', weight: 1 }] }, { ...route, priority: 1, targets: [{ service: 'a', weight: 1 }, { service: 'b', weight: 1 }] }],
-        services: [],
-        workspaces: [{ name: 'w', keys: [], priority: 0, regions: [] }],
+        routes: [{ ...route, priority: 2, targets: both }, { ...route, priority: 1, targets: both }],
+        services: [Direct.ENGINE_SERVICE, Direct.PLAIN_SERVICE],
+        workspaces: [{ name: 'w', keys: [], priority: 1, regions: [] }],
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
       })
-      expect([index.prioritiesOf('a'), index.prioritiesOf('b'), index.prioritiesOf('c')]).toEqual([[0, 1, 2], [0, 1], []])
+      expect([index.ranksOf('llm').length === 2, index.ranksOf('plain').length]).toEqual([true, 0])
     })
   })
 
--- a/testkit/loadReplay.ts
+++ b/testkit/loadReplay.ts
@@ -280,6 +280,7 @@
       service: SERVICE.name,
       resuming: false,
       rank: load.ranks === undefined || changes.ignoresRanks === true ? undefined : { index: kind, count: kinds.length },
+      priority: 0,
       goalMs: kinds[kind]?.goalMs ?? GOAL_MS,
       kind,
       firstAtMs: nowMs,
