--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -94,7 +94,7 @@
 }
 
 /**
- * Bounds the connections of a server. To be called before the server's own request listener is added, so that requests of closed connections do not reach it.
+ * Bounds the connections of a server, which must have no request listener of its own: requests of connections that are closed then do not reach the handler.
  *
  * @param server - The server.
  * @param handle - Handles a request that is within the bounds.
@@ -147,7 +147,7 @@
     if (acceptedAtMs.length > CROWD_COUNT && nowMs - (acceptedAtMs.shift() ?? 0) < CROWD_WINDOW_MS) strain(nowMs)
     if (nowMs < strainedUntilMs) reader.add(socket)
   }
-  /** Passes a request on, unless it turns out to be followed by requests that were sent ahead: those are seen first, so that nothing is done for such a client. */
+  /** Passes a request on once all bytes that came with it are parsed: if they show that further requests were sent ahead, the connection is closed and nothing is done for its client. */
   const pass = (request: Http.IncomingMessage, response: Http.ServerResponse): void => {
     const { socket } = request
     if (!states.has(socket)) return
@@ -208,7 +208,7 @@
     state.blockedSinceMs ??= nowMs
     return nowMs - state.blockedSinceMs > UNREAD_TIMEOUT_MS
   }
-  /** Closes the connections whose answers were unread for longest until the rest fits. */
+  /** Closes the connection whose answers were unread for longest; the next check closes another one if that is not enough. */
   const makeRoomForUnread = (): void => {
     const blocked = [...states].filter(([, { blockedSinceMs }]) => blockedSinceMs !== undefined).sort(([, a], [, b]) => (a.blockedSinceMs ?? 0) - (b.blockedSinceMs ?? 0))
     const [longest] = blocked
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -955,5 +955,26 @@
     text: 'else response.socket?.resetAndDestroy()',
     replacement: 'else response.destroy()',
     checks: [test('endless-answers')]
+  },
+  {
+    name: 'late calls leave the last slot to their own rank',
+    file: 'src/routing/crowding.ts',
+    text: '(rank?.index ?? 0) + Number(late && rank !== undefined)',
+    replacement: '0',
+    checks: [test('ranks')]
+  },
+  {
+    name: 'a gateway that reports too much',
+    file: 'src/routing/slotShares.ts',
+    text: 'Math.min(MAX_RELATIVE_DEMAND, Math.max(MIN_RELATIVE_DEMAND, callsPerSecond / meanPerSecond))',
+    replacement: 'callsPerSecond / meanPerSecond',
+    checks: [test('even-load')]
+  },
+  {
+    name: 'holders that lag give way',
+    file: 'src/edge/clientMemory.ts',
+    text: 'holding.lagMs(nowMs) > MAX_LAG_MS',
+    replacement: 'false',
+    checks: [test('client-memory')]
   }
 ]
