--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -334,3 +334,33 @@
   await Promise.all(Array.from({ length: clientCount }, async (_, at) => { await run(at) }))
   return answers
 }
+
+/** A proxy in front of a port whose open connections can be made to go silent for good, without a reset, while new ones work. */
+export async function startSilencer (targetPort) {
+  const pairs = new Set()
+  const server = Net.createServer(client => {
+    const target = Net.connect(targetPort, HOST)
+    const pair = { isSilent: false }
+    pairs.add(pair)
+    const pass = (from, to) => {
+      from.on('error', () => {})
+      from.on('data', bytes => { if (!pair.isSilent) to.write(bytes) })
+      // Of a silent connection neither side learns that the other has closed it.
+      from.on('close', () => {
+        pairs.delete(pair)
+        if (!pair.isSilent) to.destroy()
+      })
+    }
+    pass(client, target)
+    pass(target, client)
+    closers.push(() => { target.destroy() })
+  })
+  await listen(server)
+  return {
+    port: server.address().port,
+    silence: () => {
+      for (const pair of pairs) pair.isSilent = true
+      return pairs.size
+    }
+  }
+}
