--- a/review/4/main.mjs
+++ b/review/4/main.mjs
@@ -50,11 +50,11 @@
     while (performance.now() < roundMs + ROUND_MS - 2_000) {
       for (const [at, gateway] of gateways.entries()) {
         sentCount++
-        void Kit.call(gateway.frontend, { id: `r${round}-g${at}-${sentCount}` }).then(answer => {
+        Kit.call(gateway.frontend, { id: `r${round}-g${at}-${sentCount}` }).then(answer => {
           const ranAt = names.find(name => runners[name].ran.includes(answer.id)) ?? 'no service'
           record.note(`${answer.id} sent ${Math.round(answer.sentAtMs - acknowledgedMs)} ms after the acknowledgement: ${answer.status}, run by ${ranAt}`)
           if (ranAt === oldService) stale.push(answer)
-        })
+        }).catch(error => { record.note(error.message) })
       }
       await Kit.sleep(CALL_INTERVAL_MS)
     }
--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -47,7 +47,7 @@
 export async function runCase (folder, play) {
   const record = createRecord(folder)
   let code = EXIT.notRun
-  const limit = setTimeout(() => { record.note('the case took too long'); void finish() }, 115_000)
+  const limit = setTimeout(() => { record.note('the case took too long'); finish().catch(() => {}) }, 115_000)
   const finish = async () => {
     clearTimeout(limit)
     for (const close of closers.reverse()) await Promise.resolve(close()).catch(() => {})
