--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -8,7 +8,7 @@
 /** LOST: a machine in touch passes a request from a kept connection on to a sound runner and closes that connection without an answer, more than three times. */
 const LOST_LIMIT_COUNT = 3
 
-await Kit.runCase(import.meta.dirname, async record => {
+await Kit.runCase(import.meta.url, async record => {
   const store = await Kit.startStore()
   store.put('op', 'config', Kit.configOf())
   const startMs = performance.now()
@@ -31,6 +31,7 @@
   await Kit.until('calls are answered', 10_000, async () => (await Kit.call(gateway.frontend, { path: '/book/1' })).status === 200)
 
   const answers = await Kit.keepCalling(gateway, { clientCount: CLIENT_COUNT, untilMs: startMs + PLAY_MS, record })
+  Kit.noteRuns(record, [faulty, ...sound])
   const ranAtSound = new Set(sound.flatMap(runner => runner.ran))
   const lost = answers.filter(answer => answer.status === 0 && ranAtSound.has(answer.id))
   record.note(`${answers.length} requests of ${CLIENT_COUNT} clients on kept connections; ${answers.filter(answer => answer.status === 200).length} answered 200; spoilt answers: ${spoiltCount}`)
--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -7,7 +7,7 @@
 const SECOND_AFTER_MS = 6_000
 const GRACE_MS = 8_000
 
-await Kit.runCase(import.meta.dirname, async record => {
+await Kit.runCase(import.meta.url, async record => {
   const store = await Kit.startStore()
   store.put('op', 'config', Kit.configOf())
   const runners = [await Kit.startPlainRunner({ id: 'i-1', workMs: WORK_MS }), await Kit.startPlainRunner({ id: 'i-2', workMs: WORK_MS }), await Kit.startPlainRunner({ id: 'i-3', workMs: WORK_MS })]
@@ -23,6 +23,7 @@
   if (Kit.TROUBLE) term(SECOND_AFTER_MS)
   setTimeout(() => { if (gateway.exit === undefined) gateway.child.kill('SIGKILL') }, FIRST_AFTER_MS + GRACE_MS).unref()
   const answers = await Kit.keepCalling(gateway, { clientCount: CLIENT_COUNT, untilMs: startMs + FIRST_AFTER_MS + GRACE_MS + 1_000, record })
+  Kit.noteRuns(record, runners)
   const ran = new Set(runners.flatMap(runner => runner.ran))
   // LOST around planned work: read whole, passed on to a runner, and the connection ended without a complete answer.
   const lost = answers.filter(answer => !answer.whole && ran.has(answer.id))
--- a/review/4/main.mjs
+++ b/review/4/main.mjs
@@ -11,7 +11,7 @@
 const APPLY_MS = 2_000
 const CALL_INTERVAL_MS = 100
 
-await Kit.runCase(import.meta.dirname, async record => {
+await Kit.runCase(import.meta.url, async record => {
   const store = await Kit.startStore()
   const names = ['plain', 'plain-b']
   const runners = {}
@@ -60,6 +60,7 @@
     }
   }
   await Kit.sleep(1_000)
+  Kit.noteRuns(record, Object.values(runners))
   record.note(`${sentCount} requests sent later than ${APPLY_MS} ms after the acknowledgement; run by the old service: ${stale.length}`)
   return stale.length > 0 ? Kit.EXIT.broken : Kit.EXIT.held
 })
--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -6,12 +6,13 @@
 import * as Net from 'node:net'
 import * as Os from 'node:os'
 import * as Path from 'node:path'
+import * as Url from 'node:url'
 
 export const HOST = '127.0.0.1'
 export const EXIT = { broken: 1, held: 0, notRun: 2 }
 export const TROUBLE = process.env.TROUBLE !== '0'
 
-const ROOT = Path.resolve(import.meta.dirname, '../..')
+const ROOT = Path.resolve(Url.fileURLToPath(import.meta.url), '../../..')
 const closers = []
 
 export const sleep = async ms => await new Promise(resolve => { setTimeout(resolve, ms) })
@@ -43,8 +44,12 @@
   }
 }
 
-/** Runs a case, ends everything that it started, and exits with its result. */
-export async function runCase (folder, play) {
+/**
+ * Runs a case, ends everything that it started, and exits with its result.
+ * The case is named by its module's address.
+ */
+export async function runCase (moduleUrl, play) {
+  const folder = Path.dirname(Url.fileURLToPath(moduleUrl))
   const record = createRecord(folder)
   let code = EXIT.notRun
   const limit = setTimeout(() => { record.note('the case took too long'); finish().catch(() => {}) }, 115_000)
@@ -364,3 +369,8 @@
     }
   }
 }
+
+/** Records which requests each runner ran, in order. */
+export function noteRuns (record, runners) {
+  for (const { id, ran } of runners) record.note(`run by ${id}: ${ran.join(' ')}`)
+}
