--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -1,5 +1,5 @@
 // One answer of a runner arrives with one spoilt byte: `200` in its status line reads `000`.
-import * as Kit from '../lib/kit.mjs'
+import * as Kit from '../kit.mjs'
 
 const CLIENT_COUNT = 12
 const WORK_MS = 400
--- a/review/lib/kit.mjs
+++ b/review/kit.mjs
@@ -12,7 +12,7 @@
 export const EXIT = { broken: 1, held: 0, notRun: 2 }
 export const TROUBLE = process.env.TROUBLE !== '0'
 
-const ROOT = Path.resolve(Url.fileURLToPath(import.meta.url), '../../..')
+const ROOT = Path.resolve(Url.fileURLToPath(import.meta.url), '../..')
 const closers = []
 
 export const sleep = async ms => await new Promise(resolve => { setTimeout(resolve, ms) })
