--- a/review/kit.mjs
+++ b/review/kit.mjs
@@ -1,6 +1,7 @@
 // Stand-ins and helpers for the scripts of this review: the platform's store, runners, settings, processes, clients.
 // Everything listens on loopback. No dependencies, no build step.
 import * as ChildProcess from 'node:child_process'
+import * as Crypto from 'node:crypto'
 import * as Fs from 'node:fs'
 import * as Http from 'node:http'
 import * as Net from 'node:net'
@@ -314,6 +315,145 @@
   store.put('servers', runner.id, { backend: 'plain', address: `${HOST}:${runner.port}`, zone: 'kartli-a', version: 'v1', slots: 6, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1_700_000_000_000, ...changes })
 }
 
+/** Chunks of weights as the platform's origin hands them out. */
+const CHUNKS = Array.from({ length: ENGINE.chunks }, (_, at) => Buffer.alloc(32_768, at + 1))
+
+/** The origin of weights: the manifest and the chunks of version 1. */
+export async function startOrigin () {
+  const digests = CHUNKS.map(chunk => Crypto.createHash('sha256').update(chunk).digest('hex'))
+  const server = Http.createServer((request, response) => {
+    const url = new URL(request.url, 'http://origin')
+    if (url.pathname.startsWith('/manifest/')) response.end(JSON.stringify({ model: 'm', version: 1, chunk_bytes: 32_768, layers: ENGINE.layers, digests }))
+    else response.end(CHUNKS[Number(url.searchParams.get('sample_count'))])
+  })
+  await listen(server)
+  return { port: server.address().port }
+}
+
+/** Time between two events of a stream, and how much longer it is while a runner has just started. */
+const EVENT_MS = 50
+const STARTED_FACTOR = 3
+const STARTED_MS = 6_000
+const EVENT_COUNT = 21
+const QUEUE_COUNT = 4
+const LOAD_MS = 500
+/** An entry is removed after three heartbeat intervals of silence. */
+const EXPIRY_MS = 3_600
+
+/**
+ * A model runner that follows the pages: streams, staged chunks, orders and reports. It holds version 1 when the play begins.
+ * After a crash it is back at its address as another incarnation without layers; what is staged survives.
+ */
+export async function startModelRunner (store, name) {
+  const runner = { id: '', ran: [], port: await freePort(), activeCount: 0, crash: undefined }
+  const staged = new Map(CHUNKS.entries())
+  let startCount = 0
+  const start = async () => {
+    const isFirst = startCount++ === 0
+    const id = `i-${name}-${startCount}`
+    const born = Date.now()
+    const startedMs = performance.now()
+    const state = { loaded: isFirst, busy: false, sequence: 0, queue: [], sockets: new Set(), isUp: true }
+    runner.id = id
+    runner.activeCount = 0
+    const models = () => state.loaded ? [{ name: 'm', version: 1, adapters: [] }] : []
+    const layers = () => state.loaded ? { layers: { from: 0, target: ENGINE.layers, version: 1 } } : {}
+    const list = () => {
+      if (state.isUp) store.put('servers', id, { backend: 'llm', address: `${HOST}:${runner.port}`, zone: 'kartli-a', version: 'v1', slots: ENGINE.slots, state: 'ready', cold_remaining_ms: isFirst ? 0 : Math.max(0, Math.round(startedMs + 3_000 - performance.now())), sequence: state.sequence, born, phase: 'colocated', models: models(), ...layers() })
+    }
+    const json = (response, status, value) => {
+      response.writeHead(status, { 'content-type': 'application/json' })
+      response.end(JSON.stringify(value))
+    }
+    const loadModel = () => {
+      if (state.busy) return 409
+      state.busy = true
+      state.sequence++
+      setTimeout(() => {
+        state.busy = false
+        state.loaded = CHUNKS.every((chunk, at) => staged.get(at)?.equals(chunk))
+        list()
+      }, LOAD_MS)
+      return 202
+    }
+    const runNext = () => {
+      while (state.isUp && runner.activeCount < ENGINE.slots && state.queue.length > 0) state.queue.shift()()
+    }
+    const stream = (request, response, attempt, common) => {
+      runner.ran.push(attempt)
+      runner.activeCount++
+      let at = Number(request.headers['last-event-id'] ?? 0)
+      response.writeHead(200, { ...common, 'content-type': 'text/event-stream', 'X-Fescuespread-Response-Seal': `seal.${id}`, 'X-Fescuespread-Weight-Versions': '1' })
+      const write = () => {
+        at++
+        response.write(`id: ${at}\ndata: ${'word '.repeat(5)}\n\n`)
+        if (at >= EVENT_COUNT) { response.end(); return }
+        timer = setTimeout(write, EVENT_MS * (!isFirst && performance.now() - startedMs < STARTED_MS ? STARTED_FACTOR : 1))
+      }
+      let timer = setTimeout(write, EVENT_MS)
+      response.once('close', () => {
+        clearTimeout(timer)
+        if (!state.isUp) return
+        runner.activeCount--
+        runNext()
+      })
+    }
+    const server = Http.createServer({ keepAliveTimeout: 20_000, maxHeaderSize: 32_768 }, (request, response) => {
+      const url = new URL(request.url, 'http://runner')
+      const parts = []
+      request.on('data', part => { parts.push(part) })
+      request.on('end', () => {
+        const index = url.searchParams.get('sample_count')
+        if (url.pathname === '/report') { json(response, 200, { phase: 'colocated', models: models(), ...layers(), busy: state.busy, sequence: state.sequence, queued: state.queue.length, active: runner.activeCount, kv_used: 0, kv_total: 1_180_000, cache_handles: 0, pace: 1, born }); return }
+        if (url.pathname.startsWith('/stage-get/')) {
+          if (index === null) json(response, 200, { held: [...staged.keys()], born })
+          else if (staged.has(Number(index))) response.end(staged.get(Number(index)))
+          else json(response, 404, {})
+          return
+        }
+        if (url.pathname.startsWith('/stage-put/')) {
+          staged.set(Number(index), Buffer.concat(parts))
+          json(response, 200, {})
+          return
+        }
+        if (url.pathname === '/order') { json(response, loadModel(), {}); return }
+        const attempt = String(request.headers['x-fescuespread-attempt-id'] ?? '')
+        const common = { 'X-Fescuespread-Attempt-Id': attempt, 'X-Fescuespread-Instance-Id': id, 'X-Fescuespread-Instance-Load': `${runner.activeCount},${state.queue.length},${ENGINE.slots}` }
+        const expected = request.headers['x-fescuespread-expect-instance']
+        if (!state.loaded || (expected !== undefined && expected !== id)) { response.writeHead(421, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
+        if (runner.activeCount >= ENGINE.slots && state.queue.length >= QUEUE_COUNT) { response.writeHead(503, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
+        const run = () => { stream(request, response, attempt, common) }
+        state.queue.push(run)
+        response.once('close', () => { state.queue = state.queue.filter(each => each !== run) })
+        runNext()
+      })
+    })
+    await listen(server, runner.port)
+    server.on('connection', socket => {
+      state.sockets.add(socket)
+      socket.once('close', () => { state.sockets.delete(socket) })
+    })
+    const stopBeat = beat(list)
+    runner.crash = async downMs => {
+      state.isUp = false
+      stopBeat()
+      server.close()
+      for (const socket of state.sockets) socket.resetAndDestroy()
+      setTimeout(() => { store.drop('servers', id) }, EXPIRY_MS)
+      await sleep(downMs)
+      await start()
+    }
+  }
+  await start()
+  return runner
+}
+
+/** Starts the agent beside a model runner. */
+export async function startAgent (store, runner, name) {
+  const port = await freePort()
+  return await startProgram('agent', settingsOf({ name, kind: 'side', port, app: runner.port, backend: 'llm', store: store.port }))
+}
+
 /** A runner's entry is written again about every `heartbeat_ms`. */
 export function beat (write, intervalMs = 1_200) {
   write()
