--- a/review/kit.mjs
+++ b/review/kit.mjs
@@ -315,19 +315,25 @@
   store.put('servers', runner.id, { backend: 'plain', address: `${HOST}:${runner.port}`, zone: 'kartli-a', version: 'v1', slots: 6, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1_700_000_000_000, ...changes })
 }
 
-/** Chunks of weights as the platform's origin hands them out. */
-const CHUNKS = Array.from({ length: ENGINE.chunks }, (_, at) => Buffer.alloc(32_768, at + 1))
+/** Chunks of the first versions of the weights. */
+const CHUNK_BYTES = 32_768
+const CHUNKS = new Map([1, 2].map(version => [version, Array.from({ length: ENGINE.chunks }, (_, at) => Buffer.alloc(CHUNK_BYTES, `${version}/${at}/`))]))
 
-/** The origin of weights: the manifest and the chunks of version 1. */
-export async function startOrigin () {
-  const digests = CHUNKS.map(chunk => Crypto.createHash('sha256').update(chunk).digest('hex'))
+/** The origin of weights; `spoil` may change the text of a manifest. */
+export async function startOrigin ({ spoil = text => text } = {}) {
+  const origin = { port: 0, answerCount: 0 }
   const server = Http.createServer((request, response) => {
+    origin.answerCount++
     const url = new URL(request.url, 'http://origin')
-    if (url.pathname.startsWith('/manifest/')) response.end(JSON.stringify({ model: 'm', version: 1, chunk_bytes: 32_768, layers: ENGINE.layers, digests }))
-    else response.end(CHUNKS[Number(url.searchParams.get('sample_count'))])
+    const version = Number(url.searchParams.get('version') ?? 1)
+    const chunks = CHUNKS.get(version) ?? []
+    if (url.pathname.startsWith('/piece/')) { response.end(chunks[Number(url.searchParams.get('sample_count'))]); return }
+    const digests = chunks.map(chunk => Crypto.createHash('sha256').update(chunk).digest('hex'))
+    response.writeHead(200, { 'content-type': 'application/json' })
+    response.end(spoil(JSON.stringify({ model: 'm', version, chunk_bytes: CHUNK_BYTES, layers: ENGINE.layers, digests })))
   })
   await listen(server)
-  return { port: server.address().port }
+  return Object.assign(origin, { port: server.address().port })
 }
 
 /** Time between two events of a stream, and how much longer it is while a runner has just started. */
@@ -345,19 +351,20 @@
  * After a crash it is back at its address as another incarnation without layers; what is staged survives.
  */
 export async function startModelRunner (store, name) {
-  const runner = { id: '', ran: [], port: await freePort(), activeCount: 0, crash: undefined }
-  const staged = new Map(CHUNKS.entries())
+  /** `loads` has an entry for each load: its version and how many of the chunks that it took are of another one; `eventCount` counts the events made with it. */
+  const runner = { id: '', ran: [], port: await freePort(), activeCount: 0, crash: undefined, loads: [] }
+  const staged = new Map(CHUNKS.get(1).entries())
   let startCount = 0
   const start = async () => {
     const isFirst = startCount++ === 0
     const id = `i-${name}-${startCount}`
     const born = Date.now()
     const startedMs = performance.now()
-    const state = { loaded: isFirst, busy: false, sequence: 0, queue: [], sockets: new Set(), isUp: true }
+    const state = { load: isFirst ? { version: 1, wrongCount: 0, eventCount: 0 } : undefined, busy: false, sequence: 0, queue: [], sockets: new Set(), isUp: true }
     runner.id = id
     runner.activeCount = 0
-    const models = () => state.loaded ? [{ name: 'm', version: 1, adapters: [] }] : []
-    const layers = () => state.loaded ? { layers: { from: 0, target: ENGINE.layers, version: 1 } } : {}
+    const models = () => state.load !== undefined ? [{ name: 'm', version: state.load.version, adapters: [] }] : []
+    const layers = () => state.load !== undefined ? { layers: { from: 0, target: ENGINE.layers, version: state.load.version } } : {}
     const list = () => {
       if (state.isUp) store.put('servers', id, { backend: 'llm', address: `${HOST}:${runner.port}`, zone: 'kartli-a', version: 'v1', slots: ENGINE.slots, state: 'ready', cold_remaining_ms: isFirst ? 0 : Math.max(0, Math.round(startedMs + 3_000 - performance.now())), sequence: state.sequence, born, phase: 'colocated', models: models(), ...layers() })
     }
@@ -365,15 +372,24 @@
       response.writeHead(status, { 'content-type': 'application/json' })
       response.end(JSON.stringify(value))
     }
-    const loadModel = () => {
+    /** Takes the staged chunks as they are now, and loads them once what is running has ended. */
+    const startLoad = ({ version }) => {
       if (state.busy) return 409
+      if (state.load?.version === version) return 200
       state.busy = true
       state.sequence++
-      setTimeout(() => {
-        state.busy = false
-        state.loaded = CHUNKS.every((chunk, at) => staged.get(at)?.equals(chunk))
-        list()
-      }, LOAD_MS)
+      const load = { version, wrongCount: CHUNKS.get(version).filter((chunk, at) => staged.get(at)?.equals(chunk) !== true).length, eventCount: 0 }
+      runner.loads.push(load)
+      const finish = () => {
+        if (!state.isUp) return
+        if (runner.activeCount > 0) { setTimeout(finish, EVENT_MS); return }
+        setTimeout(() => {
+          state.busy = false
+          state.load = load
+          list()
+        }, LOAD_MS)
+      }
+      finish()
       return 202
     }
     const runNext = () => {
@@ -382,10 +398,12 @@
     const stream = (request, response, attempt, common) => {
       runner.ran.push(attempt)
       runner.activeCount++
+      const { load } = state
       let at = Number(request.headers['last-event-id'] ?? 0)
-      response.writeHead(200, { ...common, 'content-type': 'text/event-stream', 'X-Fescuespread-Response-Seal': `seal.${id}`, 'X-Fescuespread-Weight-Versions': '1' })
+      response.writeHead(200, { ...common, 'content-type': 'text/event-stream', 'X-Fescuespread-Response-Seal': `seal.${id}`, 'X-Fescuespread-Weight-Versions': String(load.version) })
       const write = () => {
         at++
+        load.eventCount++
         response.write(`id: ${at}\ndata: ${'word '.repeat(5)}\n\n`)
         if (at >= EVENT_COUNT) { response.end(); return }
         timer = setTimeout(write, EVENT_MS * (!isFirst && performance.now() - startedMs < STARTED_MS ? STARTED_FACTOR : 1))
@@ -416,12 +434,12 @@
           json(response, 200, {})
           return
         }
-        if (url.pathname === '/order') { json(response, loadModel(), {}); return }
+        if (url.pathname === '/order') { json(response, startLoad(JSON.parse(Buffer.concat(parts).toString())), {}); return }
         const attempt = String(request.headers['x-fescuespread-attempt-id'] ?? '')
         const common = { 'X-Fescuespread-Attempt-Id': attempt, 'X-Fescuespread-Instance-Id': id, 'X-Fescuespread-Instance-Load': `${runner.activeCount},${state.queue.length},${ENGINE.slots}` }
         const expected = request.headers['x-fescuespread-expect-instance']
-        if (!state.loaded || (expected !== undefined && expected !== id)) { response.writeHead(421, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
-        if (runner.activeCount >= ENGINE.slots && state.queue.length >= QUEUE_COUNT) { response.writeHead(503, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
+        if (state.load === undefined || (expected !== undefined && expected !== id)) { response.writeHead(421, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
+        if (state.busy || (runner.activeCount >= ENGINE.slots && state.queue.length >= QUEUE_COUNT)) { response.writeHead(503, { ...common, 'X-Fescuespread-Not-Executed': '1' }).end(); return }
         const run = () => { stream(request, response, attempt, common) }
         state.queue.push(run)
         response.once('close', () => { state.queue = state.queue.filter(each => each !== run) })
