A spoilt head of an endpoint's answer ended the gateway, and all calls with it

Cause: Node's parser accepts a status of 000 to 099 and a space in the name of a field; its writer throws on both, inside an event of the endpoint's connection that nothing caught. The same difference on the way in made endpoints look faulty: no request with such a field can be sent to any of them.

All 256 bytes were tried in names, values and targets: only the space in names and tab and form feed in targets differ between parser and writer.

Change: heads are checked where they arrive, both ways.

Ruled out: values of fields, statuses of 200 and more.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -9,6 +9,8 @@
 import * as Core from '../core/index.ts'
 import type * as Metrics from '../edge/metrics.ts'
 import type * as ClientMemory from '../edge/clientMemory.ts'
+import * as Faults from '../edge/faults.ts'
+import * as MessageHeads from '../edge/messageHeads.ts'
 import * as RequestBodies from '../edge/requestBodies.ts'
 import * as Routing from '../routing/index.ts'
 import * as Bodies from './bodies.ts'
@@ -114,12 +116,30 @@
   const unframedAnswers = UnframedAnswers.createUnframedAnswers()
   const standstill = Routing.Standstill.createPauseDetector(TICK_INTERVAL_MS, clock())
   const { write, writeEndpointAnswer, withConnectionHeader } = Replies.createReplies(options.isStopping)
+  const faults = Faults.createFaults(options)
   let isPlacingScheduled = false
 
+  /** Runs the work for one call: an unexpected error in it ends that call alone. */
+  const containCall = (call: Calls.Call, work: () => void): void => { faults.contain('call', work, () => { endFaulty(call) }) }
+  const endFaulty = (call: Calls.Call): void => {
+    faults.contain('call', () => { if (!call.done) finish(call, 'failed', { status: 502, code: 'outcomeUnknown', answering: call.isHeadSent, ...abandonAttempt(call) }) })
+    answerFaulty(call.response, call.metadata)
+  }
+  /** Ends an answer after an unexpected error. Its request may have been run. */
+  const answerFaulty = (response: Http.ServerResponse, metadata: Dialect.CallMetadata): void => {
+    if (response.headersSent) Bodies.abortResponse(response)
+    else write(response, 502, dialect.refusalHeaders(metadata.callId, undefined), 'outcomeUnknown')
+  }
+
   const handle = (request: Http.IncomingMessage, response: Http.ServerResponse): void => {
     request.on('error', () => {})
     response.on('error', () => {})
     const metadata = dialect.readCall(request.headers)
+    faults.contain('request', () => { handleRequest(request, response, metadata) }, () => { answerFaulty(response, metadata) })
+  }
+  const handleRequest = (request: Http.IncomingMessage, response: Http.ServerResponse, metadata: Dialect.CallMetadata): void => {
+    // Endpoints would seem to fail on a request that cannot be sent to any of them.
+    if (MessageHeads.problemOfRequest(request.url ?? '/', request.rawHeaders) !== undefined) { deny(request, response, metadata, 'badRequest'); return }
     const index = options.deploymentIndex()
     if (index === undefined) { refuseEarly(request, response, metadata, 'notReady'); return }
     const arrivedAtMs = clock()
@@ -132,7 +152,7 @@
     RequestBodies.read(request, { limitBytes: index.deployment.limits.bodyBytes, deadlineAtMs, memory: options.clientMemory, clock, onSmallParts: options.onSmallParts }, (body, holding) => {
       if (typeof body === 'string') { endUnread[body](request, response, metadata); return }
       response.once('close', holding.release)
-      accept(index, { metadata, route, workspace, request, response, body, arrivedAtMs })
+      faults.contain('request', () => { accept(index, { metadata, route, workspace, request, response, body, arrivedAtMs }) }, () => { answerFaulty(response, metadata) })
     })
   }
 
@@ -215,9 +235,9 @@
     calls.add(call)
     options.budget.recordCall(service.name, nowMs)
     options.demand.recordCall(nowMs)
-    response.once('close', () => { if (!call.done) cancel(call) })
-    call.deadlineTimer = setTimeout(() => { onDeadline(call) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_GRACE_MS))
-    place(call)
+    response.once('close', () => { if (!call.done) containCall(call, () => { cancel(call) }) })
+    call.deadlineTimer = setTimeout(() => { containCall(call, () => { onDeadline(call) }) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_GRACE_MS))
+    containCall(call, () => { place(call) })
   }
 
   const choose = ({ engine }: Routing.Deployment.Service, candidates: readonly Routing.Choice.Candidate[], context: Routing.Choice.RoutingContext, nowMs: number): Routing.Choice.Candidate | undefined =>
@@ -274,7 +294,7 @@
 
   const placeWaiting = (): void => {
     isPlacingScheduled = false
-    for (const call of waiting.inOrder()) if (!call.done && call.attempt === undefined) place(call)
+    for (const call of waiting.inOrder()) if (!call.done && call.attempt === undefined) containCall(call, () => { place(call) })
   }
   const retryWaiting = (): void => {
     if (isPlacingScheduled || waiting.count() === 0) return
@@ -302,21 +322,10 @@
       body: call.body,
       maxIdleMs: call.route.kind === 'nonIdempotent' ? NON_IDEMPOTENT_MAX_IDLE_MS : MAX_IDLE_MS
     }, {
-      onHead: (status, headers, rawHeaders) => { onHead(call, attempt, status, headers, rawHeaders) },
-      onData: bytes => { onData(call, attempt, bytes) },
-      onEnd: () => { onEnd(call, attempt) },
-      onFailed: (stage, reason) => {
-        const wasSent = stage === 'sent' || stage === 'answering'
-        const end: Routing.Retries.AttemptEnd = !wasSent ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
-        reportFailure(row, `${stage}: ${reason}`, call)
-        upstream.closeIdle(listing.host, listing.port)
-        if (stage === 'refused') recordEndpointEnd(row)
-        if (call.stalledAttempt === attempt) {
-          call.stalledAttempt = undefined
-          quarantine.recordInterruption(keysOf(call), listing)
-        }
-        endAttempt(call, attempt, end, `${stage}: ${reason}`, wasSent)
-      }
+      onHead: (status, headers, rawHeaders) => { containCall(call, () => { onHead(call, attempt, status, headers, rawHeaders) }) },
+      onData: bytes => { containCall(call, () => { onData(call, attempt, bytes) }) },
+      onEnd: () => { containCall(call, () => { onEnd(call, attempt) }) },
+      onFailed: (stage, reason) => { containCall(call, () => { onFailed(call, attempt, stage, reason) }) }
     })
     if (call.rank !== undefined) rankShares.recordSent(call.service, call.rank)
     const attempt: Calls.Attempt = {
@@ -417,6 +426,20 @@
     }
   }
 
+  const onFailed = (call: Calls.Call, attempt: Calls.Attempt, stage: Upstream.ExchangeStage, reason: string): void => {
+    const { row, listing } = attempt
+    const wasSent = stage === 'sent' || stage === 'answering'
+    const end: Routing.Retries.AttemptEnd = !wasSent ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
+    reportFailure(row, `${stage}: ${reason}`, call)
+    upstream.closeIdle(listing.host, listing.port)
+    if (stage === 'refused') recordEndpointEnd(row)
+    if (call.stalledAttempt === attempt) {
+      call.stalledAttempt = undefined
+      quarantine.recordInterruption(keysOf(call), listing)
+    }
+    endAttempt(call, attempt, end, `${stage}: ${reason}`, wasSent)
+  }
+
   /** Aborts an attempt whose answer exceeds a size limit. */
   const rejectAttempt = (call: Calls.Call, attempt: Calls.Attempt, reason: string): void => {
     abortAttempt(call, attempt)
@@ -705,8 +728,10 @@
     const nowMs = clock()
     adjustForStandstill(nowMs)
     for (const call of calls) {
-      withdrawOutdated(call)
-      checkSilence(call, nowMs)
+      containCall(call, () => {
+        withdrawOutdated(call)
+        checkSilence(call, nowMs)
+      })
     }
     for (const { keys, begunAtMs } of unframedAnswers.takeConfirmed(nowMs)) quarantine.recordAnswered(keys, begunAtMs)
     retryWaiting()
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -5,6 +5,7 @@
  */
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
+import * as MessageHeads from '../edge/messageHeads.ts'
 
 /** A call to send to an endpoint. */
 export interface OutgoingCall {
@@ -163,6 +164,8 @@
     incoming = response
     stage = 'answering'
     if (isSettled) return
+    const problem = MessageHeads.problemOfAnswer(response.statusCode ?? 0, response.rawHeaders)
+    if (problem !== undefined) { fail(`malformed answer: ${problem}`); return }
     response.on('data', (bytes: Buffer) => { if (!isSettled) listener.onData(bytes) })
     response.on('error', error => { fail(error.message) })
     response.on('aborted', () => { fail('answer cut short') })
--- a/test/broken-answers.test.ts
+++ b/test/broken-answers.test.ts
@@ -6,6 +6,8 @@
 import * as TestKit from '../testkit/index.ts'
 
 const WAIT_TIMEOUT_MS = 5_000
+/** Time after which a play counts as failed, in milliseconds: without an answer a caller waits for ever. */
+const PLAY_TIMEOUT_MS = 15_000
 /** Time for which an endpoint that refused a call gets no other one, with a margin, in milliseconds. */
 const LEFT_OUT_MS = 400
 
@@ -123,6 +125,29 @@
     }
   }
 
+  for (const [name, status, more] of [
+    ['status of three zeros', '000 OK', ''],
+    ['status below 100', '099 OK', ''],
+    ['space in the name of a header', '200 OK', 'X-Spoilt name: 1\r\n']
+  ] as const) {
+    // Guards against an answer whose head Node reads but refuses to write: it ended the gateway with all its calls.
+    it(`costs no other caller its answer if it has a ${name}`, { timeout: PLAY_TIMEOUT_MS }, async () => {
+      await start('plain', (socket, id) => {
+        const isSpoilt = id === 'spoilt'
+        setTimeout(() => { socket.write(isSpoilt ? headOf(status, id, `${SEAL}${more}Content-Length: 5\r\n\r\nwhole`) : answerOf(id)) }, isSpoilt ? 50 : 200)
+      })
+      const [spoilt, ...others] = await Promise.all(['spoilt', 'other-1', 'other-2'].map(async id => await stage.call({ path: '/book/1', id })))
+      expect([spoilt?.status, ...others.map(answer => answer.text)]).toEqual([502, 'whole', 'whole'])
+      expect((await stage.metrics()).includes('unexpected_errors_total')).toEqual(false)
+    })
+
+    it(`has its call repeated elsewhere if it has a ${name} and the call may run twice`, { timeout: PLAY_TIMEOUT_MS }, async () => {
+      const answerOnSecondRun: Script = (socket, id) => { socket.write(ranCount(id) === 1 ? headOf(status, id, `${SEAL}${more}Content-Length: 5\r\n\r\nwrong`) : answerOf(id)) }
+      await start('plain', answerOnSecondRun, answerOnSecondRun)
+      expect((await stage.call({ path: '/read/1', id: 'spoilt' })).text).toEqual('whole')
+    })
+  }
+
   describe('without a length', () => {
     it('has its stream passed on whole', async () => {
       await start('llm', (socket, id) => { socket.end(unframedStreamOf(id) + eventOf(1) + eventOf(2)) })
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -85,8 +85,8 @@
   stop: () => Promise<void>
 }
 
-/** Where a gateway stands and how it reads. */
-export type GatewayPlace = Pick<Ingress.Gateway.GatewayOptions, 'zone' | 'region' | 'store' | 'port'>
+/** Where a gateway stands, how it reads and what it speaks. */
+export type GatewayPlace = Pick<Ingress.Gateway.GatewayOptions, 'zone' | 'region' | 'store' | 'port' | 'dialect'>
 
 /** A gateway of a stage. */
 export interface StartedGateway {
