Chunks of one version were loaded as another after one spoilt byte of a manifest

Cause: the agent kept a manifest under the version that it names, and compared it with nothing that was asked for. A manifest without digests counted as held whole, and one from another agent was not decoded.

Change: each manifest, from the origin or an agent, is compared with the model, the version and the number of chunks that were asked for; one that differs is asked for again. The deployment of the test of spreading named 4 chunks while its origin had more, against the platform's protocol: it names the origin's number now.

Ruled out: chunks and chunks read back; each is compared with its digest.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -123,11 +123,13 @@
   const versionNews = (): NonNullable<Follow.News.News['named']> => Follow.News.versionNews(versions, node.storeClock.now())
   const agentsOf = Core.Memo.memoizeByIdentity((members: readonly Follow.Members.Member[]) => members.filter(member => member.kind === 'agent'))
   const otherAgents = (): readonly Follow.Members.Member[] => agentsOf(node.members())
+  const ownService = (): Routing.Deployment.Service | undefined => operators.deployment()?.services.find(service => service.name === options.service)
   const fetcher = Fetcher.createFetcher({
     name: options.name,
     region: options.region,
     origin: () => origin?.client,
     cache,
+    chunkCountOf: model => ownService()?.engine?.models.includes(model) === true ? ownService()?.engine?.chunkCount : undefined,
     members: otherAgents,
     knowsMembers: node.knowsMembers,
     sendRollCall: () => { node.sendNews({ revisions: revisions(), rollCall: true, named: versionNews() }, 'agent') },
@@ -172,7 +174,7 @@
   node.followMembers(MEMBERS_WAIT_MS)
 
   const currentGoals = (): readonly Fetcher.Goal[] => {
-    const model = operators.deployment()?.services.find(service => service.name === options.service)?.engine?.models[0]
+    const model = ownService()?.engine?.models[0]
     if (model === undefined) return []
     const named = versions.namedVersionsOf(model)
     if (named.length === 0) return [{ model, version: FIRST_VERSION, namedAtMs: -Infinity }]
--- a/src/filling/exchange.ts
+++ b/src/filling/exchange.ts
@@ -7,6 +7,7 @@
 import type * as HttpServer from '../edge/httpServer.ts'
 import type * as Pacer from '../weights/edge/pacer.ts'
 import type * as ChunkCache from './chunkCache.ts'
+import * as Manifests from './manifests.ts'
 import type * as Ports from './ports.ts'
 
 const PATH_PREFIX = '/weights/'
@@ -73,15 +74,11 @@
  * @param target - The agent.
  * @param model - The model.
  * @param version - Its version.
- * @returns The manifest; undefined if the agent does not provide one.
+ * @returns The manifest, not yet compared with what was asked for; undefined if the agent does not provide one.
  */
 export async function fetchManifest (target: HttpClient.Target, model: string, version: number): Promise<Ports.WeightManifest | undefined> {
   const bytes = await fetchItem(target, model, version, MANIFEST_ITEM)
-  try {
-    return bytes instanceof Buffer ? JSON.parse(bytes.toString()) as Ports.WeightManifest : undefined
-  } catch {
-    return undefined
-  }
+  return bytes instanceof Buffer ? Manifests.decode(bytes.toString()).unwrapOr(undefined) : undefined
 }
 
 async function fetchItem (target: HttpClient.Target, model: string, version: number, item: string): Promise<Buffer | 'pending' | 'absent' | undefined> {
--- a/src/filling/fetcher.ts
+++ b/src/filling/fetcher.ts
@@ -6,6 +6,7 @@
  *
  * @packageDocumentation
  */
+import * as Neverthrow from 'neverthrow'
 import * as Core from '../core/index.ts'
 import type * as Metrics from '../edge/metrics.ts'
 import type * as Follow from '../follow/index.ts'
@@ -13,6 +14,7 @@
 import * as Choosing from './choosing.ts'
 import type * as ChunkCache from './chunkCache.ts'
 import * as Exchange from './exchange.ts'
+import * as Manifests from './manifests.ts'
 import type * as Ports from './ports.ts'
 import * as Sources from './sources.ts'
 import * as Switching from './switching.ts'
@@ -24,6 +26,8 @@
   /** Returns the origin; undefined before its address is known. */
   readonly origin: () => Ports.Origin | undefined
   readonly cache: ChunkCache.ChunkCache
+  /** Returns the number of chunks of each version of a model; undefined while it is not known. */
+  readonly chunkCountOf: (model: string) => number | undefined
   /** The other agents. */
   readonly members: () => readonly Follow.Members.Member[]
   /** Whether the list of other agents is known, even if it is empty. */
@@ -184,11 +188,11 @@
     if (source === 'wait') return
     manifestPending = true
     try {
-      const originResult = source === 'origin' ? await options.origin()?.manifest(goal.model, goal.version) : undefined
-      const manifest = originResult?.isOk() === true ? originResult.value : await fetchManifestFromAgents(goal)
+      const found = source === 'origin' ? await fetchManifestFromOrigin(goal) : Neverthrow.err<Ports.WeightManifest, string>('no agent gave it')
+      const manifest = found.isOk() ? found.value : await fetchManifestFromAgents(goal)
       if (manifest === undefined) {
         originNotBeforeMs = clock() + Core.Random.jitter(options.random, ORIGIN_BACKOFF_MS)
-        log('weights', 'Manifest not had.', { model: goal.model, version: goal.version, reason: source === 'agents' ? 'no agent gave it' : originResult === undefined ? 'origin not known' : originResult.isErr() ? originResult.error : '' })
+        log('weights', 'Manifest not had.', { model: goal.model, version: goal.version, reason: found.isErr() ? found.error : '' })
         return
       }
       log('weights', 'Version being fetched.', { model: goal.model, version: goal.version, chunkCount: manifest.digests.length, agentCount: reachableAgents().length + 1 })
@@ -199,12 +203,21 @@
       manifestPending = false
     }
   }
+  /** Returns why a manifest cannot be used for a version; undefined if it can. */
+  const manifestProblemOf = (manifest: Ports.WeightManifest, { model, version }: Goal): string | undefined => Manifests.problemOf(manifest, { model, version, chunkCount: options.chunkCountOf(model) })
+  const fetchManifestFromOrigin = async (goal: Goal): Promise<Neverthrow.Result<Ports.WeightManifest, string>> => {
+    const result = await options.origin()?.manifest(goal.model, goal.version) ?? Neverthrow.err('origin not known')
+    return result.andThen(manifest => {
+      const problem = manifestProblemOf(manifest, goal)
+      return problem === undefined ? Neverthrow.ok(manifest) : Neverthrow.err(problem)
+    })
+  }
   const fetchManifestFromAgents = async (goal: Goal): Promise<Ports.WeightManifest | undefined> => {
     const holders = holdersOfVersion(goal)
     const candidates = reachableAgents().filter(other => holders.has(other.name) || other.region === options.region)
     for (const agent of candidates.sort((a, b) => Number(holders.has(b.name)) - Number(holders.has(a.name))).slice(0, MANIFEST_AGENT_LIMIT_COUNT)) {
       const manifest = await Exchange.fetchManifest(agent, goal.model, goal.version)
-      if (manifest !== undefined) return manifest
+      if (manifest !== undefined && manifestProblemOf(manifest, goal) === undefined) return manifest
     }
     return undefined
   }
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -4,7 +4,9 @@
 import * as Neverthrow from 'neverthrow'
 import * as Core from '../src/core/index.ts'
 import * as Metrics from '../src/edge/metrics.ts'
+import * as HttpServer from '../src/edge/httpServer.ts'
 import * as Filling from '../src/filling/index.ts'
+import type * as Follow from '../src/follow/index.ts'
 import * as Pacer from '../src/weights/edge/pacer.ts'
 import * as TestKit from '../testkit/index.ts'
 
@@ -30,14 +32,18 @@
   activeCount: number
   /** Bytes that the origin sends once instead of a chunk, by index. */
   readonly wrongChunks: Map<number, Buffer>
+  /** Number of staged chunks that were read back. */
+  readCount: number
+  nameVersion: (version: number) => void
   stop: () => void
 }
 
 /** Runs a fetcher and a filler against an engine and an origin in memory. */
-function startFiller (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (run: FillerRun) => void, readonly originHas?: (index: number) => boolean, readonly supersededVersions?: ReadonlyArray<{ readonly version: number, readonly namedAtMs: number }>, readonly namedAtMs?: number } = {}): FillerRun {
-  const run: FillerRun = { staged: new Map(), orders: [], orderedAtMs: [], fetchedFromOrigin: [], engineVersion: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrongChunks: new Map(), stop: () => { clearInterval(timer) } }
+function startFiller (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (run: FillerRun) => void, readonly originHas?: (index: number) => boolean, readonly supersededVersions?: ReadonlyArray<{ readonly version: number, readonly namedAtMs: number }>, readonly namedAtMs?: number, readonly firstManifests?: ReadonlyArray<Filling.Ports.WeightManifest | undefined>, readonly members?: readonly Follow.Members.Member[] } = {}): FillerRun {
+  const run: FillerRun = { staged: new Map(), orders: [], orderedAtMs: [], fetchedFromOrigin: [], engineVersion: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrongChunks: new Map(), readCount: 0, nameVersion: next => { goals.push({ model: 'm', version: next, namedAtMs: clockMs }) }, stop: () => { clearInterval(timer) } }
   const report = (): Filling.Ports.EngineReport => ({ activeCount: run.activeCount, queuedCount: 0, pace: 1, loading: false, weights: run.engineVersion === 0 ? [] : [{ model: 'm', version: run.engineVersion }], bornAtMs: 1 })
   let hasTampered = false
+  const firstManifests = [...changes.firstManifests ?? []]
   /** Advances with each tick, so that the load of the machine has no effect. */
   let clockMs = 0
   const cache = Filling.ChunkCache.createChunkCache()
@@ -45,7 +51,10 @@
     name: 'own',
     region: 'r',
     origin: () => ({
-      manifest: async (_model, asked) => Neverthrow.ok(manifestOf(asked)),
+      manifest: async (_model, asked) => {
+        const next = firstManifests.length > 0 ? firstManifests.shift() : manifestOf(asked)
+        return next === undefined ? Neverthrow.err('absent') : Neverthrow.ok(next)
+      },
       chunk: async (_model, asked, index) => {
         if (changes.originHas?.(index) === false) return Neverthrow.err('absent')
         run.fetchedFromOrigin.push(index)
@@ -55,7 +64,8 @@
       }
     }),
     cache,
-    members: () => [],
+    chunkCountOf: () => CHUNK_COUNT,
+    members: () => changes.members ?? [],
     knowsMembers: () => true,
     sendRollCall: () => {},
     versionMs: () => VERSION_MS,
@@ -74,6 +84,7 @@
       report: async () => report(),
       listStaged: async () => [...run.staged.keys()],
       readStaged: async (_model, index) => {
+        run.readCount++
         if (!hasTampered && run.staged.size === CHUNK_COUNT && changes.beforeOrder !== undefined) {
           hasTampered = true
           changes.beforeOrder(run)
@@ -106,6 +117,15 @@
   return run
 }
 
+/** Manifests of one spoilt answer each, where version 2 was asked for. */
+const SPOILT_MANIFESTS: Readonly<Record<string, Filling.Ports.WeightManifest>> = {
+  'is that of another version': manifestOf(1),
+  'names another model': { ...manifestOf(2), model: 'n' },
+  'has no digests': { ...manifestOf(2), digests: [] },
+  'lacks a digest': { ...manifestOf(2), digests: manifestOf(2).digests.slice(1) },
+  'has a spoilt digest': { ...manifestOf(2), digests: manifestOf(2).digests.map((digest, index) => index === 3 ? digest.replace(/^./, first => first === '0' ? '1' : '0') : digest) }
+}
+
 const allChunksOf = (version: number): string[] => Array.from({ length: CHUNK_COUNT }, (_, index) => chunkOf(version, index).toString())
 
 describe('Filler', () => {
@@ -175,4 +195,44 @@
     const earliestMs = Filling.Switching.switchAtMs({ model: 'm', version: 3, supersededAtMs: 0, versionMs: VERSION_MS, ownName: 'own', agentNames: [] })
     expect([run.orders[0]?.version, (run.orderedAtMs[0] ?? 0) >= earliestMs, (run.orderedAtMs[0] ?? 0) < earliestMs + namedAtMs]).toEqual([3, true, true])
   })
+
+  describe('with a manifest that', () => {
+    for (const [name, spoilt] of Object.entries(SPOILT_MANIFESTS)) {
+      // Guards against chunks that are verified against the digests of other weights, and against a version that never arrives after one spoilt manifest.
+      it(`${name} loads the named version with its own chunks, soon after`, async () => {
+        const run = startFiller(2, { firstManifests: [spoilt] })
+        for (let index = 0; index < CHUNK_COUNT; index++) run.staged.set(index, chunkOf(1, index))
+        await TestKit.Wait.until('the order', LIMIT_MS, () => run.orders.length > 0)
+        run.stop()
+        expect(run.orders.map(({ version, staged }) => [version, staged])).toEqual([[2, allChunksOf(2)]])
+      })
+    }
+
+    // Guards against chunks that are verified against the digests of the version before: the engine was told to load them as the next version.
+    it('names the next version is not kept for that version, which is loaded with its own chunks once it is named', async () => {
+      const run = startFiller(1, { engineVersion: 1, firstManifests: [{ ...manifestOf(1), version: 2 }] })
+      for (let index = 0; index < CHUNK_COUNT; index++) run.staged.set(index, chunkOf(1, index))
+      await TestKit.Wait.until('the chunks of version 1 are known', LIMIT_MS, () => run.readCount >= CHUNK_COUNT)
+      run.nameVersion(2)
+      await TestKit.Wait.until('the load of version 2', LIMIT_MS, () => run.orders.some(({ version }) => version === 2))
+      run.stop()
+      expect(run.orders.map(({ version, staged }) => [version, staged])).toEqual([[2, allChunksOf(2)]])
+    })
+
+    it('another agent hands on is compared with what was asked for, too', async () => {
+      const answers = [manifestOf(1), { model: 'm', version: 2 }, manifestOf(2)]
+      const server = await HttpServer.listen({
+        host: '127.0.0.1',
+        port: 0,
+        headersTimeoutMs: 1_000,
+        routes: [{ method: 'GET', path: '/weights/m/2/manifest', handle: (_request, response) => { HttpServer.sendJson(response, 200, answers.length > 1 ? answers.shift() : answers[0]) } }]
+      })
+      const peer: Follow.Members.Member = { name: 'peer', kind: 'agent', host: '127.0.0.1', port: server.port, zone: 'z', region: 'r', incarnation: 'i' }
+      const run = startFiller(2, { members: [peer], firstManifests: Array.from({ length: 100 }, () => undefined) })
+      await TestKit.Wait.until('the order', LIMIT_MS, () => run.orders.length > 0)
+      run.stop()
+      await server.close(0)
+      expect([run.orders.map(({ version, staged }) => [version, staged]), answers.length]).toEqual([[[2, allChunksOf(2)]], 1])
+    })
+  })
 })
--- a/test/direct-spread.test.ts
+++ b/test/direct-spread.test.ts
@@ -21,7 +21,7 @@
 async function createFleet (isOriginUp: () => boolean = () => true): Promise<{ fleet: Fleet.Fleet, store: PlatformStore.PlatformStore }> {
   const store = await PlatformStore.startPlatformStore()
   stops.push(store.close)
-  store.put('op', 'config', Direct.deploymentOf({ origin: '127.0.0.1:1' }))
+  store.put('op', 'config', Direct.deploymentOf({ origin: '127.0.0.1:1', chunkCount: CHUNK_COUNT }))
   const fleet = Fleet.createFleet({ store, model: MODEL, chunkCount: CHUNK_COUNT, chunkBytes: CHUNK_BYTES, linkBitsPerSecond: LINK_BITS_PER_SECOND, versionMs: VERSION_MS, isOriginUp })
   return { fleet, store }
 }
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -312,11 +312,13 @@
 /**
  * Makes what operators write for a deployment.
  *
- * @param options - Where weights come from.
+ * @param options - Where weights come from, and of how many chunks each version consists if not of four.
  * @returns The value of the row.
  */
-export function deploymentOf (options: { readonly origin: string }): object {
-  return { ...DEPLOYMENT, backends: [...DEPLOYMENT.backends, { name: 'origin', origin: options.origin }] }
+export function deploymentOf (options: { readonly origin: string, readonly chunkCount?: number }): object {
+  const { origin, chunkCount } = options
+  const backends = DEPLOYMENT.backends.map(backend => backend.engine === undefined || chunkCount === undefined ? backend : { ...backend, engine: { ...backend.engine, chunks: chunkCount } })
+  return { ...DEPLOYMENT, backends: [...backends, { name: 'origin', origin }] }
 }
 
 /**
