Changes were missed while all connections to the store were silent

Cause: a read that the store holds for 4 to 12 s looks like one without a change while its connection is silent. Other reads of the same process did time out, but no read heard of another one's silence; news of other gateways do not help where the reads of all of them hang.

Change: the first read without an answer in time has all held reads sent again on new connections, each once. Gateways wait 1.5 s on average for operators' changes at the store, in place of 8 s, since in a large deployment all reads are long.

Ruled out: idle connections of the pool, reads of neighbours.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -163,6 +163,7 @@
     store: shared,
     askPeer: shared.askPeer,
     table: options.operatorsTable,
+    waitMs: Follow.Operators.INDIRECT_WAIT_MS,
     changeOf: options.changeOf,
     onDeployed: deployment => {
       const address = deployment.services.find(service => service.originAddress !== undefined)?.originAddress
--- a/src/follow/index.ts
+++ b/src/follow/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Follower from './follower.ts'
+export * as HeldReads from './heldReads.ts'
 export * as LoadForwarding from './loadForwarding.ts'
 export * as Members from './members.ts'
 export * as Node from './node.ts'
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -9,6 +9,7 @@
 import type * as Metrics from '../edge/metrics.ts'
 import * as Entry from './entry.ts'
 import * as Follower from './follower.ts'
+import * as HeldReads from './heldReads.ts'
 import * as Members from './members.ts'
 import * as News from './news.ts'
 import * as Readings from './readings.ts'
@@ -73,7 +74,7 @@
  */
 export async function open (options: NodeOptions, kind: Members.Member['kind'], onNews: (news: News.News) => void, routes: readonly HttpServer.Route[] = []): Promise<Node> {
   const { name, host, port, zone, region, random, log, metrics } = options
-  const store = withCallCounts(options.store, metrics)
+  const store = HeldReads.secureHeldReads(withCallCounts(options.store, metrics), { metrics, log })
   const incarnation = Crypto.randomUUID()
   const relayedTables = new Map<string, Relay.RelayedTable>()
   let members: readonly Members.Member[] = []
--- a/src/follow/operators.ts
+++ b/src/follow/operators.ts
@@ -12,6 +12,8 @@
 export interface OperatorsOptions extends Pick<Follower.FollowerOptions, 'store' | 'askPeer' | 'clock' | 'storeClock' | 'readings' | 'random' | 'metrics' | 'log'> {
   /** Name of the table that operators write. */
   readonly table: string
+  /** Mean time that a read waits for a change, in milliseconds. */
+  readonly waitMs: number
   /** Decodes a row; undefined for a row that holds no change. */
   readonly changeOf: (row: Rows.Row) => Routing.Deployment.OperatorChange | undefined
   /** Called with a deployment that is newer than the one in force. */
@@ -31,8 +33,10 @@
 
 /** Maximum wait of a read from a neighbour, in milliseconds: changes have to be in force within seconds, also if a neighbour freezes. */
 export const NEIGHBOUR_WAIT_MS = 2_000
-/** Mean time that a read of the table waits for a change, in milliseconds; if a read hangs, news of other processes reveals it earlier. */
-const READ_WAIT_MS = 8_000
+/** Mean time that a read of the store waits for a change, in milliseconds. If all connections of all processes go silent, the end of the wait alone reveals it, and changes have to be in force within seconds. Few gateways of a region read the table from the store. */
+export const STORE_WAIT_MS = 1_500
+/** Mean time that a read of a process that never reads the store waits for a change, in milliseconds. */
+export const INDIRECT_WAIT_MS = 8_000
 
 /**
  * Starts following the operators' table. Deployments and versions are never replaced by older ones.
@@ -78,7 +82,7 @@
     ...(options.metrics === undefined ? {} : { metrics: options.metrics }),
     log,
     table,
-    waitMs: () => READ_WAIT_MS,
+    waitMs: () => options.waitMs,
     onRows: (rows, rowsContext) => {
       for (const row of rows) {
         context = { ...rowsContext, revision: row.revision }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -243,6 +243,7 @@
     store: shared,
     askPeer: shared.askPeer,
     table: options.tables.operators,
+    waitMs: Follow.Operators.STORE_WAIT_MS,
     changeOf: options.operatorChangeOf,
     onDeployed: deployment => {
       index = Routing.Deployment.createIndex(deployment)
--- a/test/neighbour-claims.test.ts
+++ b/test/neighbour-claims.test.ts
@@ -31,6 +31,7 @@
     const readings = Follow.Readings.createReadings()
     let readCount = 0
     const operators = Follow.Operators.followOperators({
+      waitMs: Follow.Operators.INDIRECT_WAIT_MS,
       table: 'op',
       store: {
         readAll: async () => Neverthrow.ok({ rows: [], revision: 7, madeAtMs: 7_000 }),
@@ -92,6 +93,7 @@
     const random = Core.Random.createRandom(1)
     const shared = Follow.Shared.createSharedSource({ table: 'op', store, own: { name: 'own', region: 'ra' }, members: () => members, knowsMembers: () => true, awaitsMembers: () => false, seeds: () => [], isPart: false, mayReadStore: true, neighbourWaitMs: Follow.Operators.NEIGHBOUR_WAIT_MS, clock, random, metrics: Metrics.createMetrics(), log: () => {} })
     const operators = Follow.Operators.followOperators({
+      waitMs: Follow.Operators.INDIRECT_WAIT_MS,
       table: 'op',
       store: shared,
       askPeer: shared.askPeer,
