Gateways stood still after endpoints had crashed with long prompts in flight

Cause: each piece of evidence, one for each part of each request that a crash cut, computed the whole quarantine anew, and that compared each part with each other one, all in one turn of the event loop and again at each gateway that was told.

Change: the quarantine is computed when it is asked for after a change; parts that were cut at the same moments are evaluated once; crashes and companions are looked up by index; a call is compared with the groups of its own parts alone; a gateway changes at most 32 rows of the store a second.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -5,6 +5,7 @@
  */
 export * as Codes from './codes.ts'
 export * as Deadlines from './deadlines.ts'
+export * as Groups from './groups.ts'
 export * as Hash from './hash.ts'
 export * as Invariants from './invariants.ts'
 export * as Loop from './loop.ts'
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -57,6 +57,8 @@
 const BROADCASTER_COUNT = 4
 /** Mean number of gateways that update the rows in a tick: one may fail, and the others see that in the next tick. */
 const WRITER_COUNT = 2
+/** Maximum number of rows that a gateway changes in a tick: a crash may cut the requests of many parts, and the store takes a few hundred writes a second from all processes. */
+const ROW_CHANGES_PER_TICK_COUNT = 32
 /** Joins the keys of an abandoned request. */
 const KEY_SEPARATOR = ' '
 /** Table of the store with the quarantined requests and parts, by digest or key. */
@@ -74,7 +76,7 @@
  */
 export function createQuarantine (options: QuarantineOptions): Quarantine {
   const { node, store, clock, random, metrics, log } = options
-  const suspects = Routing.Suspects.createSuspects()
+  const suspects = Routing.Suspects.createSuspects(() => { metrics.count('quarantine_evaluations_total') })
   const abandoned = Routing.Abandoned.createAbandonedAttempts()
   /** When this gateway last had new evidence of its own, by digest, in milliseconds. */
   const lastEvidenceAtMs = new Map<string, number>()
@@ -89,16 +91,6 @@
     requests.sort((a, b) => b.cuts.length - a.cuts.length)
     for (let from = 0; from < requests.length; from += MESSAGE_LIMIT_COUNT) node.sendNews({ revisions: {}, requests: requests.slice(from, from + MESSAGE_LIMIT_COUNT) }, 'gateway')
   }
-  /** Broadcasts in the next turn of the event loop, so that calls interrupted together share a message. */
-  const scheduleBroadcast = (digest: string): void => {
-    if (pendingDigests.size === 0) {
-      setImmediate(() => {
-        broadcast(pendingDigests)
-        pendingDigests.clear()
-      })
-    }
-    pendingDigests.add(digest)
-  }
   const logChanges = (): void => {
     for (const { evidence: { digest, cuts }, isQuarantined, group } of suspects.takeChanges()) {
       const part = Routing.Evidence.partIdOf(digest)
@@ -110,11 +102,21 @@
     }
     metrics.gauge('requests_quarantined', suspects.quarantinedCount())
   }
+  /** Broadcasts and logs in the next turn of the event loop, so that calls interrupted together share a message and an evaluation. */
+  const scheduleBroadcast = (digest: string): void => {
+    if (pendingDigests.size === 0) {
+      setImmediate(() => {
+        broadcast(pendingDigests)
+        pendingDigests.clear()
+        logChanges()
+      })
+    }
+    pendingDigests.add(digest)
+  }
   const recordEvidence = (evidence: Routing.Evidence.Evidence): void => {
     if (!suspects.addEvidence(evidence)) return
     lastEvidenceAtMs.set(evidence.digest, clock())
     scheduleBroadcast(evidence.digest)
-    logChanges()
   }
   const recordCuts = ([digest, ...partKeys]: RequestKeys, { endpointId, bornAtMs }: Routing.Endpoints.EndpointStart): void => {
     const cut = { endpointId, bornAtMs, atMs: clock() }
@@ -149,6 +151,7 @@
   /** Makes the table hold one row for each quarantined request, with its latest probe, and no others. */
   const reconcileRows = (): void => {
     if (!rowFollower.isKnown() || random.next() * gatewayNames().length >= WRITER_COUNT) return
+    const changes: Array<readonly [digest: string, run: () => ReturnType<typeof store.write>]> = []
     const liveRows = new Map(rowFollower.mirror.live().map(row => [row.key, row]))
     for (const evidence of suspects.quarantined()) {
       const { digest, triedAtMs } = evidence
@@ -156,9 +159,10 @@
       liveRows.delete(digest)
       const triedCount = Follow.News.decodeRequest(row?.value).match(news => news.triedAtMs?.length ?? 0, () => -1)
       const news = Follow.News.requestNews(evidence, node.storeClock)
-      if (news !== undefined && triedCount < triedAtMs.length) void changeRow(digest, async () => await store.write(TABLE, digest, news, row?.revision ?? 0))
+      if (news !== undefined && triedCount < triedAtMs.length) changes.push([digest, async () => await store.write(TABLE, digest, news, row?.revision ?? 0)])
     }
-    for (const [digest, { revision }] of liveRows) void changeRow(digest, async () => await store.remove(TABLE, digest, revision))
+    for (const [digest, { revision }] of liveRows) changes.push([digest, async () => await store.remove(TABLE, digest, revision)])
+    for (const [digest, run] of changes.slice(0, ROW_CHANGES_PER_TICK_COUNT)) void changeRow(digest, run)
   }
   return {
     isEmpty: () => suspects.quarantinedCount() === 0,
--- a/src/routing/crashingParts.ts
+++ b/src/routing/crashingParts.ts
@@ -9,6 +9,7 @@
  *
  * @packageDocumentation
  */
+import * as Core from '../core/index.ts'
 import * as Evidence from './evidence.ts'
 
 /** Keys of the parts that a request has to have to be quarantined. */
@@ -45,41 +46,67 @@
  */
 export function findCrashingParts (parts: Iterable<Evidence.Evidence>, crashingRequests: readonly Evidence.Evidence[]): readonly PartGroup[] {
   let explained: readonly Evidence.Cut[] = []
-  const toOpen = (evidence: Evidence.Evidence): OpenEvidence => {
-    const cuts = evidence.cuts.filter(cut => !explained.some(other => Evidence.isSameCrash(cut, other)))
-    return { evidence, cuts, incidentCount: countIncidents(cuts) }
+  const toOpen = (cuts: readonly Evidence.Cut[], members: readonly Evidence.Evidence[]): OpenEvidence => {
+    const openCuts = cuts.filter(cut => !explained.some(other => Evidence.isSameCrash(cut, other)))
+    return { members, allCuts: cuts, cuts: openCuts, incidentCount: countIncidents(openCuts) }
   }
   const isSuspect = ({ incidentCount }: OpenEvidence): boolean => incidentCount >= QUARANTINE_INCIDENT_COUNT
-  let open = [...parts].map(toOpen).filter(isSuspect)
+  let open = groupByCuts(parts).map(members => toOpen(members[0]?.cuts ?? [], members)).filter(isSuspect)
   let requests = [...crashingRequests]
   const groups: PartGroup[] = []
   while (open.length > 0) {
-    const best = open.reduce((a, b) => b.incidentCount > a.incidentCount || (b.incidentCount === a.incidentCount && b.evidence.digest < a.evidence.digest) ? b : a)
+    const best = open.reduce((a, b) => b.incidentCount > a.incidentCount || (b.incidentCount === a.incidentCount && firstDigestOf(b) < firstDigestOf(a)) ? b : a)
     // A request that crashes endpoints by itself explains its crashes before any part does that explains no more.
-    const request = requests.find(each => toOpen(each).incidentCount >= best.incidentCount)
+    const request = requests.find(each => toOpen(each.cuts, [each]).incidentCount >= best.incidentCount)
     if (request === undefined) {
-      const sharedCount = (other: OpenEvidence): number => countIncidents(best.cuts.filter(cut => other.cuts.some(each => Evidence.isSameCrash(cut, each))))
-      const rivals = open.filter(other => sharedCount(other) === best.incidentCount)
-      const companions = open.filter(other => sharedCount(other) >= best.incidentCount - 1)
-      for (const rival of rivals) {
-        groups.push(companions.filter(other => other === rival || cameTogether(rival.evidence, other.evidence)).map(({ evidence }) => evidence.digest).sort())
-      }
+      const sharedCounts = open.map(other => countIncidents(best.cuts.filter(cut => other.cuts.some(each => Evidence.isSameCrash(cut, each)))))
+      const membersWith = (minimumCount: number): Evidence.Evidence[] => open.flatMap(({ members }, at) => (sharedCounts[at] ?? 0) >= minimumCount ? members : [])
+      const companionsOf = indexCompanions(membersWith(best.incidentCount - 1))
+      for (const rival of membersWith(best.incidentCount)) groups.push([rival.digest, ...companionsOf(rival)].sort())
     }
     requests = requests.filter(each => each !== request)
     explained = [...explained, ...(request ?? best).cuts]
-    open = open.map(({ evidence }) => toOpen(evidence)).filter(isSuspect)
+    open = open.map(({ allCuts, members }) => toOpen(allCuts, members)).filter(isSuspect)
   }
   return groups
 }
 
-/** Checks whether all cut requests with one of two parts had the other one as well. */
-function cameTogether (a: Evidence.Evidence, b: Evidence.Evidence): boolean {
-  return a.sharedWith?.includes(b.digest) === true || b.sharedWith?.includes(a.digest) === true
-}
-
-/** Evidence with the cuts that nothing else explains. */
+/** Parts that were cut at the same moments, as those of one request are: they are evaluated once for all. */
 interface OpenEvidence {
-  readonly evidence: Evidence.Evidence
+  readonly members: readonly Evidence.Evidence[]
+  readonly allCuts: readonly Evidence.Cut[]
+  /** The cuts that nothing else explains. */
   readonly cuts: readonly Evidence.Cut[]
   readonly incidentCount: number
 }
+
+/** Puts parts with exactly the same cuts together, each group in the order of its digests. */
+function groupByCuts (parts: Iterable<Evidence.Evidence>): Evidence.Evidence[][] {
+  const groups = [...Core.Groups.groupBy(parts, ({ cuts }) => cutsKeyOf(cuts)).values()]
+  for (const group of groups) group.sort((a, b) => a.digest < b.digest ? -1 : 1)
+  return groups
+}
+
+const cutsKeys = new WeakMap<readonly Evidence.Cut[], string>()
+
+/** Returns a text that is the same for equal lists of cuts alone; computed once for each list. */
+function cutsKeyOf (cuts: readonly Evidence.Cut[]): string {
+  const key = cutsKeys.get(cuts) ?? JSON.stringify(cuts.map(({ endpointId, bornAtMs, atMs }) => [endpointId, bornAtMs ?? null, atMs]))
+  cutsKeys.set(cuts, key)
+  return key
+}
+
+function firstDigestOf ({ members: [first] }: OpenEvidence): string {
+  return first?.digest ?? ''
+}
+
+/** Returns a function that finds those of some parts that came together with a part: all cut requests with one of the two had the other one as well. */
+function indexCompanions (parts: readonly Evidence.Evidence[]): (part: Evidence.Evidence) => string[] {
+  const digests = new Set(parts.map(({ digest }) => digest))
+  const mentions = parts.flatMap(({ digest, sharedWith = [] }) => sharedWith.map(other => ({ digest, other })))
+  const mentionsByOther = Core.Groups.groupBy(mentions, ({ other }) => other)
+  return ({ digest, sharedWith = [] }) => {
+    const companions = new Set([...sharedWith, ...(mentionsByOther.get(digest) ?? []).map(mention => mention.digest)])
+    return [...companions].filter(other => other !== digest && digests.has(other))
+  }
+}
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -5,7 +5,7 @@
  * A crash cuts everything that runs at the endpoint, so the evidence on all requests is evaluated
  * together: a crash that is attributed to one request does not count against others, and among requests
  * that were always cut together none is singled out. A complete answer clears a request for a while.
- * The quarantine is recomputed from the evidence each time.
+ * The quarantine is recomputed from the evidence when it is asked for after a change, once for all the evidence that a crash brings.
  *
  * @packageDocumentation
  */
@@ -91,14 +91,26 @@
   const candidates = [...evidenceList].filter(({ cuts }) => cuts.length >= QUARANTINE_CRASH_COUNT)
   const steps = candidates.flatMap(candidate => candidate.cuts.map((end, at) => ({ candidate, end, crashCount: at + 1 })))
   steps.sort((a, b) => a.end.atMs - b.end.atMs || (a.candidate.digest < b.candidate.digest ? -1 : 1))
+  const stepsByEndpoint = Core.Groups.groupBy(steps, ({ end }) => end.endpointId)
+  /** Returns the requests that a crash cut. */
+  const requestsCutBy = (end: Evidence.Cut): Set<Evidence.Evidence> => new Set((stepsByEndpoint.get(end.endpointId) ?? []).filter(step => Evidence.isSameCrash(step.end, end)).map(step => step.candidate))
   const crashing = new Set<Evidence.Evidence>()
-  const wasCut = (evidence: Evidence.Evidence, end: Evidence.Cut): boolean => evidence.cuts.some(each => Evidence.isSameCrash(each, end))
+  const explained = new Map<string, Evidence.Cut[]>()
+  const isExplained = (end: Evidence.Cut): boolean => explained.get(end.endpointId)?.some(other => Evidence.isSameCrash(other, end)) === true
+  const addCrashing = (evidence: Evidence.Evidence): void => {
+    crashing.add(evidence)
+    for (const end of evidence.cuts) explained.set(end.endpointId, [...explained.get(end.endpointId) ?? [], end])
+  }
   for (const { candidate, crashCount } of steps) {
-    const unexplained = candidate.cuts.slice(0, crashCount).filter(end => ![...crashing].some(explaining => wasCut(explaining, end)))
-    if (crashing.has(candidate) || unexplained.length === 0) continue
+    if (crashing.has(candidate)) continue
+    const unexplained = candidate.cuts.slice(0, crashCount).filter(end => !isExplained(end))
     const isCertain = crashCount >= CERTAIN_CRASH_COUNT
-    const hasAlternative = (): boolean => candidates.some(other => other !== candidate && !crashing.has(other) && unexplained.every(end => wasCut(other, end)))
-    if (isCertain || (unexplained.length >= QUARANTINE_CRASH_COUNT && !hasAlternative())) crashing.add(candidate)
+    if (unexplained.length === 0 || (!isCertain && unexplained.length < QUARANTINE_CRASH_COUNT)) continue
+    const hasAlternative = (): boolean => {
+      const [first, ...others] = unexplained.map(requestsCutBy)
+      return [...first ?? []].some(other => other !== candidate && !crashing.has(other) && others.every(requests => requests.has(other)))
+    }
+    if (isCertain || !hasAlternative()) addCrashing(candidate)
   }
   return new Set([...crashing].map(({ digest }) => digest))
 }
@@ -106,24 +118,32 @@
 /**
  * Creates an empty collection of evidence.
  *
+ * @param onEvaluated - Called each time that the quarantine was recomputed from the evidence.
  * @returns The collection.
  */
-export function createSuspects (): Suspects {
+export function createSuspects (onEvaluated: () => void = () => {}): Suspects {
   const table = Core.Table.createTable<Evidence.Evidence>('suspects')
   /** When requests got complete answers at this gateway, in milliseconds, from oldest to newest. */
   const answeredHereAtMs = new Map<string, number>()
   let crashing: ReadonlySet<string> = new Set()
-  let groups: readonly CrashingParts.PartGroup[] = []
+  /** Groups of parts by the first key of each. */
+  let groupsByFirstKey: ReadonlyMap<string, readonly CrashingParts.PartGroup[]> = new Map()
   /** The group of each quarantined part. */
   let groupByKey: ReadonlyMap<string, CrashingParts.PartGroup> = new Map()
   let partCount = 0
   /** By digest or key, so that entering and leaving quarantine between two reads cancel out. */
   const changes = new Map<string, QuarantineChange>()
   const isQuarantinedKey = (key: string): boolean => crashing.has(key) || groupByKey.has(key)
+  /** Whether the quarantine does not follow from the evidence any more. */
+  let isOutdated = false
+  /** Recomputes the quarantine if evidence on it has changed; to be called before it is read. */
   const updateQuarantine = (): void => {
+    if (!isOutdated) return
+    isOutdated = false
+    onEvaluated()
     const requests = [...table.rows()].filter(row => !isPart(row))
     const crashingNow = findCrashingRequests(requests)
-    groups = CrashingParts.findCrashingParts([...table.rows()].filter(isPart), requests.filter(({ digest }) => crashingNow.has(digest)))
+    const groups = CrashingParts.findCrashingParts([...table.rows()].filter(isPart), requests.filter(({ digest }) => crashingNow.has(digest)))
     const groupByKeyNow = new Map(groups.flatMap(group => group.map(key => [key, group] as const)))
     for (const digest of new Set([...crashing, ...crashingNow, ...groupByKey.keys(), ...groupByKeyNow.keys()])) {
       const isQuarantined = crashingNow.has(digest) || groupByKeyNow.has(digest)
@@ -132,6 +152,7 @@
     }
     crashing = crashingNow
     groupByKey = groupByKeyNow
+    groupsByFirstKey = Core.Groups.groupBy(groups, ([firstKey = '']) => firstKey)
   }
   const countParts = (): void => { partCount = [...table.rows()].filter(isPart).length }
   /** Evicts the requests, or parts, with the fewest crashes first, then the oldest. */
@@ -142,8 +163,11 @@
     countParts()
   }
   /** Returns the groups of parts, and the request itself, because of which a request is quarantined. */
-  const reasonsOf = (keys: readonly string[]): ReadonlyArray<readonly string[]> =>
-    [...keys.filter(key => crashing.has(key)).map(key => [key]), ...groups.filter(group => group.every(key => keys.includes(key)))]
+  const reasonsOf = (keys: readonly string[]): ReadonlyArray<readonly string[]> => {
+    updateQuarantine()
+    const groups = keys.flatMap(key => groupsByFirstKey.get(key) ?? [])
+    return [...keys.filter(key => crashing.has(key)).map(key => [key]), ...groups.filter(group => group.every(key => keys.includes(key)))]
+  }
   const isSuspected = (key: string): boolean => Evidence.partIdOf(key) !== undefined && CrashingParts.countIncidents(table.get(key)?.cuts ?? []) >= SUSPECTED_INCIDENT_COUNT
   const actionFor = (reason: readonly string[], keys: readonly string[], nowMs: number, isFirstToTry: (key: string) => boolean): RequestAction => {
     const evidence = reason.map(key => table.get(key) ?? emptyEvidenceOf(key))
@@ -164,7 +188,7 @@
       table.set(received.digest, merged)
       if (current === undefined && isPart(received)) partCount++
       evictExcess(isPart(received))
-      if (merged.cuts.length >= QUARANTINE_CRASH_COUNT || isQuarantinedKey(received.digest)) updateQuarantine()
+      isOutdated ||= merged.cuts.length >= QUARANTINE_CRASH_COUNT || isQuarantinedKey(received.digest)
       return true
     },
     recordAnswer: (digest, atMs) => {
@@ -176,8 +200,14 @@
     get: table.get,
     count: table.count,
     partCount: () => partCount,
-    quarantinedCount: () => crashing.size + groupByKey.size,
-    quarantined: () => [...crashing, ...groupByKey.keys()].flatMap(digest => table.get(digest) ?? []),
+    quarantinedCount: () => {
+      updateQuarantine()
+      return crashing.size + groupByKey.size
+    },
+    quarantined: () => {
+      updateQuarantine()
+      return [...crashing, ...groupByKey.keys()].flatMap(digest => table.get(digest) ?? [])
+    },
     quarantinedKeysOf: keys => [...new Set(reasonsOf(keys).flat())],
     isSuspected: keys => keys.some(isSuspected),
     actionOf: (keys, nowMs, isFirstToTry) => {
@@ -185,15 +215,17 @@
       return actions.includes('keepBack') ? 'keepBack' : actions[0] ?? 'send'
     },
     removeExpired: nowMs => {
+      updateQuarantine()
       const isStale = (evidence: Evidence.Evidence): boolean =>
         evidence.cuts.length === 0 ? nowMs - evidence.answeredAtMs > Evidence.ANSWER_TRUST_MS : nowMs - Evidence.lastActivityAtMs(evidence) > (isQuarantinedKey(evidence.digest) ? QUARANTINE_RETENTION_MS : EVIDENCE_RETENTION_MS)
       const stale = [...table.rows()].filter(isStale)
       for (const { digest } of stale) table.remove(digest)
       if (stale.length === 0) return
       countParts()
-      updateQuarantine()
+      isOutdated = true
     },
     takeChanges: () => {
+      updateQuarantine()
       const taken = [...changes.values()]
       changes.clear()
       return taken
