A process ended for good when one of its addresses was taken for a moment at its start

Cause: a port may be held for a moment by the process before it or by an outgoing connection of the same host. Listening failed, and the process ended with code 1.

Errors of a server after its start have a listener.

--- a/src/edge/httpServer.ts
+++ b/src/edge/httpServer.ts
@@ -9,6 +9,7 @@
 import * as Core from '../core/index.ts'
 import * as ClientConnections from './clientConnections.ts'
 import * as ClientMemory from './clientMemory.ts'
+import * as Listening from './listening.ts'
 import * as RequestBodies from './requestBodies.ts'
 import * as Traffic from './traffic.ts'
 
@@ -34,6 +35,10 @@
   readonly headersTimeoutMs: number
   /** Called when a connection is closed because its client keeps it from being of use. */
   readonly onClientClosed?: (cause: ClientConnections.ClosedCause) => void
+  /** Called with the reason when the address is not free yet. */
+  readonly onWaiting?: Listening.BindOptions['onWaiting']
+  /** Called with each error of the server, such as a connection that could not be accepted. */
+  readonly onError?: Listening.BindOptions['onError']
 }
 
 /** A listening server. */
@@ -45,6 +50,7 @@
 }
 
 const KEEP_ALIVE_MS = 30_000
+const LISTEN_BACKLOG_COUNT = 1_024
 /** Memory for the clients of all servers of the process, in bytes: some bodies of the usual maximum size. */
 const CLIENT_BUDGET_BYTES = 24 * 1024 * 1024
 /** Maximum number of connections of one server. */
@@ -85,10 +91,7 @@
     socket.once('close', () => { sockets.delete(socket) })
   })
   server.on('clientError', (_error, socket) => { refuseMalformed(socket as Net.Socket) })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(options.port, options.host, 1024, resolve)
-  })
+  await Listening.bind(server, () => { server.listen(options.port, options.host, LISTEN_BACKLOG_COUNT) }, { onError: options.onError ?? (() => {}), ...(options.onWaiting === undefined ? {} : { onWaiting: options.onWaiting }) })
   return {
     port: (server.address() as Net.AddressInfo).port,
     activeCount: () => activeCount,
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -8,6 +8,7 @@
 import * as Dgram from 'node:dgram'
 import * as Schema from 'effect/Schema'
 import type * as Core from '../core/index.ts'
+import * as Listening from '../edge/listening.ts'
 import type * as Routing from '../routing/index.ts'
 import * as Decode from '../schema/decode.ts'
 import type * as Follower from './follower.ts'
@@ -187,16 +188,13 @@
  * @param address - Host and port to listen on.
  * @param onNews - Called with each message that arrives.
  * @param onError - Called when a datagram cannot be decoded or sent, with the reason.
+ * @param onWaiting - Called with the reason when the address is not free yet.
  * @returns The channel, once it listens; rejects if the port cannot be bound.
  */
-export async function openChannel (address: { readonly host: string, readonly port: number }, onNews: (news: News) => void, onError: (reason: string) => void): Promise<NewsChannel> {
+export async function openChannel (address: { readonly host: string, readonly port: number }, onNews: (news: News) => void, onError: (reason: string) => void, onWaiting?: Listening.BindOptions['onWaiting']): Promise<NewsChannel> {
   const socket = Dgram.createSocket('udp4')
   socket.on('message', message => { decode(message.toString()).match(onNews, problems => { onError(Decode.describe(problems)) }) })
-  socket.on('error', error => { onError(error.message) })
-  await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject)
-    socket.bind(address.port, address.host, () => { resolve() })
-  })
+  await Listening.bind(socket, () => { socket.bind(address.port, address.host) }, { onError: error => { onError(error.message) }, ...(onWaiting === undefined ? {} : { onWaiting }) })
   let closed = false
   const sendTo = (target: { readonly host: string, readonly port: number }, bytes: Buffer): void => {
     try {
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -5,6 +5,7 @@
  */
 import * as Crypto from 'node:crypto'
 import type * as Core from '../core/index.ts'
+import * as Faults from '../edge/faults.ts'
 import * as HttpServer from '../edge/httpServer.ts'
 import type * as Metrics from '../edge/metrics.ts'
 import * as Entry from './entry.ts'
@@ -109,15 +110,19 @@
     if (news.reading !== undefined) readings.record(news.reading)
     onNews(news)
   }
+  const faults = Faults.createFaults({ metrics, log })
+  const onWaiting = (reason: string): void => { log('process', 'Address not free yet.', { host, port, reason }) }
   const channel = await News.openChannel({ host, port }, handleNews, reason => {
     metrics.count('news_faults_total')
     log('news', 'News lost.', { reason })
-  })
+  }, onWaiting)
   const relayRoute = Relay.createRelayRoute(table => relayedTables.get(table))
   const server = await HttpServer.listen({
     host,
     port,
     headersTimeoutMs: 2_000,
+    onWaiting,
+    onError: error => { faults.record('server', error) },
     routes: [relayRoute.route, metrics.route, ...routes]
   })
   const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, metrics, log }
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -8,7 +8,9 @@
 import * as Core from '../core/index.ts'
 import * as ClientConnections from '../edge/clientConnections.ts'
 import * as ClientMemory from '../edge/clientMemory.ts'
+import * as Faults from '../edge/faults.ts'
 import * as HttpServer from '../edge/httpServer.ts'
+import * as Listening from '../edge/listening.ts'
 import * as Follow from '../follow/index.ts'
 import * as Node from '../follow/node.ts'
 import * as Routing from '../routing/index.ts'
@@ -336,8 +338,8 @@
     request.resume()
     HttpServer.sendJson(response, isReady() ? 200 : 503, { ready: isReady() })
   }, { limitCount: () => PROBE_CONNECTION_LIMIT_COUNT, memory: clientMemory, clock, onClosed: recordClosedClient })
-  await listen(server, options.callerAddress)
-  await listen(readiness, options.readinessAddress)
+  await listen(server, options.callerAddress, options)
+  await listen(readiness, options.readinessAddress, options)
 
   /** Computes this gateway's shares of free slots anew. */
   const updateSharing = (nowMs: number): void => {
@@ -471,10 +473,11 @@
   return 1 + members.filter(member => member.kind === 'gateway').length
 }
 
-async function listen (server: Http.Server, address: Address): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(address.port, address.host, LISTEN_BACKLOG_COUNT, resolve)
+async function listen (server: Http.Server, { host, port }: Address, { metrics, log }: Pick<GatewayOptions, 'metrics' | 'log'>): Promise<void> {
+  const faults = Faults.createFaults({ metrics, log })
+  await Listening.bind(server, () => { server.listen(port, host, LISTEN_BACKLOG_COUNT) }, {
+    onWaiting: reason => { log('process', 'Address not free yet.', { host, port, reason }) },
+    onError: error => { faults.record('server', error) }
   })
 }
 
--- /dev/null
+++ b/test/process-ends.test.ts
@@ -0,0 +1,65 @@
+import * as Dgram from 'node:dgram'
+import * as Net from 'node:net'
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as PlatformStore from '../standins/platformStore.ts'
+import * as Direct from '../testkit/direct.ts'
+import * as Program from '../testkit/program.ts'
+import * as TestKit from '../testkit/index.ts'
+
+const READY_LIMIT_MS = 15_000
+/** Time for which an address is taken, in milliseconds. */
+const TAKEN_MS = 1_500
+const TEST_TIMEOUT_MS = 60_000
+
+/** Takes an address, and returns a function that frees it. */
+type Take = (ports: Program.GatewayPorts) => Promise<() => void>
+
+async function takeTcp (port: number): Promise<() => void> {
+  const server = Net.createServer()
+  await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
+  return () => { server.close() }
+}
+
+const ADDRESSES: Readonly<Record<string, Take>> = {
+  callers: async ports => await takeTcp(ports.callers),
+  'readiness probes': async ports => await takeTcp(ports.readiness),
+  'other processes': async ports => await takeTcp(ports.peers),
+  news: async ports => {
+    const socket = Dgram.createSocket('udp4')
+    await new Promise<void>(resolve => { socket.bind(ports.peers, '127.0.0.1', resolve) })
+    return () => { socket.close() }
+  }
+}
+
+describe('a process of the platform', () => {
+  let folder: Program.ProgramFolder
+  let store: PlatformStore.PlatformStore
+  before(async () => { folder = await Program.build() })
+  after(async () => { await folder.close() })
+  beforeEach(async () => {
+    store = await PlatformStore.startPlatformStore()
+    store.put('op', 'config', Direct.deploymentOf({ origin: '127.0.0.1:1' }))
+  })
+  afterEach(async () => { await store.close() })
+  const untilReady = async (program: Program.Program): Promise<void> => {
+    await TestKit.Wait.until('the process is ready or has ended', READY_LIMIT_MS, async () => program.end() !== undefined || await Program.isReady(program))
+    expect([program.end(), program.errors()]).toEqual([undefined, ''])
+  }
+
+  describe('that starts while an address is taken', () => {
+    for (const [name, take] of Object.entries(ADDRESSES)) {
+      // Guards against a process that ends for good since the one before it, or an outgoing connection, holds a port for a moment.
+      it(`for ${name} waits for it, and is ready soon after it is free`, { timeout: TEST_TIMEOUT_MS }, async () => {
+        const ports = await Program.freePorts()
+        const free = await take(ports)
+        const program = folder.startGateway({ ports, storePort: store.port })
+        await TestKit.Wait.sleep(TAKEN_MS)
+        expect([program.end(), program.errors()]).toEqual([undefined, ''])
+        free()
+        await untilReady(program)
+        expect(program.messages().includes('process: Address not free yet.')).toEqual(true)
+      })
+    }
+  })
+})
