Answers in very small parts exhausted the heap

What operators saw: gateways and agents end with "JavaScript heap out of memory" while the store or the origin sends an answer without end in chunks of one byte.

Cause: the size of an answer was bounded in bytes, but each part was kept as a buffer of its own of about a hundred bytes.

Change: small parts are copied into shared blocks wherever an answer is gathered: the HTTP client, endpoints' answers, pending events of streams, the other daemons.

--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import * as Edge from '../edge/index.ts'
 import type * as Schemas from '../schema/index.ts'
 import type * as Pace from './pace.ts'
 
@@ -65,14 +66,14 @@
  */
 export function relayBody (options: AnswerOptions): RelayedAnswer {
   const { incoming, response, meter } = options
-  const keptParts: Buffer[] = []
+  const kept = Edge.ByteCollector.createByteCollector()
   let sizeBytes = 0
   let endsAtEventBoundary = true
   incoming.on('data', (part: Buffer) => {
     meter.recordPart(options.clock())
     sizeBytes += part.length
     endsAtEventBoundary = part.length > 1 && part[part.length - 1] === LINE_FEED && part[part.length - 2] === LINE_FEED
-    if (sizeBytes <= options.maxKeptBytes) keptParts.push(part)
+    if (sizeBytes <= options.maxKeptBytes) kept.push(part)
     if (response.destroyed || response.write(part)) return
     incoming.pause()
     meter.pauseTiming()
@@ -86,7 +87,7 @@
   incoming.on('end', () => {
     const outcome = sizeBytes > options.maxKeptBytes
       ? undefined
-      : { httpStatus: incoming.statusCode ?? 502, contentType: incoming.headers['content-type'] ?? DEFAULT_CONTENT_TYPE, bodyBase64: Buffer.concat(keptParts).toString('base64') }
+      : { httpStatus: incoming.statusCode ?? 502, contentType: incoming.headers['content-type'] ?? DEFAULT_CONTENT_TYPE, bodyBase64: kept.take().toString('base64') }
     options.onEnd(incoming.complete, outcome)
   })
   return { isAtEventBoundary: () => endsAtEventBoundary }
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -6,6 +6,7 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 import * as Zlib from 'node:zlib'
+import * as ByteCollector from './byteCollector.ts'
 import * as Traffic from './traffic.ts'
 
 /** A server to talk to. */
@@ -123,21 +124,19 @@
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
     outgoing.on('response', incoming => {
-      const parts: Buffer[] = []
-      let sizeBytes = 0
+      const body = ByteCollector.createByteCollector()
       clearTimeout(headTimer)
       incoming.on('data', (part: Buffer) => {
         arrive(part.length)
-        sizeBytes += part.length
-        if (sizeBytes > maxAnswerBytes) { fail('answer too large'); return }
-        parts.push(part)
+        if (body.sizeBytes() + part.length > maxAnswerBytes) { fail('answer too large'); return }
+        body.push(part)
       })
       incoming.on('error', error => { fail(error.message) })
       incoming.on('end', () => {
         if (!incoming.complete) { fail('answer cut short'); return }
         clearTimeout(timer)
         Traffic.count(outgoing.socket, 'client', request.path)
-        resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: Buffer.concat(parts) })
+        resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: body.take() })
       })
     })
     outgoing.end(request.body)
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * as Auth from './auth.ts'
+export * as ByteCollector from './byteCollector.ts'
 export * as ClientConnections from './clientConnections.ts'
 export * as ClientMemory from './clientMemory.ts'
 export * as Faults from './faults.ts'
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -130,18 +130,16 @@
     })
   }
   const collect = (exchange: Exchange.Exchange, attempt: Exchange.Attempt, incoming: Http.IncomingMessage): void => {
-    const parts: Buffer[] = []
-    let sizeBytes = 0
+    const body = Edge.ByteCollector.createByteCollector()
     attempt.readsBody = true
     incoming.on('data', (part: Buffer) => {
-      sizeBytes += part.length
-      if (sizeBytes > MAX_ANSWER_BYTES) { incoming.destroy(new Error('answer too large')); return }
-      parts.push(part)
+      if (body.sizeBytes() + part.length > MAX_ANSWER_BYTES) { incoming.destroy(new Error('answer too large')); return }
+      body.push(part)
     })
     incoming.on('error', error => { cut(exchange, attempt, error.message) })
     incoming.on('end', () => {
       if (!incoming.complete) { cut(exchange, attempt, 'The answer was cut short.'); return }
-      const answer: Exchange.WholeAnswer = { status: incoming.statusCode ?? 502, contentType: String(incoming.headers['content-type'] ?? 'application/octet-stream'), body: Buffer.concat(parts) }
+      const answer: Exchange.WholeAnswer = { status: incoming.statusCode ?? 502, contentType: String(incoming.headers['content-type'] ?? 'application/octet-stream'), body: body.take() }
       if (exchange.attempts.has(attempt.attemptId)) exchange.answer = answer
       end(exchange, attempt, { run: 'ran', code: 'ok', outcome: exchange.saves ? outcomeOf(answer) : undefined })
     })
--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type * as Http from 'node:http'
+import type * as ByteCollector from '../edge/byteCollector.ts'
 import type * as Routing from '../routing/index.ts'
 import type * as Dialect from './dialect.ts'
 import type * as Events from './events.ts'
@@ -31,8 +32,7 @@
   /** When the attempt became the current one again after it had stalled, in milliseconds; -Infinity if that has not happened. */
   reinstatedAtMs: number
   head: { readonly status: number, readonly metadata: Dialect.AnswerMetadata, readonly rawHeaders: string[], readonly isStream: boolean, readonly isFramed: boolean } | undefined
-  readonly bodyParts: Buffer[]
-  receivedBodyBytes: number
+  readonly body: ByteCollector.ByteCollector
   splitter: Events.EventSplitter | undefined
 }
 
--- a/src/ingress/events.ts
+++ b/src/ingress/events.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import * as ByteCollector from '../edge/byteCollector.ts'
 
 /** One or more complete events. */
 export interface CompleteEvents {
@@ -29,29 +30,29 @@
  * @returns The splitter.
  */
 export function createSplitter (): EventSplitter {
-  let pending: Buffer[] = []
-  let pendingBytes = 0
+  let pending = ByteCollector.createByteCollector()
+  let lastPendingByte: number | undefined
   /** Returns the offset after the last event that ends within the bytes; 0 if none does. */
   const lastEventEnd = (bytes: Buffer): number => {
     const at = bytes.lastIndexOf(SEPARATOR)
     if (at !== -1) return at + SEPARATOR.length
-    return bytes[0] === LINE_END && pending.at(-1)?.at(-1) === LINE_END ? 1 : 0
+    return bytes[0] === LINE_END && lastPendingByte === LINE_END ? 1 : 0
   }
   return {
     push: bytes => {
       const end = lastEventEnd(bytes)
-      const complete = end === 0 ? undefined : Buffer.concat([...pending, bytes.subarray(0, end)])
+      const complete = end === 0 ? undefined : Buffer.concat([pending.take(), bytes.subarray(0, end)])
       if (complete !== undefined) {
-        pending = []
-        pendingBytes = 0
+        pending = ByteCollector.createByteCollector()
+        lastPendingByte = undefined
       }
       if (end < bytes.length) {
         pending.push(bytes.subarray(end))
-        pendingBytes += bytes.length - end
+        lastPendingByte = bytes.at(-1)
       }
       return complete === undefined ? undefined : { bytes: complete, lastEventId: lastEventIdOf(complete) }
     },
-    pendingBytes: () => pendingBytes
+    pendingBytes: () => pending.sizeBytes()
   }
 }
 
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -8,6 +8,7 @@
 import type * as Http from 'node:http'
 import * as Core from '../core/index.ts'
 import type * as Metrics from '../edge/metrics.ts'
+import * as ByteCollector from '../edge/byteCollector.ts'
 import type * as ClientMemory from '../edge/clientMemory.ts'
 import * as Faults from '../edge/faults.ts'
 import * as MessageHeads from '../edge/messageHeads.ts'
@@ -341,8 +342,7 @@
       isKeptDespiteSilence: false,
       reinstatedAtMs: -Infinity,
       head: undefined,
-      bodyParts: [],
-      receivedBodyBytes: 0,
+      body: ByteCollector.createByteCollector(),
       splitter: undefined
     }
     call.attempt = attempt
@@ -401,9 +401,8 @@
     Routing.Endpoints.recordSignOfLife(attempt.row, nowMs)
     if (attempt.splitter === undefined) {
       attempt.lastReceivedAtMs = nowMs
-      attempt.bodyParts.push(bytes)
-      attempt.receivedBodyBytes += bytes.length
-      if (attempt.receivedBodyBytes > ANSWER_LIMIT_BYTES) rejectAttempt(call, attempt, 'answer too large')
+      attempt.body.push(bytes)
+      if (attempt.body.sizeBytes() > ANSWER_LIMIT_BYTES) rejectAttempt(call, attempt, 'answer too large')
       return
     }
     const completeEvents = attempt.splitter.push(bytes)
@@ -462,7 +461,7 @@
     if (call.stalledAttempt === attempt) reinstateStalled(call, attempt)
     if (head === undefined || call.attempt !== attempt) return
     if (head.isStream) { endStream(call, attempt); return }
-    const body = Buffer.concat(attempt.bodyParts)
+    const body = attempt.body.take()
     if (head.metadata.isProvenNotRun) {
       if (head.metadata.quietForMs === 0) reportFailure(attempt.row, `refused with ${head.status}`, call)
       endAttempt(call, attempt, 'notRun', `endpoint refused with ${head.status}`)
--- a/src/weights/edge/chunkClient.ts
+++ b/src/weights/edge/chunkClient.ts
@@ -48,7 +48,7 @@
   let cancel = (): void => {}
   const answer = new Promise<ChunkAnswer>(resolve => {
     const hash = Crypto.createHash('sha256')
-    const parts: Buffer[] = []
+    const body = Edge.ByteCollector.createByteCollector()
     let ended = false
     const outgoing = Http.request({
       host: request.address.host,
@@ -84,14 +84,14 @@
       incoming.on('data', (part: Buffer) => {
         restartTimer()
         hash.update(part)
-        parts.push(part)
+        body.push(part)
         incoming.pause()
         void passAll(request.pacers, part.length, request.urgent).then(() => { restartTimer(); incoming.resume() })
       })
       incoming.on('end', () => {
         if (!incoming.complete) { end('unreachable'); return }
         const matches = hash.digest('hex') === request.chunkDigest
-        end(matches ? 'whole' : 'corrupted', matches ? Buffer.concat(parts) : undefined)
+        end(matches ? 'whole' : 'corrupted', matches ? body.take() : undefined)
       })
     })
     outgoing.end()
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -10,6 +10,9 @@
 const READY_LIMIT_MS = 15_000
 /** Time for which an address is taken, in milliseconds. */
 const TAKEN_MS = 1_500
+/** Time for which the store answers without end, in milliseconds, and what it sends at a time. */
+const ENDLESS_MS = 5_000
+const ENDLESS_PIECE = Buffer.from('1\r\nx\r\n'.repeat(10_000))
 const TEST_TIMEOUT_MS = 60_000
 
 /** Takes an address, and returns a function that frees it. */
@@ -62,4 +65,38 @@
       })
     }
   })
+
+  describe('whose store answers without end in chunks of one byte', () => {
+    // Guards against a heap that is filled by the parts of an answer: each part was a buffer of its own.
+    it('runs on, and is ready once the store answers again', { timeout: TEST_TIMEOUT_MS }, async () => {
+      let isEndless = true
+      const sockets = new Set<Net.Socket>()
+      const pour = (socket: Net.Socket): void => {
+        while (!socket.destroyed && socket.write(ENDLESS_PIECE)) { /* until its buffer is full */ }
+        socket.once('drain', () => { pour(socket) })
+      }
+      const front = Net.createServer(socket => {
+        sockets.add(socket)
+        socket.on('error', () => {})
+        if (isEndless) {
+          socket.once('data', () => {
+            socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+            pour(socket)
+          })
+          return
+        }
+        const far = Net.connect(store.port, '127.0.0.1')
+        far.on('error', () => { socket.destroy() })
+        socket.pipe(far).pipe(socket)
+      })
+      await new Promise<void>(resolve => { front.listen(0, '127.0.0.1', resolve) })
+      const program = folder.startGateway({ ports: await Program.freePorts(), storePort: (front.address() as Net.AddressInfo).port })
+      await TestKit.Wait.sleep(ENDLESS_MS)
+      isEndless = false
+      for (const socket of sockets) socket.destroy()
+      await untilReady(program)
+      for (const socket of sockets) socket.destroy()
+      front.close()
+    })
+  })
 })
