A second SIGTERM cut the requests in flight

Cause: the first SIGTERM used up the handler, and Node's default for the next one ends the process. SIGHUP had that default until the program was loaded.

Evidence: three SIGTERMs and two SIGHUPs with 12 calls in flight: calls lost on; now 12 of 12 answered and exit code 0 (process-ends).

--- a/src/schema/logLines.ts
+++ b/src/schema/logLines.ts
@@ -118,7 +118,7 @@
   waitedMs: number('How long the call waited here'),
   waitingCount: number('Calls that wait in the process'),
   weights: { schema: Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int })), about: 'Models and versions that the endpoint has loaded' },
-  work: text('The work in which an error occurred: call, request, server, event or promise'),
+  work: text('The work in which an error occurred: call, request, server, stop, event or promise'),
   workspace: text('The workspace'),
   workspaceCount: number('Workspaces in force'),
   zone: text('The availability zone')
@@ -151,6 +151,7 @@
   'routing: Call cancelled.': { about: 'The caller left', fields: [...END, 'answering'], optional: [...END_OPTIONAL, 'endpointId', 'digest', 'parts'] },
   'routing: Call denied.': { about: 'No route, no key or a body over the limit', fields: ['code'], optional: ['callId', 'host', 'path', 'deploymentVersion'] },
   'process: Address not free yet.': { about: 'An address that the process listens on is taken; it is tried again for some time', fields: ['host', 'port', 'reason'] },
+  'process: Stop already under way.': { about: 'A further SIGTERM, which changes nothing: requests in flight are still answered', fields: [] },
   'process: Unexpected error.': { about: 'An error that no code expects; what it belonged to was ended, the process goes on', fields: ['work', 'reason', 'stack'] },
   'clients: Clients are cut off.': { about: 'Connections begin to be closed because of their clients; further ones are only counted', fields: ['reason'] },
   'clients: Clients keep to the bounds again.': { about: 'No connection has been closed because of its client for some seconds', fields: ['closedCounts'] },
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -1,8 +1,10 @@
 import * as Dgram from 'node:dgram'
+import * as Http from 'node:http'
 import * as Net from 'node:net'
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as PlatformStore from '../standins/platformStore.ts'
+import * as Runner from '../standins/runner.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as Program from '../testkit/program.ts'
 import * as TestKit from '../testkit/index.ts'
@@ -13,6 +15,8 @@
 /** Time for which the store answers without end, in milliseconds, and what it sends at a time. */
 const ENDLESS_MS = 5_000
 const ENDLESS_PIECE = Buffer.from('1\r\nx\r\n'.repeat(10_000))
+const CALL_COUNT = 12
+const WORK_MS = 2_500
 const TEST_TIMEOUT_MS = 60_000
 
 /** Takes an address, and returns a function that frees it. */
@@ -99,4 +103,36 @@
       front.close()
     })
   })
+
+  describe('that is told to stop several times', () => {
+    /** Makes a call on a kept connection; tells its status, 0 without an answer. */
+    const call = async (port: number, agent: Http.Agent, id: string): Promise<number> => await new Promise(resolve => {
+      const request = Http.request({ host: '127.0.0.1', port, agent, method: 'POST', path: '/slow/1', headers: { host: 'h', authorization: 'Bearer key-1', 'X-Fescuespread-Attempt-Id': id, 'X-Fescuespread-Deadline-Ms': '9000', 'X-Fescuespread-Model': 'm', 'X-Fescuespread-Token-Usage': '100,50' } }, response => {
+        response.resume()
+        response.on('error', () => { resolve(0) })
+        response.on('end', () => { resolve(response.complete ? response.statusCode ?? 0 : 0) })
+      })
+      request.on('error', () => { resolve(0) })
+      request.end('prompt')
+    })
+
+    // Guards against a second SIGTERM that ends the process at once, with the requests in flight.
+    it('answers the requests in flight, and ends with 0', { timeout: TEST_TIMEOUT_MS }, async () => {
+      const runner = await Runner.startRunner({ instanceId: 'e', eventMs: WORK_MS / 5, eventCount: 5 })
+      store.put('servers', 'e', { backend: 'llm', address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: runner.born, models: [{ name: 'm', version: runner.version, adapters: [] }], layers: { from: 0, target: 4, version: runner.version } })
+      const program = folder.startGateway({ ports: await Program.freePorts(), storePort: store.port })
+      await untilReady(program)
+      const agent = new Http.Agent({ keepAlive: true })
+      const answers = Array.from({ length: CALL_COUNT }, async (_, at) => await call(program.ports.callers, agent, `c${at}`))
+      await TestKit.Wait.until('the calls are in flight', READY_LIMIT_MS, () => runner.arrived.length === CALL_COUNT)
+      for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGTERM'] as const) {
+        program.signal(signal)
+        await TestKit.Wait.sleep(100)
+      }
+      expect(await Promise.all(answers)).toEqual(Array.from({ length: CALL_COUNT }, () => 200))
+      agent.destroy()
+      expect(await program.ended).toEqual({ code: 0, signal: null })
+      await runner.close()
+    })
+  })
 })
