Requests answered long ago exhausted the heap of a gateway

Cause: the state of a connection kept the last request, some 250 KB with its fields, until the next one, and nothing was charged for it.

Change: a request is let go of once it is answered and has been sent in full.

--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -42,7 +42,8 @@
   readBytesAtIdle: number
   /** When an answered request was first seen that the client had not sent in full, in milliseconds. */
   notWholeSinceMs: number | undefined
-  lastRequest: Http.IncomingMessage | undefined
+  /** The last request until it has been sent in full and answered: with many fields, it takes more memory than a connection is charged for. */
+  unfinishedRequest: Http.IncomingMessage | undefined
   /** Bytes of answers that were taken for the connection and not yet sent, and since when there was no progress, in milliseconds. */
   unreadBytes: number
   writtenBytes: number
@@ -158,7 +159,7 @@
   server.on('connection', socket => {
     const nowMs = clock()
     recordAccepted(socket, nowMs)
-    states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, lastRequest: undefined, unreadBytes: 0, writtenBytes: 0, blockedSinceMs: undefined })
+    states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, unfinishedRequest: undefined, unreadBytes: 0, writtenBytes: 0, blockedSinceMs: undefined })
     socket.once('close', () => { forget(socket) })
     if (states.size > bounds.limitCount()) close(findDispensable() ?? socket, 'connectionLimit')
   })
@@ -173,9 +174,10 @@
     }
     state.unanswered.add(response)
     state.activeAtMs = clock()
-    state.lastRequest = request
+    state.unfinishedRequest = request
     response.once('close', () => {
       state.unanswered.delete(response)
+      if (state.unfinishedRequest === request && request.complete) state.unfinishedRequest = undefined
       state.activeAtMs = clock()
       state.readBytesAtIdle = socket.bytesRead
     })
@@ -184,12 +186,17 @@
 
   /** Charges what has been read of a head that is not complete yet. */
   const checkHead = (socket: Net.Socket, state: ConnectionState): number => {
-    if (!isIdle(state) || (state.lastRequest !== undefined && !state.lastRequest.complete)) return 0
+    if (!isIdle(state) || state.unfinishedRequest?.complete === false) return 0
     return Math.max(0, socket.bytesRead - state.readBytesAtIdle) * HEAD_FACTOR
   }
   /** Returns whether the client has left the rest of an answered request unsent for too long. */
   const isRestOverdue = (state: ConnectionState, nowMs: number): boolean => {
-    if (!isIdle(state) || state.lastRequest === undefined || state.lastRequest.complete) {
+    if (!isIdle(state)) {
+      state.notWholeSinceMs = undefined
+      return false
+    }
+    if (state.unfinishedRequest?.complete !== false) {
+      state.unfinishedRequest = undefined
       state.notWholeSinceMs = undefined
       return false
     }
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -17,6 +17,10 @@
 const ENDLESS_PIECE = Buffer.from('1\r\nx\r\n'.repeat(10_000))
 const CALL_COUNT = 12
 const WORK_MS = 2_500
+/** Clients that rest, how long one comes after the other, in milliseconds, and the fields of the request of each. */
+const RESTING_COUNT = 450
+const RESTING_INTERVAL_MS = 8
+const FIELD_COUNT = 2_400
 const TEST_TIMEOUT_MS = 60_000
 
 /** Takes an address, and returns a function that frees it. */
@@ -104,6 +108,28 @@
     })
   })
 
+  describe('whose clients rest on open connections after a request of very many short fields', () => {
+    // Guards against a heap that is filled by requests which were answered long ago.
+    it('runs on, and is ready', { timeout: TEST_TIMEOUT_MS }, async () => {
+      const program = folder.startGateway({ ports: await Program.freePorts(), storePort: store.port })
+      await untilReady(program)
+      const fields = Array.from({ length: FIELD_COUNT }, (_, at) => `${at.toString(36)}: `).join('\r\n')
+      const head = `POST /read/1 HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-1\r\ncontent-length: 0\r\n${fields}\r\n\r\n`
+      const sockets: Net.Socket[] = []
+      let answeredCount = 0
+      for (let count = 0; count < RESTING_COUNT; count++) {
+        const socket = Net.connect(program.ports.callers, '127.0.0.1', () => { socket.write(head) })
+        socket.on('error', () => {})
+        socket.once('data', () => { answeredCount++ })
+        sockets.push(socket)
+        await TestKit.Wait.sleep(RESTING_INTERVAL_MS)
+      }
+      await TestKit.Wait.until('the requests are answered', READY_LIMIT_MS, () => program.end() !== undefined || answeredCount === RESTING_COUNT)
+      await untilReady(program)
+      for (const socket of sockets) socket.destroy()
+    })
+  })
+
   describe('that is told to stop several times', () => {
     /** Makes a call on a kept connection; tells its status, 0 without an answer. */
     const call = async (port: number, agent: Http.Agent, id: string): Promise<number> => await new Promise(resolve => {
