A held read that fails with an exception is let go of; settings of the test program without unused fields

No caller saw anything: the store's client returns its failures as results. Evidence: by reading; the tests of silent-feeds pass.

--- a/src/follow/heldReads.ts
+++ b/src/follow/heldReads.ts
@@ -65,7 +65,10 @@
         }
         const start = (): void => {
           pendingCount++
-          send().then(settle, reject)
+          send().then(settle, error => {
+            heldReads.delete(read)
+            reject(error)
+          })
         }
         const read: HeldRead = {
           repeat: () => {
--- a/testkit/program.ts
+++ b/testkit/program.ts
@@ -53,9 +53,6 @@
 export interface GatewayOptions {
   readonly ports: GatewayPorts
   readonly storePort: number
-  /** Limits of its machine. */
-  readonly memoryMb?: number
-  readonly descriptorCount?: number
 }
 
 /**
@@ -114,7 +111,7 @@
   })
 }
 
-function settingsOf (name: string, { ports, storePort, memoryMb = 350, descriptorCount = 4_100 }: GatewayOptions): Record<string, unknown> {
+function settingsOf (name: string, { ports, storePort }: GatewayOptions): Record<string, unknown> {
   return {
     node_name: name,
     ip: '127.0.0.1',
@@ -124,7 +121,7 @@
     seeds: [],
     zones: { a: 'ra' },
     listen: { frontend: `127.0.0.1:${ports.callers}`, ready: `127.0.0.1:${ports.readiness}` },
-    limits: { link_mbps: 100, memory_mb: memoryMb, max_fds: descriptorCount },
+    limits: { link_mbps: 100, memory_mb: 350, max_fds: 4_100 },
     bounds: { retry_budget_ratio: 0.2, retry_slack: 100, budget_window_s: 10, version_ms: 8_000, grace_s: 8 },
     platform: { address: `127.0.0.1:${storePort}` }
   }
