--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -739,18 +739,88 @@
     replacement: '',
     checks: [test('direct-bounds')]
   },
+  {
+    name: 'messages: the head of an answer can be passed on',
+    file: 'src/ingress/upstream.ts',
+    text: 'const problem = MessageHeads.problemOfAnswer(response.statusCode ?? 0, response.rawHeaders)',
+    replacement: 'const problem = [].at(0)',
+    checks: [test('broken-answers')]
+  },
+  {
+    name: 'messages: the head of a request can be passed on',
+    file: 'src/ingress/ingress.ts',
+    text: 'MessageHeads.problemOfRequest(request.url ?? \'/\', request.rawHeaders) !== undefined',
+    replacement: 'false',
+    checks: [test('unexpected-errors')]
+  },
+  {
+    name: 'manifests: compared with what was asked for',
+    file: 'src/filling/manifests.ts',
+    text: 'manifest.model !== wanted.model || manifest.version !== wanted.version',
+    replacement: 'false',
+    checks: [test('direct-filler')]
+  },
+  {
+    name: 'manifests: as many chunks as the deployment names',
+    file: 'src/filling/manifests.ts',
+    text: 'return manifest.digests.length === chunkCount ? undefined : ',
+    replacement: 'return manifest.digests.length >= 0 ? undefined : ',
+    checks: [test('direct-filler')]
+  },
+  {
+    name: 'held reads: repeated after a silent one',
+    file: 'src/follow/heldReads.ts',
+    text: 'for (const read of [...heldReads]) read.repeat()',
+    replacement: '',
+    checks: [test('silent-feeds')]
+  },
+  {
+    name: 'held reads: a repeat starts no further ones',
+    file: 'src/follow/heldReads.ts',
+    text: 'isSilent(answer) && heldReads.delete(read)',
+    replacement: 'isSilent(answer)',
+    checks: [test('silent-feeds')]
+  },
+  {
+    name: 'suspects: evaluated once for all evidence of a crash',
+    file: 'src/routing/suspects.ts',
+    text: 'isOutdated ||= merged.cuts.length >= QUARANTINE_CRASH_COUNT || isQuarantinedKey(received.digest)',
+    replacement: 'isOutdated ||= merged.cuts.length >= QUARANTINE_CRASH_COUNT || isQuarantinedKey(received.digest)\n      updateQuarantine()',
+    checks: [test('quarantine-crowds')]
+  },
+  {
+    name: 'answers: small parts share blocks',
+    file: 'src/edge/byteCollector.ts',
+    text: 'part.length >= LARGE_PART_BYTES || ',
+    replacement: 'part.length >= 0 || ',
+    checks: [test('byte-collector')]
+  },
+  {
+    name: 'addresses: tried again while taken',
+    file: 'src/edge/listening.ts',
+    text: "!PASSING_ERROR_CODES.has(error.code ?? '') || ",
+    replacement: 'error !== undefined || ',
+    checks: [test('process-ends')]
+  },
+  {
+    name: 'signals: a stop under way is not cut short',
+    file: 'src/edge/signals.ts',
+    text: 'if (isStopping) { handlers.onStopRepeated(); return }',
+    replacement: 'if (isStopping) process.exit(1)',
+    checks: [test('process-ends')]
+  },
   {
     name: 'suspects: an end that is explained speaks against no other',
     file: 'src/routing/suspects.ts',
-    text: '.filter(end => ![...crashing].some(explaining => wasCut(explaining, end)))',
+    text: '.filter(end => !isExplained(end))',
     replacement: '',
     checks: [test('suspects')]
   },
   {
     name: 'suspects: none of two that were always cut together',
     file: 'src/routing/suspects.ts',
-    text: 'unexplained.length >= QUARANTINE_CRASH_COUNT && !hasAlternative()',
-    replacement: 'unexplained.length >= QUARANTINE_CRASH_COUNT && (hasAlternative() || true)',
+    text: 'if (isCertain || !hasAlternative()) addCrashing(candidate)',
+    replacement: 'addCrashing(candidate)',
     checks: [test('suspects')]
   },
   {
@@ -805,8 +875,8 @@
   {
     name: 'crashing parts: parts that cannot be told apart count together',
     file: 'src/routing/crashingParts.ts',
-    text: 'other === rival || cameTogether(rival.evidence, other.evidence)',
-    replacement: 'other === rival',
+    text: 'groups.push([rival.digest, ...companionsOf(rival)].sort())',
+    replacement: 'groups.push([rival.digest])',
     checks: [test('crashing-parts')]
   },
   {
@@ -826,8 +896,8 @@
   {
     name: 'suspects: rows are written',
     file: 'src/ingress/quarantine.ts',
-    text: 'if (news !== undefined && triedCount < triedAtMs.length) void change',
-    replacement: 'if (news === undefined) void change',
+    text: 'if (news !== undefined && triedCount < triedAtMs.length) changes.push',
+    replacement: 'if (news === undefined) changes.push',
     checks: [test('crashing-requests')]
   },
   {
@@ -931,7 +1001,7 @@
   {
     name: 'answers: bounded',
     file: 'src/ingress/ingress.ts',
-    text: "if (attempt.receivedBodyBytes > ANSWER_LIMIT_BYTES) rejectAttempt(call, attempt, 'answer too large')",
+    text: "if (attempt.body.sizeBytes() > ANSWER_LIMIT_BYTES) rejectAttempt(call, attempt, 'answer too large')",
     replacement: '',
     checks: [test('endless-answers')]
   },
