--- a/src/edge/byteCollector.ts
+++ b/src/edge/byteCollector.ts
@@ -13,7 +13,7 @@
   take: () => Buffer
 }
 
-/** Minimum size of a part that is kept as it is, in bytes: a buffer of its own costs about a hundred bytes. */
+/** Minimum size of a part that is kept as it is, in bytes: each buffer costs memory beside its bytes. */
 const LARGE_PART_BYTES = 1_024
 /** Number of parts that are kept as they are whatever their size, as an ordinary message has few. */
 const UNCOPIED_PART_COUNT = 8
--- a/test/byte-collector.test.ts
+++ b/test/byte-collector.test.ts
@@ -15,7 +15,7 @@
     }), { seed: 5, numRuns: 300 })
   })
 
-  // Guards against a heap that is filled by parts of one byte: each part that is kept costs about a hundred bytes.
+  // Guards against a heap that is filled by parts of one byte: each part that is kept costs a buffer object.
   it('keeps few of many small parts', () => {
     const collector = ByteCollector.createByteCollector()
     const parts = Array.from({ length: 1_000 }, () => Buffer.from('x'))
