--- a/review/kit-2.mjs
+++ b/review/kit-2.mjs
@@ -113,12 +113,12 @@
 }
 
 /**
- * Starts a plain runner that lists itself in the store.
- * `answerOf` returns the work in milliseconds and the body of the answer to a request.
+ * Starts a runner that lists itself in the store. `serve` answers a request that runs; `sealed` are the headers of its answer.
+ * `entry` is added to the runner's entry in the store.
  */
-export async function startPlainRunner ({ store, id, service, slots = 6, answerOf }) {
+export async function startRunner ({ store, id, service, slots = 6, entry = {}, serve }) {
   const sockets = new Set()
-  /** Requests that began to run: id, when, and whether the whole answer was taken by the system. */
+  /** Requests that began to run: id, path, when, and whether the system took the whole answer. */
   const runs = []
   const server = Http.createServer((request, response) => {
     readBody(request, body => {
@@ -126,19 +126,15 @@
       if ((request.headers['x-fescuespread-expect-instance'] ?? id) !== id) { response.writeHead(421, { 'X-Fescuespread-Attempt-Id': attemptId }).end(); return }
       const run = { attemptId, path: request.url, runner: id, bodyBytes: body.length, atMs: performance.now(), isAnswered: false }
       runs.push(run)
-      const { workMs, text } = answerOf(request, body)
-      setTimeout(() => {
-        response.once('finish', () => { run.isAnswered = true })
-        response.writeHead(200, { 'content-type': 'application/json', 'content-length': text.length, 'X-Fescuespread-Attempt-Id': attemptId, 'X-Fescuespread-Response-Seal': `seal-${id}`, 'X-Fescuespread-Instance-Load': `0,0,${slots}` })
-        response.end(text)
-      }, workMs)
+      response.once('finish', () => { run.isAnswered = true })
+      serve({ request, response, body, run, sealed: { 'X-Fescuespread-Attempt-Id': attemptId, 'X-Fescuespread-Response-Seal': `seal-${id}`, 'X-Fescuespread-Instance-Load': `0,0,${slots}` } })
     })
   })
   keepSockets(server, sockets)
   await new Promise(resolve => { server.listen(0, HOST, resolve) })
   const { port } = server.address()
   let sequence = 0
-  const list = () => { store.put('servers', id, { backend: service, address: `${HOST}:${port}`, zone: 'a', version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence: ++sequence, born: 1_700_000_000_000 }) }
+  const list = () => { store.put('servers', id, { backend: service, address: `${HOST}:${port}`, zone: 'a', version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence: ++sequence, born: 1_700_000_000_000, ...entry }) }
   list()
   const heartbeat = setInterval(list, HEARTBEAT_MS)
   return {
@@ -152,6 +148,21 @@
   }
 }
 
+/** Starts a plain runner. `answerOf` returns the work in milliseconds and the body of the answer to a request. */
+export async function startPlainRunner ({ answerOf, ...options }) {
+  return await startRunner({
+    ...options,
+    serve: ({ request, response, body, sealed }) => {
+      const { workMs, text } = answerOf(request, body)
+      setTimeout(() => { response.writeHead(200, { 'content-type': 'application/json', 'content-length': text.length, ...sealed }).end(text) }, workMs)
+    }
+  })
+}
+
+/** A service of model engines for the configuration, as in the users' example, and what an engine's entry holds besides. */
+export const ENGINE_SERVICE = { name: 'llm', health_path: '/healthz', max_connections: 434, cold_start_s: 3, cold_per_s: 36, engine: { slots: 16, stride: 5, step_ms: 8.87, per_seq_ms: 0.0388, context_per_k: 0.0227, read_per_s: 19_100, pairs_per_m: 1.47, chunk: 2_048, usual: { prompt: 977, answer: 94 }, layers: 16, chunks: 64, models: [{ name: 'm' }] } }
+export const ENGINE_ENTRY = { models: [{ name: 'm', version: 1, adapters: [] }], layers: [{ from: 0, target: 16, version: 1 }] }
+
 /** Starts a role of the deploy file. `settings` are added to those that every process has. */
 export async function startRole (role, name, folder, store, settings = {}) {
   const deployFile = Fs.readFileSync(Path.join(ROOT, 'deploy/system.toml'), 'utf8')
@@ -247,8 +258,9 @@
         const isWhole = head !== undefined && bodyBytes >= head.bytes
         const isOver = nowMs - sinceMs > deadlineMs
         if (!isWhole && !isOver && !(isClosed && socket.readableLength === 0)) { await sleep(10); continue }
+        const text = isWhole ? buffered.subarray(head.from, head.from + head.bytes).toString() : ''
         if (isWhole) buffered = buffered.subarray(head.from + head.bytes)
-        return { status: head?.status ?? 0, expectedBytes: head?.bytes, bodyBytes, isWhole, end: isWhole ? 'whole' : isOver ? 'deadline' : 'connection closed', tookMs: Math.round(nowMs - sinceMs) }
+        return { status: head?.status ?? 0, headers: head?.headers ?? {}, text, expectedBytes: head?.bytes, bodyBytes, isWhole, end: isWhole ? 'whole' : isOver ? 'deadline' : 'connection closed', tookMs: Math.round(nowMs - sinceMs) }
       }
     }
   }
