--- a/review/kit-2.mjs
+++ b/review/kit-2.mjs
@@ -163,11 +163,11 @@
 export const ENGINE_SERVICE = { name: 'llm', health_path: '/healthz', max_connections: 434, cold_start_s: 3, cold_per_s: 36, engine: { slots: 16, stride: 5, step_ms: 8.87, per_seq_ms: 0.0388, context_per_k: 0.0227, read_per_s: 19_100, pairs_per_m: 1.47, chunk: 2_048, usual: { prompt: 977, answer: 94 }, layers: 16, chunks: 64, models: [{ name: 'm' }] } }
 export const ENGINE_ENTRY = { models: [{ name: 'm', version: 1, adapters: [] }], layers: [{ from: 0, target: 16, version: 1 }] }
 
-/** Starts a role of the deploy file. `settings` are added to those that every process has. */
-export async function startRole (role, name, folder, store, settings = {}) {
+/** Starts a role of the deploy file. `settings` are added to those that every process has; `ports` are those of a process that it follows. */
+export async function startRole (role, name, folder, store, settings = {}, ports = undefined) {
   const deployFile = Fs.readFileSync(Path.join(ROOT, 'deploy/system.toml'), 'utf8')
   const [program, ...args] = new RegExp(`\\[roles\\.${role}\\]\\s+run = "([^"]*)"`).exec(deployFile)[1].split(' ')
-  const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()]
+  const [callers, readiness, peers] = ports ?? [await freePort(), await freePort(), await freePort()]
   const settingsPath = Path.join(folder, `${name}.toml`)
   const { app, listen = `frontend = "${HOST}:${callers}"\nready = "${HOST}:${readiness}"` } = settings
   Fs.writeFileSync(settingsPath, [
@@ -180,7 +180,7 @@
     '[platform]', `address = "${HOST}:${store.port}"`
   ].join('\n') + '\n')
   const logPath = Path.join(folder, `${name}.log`)
-  const logFile = Fs.openSync(logPath, 'w')
+  const logFile = Fs.openSync(logPath, 'a')
   const { PATH, HOME = folder, LANG = 'C.UTF-8' } = process.env
   const child = ChildProcess.spawn(program === 'node' ? process.execPath : program, args, { cwd: ROOT, env: { PATH, HOME, LANG, FESCUESPREAD_SETTINGS: settingsPath }, stdio: ['ignore', logFile, logFile] })
   const started = {
@@ -188,9 +188,11 @@
     callers,
     readiness,
     peers,
+    ports: [callers, readiness, peers],
     pid: child.pid,
     end: undefined,
     signal: signal => { child.kill(signal) },
+    text: () => Fs.readFileSync(logPath, 'utf8'),
     lines: () => Fs.readFileSync(logPath, 'utf8').split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line)),
     isReady: async () => await new Promise(resolve => {
       const request = Http.get({ host: HOST, port: readiness, path: '/readyz', agent: false, timeout: 1_000 }, response => {
@@ -294,8 +296,8 @@
     process.exit(code)
   }
   /** Starts a role whose process is ended with the script. */
-  const start = async (role, name, store, settings) => {
-    const started = await startRole(role, name, temporary, store, settings)
+  const start = async (role, name, store, settings, ports) => {
+    const started = await startRole(role, name, temporary, store, settings, ports)
     closes.push(async () => {
       if (started.end === undefined) started.signal('SIGKILL')
       await started.ended
