--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,74 +1,97 @@
 /**
- * Callers that read a large answer slowly while their gateway is stopped as planned.
+ * Streams without a length, whose gateway is killed: does the part that the callers got look complete?
  */
+import * as Net from 'node:net'
 import * as Kit from '../kit-2.mjs'
 
-const ANSWER_BYTES = 4_190_000
-const WORK_MS = 40
-const CALL_COUNT = 8
-/** Time of the requests after SIGTERM, in milliseconds: the gateway still takes them. */
-const SENT_AFTER_MS = 2_300
-/** Route's timeout and callers' deadline, in milliseconds, as those of `loan-book`. */
-const TIMEOUT_MS = 2_000
-const DEADLINE_MS = 4_000
-/** A caller reads nothing for this long, in milliseconds, then this many bytes in each look. */
-const PAUSE_MS = 500
-const READ_BYTES = 100_000
+const CALL_COUNT = 12
+const EVENT_COUNT = 21
+const EVENT_MS = 100
+/** Time of the kill after the requests, in milliseconds: about half of each stream. */
+const KILLED_AFTER_MS = 1_050
+/** Route's timeout and callers' deadline, in milliseconds, as those of `return-draft`. */
+const TIMEOUT_MS = 6_000
+
+/** Sends a request on a new connection and reads until the connection ends. */
+async function stream (port, id) {
+  return await new Promise(resolve => {
+    const socket = Net.connect({ host: '127.0.0.1', port })
+    let text = ''
+    let end = 'nothing'
+    const timer = setTimeout(() => { socket.destroy(new Error('deadline')) }, TIMEOUT_MS)
+    socket.setEncoding('utf8')
+    socket.on('data', part => { text += part })
+    socket.on('end', () => { end = 'orderly end of the connection' })
+    socket.on('error', error => { end = error.message })
+    socket.on('close', () => {
+      clearTimeout(timer)
+      const headEnd = text.indexOf('\r\n\r\n')
+      const head = text.slice(0, headEnd).toLowerCase()
+      const body = headEnd === -1 ? '' : text.slice(headEnd + 4)
+      resolve({ id, end, status: Number(head.split(' ')[1] ?? 0), hasSeal: head.includes('x-fescuespread-response-seal:'), isFramed: head.includes('content-length:') || head.includes('transfer-encoding:'), body, eventCount: body.split('\n\n').length - 1, endsWithinEvent: body !== '' && !body.endsWith('\n\n') })
+    })
+    socket.write(Kit.headOf({ method: 'POST', path: '/draft/1', id, deadlineMs: TIMEOUT_MS, headers: { 'X-Fescuespread-Model': 'm', 'X-Fescuespread-Token-Usage': '1290,105', 'Content-Length': 6 } }) + 'prompt')
+  })
+}
+
+/** Whether a caller takes an answer for a whole one, by RFC 9112: a framed body is whole with its length or last chunk, another one with the orderly end of its connection. */
+const looksComplete = ({ status, hasSeal, isFramed, end, body, endsWithinEvent }) => status === 200 && hasSeal && !endsWithinEvent && (isFramed ? body.endsWith('0\r\n\r\n') : end === 'orderly end of the connection')
 
 await Kit.run(import.meta.dirname, async ({ isTroubled, record, start, closes }) => {
   const store = await Kit.startStore()
   closes.push(store.close)
-  const route = { hostname: 'desk.example', timeout_ms: TIMEOUT_MS, latency_goal_ms: 303, priority: 1, anonymous: false, allowed_regions: [] }
   store.put('op', 'config', {
     version: 1,
-    routes: [
-      { ...route, name: 'loan-book', prefix: '/book/', route_type: 'non_idempotent', backend: 'circulation', max_attempts: 1 },
-      { ...route, name: 'copy-check', prefix: '/check/', route_type: 'idempotent', backend: 'circulation', max_attempts: 2 }
-    ],
-    backends: [{ name: 'circulation', health_path: '/healthz', max_connections: 230 }],
+    routes: [{ name: 'return-draft', hostname: 'desk.example', prefix: '/draft/', route_type: 'streaming', timeout_ms: TIMEOUT_MS, latency_goal_ms: 502, gap_target_ms: 400, priority: 1, backend: 'llm', max_attempts: 2, anonymous: false, resumable: true, allowed_regions: [] }],
+    backends: [Kit.ENGINE_SERVICE],
     limits: Kit.LIMITS,
-    tenants: [{ name: 'library', api_keys: ['key-1'], priority: 1, allowed_regions: [] }]
+    tenants: [{ name: 'member', api_keys: ['key-1'], priority: 1, allowed_regions: [] }]
   })
-  const large = Buffer.alloc(ANSWER_BYTES, 'a')
   const runners = []
-  for (const id of ['desk-1', 'desk-2', 'desk-3']) {
-    const runner = await Kit.startPlainRunner({ store, id, service: 'circulation', answerOf: request => ({ workMs: WORK_MS, text: request.url.includes('/all/') ? large : Buffer.from('ok') }) })
+  for (const id of ['llm-1', 'llm-2', 'llm-3']) {
+    const runner = await Kit.startRunner({
+      store,
+      id,
+      service: 'llm',
+      slots: 16,
+      entry: Kit.ENGINE_ENTRY,
+      serve: ({ response, sealed }) => {
+        // Neither a length nor chunks: the answer ends with its connection.
+        response.useChunkedEncodingByDefault = false
+        response.shouldKeepAlive = false
+        response.writeHead(200, { 'content-type': 'text/event-stream', ...sealed })
+        let count = 0
+        const timer = setInterval(() => {
+          response.write(`id: ${++count}\ndata: piece ${count} of ${EVENT_COUNT}\n\n`)
+          if (count < EVENT_COUNT) return
+          clearInterval(timer)
+          response.end()
+        }, EVENT_MS)
+        response.once('close', () => { clearInterval(timer) })
+      }
+    })
     runners.push(runner)
     closes.push(runner.close)
   }
-  const runOf = id => runners.flatMap(runner => runner.runs).filter(run => run.attemptId === id)
   const gateway = await start('gateway', 'gateway-1', store)
   await Kit.until('gateway ready', 15_000, gateway.isReady)
-
-  const clients = await Promise.all(Array.from({ length: CALL_COUNT }, async () => await Kit.connect(gateway.callers)))
-  for (const [at, client] of clients.entries()) {
-    client.write(Kit.headOf({ path: '/check/one', id: `first-${at}`, deadlineMs: DEADLINE_MS }))
-    const answer = await client.receive({ deadlineMs: DEADLINE_MS })
-    if (answer.status !== 200 || !answer.isWhole) throw new Error(`first request of connection ${at}: ${JSON.stringify(answer)}`)
-  }
-  record(`${CALL_COUNT} connections opened and used`)
+  const calls = Array.from({ length: CALL_COUNT }, async (_, at) => await stream(gateway.callers, `draft-${at}`))
+  record(`${CALL_COUNT} streams requested`)
+  await Kit.sleep(KILLED_AFTER_MS)
   if (isTroubled) {
-    gateway.signal('SIGTERM')
-    record('SIGTERM to the gateway')
+    gateway.signal('SIGKILL')
+    record('SIGKILL to the gateway')
   }
-  await Kit.sleep(SENT_AFTER_MS)
-  const answers = await Promise.all(clients.map(async (client, at) => {
-    const isBooking = at % 2 === 0
-    const sinceMs = performance.now()
-    client.write(Kit.headOf({ method: isBooking ? 'POST' : 'GET', path: isBooking ? '/book/all/1' : '/check/all/1', id: `large-${at}`, deadlineMs: DEADLINE_MS, headers: isBooking ? { 'Content-Length': 0 } : {} }))
-    record(`sent large-${at}, ${isBooking ? 'non-idempotent' : 'idempotent'}`)
-    const answer = await client.receive({ deadlineMs: DEADLINE_MS, sinceMs, rateOf: elapsedMs => elapsedMs < PAUSE_MS ? 0 : READ_BYTES })
-    const runs = runOf(`large-${at}`)
-    record(`large-${at}: ran ${runs.length} times, whole answer taken by the gateway: ${runs.every(run => run.isAnswered)}; caller got status ${answer.status}, ${answer.bodyBytes} of ${answer.expectedBytes ?? 'unknown'} bytes, ${answer.end} after ${answer.tookMs} ms`)
-    return answer
-  }))
-  if (isTroubled) {
-    const end = await gateway.ended
-    record(`gateway ended with code ${end.code}, signal ${end.signal}`)
-    for (const line of gateway.lines().filter(({ msg }) => /Gateway stop/.test(msg))) record(`log: ${line.msg} activeCount=${line.activeCount} tookMs=${line.tookMs ?? ''}`)
+  const answers = await Promise.all(calls)
+  let brokenCount = 0
+  for (const answer of answers) {
+    const runCount = runners.flatMap(runner => runner.runs).filter(run => run.attemptId === answer.id).length
+    const isBroken = looksComplete(answer) && answer.eventCount < EVENT_COUNT
+    if (isBroken) brokenCount++
+    record(`${answer.id}: ran ${runCount} times; caller got status ${answer.status}, ${answer.eventCount} of ${EVENT_COUNT} events, framed: ${answer.isFramed}, end: ${answer.end}; looks complete: ${looksComplete(answer)}`)
   }
-  for (const client of clients) client.close()
-  const cutCount = answers.filter(answer => answer.end === 'connection closed' && answer.tookMs < TIMEOUT_MS).length
-  record(`${cutCount} of ${CALL_COUNT} requests that had run were cut before their time-out`)
-  return cutCount === 0 && answers.every(answer => answer.isWhole)
+  record(`${brokenCount} of ${CALL_COUNT} streams ended early and look complete`)
+  const wholeCount = answers.filter(answer => looksComplete(answer) && answer.eventCount === EVENT_COUNT).length
+  if (!isTroubled && wholeCount < CALL_COUNT) throw new Error(`only ${wholeCount} of ${CALL_COUNT} streams were whole`)
+  return brokenCount === 0
 })
