--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -37,7 +37,7 @@
 /** Whether a caller takes an answer for a whole one, by RFC 9112: a framed body is whole with its length or last chunk, another one with the orderly end of its connection. */
 const looksComplete = ({ status, hasSeal, isFramed, end, body, endsWithinEvent }) => status === 200 && hasSeal && !endsWithinEvent && (isFramed ? body.endsWith('0\r\n\r\n') : end === 'orderly end of the connection')
 
-await Kit.run(import.meta.dirname, async ({ isTroubled, record, start, closes }) => {
+await Kit.run(import.meta.url, async ({ isTroubled, record, start, closes }) => {
   const store = await Kit.startStore()
   closes.push(store.close)
   store.put('op', 'config', {
--- a/review/kit-2.mjs
+++ b/review/kit-2.mjs
@@ -9,9 +9,10 @@
 import * as Net from 'node:net'
 import * as Os from 'node:os'
 import * as Path from 'node:path'
+import * as Url from 'node:url'
 
 const HOST = '127.0.0.1'
-const ROOT = Path.resolve(import.meta.dirname, '..')
+const ROOT = Url.fileURLToPath(new URL('..', import.meta.url))
 /** Longest run of a script, in milliseconds. */
 const RUN_LIMIT_MS = 110_000
 const HEARTBEAT_MS = 1_200
@@ -269,10 +270,11 @@
 }
 
 /**
- * Runs a script: calls `play` with a recorder and a place for what has to be ended, and ends the process with the verdict.
+ * Runs a script, given its own address: calls `play` with a recorder and a place for what has to be ended, and ends the process with the verdict.
  * `play` returns whether the rule held.
  */
-export async function run (folder, play) {
+export async function run (script, play) {
+  const folder = Url.fileURLToPath(new URL('.', script))
   const isTroubled = process.env.TROUBLE !== '0'
   const lines = []
   const closes = []
