The gateway frames answers itself, so that a truncated one does not look complete

Callers saw: a gateway was killed under 12 streams whose endpoints sent neither a length nor chunks.

Cause: the gateway passed the missing framing on, so that the end of its process ended the answer. It reset connections where it knew that an answer was cut, which a killed process cannot do: the system closes its connections in order. The same cause on related paths: plain answers without a length, answers cut off by clientConnections or at the end of a planned stop, streams continued by an endpoint of the other framing, every stream to a caller of HTTP/1.0, and answers to HEAD, 204 and 304, which counted as ended by their connection. An answer to HEAD that named a size went out with a size of 0; on a route of streams it was repeated as a stream without an event.

Change: ingress/bodies frames every answer: streams are chunked, all else has its length, answers without a body keep the size that their endpoint names. A caller of HTTP/1.0 gets a stream with its length once it is complete, or 502 if it breaks off or exceeds 4 MiB. A cut leaves a chunk or bytes missing, however the connection ends, so nothing is reset any more. An endpoint's reset stays an incomplete answer, its orderly end the whole one, except inside an event.

The scripted endpoints of broken-answers moved to testkit unchanged, but for ids that name the service.

--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -6,6 +6,7 @@
 import type * as Http from 'node:http'
 import type * as ByteCollector from '../edge/byteCollector.ts'
 import type * as Routing from '../routing/index.ts'
+import type * as Bodies from './bodies.ts'
 import type * as Dialect from './dialect.ts'
 import type * as Events from './events.ts'
 import type * as Quarantine from './quarantine.ts'
@@ -31,17 +32,14 @@
   isKeptDespiteSilence: boolean
   /** When the attempt became the current one again after it had stalled, in milliseconds; -Infinity if that has not happened. */
   reinstatedAtMs: number
-  head: { readonly status: number, readonly metadata: Dialect.AnswerMetadata, readonly rawHeaders: string[], readonly isStream: boolean, readonly isFramed: boolean } | undefined
+  head: { readonly status: number, readonly metadata: Dialect.AnswerMetadata, readonly rawHeaders: string[], readonly declaredLength: string | undefined, readonly isStream: boolean, readonly isFramed: boolean } | undefined
   readonly body: ByteCollector.ByteCollector
   splitter: Events.EventSplitter | undefined
 }
 
 /** A failure answer of an endpoint, kept in case no other endpoint gives a better one. */
 export interface EndpointFailure {
-  readonly status: number
-  readonly rawHeaders: string[]
-  /** Whether the answer had a length or chunked encoding, so that a truncated one can be recognised. */
-  readonly isFramed: boolean
+  readonly head: Bodies.AnswerHead
   readonly body: Buffer
 }
 
@@ -72,8 +70,8 @@
   keys: Quarantine.RequestKeys | undefined
   /** Whether the call was sent to test whether its quarantined request still crashes endpoints. */
   isQuarantineProbe: boolean
-  /** Whether the head of an answer was sent to the caller. */
-  isHeadSent: boolean
+  /** The body of the stream that answers the call; undefined until its first event. */
+  stream: Bodies.StreamBody | undefined
   lastEventId: string | undefined
   eventCount: number
   firstEventAtMs: number
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -123,12 +123,12 @@
   /** Runs the work for one call: an unexpected error in it ends that call alone. */
   const containCall = (call: Calls.Call, work: () => void): void => { faults.contain('call', work, () => { endFaulty(call) }) }
   const endFaulty = (call: Calls.Call): void => {
-    faults.contain('call', () => { if (!call.done) finish(call, 'failed', { status: 502, code: 'outcomeUnknown', answering: call.isHeadSent, ...abandonAttempt(call) }) })
+    faults.contain('call', () => { if (!call.done) finish(call, 'failed', { status: 502, code: 'outcomeUnknown', answering: call.stream !== undefined, ...abandonAttempt(call) }) })
     answerFaulty(call.response, call.metadata)
   }
   /** Ends an answer after an unexpected error. Its request may have been run. */
   const answerFaulty = (response: Http.ServerResponse, metadata: Dialect.CallMetadata): void => {
-    if (response.headersSent) Bodies.abortResponse(response)
+    if (response.headersSent) response.destroy()
     else write(response, 502, dialect.refusalHeaders(metadata.callId, undefined), 'outcomeUnknown')
   }
 
@@ -224,7 +224,7 @@
       failure: undefined,
       keys: undefined,
       isQuarantineProbe: false,
-      isHeadSent: false,
+      stream: undefined,
       lastEventId: metadata.lastEventId,
       eventCount: 0,
       firstEventAtMs: 0,
@@ -390,9 +390,11 @@
       return
     }
     if (metadata.isProvenNotRun && refusedCallIds !== undefined) rememberRefusal(refusedCallIds, call.callId)
-    const isStream = isOk && call.route.kind === 'stream'
-    const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-    attempt.head = { status, metadata, rawHeaders, isStream, isFramed }
+    const isBodiless = Bodies.isBodiless(call.request.method, status)
+    const isStream = isOk && call.route.kind === 'stream' && !isBodiless
+    const declaredLength = headers['content-length']
+    const isFramed = isBodiless || declaredLength !== undefined || headers['transfer-encoding'] !== undefined
+    attempt.head = { status, metadata, rawHeaders, declaredLength, isStream, isFramed }
     if (isStream) attempt.splitter = Events.createSplitter()
   }
 
@@ -419,10 +421,17 @@
     call.lastEventAtMs = attempt.lastReceivedAtMs
     call.eventCount++
     if (completeEvents.lastEventId !== undefined) call.lastEventId = completeEvents.lastEventId
-    if (!call.response.write(completeEvents.bytes)) {
+    afterWrite[call.stream?.write(completeEvents.bytes) ?? 'written'](call, attempt)
+  }
+
+  /** What follows when events were written to the caller. */
+  const afterWrite: Readonly<Record<Bodies.StreamWriteResult, (call: Calls.Call, attempt: Calls.Attempt) => void>> = {
+    written: () => {},
+    full: (call, attempt) => {
       attempt.exchange.pause()
       call.response.once('drain', () => { attempt.exchange.resume() })
-    }
+    },
+    tooLarge: call => { fail(call, 502, 'endpointFailed', abandonAttempt(call)) }
   }
 
   const onFailed = (call: Calls.Call, attempt: Calls.Attempt, stage: Upstream.ExchangeStage, reason: string): void => {
@@ -444,16 +453,14 @@
     abortAttempt(call, attempt)
     reportFailure(attempt.row, reason, call)
     if (call.stalledAttempt === attempt) call.stalledAttempt = undefined
-    endAttempt(call, attempt, call.isHeadSent ? 'broken' : 'unknown', reason)
+    endAttempt(call, attempt, call.stream !== undefined ? 'broken' : 'unknown', reason)
   }
 
   const beginStream = (call: Calls.Call, attempt: Calls.Attempt): void => {
-    if (call.isHeadSent || attempt.head === undefined) return
-    call.isHeadSent = true
+    if (call.stream !== undefined || attempt.head === undefined) return
     call.firstEventAtMs = attempt.lastReceivedAtMs
     metrics.observeSeconds('first_event_seconds', (call.firstEventAtMs - call.arrivedAtMs) / 1000)
-    if (!attempt.head.isFramed) Bodies.useCloseDelimitedBody(call.response)
-    call.response.writeHead(attempt.head.status, withConnectionHeader(dialect.answerHeaders(attempt.head.rawHeaders)))
+    call.stream = Bodies.beginStream(call.response, attempt.head.status, withConnectionHeader(dialect.answerHeaders(attempt.head.rawHeaders)), ANSWER_LIMIT_BYTES)
   }
 
   const onEnd = (call: Calls.Call, attempt: Calls.Attempt): void => {
@@ -466,15 +473,15 @@
       if (head.metadata.quietForMs === 0) reportFailure(attempt.row, `refused with ${head.status}`, call)
       endAttempt(call, attempt, 'notRun', `endpoint refused with ${head.status}`)
     } else if (head.status >= 500 || NOT_RUN_STATUSES.has(head.status)) {
-      call.failure = { status: head.status, rawHeaders: head.rawHeaders, isFramed: head.isFramed, body }
+      call.failure = { head: answerHeadOf(head), body }
       endAttempt(call, attempt, 'failed', `endpoint failed with ${head.status}`)
-    } else if (call.isHeadSent) {
+    } else if (call.stream !== undefined) {
       endAttempt(call, attempt, 'broken', `endpoint answered ${head.status} in place of the rest of a stream`)
     } else {
       releaseAttempt(call)
       recordAnswered(call, attempt, head)
       finish(call, 'answered', { status: head.status, endpointId: attempt.row.listing.endpointId })
-      writeEndpointAnswer(call.response, head.status, dialect.answerHeaders(head.rawHeaders), body, head.isFramed)
+      writeEndpointAnswer(call.response, answerHeadOf(head), body)
     }
   }
 
@@ -482,14 +489,16 @@
     // An answer that ends with its connection may have been cut by a crash, also before its first event.
     const mayHaveCrashed = attempt.head?.isFramed === false
     if ((attempt.splitter?.pendingBytes() ?? 0) > 0) { endAttempt(call, attempt, 'broken', 'last event not whole', mayHaveCrashed); return }
-    if (mayHaveCrashed && attempt.begunAtMs === undefined) { endAttempt(call, attempt, call.isHeadSent ? 'broken' : 'unknown', 'stream ended without an event', mayHaveCrashed); return }
+    if (mayHaveCrashed && attempt.begunAtMs === undefined) { endAttempt(call, attempt, call.stream !== undefined ? 'broken' : 'unknown', 'stream ended without an event', mayHaveCrashed); return }
     releaseAttempt(call)
     beginStream(call, attempt)
     if (attempt.head !== undefined) recordAnswered(call, attempt, attempt.head)
     finish(call, 'answered', { status: 200, endpointId: attempt.row.listing.endpointId, firstMs: Math.round(call.firstEventAtMs - call.arrivedAtMs), version: attempt.head?.metadata.weightsVersion })
-    call.response.end()
+    call.stream?.end()
   }
 
+  const answerHeadOf = ({ status, rawHeaders, declaredLength }: NonNullable<Calls.Attempt['head']>): Bodies.AnswerHead => ({ status, rawHeaders: dialect.answerHeaders(rawHeaders), declaredLength })
+
   const keysOf = (call: Calls.Call): Quarantine.RequestKeys => {
     call.keys ??= [Digests.digestOf(call.request.url ?? '/', call.workspace?.name ?? '', call.body), ...dialect.sharedPartsOf(call.request.headers).map(Routing.Evidence.partKeyOf)]
     return call.keys
@@ -548,7 +557,7 @@
     metrics.count('attempts_ended_total', { end, next })
     if (mayHaveCrashed) metrics.count('attempts_cut_total')
     if (isRetry) {
-      call.resuming = call.isHeadSent
+      call.resuming = call.stream !== undefined
       call.waitingSinceMs = nowMs
       place(call)
       return
@@ -591,14 +600,14 @@
   /** Passes on an endpoint's own failure, unless its status would promise without proof that the call was not run. */
   const answerFailure = (call: Calls.Call): void => {
     const { failure } = call
-    if (failure === undefined || call.isHeadSent || NOT_RUN_STATUSES.has(failure.status)) { fail(call, 502, 'endpointFailed'); return }
-    finish(call, 'failedByEndpoint', { status: failure.status })
-    writeEndpointAnswer(call.response, failure.status, dialect.answerHeaders(failure.rawHeaders), failure.body, failure.isFramed)
+    if (failure === undefined || call.stream !== undefined || NOT_RUN_STATUSES.has(failure.head.status)) { fail(call, 502, 'endpointFailed'); return }
+    finish(call, 'failedByEndpoint', { status: failure.head.status })
+    writeEndpointAnswer(call.response, failure.head, failure.body)
   }
 
   const fail = (call: Calls.Call, status: number, code: Core.Codes.CodeName, abandonedFields: object = {}): void => {
-    finish(call, 'failed', { status, code, answering: call.isHeadSent, ...abandonedFields })
-    if (call.isHeadSent) { Bodies.abortResponse(call.response); return }
+    finish(call, 'failed', { status, code, answering: call.stream !== undefined, ...abandonedFields })
+    if (call.response.headersSent) { call.response.destroy(); return }
     write(call.response, status, dialect.refusalHeaders(call.callId, undefined), code)
   }
 
@@ -621,13 +630,13 @@
   const endCalls = (): void => {
     for (const call of [...calls]) {
       const hasRun = call.attempt !== undefined || call.stalledAttempt !== undefined || call.possibleRunCount > 0
-      if (!hasRun && call.failure === undefined && !call.isHeadSent) refuse(call, 'stopping', {})
+      if (!hasRun && call.failure === undefined && call.stream === undefined) refuse(call, 'stopping', {})
       else fail(call, 502, 'outcomeUnknown', abandonAttempt(call))
     }
   }
 
   const cancel = (call: Calls.Call): void => {
-    finish(call, 'cancelled', { answering: call.isHeadSent, ...abandonAttempt(call) })
+    finish(call, 'cancelled', { answering: call.stream !== undefined, ...abandonAttempt(call) })
   }
 
   /** Aborts an attempt. Its endpoint may go on to run it, and may crash on it later. */
@@ -690,7 +699,7 @@
     const endpointQuietMs = nowMs - attempt.row.heardAtMs
     const quietMs = nowMs - attempt.lastReceivedAtMs
     const isEndpointSilent = Routing.Silence.isSilent(endpointQuietMs)
-    const limitMs = Routing.Silence.answerTimeoutMs({ hasBegun: call.isHeadSent && attempt.pendingPromptTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
+    const limitMs = Routing.Silence.answerTimeoutMs({ hasBegun: call.stream !== undefined && attempt.pendingPromptTokens === 0, endpointQuietMs, goalMs: route.goalMs, pauseGoalMs: route.pauseGoalMs })
     if (quietMs < limitMs || nowMs - attempt.reinstatedAtMs < limitMs) return
     if (route.kind === 'nonIdempotent') {
       // Keep waiting: the answer may still come, and the call must not run twice.
@@ -699,7 +708,7 @@
       return
     }
     // Events may just be delayed in the network: an attempt that has begun is kept until another endpoint continues the stream.
-    if (call.isHeadSent && !canResumeElsewhere(call, nowMs)) {
+    if (call.stream !== undefined && !canResumeElsewhere(call, nowMs)) {
       if (!attempt.isKeptDespiteSilence) log('routing', 'Attempt kept.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, quietMs: Math.round(quietMs) })
       attempt.isKeptDespiteSilence = true
       return
@@ -708,7 +717,7 @@
     else abortAttempt(call, attempt)
     if (isEndpointSilent) reportFailure(attempt.row, `nothing heard for ${Math.round(endpointQuietMs)} ms`, call)
     upstream.closeIdle(attempt.row.listing.host, attempt.row.listing.port)
-    endAttempt(call, attempt, call.isHeadSent ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`, isEndpointSilent)
+    endAttempt(call, attempt, call.stream !== undefined ? 'broken' : 'unknown', `nothing heard for ${Math.round(quietMs)} ms`, isEndpointSilent)
   }
 
   /** Withdraws a stream that is still queued at an endpoint when calls may no longer begin on the endpoint's version. */
@@ -720,7 +729,7 @@
     const isLoadingNext = load?.loading === true && load.retiring !== true
     if (weights === undefined || isLoadingNext || weights.version >= options.oldestStartableVersionOf(weights.model)) return
     abortAttempt(call, attempt)
-    endAttempt(call, attempt, call.isHeadSent ? 'broken' : 'unknown', `not begun before version ${weights.version} was overdue`)
+    endAttempt(call, attempt, call.stream !== undefined ? 'broken' : 'unknown', `not begun before version ${weights.version} was overdue`)
   }
 
   const tickTimer = setInterval(() => {
--- a/src/ingress/replies.ts
+++ b/src/ingress/replies.ts
@@ -10,10 +10,10 @@
 export interface Replies {
   /** Writes an answer of the gateway itself, with the reason as JSON. */
   write: (response: Http.ServerResponse, status: number, headers: Readonly<Record<string, string>>, reason: string) => void
-  /** Writes an endpoint's answer; one that came without a length ends with the connection. */
-  writeEndpointAnswer: (response: Http.ServerResponse, status: number, rawHeaders: string[], body: Buffer, isFramed: boolean) => void
+  /** Writes a complete answer of an endpoint. */
+  writeEndpointAnswer: (response: Http.ServerResponse, head: Bodies.AnswerHead, body: Buffer) => void
   /** Adds `Connection: close` to the headers while the process is shutting down. */
-  withConnectionHeader: (rawHeaders: string[]) => string[]
+  withConnectionHeader: (rawHeaders: readonly string[]) => readonly string[]
 }
 
 /**
@@ -23,7 +23,7 @@
  * @returns The writer.
  */
 export function createReplies (isStopping: () => boolean): Replies {
-  const withConnectionHeader = (rawHeaders: string[]): string[] => isStopping() ? [...rawHeaders, 'Connection', 'close'] : rawHeaders
+  const withConnectionHeader = (rawHeaders: readonly string[]): readonly string[] => isStopping() ? [...rawHeaders, 'Connection', 'close'] : rawHeaders
   return {
     withConnectionHeader,
     write: (response, status, headers, reason) => {
@@ -32,11 +32,9 @@
       response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers, ...(isStopping() ? { connection: 'close' } : {}) })
       response.end(body)
     },
-    writeEndpointAnswer: (response, status, rawHeaders, body, isFramed) => {
+    writeEndpointAnswer: (response, head, body) => {
       if (response.headersSent || response.destroyed) return
-      if (!isFramed) Bodies.useCloseDelimitedBody(response)
-      response.writeHead(status, withConnectionHeader(isFramed ? [...rawHeaders, 'Content-Length', String(body.length)] : rawHeaders))
-      response.end(body)
+      Bodies.writeWhole(response, { ...head, rawHeaders: withConnectionHeader(head.rawHeaders) }, body)
     }
   }
 }
--- a/testkit/direct.ts
+++ b/testkit/direct.ts
@@ -161,8 +161,7 @@
   let callCount = 0
   const gateways: StartedGateway[] = []
   const list = (runner: Runner.Runner, changes: object = {}): void => {
-    const models = [{ name: 'm', version: runner.version, adapters: [] }]
-    store.put('servers', runner.instanceId, { backend: services.get(runner), address: `127.0.0.1:${runner.port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born: runner.born, models, layers: { from: 0, target: 4, version: runner.version }, ...changes })
+    store.put('servers', runner.instanceId, { ...endpointEntryOf({ service: services.get(runner) ?? '', ...runner }), ...changes })
   }
   const deploy = (changes: object = {}): void => { store.put('op', 'config', { ...DEPLOYMENT, ...changes }) }
   const addGateway: DirectStage['addGateway'] = async (name, changes = {}) => {
@@ -309,6 +308,17 @@
   if (problems.length > 0) throw new Error(`log lines: ${[...new Set(problems)].join('; ')}`)
 }
 
+/**
+ * Makes the entry of an endpoint in the platform's list.
+ *
+ * @param endpoint - Its service, its port on loopback, the version of its weights, and its start.
+ * @returns The value of the row.
+ */
+export function endpointEntryOf ({ service, port, version, born }: { readonly service: string, readonly port: number, readonly version: number, readonly born: number }): object {
+  const models = [{ name: 'm', version, adapters: [] }]
+  return { backend: service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', cold_remaining_ms: 0, born, models, layers: { from: 0, target: 4, version } }
+}
+
 /**
  * Makes what operators write for a deployment.
  *
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1021,11 +1021,39 @@
   },
   {
     name: 'answers: one that is given up looks cut',
-    file: 'src/ingress/bodies.ts',
-    text: 'else response.socket?.resetAndDestroy()',
-    replacement: 'else response.destroy()',
+    file: 'src/ingress/ingress.ts',
+    text: 'if (call.response.headersSent) { call.response.destroy(); return }',
+    replacement: 'if (call.response.headersSent) { call.response.end(); return }',
     checks: [test('endless-answers')]
   },
+  {
+    name: 'answers: a stream does not end with its connection',
+    file: 'src/ingress/bodies.ts',
+    text: "response.writeHead(status, [...rawHeaders, 'Transfer-Encoding', 'chunked'])",
+    replacement: 'response.useChunkedEncodingByDefault = false\n    response.writeHead(status, [...rawHeaders])',
+    checks: [test('answer-framing')]
+  },
+  {
+    name: 'answers: callers of HTTP/1.0 get a length',
+    file: 'src/ingress/bodies.ts',
+    text: "httpVersionMajor === 1 && httpVersionMinor > 0 ? 'chunked' : 'held'",
+    replacement: "'chunked'",
+    checks: [test('answer-framing')]
+  },
+  {
+    name: 'answers: what is held for a caller is bounded',
+    file: 'src/ingress/bodies.ts',
+    text: "body.sizeBytes() > limitBytes ? 'tooLarge' : 'written'",
+    replacement: "'written'",
+    checks: [test('answer-framing')]
+  },
+  {
+    name: 'answers: without a body, the size is that of the endpoint',
+    file: 'src/ingress/bodies.ts',
+    text: "if (!isBodiless(method, status)) return ['Content-Length', String(body.length)]",
+    replacement: "return ['Content-Length', String(body.length)]",
+    checks: [test('answer-framing')]
+  },
   {
     name: 'late calls leave the last slot to their own rank',
     file: 'src/routing/crowding.ts',
--- a/tools/mutants/scratch.ts
+++ b/tools/mutants/scratch.ts
@@ -21,7 +21,7 @@
   remove: () => void
 }
 
-const COPIED = ['src', 'platform', 'standins', 'test', 'testkit', 'tools', 'package.json', 'tsconfig.json', 'build.js']
+const COPIED = ['src', 'platform', 'deploy', 'standins', 'test', 'testkit', 'tools', 'package.json', 'tsconfig.json', 'build.js']
 const SOAK_SEED = 1
 const SOAK_RUN_COUNT = 400
 const CHECK_TIMEOUT_MS = 180_000
