A status that HTTP does not define is no answer, wherever it is read

Cause: Node's parser accepts any three digits; only one of the readers checked, and only the lower end. An agent of the own protocol wrote such a status on, and writeHead threw in an event (RangeError); the gateway before it did the same. Other processes, the store, the origin and the engine were read without a check: a malformed answer to an order counted as refused, although the engine may have begun it. Node closes the connection of an unasked 101 and reports nothing.

Change: edge/messageHeads names 200 to 599 as the statuses of answers, and every reader uses it. Elsewhere an answer is none: the outcome is unknown, and a call is sent again only where it may run twice and the budget allows it; otherwise its caller gets 502. An answer saved with a claim counts as lost (307).

--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -126,6 +126,8 @@
   }
   const relayAnswer = (exchange: Exchange, incoming: Http.IncomingMessage): void => {
     const { response, envelope } = exchange
+    const problem = Edge.MessageHeads.problemOfAnswer(incoming.statusCode ?? 0, incoming.rawHeaders)
+    if (problem !== undefined) { discard(exchange, `malformed answer: ${problem}`); return }
     const mismatch = Answers.findMismatch(envelope, incoming.headers)
     if (mismatch !== undefined) { discard(exchange, mismatch); return }
     if (Answers.isWithoutModel(envelope, incoming)) { refuseWithoutModel(exchange, incoming); return }
@@ -169,6 +171,7 @@
     })
     exchange.upstream = upstream
     const connected = Edge.HttpClient.trackConnect(upstream)
+    Edge.HttpClient.onUnaskedUpgrade(upstream, reason => { discard(exchange, reason) })
     upstream.on('response', incoming => { relayAnswer(exchange, incoming) })
     upstream.on('error', () => {
       if (exchange.ended || exchange.cancelled) return
--- a/src/edge/httpClient.ts
+++ b/src/edge/httpClient.ts
@@ -7,6 +7,7 @@
 import type * as Net from 'node:net'
 import * as Zlib from 'node:zlib'
 import * as ByteCollector from './byteCollector.ts'
+import * as MessageHeads from './messageHeads.ts'
 import * as Traffic from './traffic.ts'
 
 /** A server to talk to. */
@@ -86,7 +87,7 @@
  * Sends a request and reads the whole answer.
  *
  * @param request - The request.
- * @returns The answer, of any status.
+ * @returns The answer, of any status that HTTP defines for one.
  * @throws TransportError when there is no whole answer in time.
  */
 export async function send (request: Request): Promise<Answer> {
@@ -123,9 +124,12 @@
     }
     const connected = trackConnect(outgoing)
     outgoing.on('error', error => { fail(error.message) })
+    onUnaskedUpgrade(outgoing, fail)
     outgoing.on('response', incoming => {
       const body = ByteCollector.createByteCollector()
+      const status = incoming.statusCode ?? 0
       clearTimeout(headTimer)
+      if (!MessageHeads.isFinalStatus(status)) { fail(`malformed answer: status ${status}`); return }
       incoming.on('data', (part: Buffer) => {
         arrive(part.length)
         if (body.sizeBytes() + part.length > maxAnswerBytes) { fail('answer too large'); return }
@@ -136,7 +140,7 @@
         if (!incoming.complete) { fail('answer cut short'); return }
         clearTimeout(timer)
         Traffic.count(outgoing.socket, 'client', request.path)
-        resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: body.take() })
+        resolve({ status, headers: incoming.headers, body: body.take() })
       })
     })
     outgoing.end(request.body)
@@ -158,6 +162,19 @@
   return () => connected
 }
 
+/**
+ * Handles an answer that changes the protocol, which no request here asks for. Without a listener, Node closes the connection and reports neither an answer nor an error.
+ *
+ * @param outgoing - The request, just made.
+ * @param onMalformed - Called with what is wrong with the answer, once its connection was closed.
+ */
+export function onUnaskedUpgrade (outgoing: Http.ClientRequest, onMalformed: (reason: string) => void): void {
+  outgoing.on('upgrade', (incoming, socket) => {
+    socket.destroy()
+    onMalformed(`malformed answer: status ${incoming.statusCode ?? 0}`)
+  })
+}
+
 /**
  * Sends JSON and reads JSON.
  *
--- a/src/edge/messageHeads.ts
+++ b/src/edge/messageHeads.ts
@@ -7,11 +7,22 @@
  */
 import * as Http from 'node:http'
 
-/** The lowest status of an answer that is not an interim one. */
+/** Statuses of answers that are not interim ones (RFC 9110, section 15). Node's parser accepts any three digits. */
 const FINAL_STATUS_MIN = 200
+const FINAL_STATUS_MAX = 599
 /** Characters that a request target may consist of. */
 const TARGET_PATTERN = /^[\u0021-\u00ff]+$/
 
+/**
+ * Tells whether a number is the status of an answer that is not an interim one.
+ *
+ * @param status - The number.
+ * @returns Whether an answer may have it.
+ */
+export function isFinalStatus (status: number): boolean {
+  return Number.isInteger(status) && status >= FINAL_STATUS_MIN && status <= FINAL_STATUS_MAX
+}
+
 /**
  * Finds what makes the head of an answer malformed.
  *
@@ -20,7 +31,7 @@
  * @returns A description of the first problem; undefined if the head can be passed on.
  */
 export function problemOfAnswer (status: number, rawHeaders: readonly string[]): string | undefined {
-  return status < FINAL_STATUS_MIN ? `status ${status}` : problemOfFields(rawHeaders)
+  return isFinalStatus(status) ? problemOfFields(rawHeaders) : `status ${status}`
 }
 
 /**
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -72,6 +72,8 @@
     const attempt: Exchange.Attempt = { attemptId: envelope.attemptId, target, request, heardAtMs: options.clock(), paused: false, readsBody: false }
     exchange.attempts.set(attempt.attemptId, attempt)
     const connected = Edge.HttpClient.trackConnect(request)
+    const failMalformed = (reason: string): void => { end(exchange, attempt, { run: 'unknown', code: 'outcomeUnknown', reason }) }
+    Edge.HttpClient.onUnaskedUpgrade(request, failMalformed)
     request.on('information', () => { attempt.heardAtMs = options.clock() })
     request.on('error', error => {
       end(exchange, attempt, connected()
@@ -79,6 +81,12 @@
         : { run: 'notRun', code: 'endpointUnreachable', reason: error.message })
     })
     request.on('response', incoming => {
+      const problem = Edge.MessageHeads.problemOfAnswer(incoming.statusCode ?? 0, incoming.rawHeaders)
+      if (problem !== undefined) {
+        failMalformed(`malformed answer: ${problem}`)
+        incoming.destroy()
+        return
+      }
       incoming.on('data', () => { attempt.heardAtMs = options.clock() })
       take(exchange, attempt, command, incoming)
     })
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -101,6 +101,7 @@
     replay: (callId, outcome) => {
       const exchange = close(callId)
       if (exchange === undefined) return
+      if (!Edge.MessageHeads.isFinalStatus(outcome.httpStatus)) { Edge.HttpServer.sendCode(exchange.response, 'answerLost', { callId }); return }
       sendAnswer(exchange, { status: outcome.httpStatus, contentType: outcome.contentType, body: Buffer.from(outcome.bodyBase64, 'base64') }, true)
     },
     finish: (callId, code, details) => {
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -5,6 +5,7 @@
  */
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
+import * as HttpClient from '../edge/httpClient.ts'
 import * as MessageHeads from '../edge/messageHeads.ts'
 
 /** A call to send to an endpoint. */
@@ -160,6 +161,10 @@
   })
   let interimCount = 0
   request.on('information', () => { if (++interimCount > INTERIM_RESPONSE_LIMIT_COUNT) fail('too many interim answers') })
+  HttpClient.onUnaskedUpgrade(request, reason => {
+    stage = 'answering'
+    fail(reason)
+  })
   request.on('response', response => {
     incoming = response
     stage = 'answering'
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1054,6 +1054,50 @@
     replacement: "return ['Content-Length', String(body.length)]",
     checks: [test('answer-framing')]
   },
+  {
+    name: 'statuses: none above those of HTTP',
+    file: 'src/edge/messageHeads.ts',
+    text: ' && status <= FINAL_STATUS_MAX',
+    replacement: '',
+    checks: [test('invalid-statuses')]
+  },
+  {
+    name: 'statuses: a change of the protocol is no answer',
+    file: 'src/edge/httpClient.ts',
+    text: "outgoing.on('upgrade', (incoming, socket) => {",
+    replacement: "outgoing.on('unused', (incoming, socket) => {",
+    checks: [test('invalid-statuses')]
+  },
+  {
+    name: 'statuses: those of other processes',
+    file: 'src/edge/httpClient.ts',
+    // eslint-disable-next-line no-template-curly-in-string
+    text: 'if (!MessageHeads.isFinalStatus(status)) { fail(`malformed answer: status ${status}`); return }',
+    replacement: '',
+    checks: [test('invalid-statuses')]
+  },
+  {
+    name: 'statuses: those that an agent passes on',
+    file: 'src/agent/calls.ts',
+    // eslint-disable-next-line no-template-curly-in-string
+    text: 'if (problem !== undefined) { discard(exchange, `malformed answer: ${problem}`); return }',
+    replacement: '',
+    checks: [test('invalid-statuses')]
+  },
+  {
+    name: 'statuses: those of agents',
+    file: 'src/gateway/attempts.ts',
+    text: 'if (problem !== undefined) {\n        failMalformed',
+    replacement: 'if (false) {\n        failMalformed',
+    checks: [test('invalid-statuses')]
+  },
+  {
+    name: 'statuses: those saved with a claim',
+    file: 'src/gateway/callers.ts',
+    text: "if (!Edge.MessageHeads.isFinalStatus(outcome.httpStatus)) { Edge.HttpServer.sendCode(exchange.response, 'answerLost', { callId }); return }",
+    replacement: '',
+    checks: [test('invalid-statuses')]
+  },
   {
     name: 'late calls leave the last slot to their own rank',
     file: 'src/routing/crowding.ts',
