An agent tells a reset from the end of an answer without a length

Callers saw (own protocol): an endpoint sent half an answer without a length and reset its connection; the caller got 200 with that half as the whole body.

Cause: a reset that is read together with the last bytes is reported by Node as an orderly end.

A reset that is read later was an error before too.

Change: what tells them apart moved from ingress/upstream to edge/connectionResets, and agents use it. The byte paths of gateway and agent that invalid-statuses starts moved to testkit/callRelay.

--- a/src/agent/answers.ts
+++ b/src/agent/answers.ts
@@ -12,6 +12,8 @@
 export interface AnswerOptions {
   readonly incoming: Http.IncomingMessage
   readonly response: Http.ServerResponse
+  /** Returns whether the connection to the endpoint was reset. */
+  readonly wasReset: () => boolean
   readonly meter: Pace.StreamMeter
   /** Maximum size of an answer that is retained, in bytes; 0 retains none. */
   readonly maxKeptBytes: number
@@ -88,7 +90,7 @@
     const outcome = sizeBytes > options.maxKeptBytes
       ? undefined
       : { httpStatus: incoming.statusCode ?? 502, contentType: incoming.headers['content-type'] ?? DEFAULT_CONTENT_TYPE, bodyBase64: kept.take().toString('base64') }
-    options.onEnd(incoming.complete, outcome)
+    options.onEnd(incoming.complete && !options.wasReset(), outcome)
   })
   return { isAtEventBoundary: () => endsAtEventBoundary }
 }
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -138,6 +138,7 @@
     exchange.answer = Answers.relayBody({
       incoming,
       response,
+      wasReset: Edge.ConnectionResets.follow(incoming.socket),
       meter: exchange.meter,
       maxKeptBytes: Fencing.isEndingRetained(envelope) ? MAX_KEPT_ANSWER_BYTES : 0,
       clock,
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -5,6 +5,7 @@
  */
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
+import * as ConnectionResets from '../edge/connectionResets.ts'
 import * as HttpClient from '../edge/httpClient.ts'
 import * as MessageHeads from '../edge/messageHeads.ts'
 
@@ -49,8 +50,8 @@
 export interface ConnectionNotes {
   /** Ids of the last calls that were refused as not run on the connection. */
   readonly refusedCallIds: Set<string>
-  /** Whether the connection ended with a reset. */
-  wasReset: boolean
+  /** Returns whether the connection ended with a reset. */
+  readonly wasReset: () => boolean
 }
 
 /** Connections to all endpoints. */
@@ -108,16 +109,11 @@
 
 const notesBySocket = new WeakMap<Net.Socket, ConnectionNotes>()
 
-/**
- * Returns the notes on a connection. A reset that is read together with the last bytes is reported as an end, and shows only in that the socket has no peer any more.
- * The peer has to be asked for before Node's own listener closes the socket, and not earlier, since Node keeps the answer.
- */
 function notesOf (socket: Net.Socket): ConnectionNotes {
   const known = notesBySocket.get(socket)
   if (known !== undefined) return known
-  const notes: ConnectionNotes = { refusedCallIds: new Set(), wasReset: false }
+  const notes: ConnectionNotes = { refusedCallIds: new Set(), wasReset: ConnectionResets.follow(socket) }
   notesBySocket.set(socket, notes)
-  socket.prependListener('end', () => { notes.wasReset = socket.remotePort === undefined })
   return notes
 }
 
@@ -176,7 +172,7 @@
     response.on('aborted', () => { fail('answer cut short') })
     response.on('end', () => {
       if (isSettled) return
-      if (!response.complete || notes?.wasReset === true) { fail('answer cut short'); return }
+      if (!response.complete || notes?.wasReset() === true) { fail('answer cut short'); return }
       isSettled = true
       listener.onEnd()
     })
--- a/test/answer-framing.test.ts
+++ b/test/answer-framing.test.ts
@@ -1,6 +1,9 @@
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import type * as Net from 'node:net'
+import type * as Edge from '../src/edge/index.ts'
 import * as PlatformStore from '../standins/platformStore.ts'
+import * as CallRelay from '../testkit/callRelay.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as Program from '../testkit/program.ts'
 import * as RawCaller from '../testkit/rawCaller.ts'
@@ -155,6 +158,37 @@
     })
   })
 
+  describe("between the system's own gateway and agent", () => {
+    const play = async (answer: string, onWritten: (socket: Net.Socket) => void): Promise<{ readonly answer: Edge.HttpClient.Answer, readonly runCount: number }> => {
+      const endpoint = await CallRelay.startFixedServer(answer, onWritten)
+      const agent = await CallRelay.startAgent(endpoint.port)
+      const gateway = await CallRelay.startGateway(agent.port)
+      try {
+        return { answer: await gateway.call(), runCount: endpoint.requestCount() }
+      } finally {
+        await gateway.stop()
+        await agent.stop()
+        await endpoint.close()
+      }
+    }
+
+    for (const [when, delayMs] of [['together with its last bytes', 0], ['after its last bytes were read', 50]] as const) {
+      // Guards against half an answer that looks complete: Node reports the reset as an orderly end.
+      it(`is incomplete if it has no length and is reset ${when}`, async () => {
+        const { answer, runCount } = await play('HTTP/1.1 200 OK\r\n\r\nhalf', socket => {
+          if (delayMs === 0) socket.resetAndDestroy()
+          else setTimeout(() => { socket.resetAndDestroy() }, delayMs)
+        })
+        expect([answer.status, answer.body.toString().includes('half'), runCount]).toEqual([502, false, 1])
+      })
+    }
+
+    it('has a length if its endpoint sent none', async () => {
+      const { answer } = await play('HTTP/1.1 200 OK\r\n\r\nwhole', socket => { socket.end() })
+      expect([answer.status, answer.headers['content-length'], answer.body.toString()]).toEqual([200, '5', 'whole'])
+    })
+  })
+
   describe('shows that it is cut when its gateway', () => {
     let folder: Program.ProgramFolder
     before(async () => { folder = await Program.build() })
--- a/test/invalid-statuses.test.ts
+++ b/test/invalid-statuses.test.ts
@@ -1,16 +1,11 @@
 import { after, before, beforeEach, describe, it } from 'node:test'
-import * as Net from 'node:net'
 import { expect } from 'earl'
-import * as AgentCalls from '../src/agent/calls.ts'
-import * as AgentTables from '../src/agent/tables.ts'
-import * as Control from '../src/control/index.ts'
 import * as Edge from '../src/edge/index.ts'
-import * as Callers from '../src/gateway/callers.ts'
-import type * as Messages from '../src/gateway/messages.ts'
 import * as CallWire from '../src/schema/callWire.ts'
 import type * as Schemas from '../src/schema/index.ts'
 import * as Engine from '../platform/engine.ts'
 import * as Store from '../platform/store.ts'
+import * as CallRelay from '../testkit/callRelay.ts'
 import * as Direct from '../testkit/direct.ts'
 import * as ScriptedEndpoints from '../testkit/scriptedEndpoints.ts'
 import * as TestKit from '../testkit/index.ts'
@@ -34,37 +29,6 @@
   999: ['999 OK', '']
 }
 
-/** A server that answers each request with the same bytes. */
-interface FixedServer {
-  readonly port: number
-  /** Number of requests that arrived. */
-  requestCount: () => number
-  close: () => Promise<void>
-}
-
-async function startFixedServer (answer: string): Promise<FixedServer> {
-  const sockets = new Set<Net.Socket>()
-  let requestCount = 0
-  const server = Net.createServer(socket => {
-    sockets.add(socket)
-    socket.on('error', () => {})
-    socket.on('data', bytes => {
-      if (!/^[A-Z]+ /.test(bytes.toString('latin1'))) return
-      requestCount++
-      socket.write(answer)
-    })
-  })
-  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
-  return {
-    port: (server.address() as Net.AddressInfo).port,
-    requestCount: () => requestCount,
-    close: async () => {
-      for (const socket of sockets) socket.destroy()
-      await new Promise(resolve => { server.close(resolve) })
-    }
-  }
-}
-
 describe('an answer with an invalid status', () => {
   describe('of an endpoint', () => {
     let stage: Direct.DirectStage
@@ -126,8 +90,8 @@
   for (const [name, [status, moreHeaders]] of Object.entries(INVALID_STATUSES)) {
     describe(name, () => {
       const answer = `HTTP/1.1 ${status}\r\n${moreHeaders}Content-Length: 2\r\n\r\n{}`
-      let server: FixedServer
-      before(async () => { server = await startFixedServer(answer) })
+      let server: CallRelay.FixedServer
+      before(async () => { server = await CallRelay.startFixedServer(answer) })
       after(async () => { await server.close() })
       const target = (): Edge.HttpClient.Target => ({ host: HOST, port: server.port })
 
@@ -161,8 +125,8 @@
     describe(`${name} between the system's own gateway and agent`, () => {
       // Guards against an agent that ends with all its calls, since Node does not write the status that it read.
       it('is a failure of the endpoint where the endpoint sent it', async () => {
-        const endpoint = await startFixedServer(`HTTP/1.1 ${status}\r\n${moreHeaders}Content-Length: 2\r\n\r\n{}`)
-        const agent = await startAgent(endpoint.port)
+        const endpoint = await CallRelay.startFixedServer(`HTTP/1.1 ${status}\r\n${moreHeaders}Content-Length: 2\r\n\r\n{}`)
+        const agent = await CallRelay.startAgent(endpoint.port)
         try {
           const { result, httpStatus } = await agent.offer()
           expect([httpStatus, result.code, result.run, endpoint.requestCount()]).toEqual([502, 304, 'unknown', 1])
@@ -174,8 +138,8 @@
 
       it('is an unknown outcome where the agent sent it', async () => {
         const result: Schemas.Calls.CallResult = { callId: 'c', attemptId: 'a', code: 0, run: 'ran', agentIncarnation: 'i', limitCount: 1, activeCount: 0, queuedCount: 0 }
-        const agent = await startFixedServer(`HTTP/1.1 ${status}\r\n${moreHeaders}${CallWire.RESULT_HEADER}: ${JSON.stringify(result)}\r\nContent-Length: 2\r\n\r\n{}`)
-        const gateway = await startGateway(agent.port)
+        const agent = await CallRelay.startFixedServer(`HTTP/1.1 ${status}\r\n${moreHeaders}${CallWire.RESULT_HEADER}: ${JSON.stringify(result)}\r\nContent-Length: 2\r\n\r\n{}`)
+        const gateway = await CallRelay.startGateway(agent.port)
         try {
           const answer = await gateway.call()
           const end = gateway.ends[0]
@@ -191,7 +155,7 @@
   for (const httpStatus of [0, 99, 101, 600, 200.5]) {
     // Guards against a call whose caller gets no answer, since Node does not write the status that was saved.
     it(`that was saved with a claim counts as a lost answer (${httpStatus})`, async () => {
-      const gateway = await startGateway(1, callers => { callers.replay('c', { httpStatus, contentType: 'text/plain', bodyBase64: '' }) })
+      const gateway = await CallRelay.startGateway(1, callers => { callers.replay('c', { httpStatus, contentType: 'text/plain', bodyBase64: '' }) })
       try {
         const answer = await gateway.call()
         expect([answer.status, answer.headers['x-fescue-run']]).toEqual([502, 'ran'])
@@ -201,63 +165,3 @@
     })
   }
 })
-
-const ENVELOPE: Schemas.Calls.CallEnvelope = { callId: 'c', attemptId: 'a', gatewayId: 'g', workspace: 'w', service: 's', method: 'POST', path: '/p', timeLeftMs: TIMEOUT_MS, priority: 1, idempotent: false, stream: false, resumeFromIndex: 0, digest: 'd'.repeat(64), agentIncarnation: 'i' }
-
-/** Starts an agent that admits every call. */
-async function startAgent (endpointPort: number) {
-  const tables = AgentTables.createTables({ instanceId: 'agent-1', kind: 'agent', zone: 'z', region: 'z', service: 's', incarnation: 'i' }, Control.Documents.createHeldDocuments())
-  const relay = AgentCalls.createRelay({
-    endpoint: { host: HOST, port: endpointPort },
-    maxBodyBytes: 1_000,
-    guard: { identify: () => ({ role: 'peer' }) },
-    onRefused: () => {},
-    tables,
-    push: input => { if (input.kind === 'callOffered') relay.admit(input.envelope.attemptId) },
-    log: { warn: () => {} } as unknown as Edge.Log.Log
-  })
-  const server = await Edge.HttpServer.listen({ host: HOST, port: 0, routes: [relay.route], headersTimeoutMs: TIMEOUT_MS })
-  return {
-    offer: async () => {
-      const answer = await Edge.HttpClient.send({ target: { host: HOST, port: server.port }, method: 'POST', path: CallWire.CALL_PATH, headers: { [CallWire.ENVELOPE_HEADER]: JSON.stringify(ENVELOPE) }, timeoutMs: NOTICED_MS, fresh: true })
-      return { httpStatus: answer.status, result: JSON.parse(String(answer.headers[CallWire.RESULT_HEADER])) as Schemas.Calls.CallResult }
-    },
-    stop: async () => {
-      relay.stop()
-      await server.close(0)
-    }
-  }
-}
-
-/** Starts the byte path of a gateway that sends each call to one agent, and fails it when its attempt ends. */
-async function startGateway (agentPort: number, onArrived?: (callers: Callers.Callers) => void) {
-  const ends: Messages.AttemptEnd[] = []
-  const handlers: { readonly [Kind in Messages.Input['kind']]?: (input: Extract<Messages.Input, { kind: Kind }>) => void } = {
-    callArrived: () => {
-      if (onArrived === undefined) callers.dispatch({ callId: 'c', target: { host: HOST, port: agentPort }, endpointId: 'e', envelope: ENVELOPE })
-      else onArrived(callers)
-    },
-    attemptEnded: ({ end }) => {
-      ends.push(end)
-      callers.finish('c', end.code as 'outcomeUnknown', {})
-    }
-  }
-  const callers = Callers.createCallers({
-    maxBodyBytes: 1_000,
-    bodyTimeoutMs: TIMEOUT_MS,
-    defaultDeadlineMs: TIMEOUT_MS,
-    maxDeadlineMs: TIMEOUT_MS,
-    peerKey: () => 'key',
-    makeId: () => 'c',
-    push: input => { (handlers[input.kind] as ((input: Messages.Input) => void) | undefined)?.(input) }
-  })
-  const server = await Edge.HttpServer.listen({ host: HOST, port: 0, routes: [], fallback: callers.handle, headersTimeoutMs: TIMEOUT_MS })
-  return {
-    ends,
-    call: async () => await Edge.HttpClient.send({ target: { host: HOST, port: server.port }, method: 'POST', path: '/p', body: 'prompt', timeoutMs: NOTICED_MS, fresh: true }),
-    stop: async () => {
-      callers.stop()
-      await server.close(0)
-    }
-  }
-}
