The own protocol gives answers without a body no length

Callers saw: a 204 and a 304 with Content-Length: 0, which a 204 must not have and which tells the size of another answer in a 304 (RFC 9110, 8.6).

Change: as on the platform's path; isBodiless moved to edge/messageHeads.

Evidence: test/answer-framing.test.ts, "has no length if its status is": "0" for both without the change.

--- a/src/edge/messageHeads.ts
+++ b/src/edge/messageHeads.ts
@@ -10,6 +10,8 @@
 /** Statuses of answers that are not interim ones (RFC 9110, section 15). Node's parser accepts any three digits. */
 const FINAL_STATUS_MIN = 200
 const FINAL_STATUS_MAX = 599
+/** Statuses of answers without a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 /** Characters that a request target may consist of. */
 const TARGET_PATTERN = /^[\u0021-\u00ff]+$/
 
@@ -23,6 +25,17 @@
   return Number.isInteger(status) && status >= FINAL_STATUS_MIN && status <= FINAL_STATUS_MAX
 }
 
+/**
+ * Tells whether an answer ends with its head, whatever its headers say.
+ *
+ * @param method - The method of the request.
+ * @param status - The status of the answer.
+ * @returns Whether the answer has no body.
+ */
+export function isBodiless (method: string | undefined, status: number): boolean {
+  return method === 'HEAD' || BODILESS_STATUSES.has(status)
+}
+
 /**
  * Finds what makes the head of an answer malformed.
  *
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -121,7 +121,7 @@
   if (response.destroyed) return
   response.writeHead(answer.status, {
     'content-type': answer.contentType,
-    'content-length': answer.body.length,
+    ...(Edge.MessageHeads.isBodiless(response.req.method, answer.status) ? {} : { 'content-length': answer.body.length }),
     'x-fescue-call-id': exchange.callId,
     'x-fescue-code': '0',
     'x-fescue-run': 'ran',
--- a/src/ingress/bodies.ts
+++ b/src/ingress/bodies.ts
@@ -8,6 +8,7 @@
  */
 import type * as Http from 'node:http'
 import * as ByteCollector from '../edge/byteCollector.ts'
+import * as MessageHeads from '../edge/messageHeads.ts'
 
 /** Head of an endpoint's answer. */
 export interface AnswerHead {
@@ -32,18 +33,6 @@
 type StreamBodyFactory = (response: Http.ServerResponse, status: number, rawHeaders: readonly string[], limitBytes: number) => StreamBody
 
 const NO_CONTENT = 204
-const NOT_MODIFIED = 304
-
-/**
- * Tells whether an answer ends with its head, whatever its headers say.
- *
- * @param method - The method of the request.
- * @param status - The status of the answer.
- * @returns Whether the answer has no body.
- */
-export function isBodiless (method: string | undefined, status: number): boolean {
-  return method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED
-}
 
 /**
  * Writes a complete answer.
@@ -59,7 +48,7 @@
 
 /** Without a body, Content-Length tells the size that another request would get, which only the endpoint knows. A 204 must not have one. */
 function lengthFieldsOf (method: string | undefined, { status, declaredLength }: AnswerHead, body: Buffer): readonly string[] {
-  if (!isBodiless(method, status)) return ['Content-Length', String(body.length)]
+  if (!MessageHeads.isBodiless(method, status)) return ['Content-Length', String(body.length)]
   return status === NO_CONTENT || declaredLength === undefined ? [] : ['Content-Length', declaredLength]
 }
 
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -390,7 +390,7 @@
       return
     }
     if (metadata.isProvenNotRun && refusedCallIds !== undefined) rememberRefusal(refusedCallIds, call.callId)
-    const isBodiless = Bodies.isBodiless(call.request.method, status)
+    const isBodiless = MessageHeads.isBodiless(call.request.method, status)
     const isStream = isOk && call.route.kind === 'stream' && !isBodiless
     const declaredLength = headers['content-length']
     const isFramed = isBodiless || declaredLength !== undefined || headers['transfer-encoding'] !== undefined
--- a/test/answer-framing.test.ts
+++ b/test/answer-framing.test.ts
@@ -187,6 +187,14 @@
       const { answer } = await play('HTTP/1.1 200 OK\r\n\r\nwhole', socket => { socket.end() })
       expect([answer.status, answer.headers['content-length'], answer.body.toString()]).toEqual([200, '5', 'whole'])
     })
+
+    for (const status of [204, 304]) {
+      // Guards against a length in an answer that has no body.
+      it(`has no length if its status is ${status}`, async () => {
+        const { answer } = await play(`HTTP/1.1 ${status} Without body\r\n\r\n`, () => {})
+        expect([answer.status, answer.headers['content-length'], answer.headers['transfer-encoding']]).toEqual([status, undefined, undefined])
+      })
+    }
   })
 
   describe('shows that it is cut when its gateway', () => {
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1050,10 +1050,17 @@
   {
     name: 'answers: without a body, the size is that of the endpoint',
     file: 'src/ingress/bodies.ts',
-    text: "if (!isBodiless(method, status)) return ['Content-Length', String(body.length)]",
+    text: "if (!MessageHeads.isBodiless(method, status)) return ['Content-Length', String(body.length)]",
     replacement: "return ['Content-Length', String(body.length)]",
     checks: [test('answer-framing')]
   },
+  {
+    name: 'answers: a reset at an agent is no end',
+    file: 'src/agent/answers.ts',
+    text: ' && !options.wasReset()',
+    replacement: '',
+    checks: [test('answer-framing')]
+  },
   {
     name: 'statuses: none above those of HTTP',
     file: 'src/edge/messageHeads.ts',
