News is received only once what handles it exists

Cause: Node.open received news as soon as the datagram socket was bound and then waited for the TCP port. The handlers use what gateways and agents create after open has returned: a datagram in between threw a ReferenceError, and unexpected errors are not contained yet at that point.

Change: gateways and agents register their handler with receiveNews once all that it uses exists; earlier messages are dropped, as lost datagrams are.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -92,17 +92,7 @@
   const linkBytesPerSecond = (): number => options.bounds().linkBitsPerSecond / BITS_PER_BYTE
   const upload = Pacer.createPacer(linkBytesPerSecond() * CHUNK_LINK_SHARE, 0)
   const download = Pacer.createPacer(linkBytesPerSecond() * CHUNK_LINK_SHARE, 0)
-  const onNews = (news: Follow.News.News): void => {
-    Follow.News.learnVersions(versions, news, operators.follower, node.storeClock, log)
-    operators.follower.handlePeerRevision(news.revisions[options.operatorsTable] ?? 0, news.sender)
-    fetcher.recordContact(news.sender)
-    if (news.rollCall === true) {
-      node.sendNews({ revisions: {}, rollCall: false, named: versionNews() }, 'agent', member => member.name === news.sender)
-      fetcher.answerRollCall(news.sender)
-    }
-    if (news.held !== undefined) fetcher.recordHolder(news.sender, news.held.model, news.held.version, news.held.indexes)
-  }
-  const node = await Follow.Node.open(options, 'agent', onNews, [
+  const node = await Follow.Node.open(options, 'agent', [
     Exchange.createRoute(cache, (model, version) => fetcher.isFetching(model, version), upload)
   ])
   const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
@@ -173,6 +163,16 @@
   })
   node.relayTable(options.operatorsTable, shared.relayed(operators.follower, options.agentPartOf))
   node.followMembers(MEMBERS_WAIT_MS)
+  node.receiveNews(news => {
+    Follow.News.learnVersions(versions, news, operators.follower, node.storeClock, log)
+    operators.follower.handlePeerRevision(news.revisions[options.operatorsTable] ?? 0, news.sender)
+    fetcher.recordContact(news.sender)
+    if (news.rollCall === true) {
+      node.sendNews({ revisions: {}, rollCall: false, named: versionNews() }, 'agent', member => member.name === news.sender)
+      fetcher.answerRollCall(news.sender)
+    }
+    if (news.held !== undefined) fetcher.recordHolder(news.sender, news.held.model, news.held.version, news.held.indexes)
+  })
 
   const currentGoals = (): readonly Fetcher.Goal[] => {
     const model = ownService()?.engine?.models[0]
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -51,6 +51,8 @@
   followMembers: (waitMs: number) => void
   /** Serves the rows of a table to processes that ask for them. */
   relayTable: (table: string, relayed: Relay.RelayedTable) => void
+  /** Passes on each later message of another process. Until then messages are dropped, since what handles them depends on the node. */
+  receiveNews: (handler: (news: News.News) => void) => void
   /** Sends news to the other processes of a kind, optionally only to some of them. */
   sendNews: (news: Omit<News.News, 'sender' | 'storeMs' | 'reading'>, kind: Members.Member['kind'], isTarget?: (member: Members.Member) => boolean) => void
   /** Removes the process's entry and stops. */
@@ -69,17 +71,17 @@
  *
  * @param options - The process and its environment.
  * @param kind - Kind of the process.
- * @param onNews - Called with each message of another process.
  * @param routes - Further routes that are served to other processes.
  * @returns The process, once it listens.
  */
-export async function open (options: NodeOptions, kind: Members.Member['kind'], onNews: (news: News.News) => void, routes: readonly HttpServer.Route[] = []): Promise<Node> {
+export async function open (options: NodeOptions, kind: Members.Member['kind'], routes: readonly HttpServer.Route[] = []): Promise<Node> {
   const { name, host, port, zone, region, random, log, metrics } = options
   const store = HeldReads.secureHeldReads(withCallCounts(options.store, metrics), { metrics, log })
   const incarnation = Crypto.randomUUID()
   const relayedTables = new Map<string, Relay.RelayedTable>()
   let members: readonly Members.Member[] = []
   let follower: Follower.Follower | undefined
+  let onNews: ((news: News.News) => void) | undefined
   /** Gateways come first, those of the own region before others: agents do not follow all tables. */
   const peers = (): ReadonlyArray<readonly Relay.Peer[]> => {
     if (members.length === 0) return [options.seeds()]
@@ -108,7 +110,7 @@
     checkSender(news.sender)
     if (news.storeMs !== undefined) storeClock.observePeer(news.storeMs)
     if (news.reading !== undefined) readings.record(news.reading)
-    onNews(news)
+    onNews?.(news)
   }
   const faults = Faults.createFaults({ metrics, log })
   const onWaiting = (reason: string): void => { log('process', 'Address not free yet.', { host, port, reason }) }
@@ -166,6 +168,7 @@
       })
       relayedTables.set(Members.MEMBERS_TABLE, shared.relayed(follower, row => row))
     },
+    receiveNews: handler => { onNews = handler },
     relayTable: (table, relayedTable) => { relayedTables.set(table, relayedTable) },
     sendNews: (news, targetKind, isTarget = () => true) => { channel.send({ sender: name, storeMs: storeClock.nowByAnswers(), reading: readings.latest(), ...news }, members.filter(member => member.kind === targetKind && isTarget(member))) },
     close: async () => {
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -144,16 +144,7 @@
   let stopping = false
   let callsEndByMs = Infinity
 
-  const node = await Node.open(options, 'gateway', message => {
-    if (message.load !== undefined) recordLoad(message.load)
-    for (const { ageMs, load } of message.forwardedLoads ?? []) applyLoad(load, clock() - ageMs)
-    Follow.News.learnVersions(versions, message, operators.follower, node.storeClock, log)
-    for (const limitNews of message.limits ?? []) applyLimitNews(limitNews, message.sender)
-    if (message.requests !== undefined) quarantine.applyNews(message.requests)
-    if (message.callsPerSecond !== undefined) sharerOf(message.sender).weight = message.callsPerSecond
-    operators.follower.handlePeerRevision(message.revisions[options.tables.operators] ?? 0, message.sender)
-    endpointFollower.handlePeerRevision(message.revisions[options.tables.endpoints] ?? 0, message.sender)
-  })
+  const node = await Node.open(options, 'gateway')
   const quarantine = Quarantine.createQuarantine({ name: options.name, node, store: options.store, clock, random, metrics, log })
   const members = (): readonly Follow.Members.Member[] => node.members()
   /** All gateways seen so far, by name: each keeps the weight that it sent last. */
@@ -319,6 +310,16 @@
     isStopping: () => stopping,
     callsEndByMs: () => callsEndByMs
   })
+  node.receiveNews(message => {
+    if (message.load !== undefined) recordLoad(message.load)
+    for (const { ageMs, load } of message.forwardedLoads ?? []) applyLoad(load, clock() - ageMs)
+    Follow.News.learnVersions(versions, message, operators.follower, node.storeClock, log)
+    for (const limitNews of message.limits ?? []) applyLimitNews(limitNews, message.sender)
+    if (message.requests !== undefined) quarantine.applyNews(message.requests)
+    if (message.callsPerSecond !== undefined) sharerOf(message.sender).weight = message.callsPerSecond
+    operators.follower.handlePeerRevision(message.revisions[options.tables.operators] ?? 0, message.sender)
+    endpointFollower.handlePeerRevision(message.revisions[options.tables.endpoints] ?? 0, message.sender)
+  })
   const server = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS })
   const callers = ClientConnections.bound(server, ingress.handle, { limitCount: connectionLimitCount, memory: clientMemory, clock, onClosed: recordClosedClient })
   /** When each open connection of a caller was opened, in milliseconds. */
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -23,6 +23,10 @@
 const FIELD_COUNT = 2_400
 const TEST_TIMEOUT_MS = 60_000
 
+/** News of another process, and the interval at which they are sent, in milliseconds. */
+const NEWS = JSON.stringify({ sender: 'other', revisions: { op: 7, servers: 7 }, callsPerSecond: 1 })
+const NEWS_INTERVAL_MS = 20
+
 /** Takes an address, and returns a function that frees it. */
 type Take = (ports: Program.GatewayPorts) => Promise<() => void>
 
@@ -72,6 +76,25 @@
         expect(program.messages().includes('process: Address not free yet.')).toEqual(true)
       })
     }
+
+    // Guards against a process that ends since it handles news before what handles them exists.
+    it('for other processes waits for it also while news arrive', { timeout: TEST_TIMEOUT_MS }, async () => {
+      const ports = await Program.freePorts()
+      const free = await takeTcp(ports.peers)
+      const sender = Dgram.createSocket('udp4')
+      const timer = setInterval(() => { sender.send(NEWS, ports.peers, '127.0.0.1') }, NEWS_INTERVAL_MS)
+      try {
+        const program = folder.startGateway({ ports, storePort: store.port })
+        await TestKit.Wait.sleep(TAKEN_MS)
+        expect([program.end(), program.errors()]).toEqual([undefined, ''])
+        free()
+        await untilReady(program)
+        expect(program.messages().some(message => message.includes('Unexpected error'))).toEqual(false)
+      } finally {
+        clearInterval(timer)
+        sender.close()
+      }
+    })
   })
 
   describe('whose store answers without end in chunks of one byte', () => {
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1054,6 +1054,13 @@
     replacement: "return ['Content-Length', String(body.length)]",
     checks: [test('answer-framing')]
   },
+  {
+    name: 'news: dropped until they can be handled',
+    file: 'src/follow/node.ts',
+    text: 'onNews?.(news)',
+    replacement: '(onNews as any)(news)',
+    checks: [test('process-ends')]
+  },
   {
     name: 'answers: a reset at an agent is no end',
     file: 'src/agent/answers.ts',
