A planned stop waits for answers that callers are still reading

Callers saw: a gateway that was told to stop took eight calls 2.3 s later; they ran, and their callers read nothing for half a second.

Cause: the stop waited for calls without an end, and a call ends when its answer is written. The process then exited with the rest in its memory. Node counts a connection as idle once its answer has ended, sent or not, so closeIdleConnections and close cut such answers too.

Change: the stop waits until answers were handed to the system, up to the end of the grace. clientConnections closes idle connections itself: those with nothing of an answer left and nothing of a request arrived.

--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -28,6 +28,10 @@
 /** The bounded connections of a server. */
 export interface ClientConnections {
   count: () => number
+  /** Number of requests that have begun and whose answers were not yet handed to the system in full. */
+  unansweredCount: () => number
+  /** Closes the connections that wait for a request; those that have not been used yet only once they are older than `unusedLimitMs`, in milliseconds. */
+  closeIdle: (unusedLimitMs: number) => void
   /** To be called when a request's body arrives in very small parts: its connection is read in turns from now on. */
   handleSmallParts: (socket: Net.Socket) => void
   stop: () => void
@@ -235,8 +239,18 @@
     }
   }, CHECK_INTERVAL_MS)
   timer.unref()
+  /** Returns whether a connection waits for a request, and no byte of one has arrived. */
+  const isWaiting = (socket: Net.Socket, state: ConnectionState): boolean => isIdle(state) && socket.writableLength === 0 && socket.bytesRead === state.readBytesAtIdle
   return {
     count: () => states.size,
+    unansweredCount: () => [...states.values()].reduce((count, { unanswered }) => count + unanswered.size, 0),
+    closeIdle: unusedLimitMs => {
+      const nowMs = clock()
+      for (const [socket, state] of states) {
+        const isFresh = socket.bytesRead === 0 && nowMs - state.activeAtMs <= unusedLimitMs
+        if (isWaiting(socket, state) && !isFresh) socket.destroySoon()
+      }
+    },
     handleSmallParts: socket => {
       strain(clock())
       // Ends the read that is under way: otherwise up to 2 MB of such parts are parsed at once.
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import * as Http from 'node:http'
-import type * as Net from 'node:net'
+import * as Net from 'node:net'
 import * as Core from '../core/index.ts'
 import * as ClientConnections from '../edge/clientConnections.ts'
 import * as ClientMemory from '../edge/clientMemory.ts'
@@ -322,17 +322,6 @@
   })
   const server = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS })
   const callers = ClientConnections.bound(server, ingress.handle, { limitCount: connectionLimitCount, memory: clientMemory, clock, onClosed: recordClosedClient })
-  /** When each open connection of a caller was opened, in milliseconds. */
-  const openedAtMs = new Map<Net.Socket, number>()
-  server.on('connection', socket => {
-    openedAtMs.set(socket, clock())
-    socket.once('close', () => { openedAtMs.delete(socket) })
-  })
-  /** Closes idle connections. Node does not count a connection as idle that has not been used yet. */
-  const closeIdleConnections = (): void => {
-    server.closeIdleConnections()
-    for (const [socket, atMs] of openedAtMs) if (socket.bytesRead === 0 && clock() - atMs > FIRST_CALL_PATIENCE_MS) socket.destroySoon()
-  }
   const isReady = (): boolean => index !== undefined && endpointFollower.isKnown() && !stopping
   const readiness = Http.createServer({ maxHeaderSize: HEADER_LIMIT_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS })
   const probes = ClientConnections.bound(readiness, (request, response) => {
@@ -431,16 +420,17 @@
       stopping = true
       log('gateway', 'Gateway stops.', { activeCount: ingress.activeCount() })
       await sleep(BALANCER_REMOVAL_MS)
-      server.close()
+      // Closing the HTTP server would also close connections whose answers have ended but are not sent yet.
+      Net.Server.prototype.close.call(server)
       callsEndByMs = startedMs + options.bounds().graceMs - STOP_RESERVE_MS
       do {
         // An answer that began before the stop has no `Connection: close`, so its connection has to be closed here.
-        closeIdleConnections()
+        callers.closeIdle(FIRST_CALL_PATIENCE_MS)
         await sleep(STOP_POLL_INTERVAL_MS)
-      } while (ingress.activeCount() > 0 && clock() < callsEndByMs)
+      } while ((ingress.activeCount() > 0 || callers.unansweredCount() > 0) && clock() < callsEndByMs)
       ingress.endCalls()
       await sleep(STOP_POLL_INTERVAL_MS)
-      closeIdleConnections()
+      callers.closeIdle(FIRST_CALL_PATIENCE_MS)
       log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(tickTimer)
       clearInterval(gaugeTimer)
--- a/test/late-stop.test.ts
+++ b/test/late-stop.test.ts
@@ -1,19 +1,30 @@
 import * as Http from 'node:http'
 import * as Net from 'node:net'
-import { afterEach, describe, it } from 'node:test'
+import { after, afterEach, before, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as PlatformStore from '../standins/platformStore.ts'
 import * as Direct from '../testkit/direct.ts'
+import * as Program from '../testkit/program.ts'
+import * as RawCaller from '../testkit/rawCaller.ts'
+import * as ScriptedEndpoints from '../testkit/scriptedEndpoints.ts'
 import * as TestKit from '../testkit/index.ts'
 
 const TIMEOUT_MS = 5_000
 /** Time after the stop request at which the gateway no longer listens, in milliseconds. */
 const LATE_MS = 3_300
+/** Time after the stop request at which it still takes new connections, in milliseconds. */
+const LATE_CALL_MS = 2_300
+/** Size of an answer of which some lies in the gateway while its caller reads nothing, in bytes, and the time for which it does so, in milliseconds: a calm stop takes less. */
+const LARGE_ANSWER_BYTES = 4_190_000
+const UNREAD_MS = 4_000
+const TEST_TIMEOUT_MS = 60_000
 const EVENT_MS = 450
 const EVENT_COUNT = 9
 
+const closes: Array<() => Promise<void>> = []
+afterEach(async () => { for (const close of closes.splice(0).reverse()) await close() })
+
 describe('a call that comes late in a planned stop', () => {
-  const closes: Array<() => Promise<void>> = []
-  afterEach(async () => { for (const close of closes.splice(0).reverse()) await close() })
   const start = async (): Promise<Direct.DirectStage> => {
     const stage = await Direct.startDirectStage([{ instanceId: 'slow', service: 'llm', eventMs: EVENT_MS, eventCount: EVENT_COUNT }, { instanceId: 'plain', service: 'plain' }])
     closes.push(stage.stop)
@@ -78,3 +89,32 @@
     expect(answers.map(({ whole, status }) => [whole, status >= 500])).toEqual([[true, true], [true, true]])
   })
 })
+
+describe('an answer that is still being read in a planned stop', () => {
+  let folder: Program.ProgramFolder
+  before(async () => { folder = await Program.build() })
+  after(async () => { await folder.close() })
+
+  for (const [when, sentAfterMs] of [['before it', undefined], ['late in it', LATE_CALL_MS]] as const) {
+    // Guards against a process that ends, or closes the connection, while an answer that has run waits for its caller.
+    it(`is sent in full if it was asked for ${when}`, { timeout: TEST_TIMEOUT_MS }, async () => {
+      const store = await PlatformStore.startPlatformStore()
+      const endpoint = await ScriptedEndpoints.startEndpoint((socket, id) => { socket.end(ScriptedEndpoints.headOf('200 OK', id, `${ScriptedEndpoints.SEAL}Content-Length: ${LARGE_ANSWER_BYTES}\r\n\r\n${'x'.repeat(LARGE_ANSWER_BYTES)}`)) })
+      store.put('op', 'config', Direct.deploymentOf({ origin: '127.0.0.1:1' }))
+      store.put('servers', 'plain', Direct.endpointEntryOf({ service: 'plain', port: endpoint.port, version: 1, born: 1 }))
+      const program = folder.startGateway({ ports: await Program.freePorts(), storePort: store.port })
+      closes.push(store.close, endpoint.close)
+      const isAnswered = (): boolean => program.messages().some(message => message.includes('Call answered.'))
+      await TestKit.Wait.until('the gateway is ready', TIMEOUT_MS, async () => await Program.isReady(program))
+      if (sentAfterMs !== undefined) program.signal('SIGTERM')
+      await TestKit.Wait.sleep(sentAfterMs ?? 0)
+      const readable = TestKit.Wait.until('the gateway has the answer', TIMEOUT_MS, isAnswered).then(async () => {
+        if (sentAfterMs === undefined) program.signal('SIGTERM')
+        await TestKit.Wait.sleep(UNREAD_MS)
+      })
+      const got = await RawCaller.send({ port: program.ports.callers, path: '/book/1', readsAfter: readable })
+      expect([got.status, got.body.length, got.isComplete]).toEqual([200, LARGE_ANSWER_BYTES, true])
+      expect(await program.ended).toEqual({ code: 0, signal: null })
+    })
+  }
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1054,6 +1054,20 @@
     replacement: "return ['Content-Length', String(body.length)]",
     checks: [test('answer-framing')]
   },
+  {
+    name: 'stop: waits for answers that are not sent',
+    file: 'src/ingress/gateway.ts',
+    text: ' || callers.unansweredCount() > 0',
+    replacement: '',
+    checks: [test('late-stop')]
+  },
+  {
+    name: 'stop: closes no connection with an answer that is not sent',
+    file: 'src/ingress/gateway.ts',
+    text: 'Net.Server.prototype.close.call(server)',
+    replacement: 'server.close()',
+    checks: [test('late-stop')]
+  },
   {
     name: 'news: dropped until they can be handled',
     file: 'src/follow/node.ts',
