A caller that reads slowly, or not for a while, gets its whole answer

Cause: the bound of 8 s is for streams that occupy an endpoint, and applied to ended answers, which take only memory with a bound of its own. Progress was read from bytesWritten, which counts what the socket was given: an answer written in one piece showed none until its last byte.

Change: an ended answer is kept for 60 s without progress, and gives way earlier when its memory is needed. Progress is what the system has taken.

--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -48,9 +48,9 @@
   notWholeSinceMs: number | undefined
   /** The last request until it has been sent in full and answered: with many fields, it takes more memory than a connection is charged for. */
   unfinishedRequest: Http.IncomingMessage | undefined
-  /** Bytes of answers that were taken for the connection and not yet sent, and since when there was no progress, in milliseconds. */
+  /** Bytes of answers that were taken for the connection and not yet sent, those that were sent, and since when there was no progress, in milliseconds. */
   unreadBytes: number
-  writtenBytes: number
+  sentBytes: number
   blockedSinceMs: number | undefined
 }
 
@@ -65,8 +65,10 @@
 const CHECK_INTERVAL_MS = 250
 /** Time within which the client has to send the rest of a request that was answered early, in milliseconds. */
 const REST_TIMEOUT_MS = 1_000
-/** Time after which a connection whose client reads nothing is closed, in milliseconds: longer than callers wait for an event of a stream. */
+/** Time after which a connection whose client reads nothing is closed, in milliseconds: longer than callers wait for an event of a stream, since an answer that has not ended occupies an endpoint. */
 const UNREAD_TIMEOUT_MS = 8_000
+/** The same for an answer that has ended, in milliseconds: it takes only memory, and gives way when that is needed. */
+const ENDED_UNREAD_TIMEOUT_MS = 60_000
 /** Memory of an incomplete head for each of its bytes, in bytes: a head may consist of very short fields. */
 const HEAD_FACTOR = 16
 /** Memory of a connection that is not used for anything else, in bytes: its socket, its parser and an incomplete head of many fields. */
@@ -163,7 +165,7 @@
   server.on('connection', socket => {
     const nowMs = clock()
     recordAccepted(socket, nowMs)
-    states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, unfinishedRequest: undefined, unreadBytes: 0, writtenBytes: 0, blockedSinceMs: undefined })
+    states.set(socket, { holding: memory.open(nowMs), unanswered: new Set(), activeAtMs: nowMs, readBytesAtIdle: 0, notWholeSinceMs: undefined, unfinishedRequest: undefined, unreadBytes: 0, sentBytes: 0, blockedSinceMs: undefined })
     socket.once('close', () => { forget(socket) })
     if (states.size > bounds.limitCount()) close(findDispensable() ?? socket, 'connectionLimit')
   })
@@ -210,14 +212,16 @@
   /** Returns whether the client has not read anything of its answers for too long. */
   const isUnreadOverdue = (socket: Net.Socket, state: ConnectionState, nowMs: number): boolean => {
     state.unreadBytes = socket.writableLength
-    const isBlocked = state.unreadBytes > 0 && socket.bytesWritten === state.writtenBytes
-    state.writtenBytes = socket.bytesWritten
+    const sentBytes = sentBytesOf(socket)
+    const isBlocked = state.unreadBytes > 0 && sentBytes === state.sentBytes
+    state.sentBytes = sentBytes
     if (!isBlocked) {
       state.blockedSinceMs = undefined
       return false
     }
     state.blockedSinceMs ??= nowMs
-    return nowMs - state.blockedSinceMs > UNREAD_TIMEOUT_MS
+    const hasEnded = [...state.unanswered].every(response => response.writableEnded)
+    return nowMs - state.blockedSinceMs > (hasEnded ? ENDED_UNREAD_TIMEOUT_MS : UNREAD_TIMEOUT_MS)
   }
   /** Closes the connection whose answers were unread for longest; the next check closes another one if that is not enough. */
   const makeRoomForUnread = (): void => {
@@ -264,6 +268,18 @@
   }
 }
 
+/** Hooks of the sockets of Node that their type declarations leave out. */
+interface SocketHooks {
+  /** `bytesWritten` includes those that are queued. */
+  readonly _handle?: { readonly bytesWritten: number, readonly writeQueueSize: number } | null
+}
+
+/** Returns the number of bytes that the system has taken from a socket. The public count includes those that wait for the client to read. */
+function sentBytesOf (socket: Net.Socket): number {
+  const { _handle: handle } = socket as SocketHooks
+  return handle === undefined || handle === null ? socket.bytesWritten : handle.bytesWritten - handle.writeQueueSize
+}
+
 /**
  * Creates the reports of a process: one when the pressure begins and one when it has ended, not one for each client.
  *
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1054,6 +1054,20 @@
     replacement: "return ['Content-Length', String(body.length)]",
     checks: [test('answer-framing')]
   },
+  {
+    name: 'unread answers: those that have ended are kept',
+    file: 'src/edge/clientConnections.ts',
+    text: '(hasEnded ? ENDED_UNREAD_TIMEOUT_MS : UNREAD_TIMEOUT_MS)',
+    replacement: 'UNREAD_TIMEOUT_MS',
+    checks: [test('unread-answers')]
+  },
+  {
+    name: 'unread answers: progress within one write',
+    file: 'src/edge/clientConnections.ts',
+    text: 'handle.bytesWritten - handle.writeQueueSize',
+    replacement: 'socket.bytesWritten',
+    checks: [test('unread-answers')]
+  },
   {
     name: 'stop: waits for answers that are not sent',
     file: 'src/ingress/gateway.ts',
