--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -268,16 +268,17 @@
   }
 }
 
-/** Hooks of the sockets of Node that their type declarations leave out. */
+/** Parts of Node's sockets that their type declarations leave out. */
 interface SocketHooks {
-  /** `bytesWritten` includes those that are queued. */
-  readonly _handle?: { readonly bytesWritten: number, readonly writeQueueSize: number } | null
+  /** `bytesWritten` includes the bytes that are queued. */
+  readonly _handle?: { readonly bytesWritten?: number, readonly writeQueueSize?: number } | null
 }
 
 /** Returns the number of bytes that the system has taken from a socket. The public count includes those that wait for the client to read. */
 function sentBytesOf (socket: Net.Socket): number {
   const { _handle: handle } = socket as SocketHooks
-  return handle === undefined || handle === null ? socket.bytesWritten : handle.bytesWritten - handle.writeQueueSize
+  const sentBytes = (handle?.bytesWritten ?? NaN) - (handle?.writeQueueSize ?? NaN)
+  return Number.isFinite(sentBytes) ? sentBytes : socket.bytesWritten
 }
 
 /**
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -431,7 +431,7 @@
       ingress.endCalls()
       await sleep(STOP_POLL_INTERVAL_MS)
       callers.closeIdle(FIRST_CALL_PATIENCE_MS)
-      log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), tookMs: Math.round(clock() - startedMs) })
+      log('gateway', 'Gateway stopped.', { activeCount: ingress.activeCount(), unansweredCount: callers.unansweredCount(), tookMs: Math.round(clock() - startedMs) })
       clearInterval(tickTimer)
       clearInterval(gaugeTimer)
       clearInterval(quarantineTimer)
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1064,7 +1064,7 @@
   {
     name: 'unread answers: progress within one write',
     file: 'src/edge/clientConnections.ts',
-    text: 'handle.bytesWritten - handle.writeQueueSize',
+    text: 'Number.isFinite(sentBytes) ? sentBytes : socket.bytesWritten',
     replacement: 'socket.bytesWritten',
     checks: [test('unread-answers')]
   },
