A stop closes idle connections whose last request was answered early

Callers saw, since: in a planned stop, a connection on which the rest of a request came after its answer (a 404 for a call with a body, say) stayed open until the process ended, and calls were still taken on it.

Cause: closeIdle takes bytes since the last answer for the beginning of a request.

Change: the rest of a request that was answered early moves that mark too.

An unused field left unread-answers.

--- a/src/edge/clientConnections.ts
+++ b/src/edge/clientConnections.ts
@@ -42,7 +42,7 @@
   readonly unanswered: Set<Http.ServerResponse>
   /** When a request last began or was answered, in milliseconds. */
   activeAtMs: number
-  /** Bytes read when the last request was answered. */
+  /** Bytes read when the last request was answered and had arrived in full. */
   readBytesAtIdle: number
   /** When an answered request was first seen that the client had not sent in full, in milliseconds. */
   notWholeSinceMs: number | undefined
@@ -187,6 +187,8 @@
       state.activeAtMs = clock()
       state.readBytesAtIdle = socket.bytesRead
     })
+    // The rest of a request that was answered early is not the beginning of the next one.
+    request.once('close', () => { if (isIdle(state)) state.readBytesAtIdle = socket.bytesRead })
     process.nextTick(pass, request, response)
   })
 
--- a/test/unread-answers.test.ts
+++ b/test/unread-answers.test.ts
@@ -24,7 +24,6 @@
 interface Stage {
   readonly closedCauses: readonly ClientConnections.ClosedCause[]
   readonly socket: Net.Socket
-  readonly memory: ClientMemory.ClientMemory
   /** Lets time pass and connections be checked; `restMs` is the real time for that, before and after. */
   pass: (ms: number, restMs?: number) => Promise<void>
   close: () => Promise<void>
@@ -35,13 +34,12 @@
   let passedMs = 0
   const clock = (): number => performance.now() + passedMs
   const closedCauses: ClientConnections.ClosedCause[] = []
-  const memory = ClientMemory.createClientMemory(budgetBytes)
   const server = Http.createServer()
   let isAnswered = false
   const connections = ClientConnections.bound(server, (_request, response) => {
     answer(response)
     isAnswered = true
-  }, { limitCount: () => 10, memory, clock, onClosed: cause => { closedCauses.push(cause) } })
+  }, { limitCount: () => 10, memory: ClientMemory.createClientMemory(budgetBytes), clock, onClosed: cause => { closedCauses.push(cause) } })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const socket = Net.connect({ host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port })
   socket.on('error', () => {})
@@ -51,7 +49,6 @@
   return {
     closedCauses,
     socket,
-    memory,
     pass: async (ms, restMs = CHECK_MS) => {
       await TestKit.Wait.sleep(restMs)
       passedMs += ms
