A source of chunks that changes the protocol is noticed at once

An agent of the own protocol waited for its stall timeout (5 s in the test) where a source of chunks answered 101 with another protocol: this reader was left out of. test/invalid-statuses.test.ts has the nine statuses for it too; one of them fails without the change.

--- a/src/weights/edge/chunkClient.ts
+++ b/src/weights/edge/chunkClient.ts
@@ -72,6 +72,7 @@
     }
     cancel = () => { end('cancelled') }
     outgoing.on('error', () => { end('unreachable') })
+    Edge.HttpClient.onUnaskedUpgrade(outgoing, () => { end('unreachable') })
     outgoing.on('response', incoming => {
       const news = incoming.headers[News.NEWS_HEADER]
       if (typeof news === 'string') request.onNews(news)
--- a/test/invalid-statuses.test.ts
+++ b/test/invalid-statuses.test.ts
@@ -3,6 +3,7 @@
 import * as Edge from '../src/edge/index.ts'
 import * as CallWire from '../src/schema/callWire.ts'
 import type * as Schemas from '../src/schema/index.ts'
+import * as ChunkClient from '../src/weights/edge/chunkClient.ts'
 import * as Engine from '../platform/engine.ts'
 import * as Store from '../platform/store.ts'
 import * as CallRelay from '../testkit/callRelay.ts'
@@ -114,6 +115,12 @@
         expect((await Engine.createOrigin(`${HOST}:${server.port}`).chunk('m', 1, 0)).isErr()).toEqual(true)
       })
 
+      it('of a source of chunks counts as one that cannot be reached', async () => {
+        const sentAtMs = performance.now()
+        const fetched = await ChunkClient.fetchChunk({ address: target(), chunkDigest: 'd', headers: {}, pacers: [], stallMs: TIMEOUT_MS, onNews: () => {} }).answer
+        expect([fetched.ending, performance.now() - sentAtMs < NOTICED_MS]).toEqual(['unreachable', true])
+      })
+
       // Guards against an order that counts as refused although the engine may have begun it.
       it('of an engine leaves an order open', async () => {
         expect(await Engine.createEngine(target()).loadStaged('m', 1, 'afterRunning')).toEqual('lost')
