An answer in a transfer coding other than chunks is no answer

Callers saw: an endpoint that answered with Transfer-Encoding: gzip; the caller got 200 with the coded bytes and a length, and nothing that named the coding.

Cause: transfer codings end at each connection. The gateway drops the header, and Node decodes chunks only. Such an answer also counted as framed.

Change: edge/messageHeads takes chunked, and identity, which changes nothing, as the codings that are read; any other makes the answer malformed.

--- a/src/edge/messageHeads.ts
+++ b/src/edge/messageHeads.ts
@@ -12,6 +12,8 @@
 const FINAL_STATUS_MAX = 599
 /** Statuses of answers without a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+/** Transfer codings of which the plain bytes are read; `identity` is obsolete and names none. */
+const READABLE_CODINGS: ReadonlySet<string> = new Set(['chunked', 'identity'])
 /** Characters that a request target may consist of. */
 const TARGET_PATTERN = /^[\u0021-\u00ff]+$/
 
@@ -44,7 +46,7 @@
  * @returns A description of the first problem; undefined if the head can be passed on.
  */
 export function problemOfAnswer (status: number, rawHeaders: readonly string[]): string | undefined {
-  return isFinalStatus(status) ? problemOfFields(rawHeaders) : `status ${status}`
+  return isFinalStatus(status) ? problemOfFields(rawHeaders) ?? problemOfCoding(rawHeaders) : `status ${status}`
 }
 
 /**
@@ -58,6 +60,15 @@
   return TARGET_PATTERN.test(target) ? problemOfFields(rawHeaders) : 'request target'
 }
 
+/** Transfer codings end at each connection. Node decodes chunks only: the bytes of another coding would be passed on without its name. */
+function problemOfCoding (rawHeaders: readonly string[]): string | undefined {
+  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
+    const value = rawHeaders[at + 1] ?? ''
+    if (rawHeaders[at]?.toLowerCase() === 'transfer-encoding' && !READABLE_CODINGS.has(value.trim().toLowerCase())) return `transfer coding ${value}`
+  }
+  return undefined
+}
+
 function problemOfFields (rawHeaders: readonly string[]): string | undefined {
   try {
     for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -393,7 +393,7 @@
     const isBodiless = MessageHeads.isBodiless(call.request.method, status)
     const isStream = isOk && call.route.kind === 'stream' && !isBodiless
     const declaredLength = headers['content-length']
-    const isFramed = isBodiless || declaredLength !== undefined || headers['transfer-encoding'] !== undefined
+    const isFramed = isBodiless || declaredLength !== undefined || headers['transfer-encoding']?.trim().toLowerCase() === 'chunked'
     attempt.head = { status, metadata, rawHeaders, declaredLength, isStream, isFramed }
     if (isStream) attempt.splitter = Events.createSplitter()
   }
--- a/test/answer-framing.test.ts
+++ b/test/answer-framing.test.ts
@@ -136,6 +136,31 @@
       })
     }
 
+    describe('for an answer with a transfer coding', () => {
+      const answerIn = (coding: string, bytes: string): ScriptedEndpoints.Script => (socket, id) => { socket.end(headOf('200 OK', id, `${SEAL}Transfer-Encoding: ${coding}\r\n\r\n${bytes}`)) }
+      // A failed call has its endpoint left out for a while.
+      beforeEach(async () => {
+        script = (socket, id) => { socket.end(headOf('200 OK', id, `${SEAL}Content-Length: 0\r\n\r\n`)) }
+        await TestKit.Wait.until('the endpoint gets calls', WAIT_TIMEOUT_MS, async () => (await send({ path: '/book/1' })).status === 200)
+      })
+
+      for (const coding of ['gzip', 'gzip, chunked', 'deflate']) {
+        // Guards against coded bytes that are passed on without the name of their coding.
+        it(`that is not read, ${coding}, which is a 502`, async () => {
+          script = answerIn(coding, chunkOf('body') + LAST_CHUNK)
+          const id = `coded-${++callCount}`
+          const got = await send({ path: `/book/${callCount}`, id })
+          expect([got.status, got.body.includes('body'), runCount(id)]).toEqual([502, false, 1])
+        })
+      }
+
+      it('that changes nothing', async () => {
+        script = answerIn('identity', 'body')
+        const got = await send({ path: '/book/1' })
+        expect([got.status, got.framing, got.headers['transfer-encoding'], got.body]).toEqual([200, 'length', undefined, 'body'])
+      })
+    })
+
     it('for a stream that is too large to be held for a caller of HTTP/1.0, who gets a failure', async () => {
       await TestKit.Wait.sleep(LEFT_OUT_MS)
       script = (socket, id) => { socket.end(unframedStreamOf(id) + `data: ${'x'.repeat(LARGE_EVENT_BYTES)}\n\n`.repeat(LARGE_EVENT_COUNT)) }
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1089,6 +1089,20 @@
     replacement: 'onNews!(news)',
     checks: [test('process-ends')]
   },
+  {
+    name: 'answers: no transfer coding but chunks',
+    file: 'src/edge/messageHeads.ts',
+    text: 'problemOfFields(rawHeaders) ?? problemOfCoding(rawHeaders)',
+    replacement: 'problemOfFields(rawHeaders)',
+    checks: [test('answer-framing')]
+  },
+  {
+    name: 'stop: the rest of an answered request is no new one',
+    file: 'src/edge/clientConnections.ts',
+    text: "request.once('close', () => { if (isIdle(state)) state.readBytesAtIdle = socket.bytesRead })",
+    replacement: '',
+    checks: [test('idle-connections')]
+  },
   {
     name: 'answers: a reset at an agent is no end',
     file: 'src/agent/answers.ts',
