The line of a load order tells how old the check of its chunks was

No line told how long before an engine took its chunks they had been compared with their digests, so a check that took long, a paused agent and a late order looked alike. `Engine told to load.` has checkAgeMs, from the first comparison to the answer, and tookMs, from the order to the answer. No decision is changed.

--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -116,11 +116,13 @@
     const mode = isServing ? Switching.loadMode(report.activeCount, nowMs - (retiredAtMs ?? nowMs), options.isResumable()) : 'afterRunning'
     if (mode === undefined) return
     isStagingBusy = true
+    const checkedFromMs = clock()
     try {
       if (!await verifyStaged(chunkSet)) return
       loadOrderedAtMs = clock()
       const answer = await engine.loadStaged(goal.model, goal.version, mode)
-      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, sinceNamedMs: Switching.sinceNamedMs(goal.namedAtMs, loadOrderedAtMs) })
+      const answeredAtMs = clock()
+      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, checkAgeMs: Math.round(answeredAtMs - checkedFromMs), tookMs: Math.round(answeredAtMs - loadOrderedAtMs), sinceNamedMs: Switching.sinceNamedMs(goal.namedAtMs, loadOrderedAtMs) })
     } finally {
       isStagingBusy = false
     }
--- a/test/direct-story.test.ts
+++ b/test/direct-story.test.ts
@@ -29,7 +29,7 @@
     ]
 
     it('names a version change from what the agent beside the endpoint says', () => {
-      const order = line(2_350, 'a1', 'weights: Engine told to load.', { model: 'm', version: 2, mode: 'cutting', answer: 'accepted', activeCount: 2 })
+      const order = line(2_350, 'a1', 'weights: Engine told to load.', { model: 'm', version: 2, mode: 'cutting', answer: 'accepted', activeCount: 2, checkAgeMs: 40, tookMs: 3 })
       expect(causeOf([...attempt, ...beside, order])).toEqual('versionChange')
       expect(causeOf([...attempt, ...beside, { ...order, instanceId: 'a2' }])).toEqual('answerLost')
     })
