An engine's layers are used only once its chunks are known to have been sound when it took them

Cause: the agent compared the staged chunks with their digests and then ordered the load, and nothing bounded the time between the comparison and the moment at which the engine took the chunks. Reading 64 chunks, one after the other, takes over 3 s at 50 ms a chunk; an agent may be paused before the order; an order may lie in a buffer, count as lost after 1 s and be accepted later. Nothing looked at the chunks afterwards, and gateways sent calls as soon as the platform's list or the agent named the version. The same held for an order that met another start of the engine.

Change: - The age is bounded at the acceptance. A load is judged by the engine's own count of orders (`LoadProof`): the first report that shows a higher count bounds the time at which the chunks were taken. A chunk that was compared at most 2 s before that time (the platform tolerates 3) is proven; the others are read back after it, which needs no bound, since chunks do not become sound by themselves. Chunks that were written in between show nothing. - Orders name the count as their condition, so of a lost order and its repetition one at most is accepted, and while a lost order is pending no chunk is written. To stage anew, the agent first orders the engine to unload under the same condition: no chunk is taken with that, and the lost order no longer fits. - Layers that are not proven sound are unloaded and loaded anew. - Gateways send calls only to endpoints whose last load is proven in their present start. Beside which endpoint an agent stands is in the agents' entries; there the platform's list alone shows nothing, and a version that is listed and not reported counts as unproven. Gateways return what they know to an agent that has restarted. - Chunks are read four at a time, for 1 s at most before the order; those of a slower engine are read once, after it. So a slow engine is not checked again and again. - A serving engine is ordered to load with the report after the one with which it retired, so that gateways have been told before.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -92,7 +92,7 @@
   const linkBytesPerSecond = (): number => options.bounds().linkBitsPerSecond / BITS_PER_BYTE
   const upload = Pacer.createPacer(linkBytesPerSecond() * CHUNK_LINK_SHARE, 0)
   const download = Pacer.createPacer(linkBytesPerSecond() * CHUNK_LINK_SHARE, 0)
-  const node = await Follow.Node.open(options, 'agent', [
+  const node = await Follow.Node.open(options, { kind: 'agent', endpoint: options.endpoint }, [
     Exchange.createRoute(cache, (model, version) => fetcher.isFetching(model, version), upload)
   ])
   const announcements = new Map<string, { model: string, version: number, indexes: number[], receiver: string }>()
@@ -171,6 +171,7 @@
       node.sendNews({ revisions: {}, rollCall: false, named: versionNews() }, 'agent', member => member.name === news.sender)
       fetcher.answerRollCall(news.sender)
     }
+    if (news.proof !== undefined) filler.adoptProof(news.proof)
     if (news.held !== undefined) fetcher.recordHolder(news.sender, news.held.model, news.held.version, news.held.indexes)
   })
 
@@ -192,6 +193,8 @@
       pace: report.pace,
       loading: report.loading || filler.isRetiring(),
       ...(filler.isRetiring() && !report.loading ? { retiring: true } : {}),
+      orderCount: report.orderCount ?? 0,
+      provenOrderCount: filler.provenOrderCount(),
       weights: [...report.weights ?? []]
     }
     const text = JSON.stringify(load)
@@ -223,12 +226,13 @@
     notifyJoined()
     if (isReporting) return
     isReporting = true
+    const askedAtMs = clock()
     void options.engine.report().then(async report => {
       logReachability(report !== undefined)
       const goals = currentGoals()
       if (report !== undefined) {
         sendLoad(report)
-        void filler.advance(goals, report)
+        void filler.advance(goals, report, askedAtMs)
       }
       if (report !== undefined || clock() - openedAtMs > ENGINE_GRACE_MS) void fetcher.advance(goals, filler.loadedVersionOf(goals.at(-1)?.model ?? ''))
     }).finally(() => { isReporting = false })
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -1,13 +1,15 @@
 /**
- * Brings a fetched version into the agent's engine: stages its chunks, reads them back and orders the engine to load them.
+ * Brings a fetched version into the agent's engine: stages its chunks, reads them back, orders the engine to load them, and shows that it took sound ones.
  *
  * @packageDocumentation
  */
-import * as Core from '../core/index.ts'
+import type * as Core from '../core/index.ts'
 import type * as Follow from '../follow/index.ts'
 import type * as ChunkCache from './chunkCache.ts'
 import type * as Fetcher from './fetcher.ts'
+import * as LoadProof from './loadProof.ts'
 import type * as Ports from './ports.ts'
+import * as Staging from './staging.ts'
 import * as Switching from './switching.ts'
 
 /** Options of a filler. */
@@ -34,16 +36,24 @@
 export interface Filler {
   /** Adds the chunks staged at the engine to a set, as far as they match its manifest. */
   adoptStaged: (chunkSet: ChunkCache.ChunkSet) => Promise<void>
-  /** Stages chunks and orders the engine to load when that is due. The goals are ordered from the oldest to the newest; has to be called with each report of the engine. */
-  advance: (goals: readonly Fetcher.Goal[], report: Ports.EngineReport) => Promise<void>
+  /** Stages chunks and orders the engine to load when that is due. The goals are ordered from the oldest to the newest; has to be called with each report of the engine, and with the time at which it was requested, in milliseconds. */
+  advance: (goals: readonly Fetcher.Goal[], report: Ports.EngineReport, askedAtMs: number) => Promise<void>
   /** Returns the version of a model that the engine had loaded at its last report; 0 for none. */
   loadedVersionOf: (model: string) => number
   /** Returns whether the engine should get no new calls because it is about to load. */
   isRetiring: () => boolean
+  /** Returns the number of orders up to which the loads of the engine's present start are known to be sound; undefined if the last load is not. */
+  provenOrderCount: () => number | undefined
+  /** Records that the loads of a start of the engine were shown to be sound before this process started. */
+  adoptProof: (state: Follow.News.ProofNews) => void
 }
 
 /** Time after which a load order without effect is repeated, in milliseconds; the engine is on the same machine, so its reports are recent. */
 const LOAD_RETRY_MS = 1_500
+/** Time for reading chunks back before an order, in milliseconds. Those of a slower engine are read after it has loaded, so that the version arrives in time. */
+const CHECK_LIMIT_MS = 1_000
+/** Time for which gateways may tell that a load was shown to be sound before this process started, in milliseconds: they answer load reports. */
+const EARLIER_PROOF_WAIT_MS = 1_000
 
 /**
  * Creates a filler.
@@ -53,110 +63,114 @@
  */
 export function createFiller (options: FillerOptions): Filler {
   const { engine, cache, clock, log } = options
-  /** Indexes of the chunks that this process has staged at the engine or verified there. */
-  let staged = new Set<number>()
-  let stagedVersion: number | undefined
-  /** Start time of the engine from its report, in milliseconds; a restart loses the staged chunks. */
-  let engineStartedAtMs: number | undefined
-  let isStagingBusy = false
-  let loadOrderedAtMs = -Infinity
-  /** Time since which the engine gets no new calls, in milliseconds. */
-  let retiredAtMs: number | undefined
+  const staging = Staging.createStaging(options)
+  const proofs = LoadProof.createLoadProofs()
+  /** The last report; it changes while requests to the engine are under way. */
+  let latest: Ports.EngineReport | undefined
+  let reportCount = 0
+  let isBusy = false
+  let orderedAtMs = -Infinity
+  /** When the engine stopped getting new calls, in milliseconds, and with which report. */
+  let retired: { readonly atMs: number, readonly reportCount: number } | undefined
   const loadedVersions = new Map<string, number>()
 
-  const adoptStaged = async (chunkSet: ChunkCache.ChunkSet): Promise<void> => {
-    const { model, version } = chunkSet.manifest
-    const verified = new Set<number>()
-    for (const index of await engine.listStaged(model) ?? []) {
-      const bytes = await engine.readStaged(model, index)
-      if (bytes === undefined) continue
-      if (cache.put(chunkSet, index, bytes)) verified.add(index)
-    }
-    if (verified.size === 0) return
-    staged = verified
-    stagedVersion = version
-    log('weights', 'Staged chunks found.', { model, version, chunkCount: verified.size })
+  const isUnchanged = ({ bornAtMs, orderCount }: LoadProof.OrderState): boolean => latest?.bornAtMs === bornAtMs && latest?.orderCount === orderCount
+  /** Orders the engine to give up its layers: those of a load that was not sound, or so that it no longer accepts a lost order. */
+  const unload = async (model: string, version: number, reason: string): Promise<void> => {
+    if (clock() - orderedAtMs < LOAD_RETRY_MS || latest === undefined || latest.loading) return
+    orderedAtMs = clock()
+    const { orderCount } = latest
+    const answer = await engine.unload(model, version, orderCount)
+    log('weights', 'Engine told to unload.', { model, version, reason, answer, orderCount, tookMs: Math.round(clock() - orderedAtMs) })
+    if (answer === 'accepted') orderedAtMs = -Infinity
   }
-  const stageChunks = async (chunkSet: ChunkCache.ChunkSet): Promise<void> => {
-    if (isStagingBusy) return
-    isStagingBusy = true
-    if (stagedVersion !== chunkSet.manifest.version) {
-      stagedVersion = chunkSet.manifest.version
-      staged = new Set()
-    }
-    try {
-      for (const [index, bytes] of chunkSet.chunks.entries()) {
-        if (bytes === undefined || staged.has(index)) continue
-        if (!await engine.stage(chunkSet.manifest.model, index, bytes)) return
-        staged.add(index)
-      }
-    } finally {
-      isStagingBusy = false
+  /** Judges the last load by its chunks, as they are staged now. Returns whether staging may go on: chunks that were written after a load say nothing about it. */
+  const judgeLoad = async (load: LoadProof.UnprovenLoad, newest: Fetcher.Goal): Promise<boolean> => {
+    const { model } = newest
+    const state = proofs.state()
+    const version = load.version ?? (latest?.loading === true ? undefined : loadedVersions.get(model))
+    if (version === undefined) return false
+    const chunkSet = cache.chunkSetOf(model, version)
+    const isOverwritten = staging.version() !== version && version !== newest.version
+    if (chunkSet === undefined || isOverwritten) return true
+    const startedAtMs = clock()
+    const { readCount, spoiltCount, openCount } = await staging.check(chunkSet, load.acceptedByMs - LoadProof.MAX_CHECK_AGE_MS, Infinity)
+    if (!isUnchanged(state)) return false
+    if (spoiltCount > 0 || staging.writtenCountAfter(load.acceptedAfterMs) > 0) {
+      const isOfEarlierProcess = load.acceptedAfterMs === -Infinity
+      if (!isOfEarlierProcess || clock() - load.acceptedByMs > EARLIER_PROOF_WAIT_MS) await unload(model, version, 'its chunks are not known to have been sound when they were taken')
+      return false
     }
-  }
-  /** Reads every staged chunk back and returns whether all are intact; corrupt ones are marked for staging again. */
-  const verifyStaged = async (chunkSet: ChunkCache.ChunkSet): Promise<boolean> => {
-    let spoiltCount = 0
-    for (const [index, digest] of chunkSet.manifest.digests.entries()) {
-      const bytes = await engine.readStaged(chunkSet.manifest.model, index)
-      if (bytes !== undefined && Core.Hash.sha256(bytes) === digest) continue
-      staged.delete(index)
-      spoiltCount++
-    }
-    if (spoiltCount > 0) log('weights', 'Staged chunks spoilt.', { model: chunkSet.manifest.model, version: chunkSet.manifest.version, spoiltCount })
-    return spoiltCount === 0
+    if (openCount > 0) return false
+    proofs.recordProof(state)
+    log('weights', 'Load proven.', { model, version, orderCount: state.orderCount, readCount, checkAgeMs: Math.max(0, Math.round(load.acceptedByMs - staging.oldestCheckAtMs(chunkSet))), tookMs: Math.round(clock() - startedAtMs) })
+    return true
   }
   const orderLoadWhenDue = async (goal: Fetcher.Goal, supersededAtMs: number, chunkSet: ChunkCache.ChunkSet, report: Ports.EngineReport): Promise<void> => {
     const nowMs = clock()
-    if (nowMs - loadOrderedAtMs < LOAD_RETRY_MS || report.loading || isStagingBusy) return
+    if (nowMs - orderedAtMs < LOAD_RETRY_MS || report.loading) return
     const isServing = (report.weights ?? []).some(held => held.model === goal.model)
     const dueAtMs = Switching.switchAtMs({ model: goal.model, version: goal.version, supersededAtMs, versionMs: options.versionMs(), ownName: options.name, agentNames: options.members().map(agent => agent.name) })
     if (isServing && nowMs < dueAtMs) return
-    if (isServing) retiredAtMs ??= nowMs
-    const mode = isServing ? Switching.loadMode(report.activeCount, nowMs - (retiredAtMs ?? nowMs), options.isResumable()) : 'afterRunning'
+    if (isServing) retired ??= { atMs: nowMs, reportCount }
+    // Gateways are told with the next report. Calls that they send until then would begin on layers that are not proven.
+    if (isServing && retired?.reportCount === reportCount) return
+    const mode = isServing ? Switching.loadMode(report.activeCount, nowMs - (retired?.atMs ?? nowMs), options.isResumable()) : 'afterRunning'
     if (mode === undefined) return
-    isStagingBusy = true
-    const checkedFromMs = clock()
-    try {
-      if (!await verifyStaged(chunkSet)) return
-      loadOrderedAtMs = clock()
-      const answer = await engine.loadStaged(goal.model, goal.version, mode)
-      const answeredAtMs = clock()
-      log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, checkAgeMs: Math.round(answeredAtMs - checkedFromMs), tookMs: Math.round(answeredAtMs - loadOrderedAtMs), sinceNamedMs: Switching.sinceNamedMs(goal.namedAtMs, loadOrderedAtMs) })
-    } finally {
-      isStagingBusy = false
-    }
+    const { spoiltCount } = await staging.check(chunkSet, nowMs, nowMs + CHECK_LIMIT_MS)
+    if (spoiltCount > 0 || !isUnchanged(report)) return
+    const checkedAtMs = staging.oldestCheckAtMs(chunkSet)
+    orderedAtMs = clock()
+    proofs.recordOrder(goal.version, orderedAtMs)
+    const answer = await engine.loadStaged(goal.model, goal.version, mode, report.orderCount)
+    const answeredAtMs = clock()
+    proofs.recordAnswer(answer, answeredAtMs)
+    log('weights', 'Engine told to load.', { model: goal.model, version: goal.version, mode, answer, activeCount: report.activeCount, orderCount: report.orderCount, checkAgeMs: Number.isFinite(checkedAtMs) ? Math.round(answeredAtMs - checkedAtMs) : undefined, tookMs: Math.round(answeredAtMs - orderedAtMs), sinceNamedMs: Switching.sinceNamedMs(goal.namedAtMs, orderedAtMs) })
+  }
+  const bringIn = async (goals: readonly Fetcher.Goal[], newest: Fetcher.Goal, report: Ports.EngineReport): Promise<void> => {
+    const { model } = newest
+    const load = proofs.unprovenLoad()
+    if (load !== undefined && !await judgeLoad(load, newest)) return
+    const loaded = loadedVersions.get(model) ?? 0
+    if (loaded >= newest.version) return
+    const progress = options.progressOf(goals, loaded)
+    const version = Switching.versionToLoad(progress) ?? Switching.versionToStage(progress)
+    const goal = goals.find(other => other.version === version)
+    const chunkSet = goal === undefined ? undefined : cache.chunkSetOf(model, goal.version)
+    if (goal === undefined || chunkSet === undefined) return
+    // A chunk that is written while a lost order may still be accepted would hide what the engine takes.
+    if (!proofs.hasPendingOrder()) await staging.stage(chunkSet)
+    if (staging.isComplete(chunkSet)) await orderLoadWhenDue(goal, options.supersededAtMs(model, loaded), chunkSet, report)
+    else if (proofs.hasPendingOrder()) await unload(model, loaded > 0 ? loaded : goal.version, 'a lost order must not be accepted any more')
   }
   return {
-    adoptStaged,
-    advance: async (goals, report) => {
-      if (report.bornAtMs !== engineStartedAtMs) {
-        engineStartedAtMs = report.bornAtMs
-        staged = new Set()
-        loadOrderedAtMs = -Infinity
-        retiredAtMs = undefined
+    adoptStaged: staging.adopt,
+    advance: async (goals, report, askedAtMs) => {
+      if (latest !== undefined && report.bornAtMs !== latest.bornAtMs) {
+        staging.reset()
+        orderedAtMs = -Infinity
+        retired = undefined
       }
+      latest = report
+      reportCount++
+      proofs.observe(report, askedAtMs, clock())
       const newest = goals.at(-1)
       if (newest === undefined) return
       const { model } = newest
       const loaded = (report.weights ?? []).find(held => held.model === model)?.version ?? 0
       options.onServing(loaded > 0)
       if (loaded !== (loadedVersions.get(model) ?? 0)) {
-        if (loaded > 0 && loadOrderedAtMs !== -Infinity) log('weights', 'Engine loaded.', { model, version: loaded, tookMs: Math.round(clock() - loadOrderedAtMs) })
-        retiredAtMs = undefined
+        if (loaded > 0 && orderedAtMs !== -Infinity) log('weights', 'Engine loaded.', { model, version: loaded, tookMs: Math.round(clock() - orderedAtMs) })
+        retired = undefined
         loadedVersions.set(model, loaded)
       }
-      if (loaded >= newest.version) return
-      const progress = options.progressOf(goals, loaded)
-      const version = Switching.versionToLoad(progress) ?? Switching.versionToStage(progress)
-      const goal = goals.find(other => other.version === version)
-      const chunkSet = goal === undefined ? undefined : cache.chunkSetOf(model, goal.version)
-      if (goal === undefined || chunkSet === undefined) return
-      await stageChunks(chunkSet)
-      if (staged.size !== chunkSet.manifest.digests.length || stagedVersion !== goal.version) return
-      await orderLoadWhenDue(goal, options.supersededAtMs(model, loaded), chunkSet, report)
+      if (isBusy) return
+      isBusy = true
+      await bringIn(goals, newest, report).finally(() => { isBusy = false })
     },
     loadedVersionOf: model => loadedVersions.get(model) ?? 0,
-    isRetiring: () => retiredAtMs !== undefined
+    isRetiring: () => retired !== undefined,
+    provenOrderCount: () => proofs.unprovenLoad() === undefined ? proofs.state().orderCount : undefined,
+    adoptProof: ({ bornAtMs, orderCount }) => { proofs.recordProof({ bornAtMs, orderCount }) }
   }
 }
--- a/src/filling/ports.ts
+++ b/src/filling/ports.ts
@@ -10,6 +10,8 @@
 export interface EngineReport extends Routing.Endpoints.LoadReport {
   /** Start time of the engine by its own clock, in milliseconds; undefined if the engine does not report it. */
   readonly bornAtMs: number | undefined
+  /** Number of orders that the engine has accepted since its start; undefined if the engine does not report it. */
+  readonly orderCount: number | undefined
 }
 
 /** Outcome of an order to load weights; `lost` when the engine did not answer. */
@@ -24,12 +26,14 @@
   report: () => Promise<EngineReport | undefined>
   /** Lists the indexes of the staged chunks; undefined if the engine does not answer. */
   listStaged: (model: string) => Promise<readonly number[] | undefined>
-  /** Reads a staged chunk; undefined if the engine lacks it or does not answer. */
-  readStaged: (model: string, index: number) => Promise<Buffer | undefined>
+  /** Reads a staged chunk; `absent` if the engine lacks it, undefined if it does not answer. */
+  readStaged: (model: string, index: number) => Promise<Buffer | 'absent' | undefined>
   /** Writes a chunk to the engine's staging area; returns whether the engine accepted it. */
   stage: (model: string, index: number, bytes: Buffer) => Promise<boolean>
-  /** Orders the engine to load the staged weights. */
-  loadStaged: (model: string, version: number, mode: LoadMode) => Promise<LoadOrderResult>
+  /** Orders the engine to load the staged weights, on condition that it has accepted `orderCount` orders so far; without a condition if that is undefined. */
+  loadStaged: (model: string, version: number, mode: LoadMode, orderCount: number | undefined) => Promise<LoadOrderResult>
+  /** Orders the engine to give up all layers of a model, under the same condition. It counts as an order, so that earlier ones with this condition are no longer accepted. */
+  unload: (model: string, version: number, orderCount: number | undefined) => Promise<LoadOrderResult>
 }
 
 /** Digests of a version's chunks, in order of their index. */
--- a/src/follow/members.ts
+++ b/src/follow/members.ts
@@ -18,7 +18,9 @@
   port: Decode.Port,
   zone: Schema.String,
   region: Schema.String,
-  incarnation: Schema.String
+  incarnation: Schema.String,
+  /** Address of the endpoint beside an agent. */
+  endpoint: Schema.optional(Schema.Struct({ host: Schema.String, port: Decode.Port }))
 })
 /** A process of the system. */
 export type Member = typeof Member.Type
--- a/src/follow/news.ts
+++ b/src/follow/news.ts
@@ -25,7 +25,10 @@
   loading: Schema.Boolean,
   /** The endpoint takes no new calls, as while it loads, and only finishes those that run. */
   retiring: Schema.optional(Schema.Boolean),
-  weights: Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int }))
+  weights: Schema.Array(Schema.Struct({ model: Schema.String, version: Schema.Int })),
+  /** Number of orders that the endpoint has accepted since its start, and the number at which its loads were shown to be sound. */
+  orderCount: Schema.optional(Schema.Int),
+  provenOrderCount: Schema.optional(Schema.Int)
 })
 /** The load of the endpoint beside an agent, sent to gateways. */
 export type LoadNews = typeof LoadNews.Type
@@ -35,6 +38,11 @@
 /** Chunks that an agent has just verified; the receiver fetches them from it. */
 export type VerifiedChunksNews = typeof VerifiedChunksNews.Type
 
+/** Tells an agent that has restarted up to which order the loads of its endpoint's start were shown to be sound. */
+export const ProofNews = Schema.Struct({ bornAtMs: Schema.optional(Schema.Number), orderCount: Schema.Int })
+/** Tells an agent that has restarted up to which order the loads of its endpoint's start were shown to be sound. */
+export type ProofNews = typeof ProofNews.Type
+
 /** The rate of calls that an endpoint accepts, as it stated (`Routing.Limits.LimitStatement`); times are by the store's clock. */
 export const LimitNews = Schema.Struct({
   endpointId: Schema.String,
@@ -77,6 +85,7 @@
   limits: Schema.optional(Schema.Array(LimitNews)),
   requests: Schema.optional(Schema.Array(RequestNews)),
   held: Schema.optional(VerifiedChunksNews),
+  proof: Schema.optional(ProofNews),
   /** Shows that the sender is alive; true also asks the receiver for a reply with false. */
   rollCall: Schema.optional(Schema.Boolean)
 })
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -70,11 +70,11 @@
  * Joins the system's processes: listens for them and writes the process's entry.
  *
  * @param options - The process and its environment.
- * @param kind - Kind of the process.
+ * @param own - Kind of the process, and the endpoint beside an agent.
  * @param routes - Further routes that are served to other processes.
  * @returns The process, once it listens.
  */
-export async function open (options: NodeOptions, kind: Members.Member['kind'], routes: readonly HttpServer.Route[] = []): Promise<Node> {
+export async function open (options: NodeOptions, own: Pick<Members.Member, 'kind' | 'endpoint'>, routes: readonly HttpServer.Route[] = []): Promise<Node> {
   const { name, host, port, zone, region, random, log, metrics } = options
   const store = HeldReads.secureHeldReads(withCallCounts(options.store, metrics), { metrics, log })
   const incarnation = Crypto.randomUUID()
@@ -129,7 +129,7 @@
   })
   const followerOptions = { store, askPeer, clock: options.clock, storeClock, readings, random, metrics, log }
 
-  const entry = Entry.createEntry({ member: { name, kind, host, port, zone, region, incarnation }, store, random, log })
+  const entry = Entry.createEntry({ member: { name, host, port, zone, region, incarnation, ...own }, store, random, log })
   return {
     incarnation,
     storeClock,
@@ -150,7 +150,7 @@
         awaitsMembers: () => false,
         seeds: options.seeds,
         isPart: false,
-        mayReadStore: kind === 'gateway',
+        mayReadStore: own.kind === 'gateway',
         neighbourWaitMs: MEMBERS_NEIGHBOUR_WAIT_MS
       })
       follower = Follower.createFollower({
--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -144,7 +144,7 @@
   let stopping = false
   let callsEndByMs = Infinity
 
-  const node = await Node.open(options, 'gateway')
+  const node = await Node.open(options, { kind: 'gateway' })
   const quarantine = Quarantine.createQuarantine({ name: options.name, node, store: options.store, clock, random, metrics, log })
   const members = (): readonly Follow.Members.Member[] => node.members()
   /** All gateways seen so far, by name: each keeps the weight that it sent last. */
@@ -157,6 +157,9 @@
   const sharersOf = Core.Memo.memoizeByIdentity((others: readonly Follow.Members.Member[]): Routing.Turns.Sharers =>
     ({ own: sharerOf(options.name), others: others.filter(member => member.kind === 'gateway').map(member => sharerOf(member.name)) }))
 
+  const managedAddressesOf = Core.Memo.memoizeByIdentity((others: readonly Follow.Members.Member[]): ReadonlySet<string> =>
+    new Set(others.flatMap(({ endpoint }) => endpoint === undefined ? [] : [`${endpoint.host}:${endpoint.port}`])))
+
   /** Applies a load report as of a time, in milliseconds, unless a later one is known. */
   const applyLoad = (load: Follow.News.LoadNews, atMs: number): void => {
     const row = endpointByAddress.get(`${load.host}:${load.port}`)
@@ -280,6 +283,7 @@
       region: options.region,
       drainedZones: operators.drainedZones,
       oldestVersionOf: model => versions.oldestSendableOf(model, node.storeClock.now()),
+      isManaged: ({ host, port }) => managedAddressesOf(members()).has(`${host}:${port}`),
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone)),
       sharers: node.knowsMembers() ? sharersOf(members()) : undefined,
@@ -310,8 +314,17 @@
     isStopping: () => stopping,
     callsEndByMs: () => callsEndByMs
   })
+  /** Tells an agent that has restarted what its predecessor reported as sound. */
+  const returnProof = ({ host, port, bornAtMs, orderCount, provenOrderCount }: Follow.News.LoadNews, agent: string): void => {
+    const row = endpointByAddress.get(`${host}:${port}`)
+    if (orderCount === undefined || provenOrderCount !== undefined || row?.listing.bornAtMs !== bornAtMs || row?.loaded?.provenOrderCount !== orderCount) return
+    node.sendNews({ revisions: {}, proof: { bornAtMs, orderCount } }, 'agent', member => member.name === agent)
+  }
   node.receiveNews(message => {
-    if (message.load !== undefined) recordLoad(message.load)
+    if (message.load !== undefined) {
+      recordLoad(message.load)
+      returnProof(message.load, message.sender)
+    }
     for (const { ageMs, load } of message.forwardedLoads ?? []) applyLoad(load, clock() - ageMs)
     Follow.News.learnVersions(versions, message, operators.follower, node.storeClock, log)
     for (const limitNews of message.limits ?? []) applyLimitNews(limitNews, message.sender)
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -44,6 +44,8 @@
   readonly drainedZones: ReadonlySet<string>
   /** The oldest version of a model on which a call may begin. */
   readonly oldestVersionOf: (model: string) => number
+  /** Whether an agent is listed beside an endpoint, so that only its reports tell which weights may be used; none is without it. */
+  readonly isManaged?: ((listing: Endpoints.Listing) => boolean) | undefined
   /** Number of gateways that share the endpoints. */
   readonly gatewayCount: number
   /** Number of gateways in this gateway's zone, itself included. */
@@ -212,6 +214,7 @@
   zoneDrained: (row, _requirements, context) => context.drainedZones.has(row.listing.zone),
   region: (row, requirements) => requirements.regions.some(regions => regions.length > 0 && !regions.includes(row.listing.region)),
   loading: (row, requirements) => requirements.service.engine !== undefined && row.load?.loading === true,
+  unproven: (row, requirements, context) => requirements.service.engine !== undefined && !Endpoints.isProven(row, context.isManaged?.(row.listing) === true),
   weights: (row, requirements, context) => requirements.service.engine !== undefined && !holdsModel(row, requirements, context),
   cold: (row, requirements, context, nowMs) => !hasColdCapacity(row, requirements.service, context, nowMs),
   limited: (row, _requirements, context) => !hasTurn(row, context),
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -45,6 +45,19 @@
   /** Whether the endpoint is only finishing its calls before it loads weights: calls that are queued there begin on the weights that it holds. */
   readonly retiring?: boolean | undefined
   readonly weights: readonly HeldWeights[] | undefined
+  /** Number of orders that the endpoint has accepted since its start; undefined if the source of the report does not tell. */
+  readonly orderCount?: number | undefined
+  /** The number of orders up to which its loads were shown to be sound; undefined if the last load was not. */
+  readonly provenOrderCount?: number | undefined
+}
+
+/** What an agent reported about the loads of an endpoint's start. */
+export interface LoadedState {
+  readonly orderCount: number
+  /** The highest number of orders up to which the loads were shown to be sound; undefined if none was. */
+  readonly provenOrderCount: number | undefined
+  /** The newest version that the endpoint held. */
+  readonly version: number
 }
 
 /** The state of an endpoint at one gateway. */
@@ -53,6 +66,8 @@
   /** When the endpoint stops being cold, in milliseconds. */
   coldUntilMs: number
   weights: readonly HeldWeights[] | undefined
+  /** The last report on the endpoint's loads; undefined if no agent has sent one in this start. */
+  loaded: LoadedState | undefined
   load: LoadReport | undefined
   loadAtMs: number
   /** Random number in [0, 1), drawn with each report: decides which gateway gets a slot that cannot be divided evenly. */
@@ -182,7 +197,7 @@
   return (known.draining && !found.draining) || newestWeightsVersion(found) < newestWeightsVersion(known)
 }
 
-function newestWeightsVersion ({ weights = [] }: Listing): number {
+function newestWeightsVersion ({ weights = [] }: Pick<LoadReport, 'weights'>): number {
   return Math.max(0, ...weights.map(({ version }) => version))
 }
 
@@ -198,6 +213,23 @@
   Object.assign(row, { load, loadAtMs: nowMs, loadDraw: draw, ownAtLoadCount: row.ownCallCount })
   recordSignOfLife(row, nowMs)
   if (load.weights !== undefined) row.weights = load.weights
+  if (load.orderCount === undefined || load.orderCount < (row.loaded?.orderCount ?? 0)) return
+  const provenCounts = [row.loaded?.provenOrderCount, load.provenOrderCount].filter(count => count !== undefined)
+  row.loaded = { orderCount: load.orderCount, provenOrderCount: provenCounts.length === 0 ? undefined : Math.max(...provenCounts), version: newestWeightsVersion(load) }
+}
+
+/**
+ * Tells whether the layers that an endpoint holds are known to be sound. Those that it held when it started are.
+ *
+ * @param row - The endpoint.
+ * @param isManaged - Whether an agent is listed beside the endpoint: then only its reports tell of loads, and the entry in the platform's list does not.
+ * @returns Whether calls may begin on them.
+ */
+export function isProven ({ loaded, listing }: EndpointRow, isManaged: boolean): boolean {
+  if (loaded === undefined) return !isManaged
+  if (loaded.orderCount > 0 && loaded.provenOrderCount !== loaded.orderCount) return false
+  // A version that is listed and was not reported was loaded since the last report.
+  return newestWeightsVersion(listing) <= loaded.version
 }
 
 /**
@@ -338,6 +370,7 @@
     listing,
     coldUntilMs: 0,
     weights: listing.weights,
+    loaded: undefined,
     load: undefined,
     loadAtMs: 0,
     loadDraw: 0,
--- /dev/null
+++ b/test/load-proof.test.ts
@@ -0,0 +1,175 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as Filling from '../src/filling/index.ts'
+import * as Routing from '../src/routing/index.ts'
+import * as Direct from '../testkit/direct.ts'
+
+const BORN_MS = 7
+const REPORT_MS = 100
+
+/** A report of an engine that holds version 1 unless told otherwise. */
+function reportOf (changes: Partial<Filling.Ports.EngineReport> = {}): Filling.Ports.EngineReport {
+  return { activeCount: 0, queuedCount: 0, pace: 1, loading: false, weights: [{ model: 'm', version: 1 }], bornAtMs: BORN_MS, orderCount: 0, ...changes }
+}
+
+/** Loads of an engine whose reports are requested every 100 ms and arrive 10 ms later. */
+function createPlay (): { readonly proofs: Filling.LoadProof.LoadProofs, readonly observe: (changes?: Partial<Filling.Ports.EngineReport>) => void, readonly nowMs: () => number } {
+  const proofs = Filling.LoadProof.createLoadProofs()
+  let clockMs = 0
+  return {
+    proofs,
+    observe: changes => {
+      clockMs += REPORT_MS
+      proofs.observe(reportOf(changes), clockMs - 10, clockMs)
+    },
+    nowMs: () => clockMs
+  }
+}
+
+describe('the loads of an engine', () => {
+  it('need no proof while the engine has accepted no order in this start', () => {
+    const { proofs, observe } = createPlay()
+    observe()
+    expect(proofs.unprovenLoad()).toEqual(undefined)
+  })
+
+  it('need none while the engine holds no layers', () => {
+    const { proofs, observe } = createPlay()
+    observe({ orderCount: 3, weights: [] })
+    expect(proofs.unprovenLoad()).toEqual(undefined)
+  })
+
+  describe('of this process', () => {
+    it('were accepted between the order and its answer', () => {
+      const { proofs, observe } = createPlay()
+      observe()
+      proofs.recordOrder(2, 110)
+      proofs.recordAnswer('accepted', 130)
+      observe({ orderCount: 1, loading: true })
+      expect(proofs.unprovenLoad()).toEqual({ version: 2, acceptedAfterMs: 110, acceptedByMs: 130 })
+    })
+
+    // Guards against an order that counts as taken at once although its answer was lost and the engine accepted it later.
+    it('were accepted by the first report that counts the order if its answer was lost', () => {
+      const { proofs, observe } = createPlay()
+      observe()
+      proofs.recordOrder(2, 110)
+      proofs.recordAnswer('lost', 1_110)
+      observe()
+      expect(proofs.hasPendingOrder()).toEqual(true)
+      observe({ orderCount: 1 })
+      expect([proofs.hasPendingOrder(), proofs.unprovenLoad()]).toEqual([false, { version: 2, acceptedAfterMs: 110, acceptedByMs: 300 }])
+    })
+
+    it('may have been accepted with the first of two orders under the same condition', () => {
+      const { proofs, observe } = createPlay()
+      observe()
+      proofs.recordOrder(2, 110)
+      proofs.recordAnswer('lost', 1_110)
+      proofs.recordOrder(2, 1_200)
+      proofs.recordAnswer('refused', 1_210)
+      observe({ orderCount: 1 })
+      expect(proofs.unprovenLoad()?.acceptedAfterMs).toEqual(110)
+    })
+
+    // Guards against an order that was meant for an earlier start of the engine and counts as one that was checked.
+    it('are unknown in another start of the engine', () => {
+      const { proofs, observe } = createPlay()
+      observe()
+      proofs.recordOrder(2, 110)
+      proofs.recordAnswer('accepted', 130)
+      observe({ bornAtMs: BORN_MS + 1, orderCount: 1 })
+      expect(proofs.unprovenLoad()).toEqual({ version: undefined, acceptedAfterMs: 90, acceptedByMs: 200 })
+    })
+  })
+
+  describe('of an earlier process', () => {
+    it('were accepted by the first report', () => {
+      const { proofs, observe } = createPlay()
+      observe({ orderCount: 1 })
+      expect(proofs.unprovenLoad()).toEqual({ version: undefined, acceptedAfterMs: -Infinity, acceptedByMs: 100 })
+    })
+
+    it('were accepted after the request for the last report without the order', () => {
+      const { proofs, observe } = createPlay()
+      observe()
+      observe({ orderCount: 1 })
+      expect(proofs.unprovenLoad()).toEqual({ version: undefined, acceptedAfterMs: 90, acceptedByMs: 200 })
+    })
+  })
+
+  describe('once proven', () => {
+    it('stay proven until a further order', () => {
+      const { proofs, observe } = createPlay()
+      observe({ orderCount: 1 })
+      proofs.recordProof({ bornAtMs: BORN_MS, orderCount: 1 })
+      observe({ orderCount: 1 })
+      expect(proofs.unprovenLoad()).toEqual(undefined)
+      observe({ orderCount: 2 })
+      expect(proofs.unprovenLoad()?.acceptedByMs).toEqual(300)
+    })
+
+    it('are not proven by what was said of another start', () => {
+      const { proofs, observe } = createPlay()
+      observe({ orderCount: 1 })
+      proofs.recordProof({ bornAtMs: BORN_MS - 1, orderCount: 1 })
+      expect(proofs.unprovenLoad() === undefined).toEqual(false)
+    })
+  })
+})
+
+describe('the weights of an endpoint', () => {
+  const rowOf = (changes: Partial<Routing.Endpoints.Listing> = {}): Routing.Endpoints.EndpointRow =>
+    Routing.Endpoints.applyListing(Direct.surroundingsOf([]).endpoints, Direct.listingOf('e1', changes), 0)
+  const report = (row: Routing.Endpoints.EndpointRow, changes: Partial<Routing.Endpoints.LoadReport>): void => {
+    Routing.Endpoints.applyLoadReport(row, { activeCount: 0, queuedCount: 0, pace: 1, loading: false, weights: [{ model: 'm', version: 1 }], ...changes }, 0, 0)
+  }
+
+  describe('beside which no agent is listed', () => {
+    it('are used as the platform lists them', () => {
+      expect(Routing.Endpoints.isProven(rowOf(), false)).toEqual(true)
+    })
+  })
+
+  describe('beside which an agent is listed', () => {
+    // Guards against calls on layers that an agent had loaded, and could not judge, before the gateway started.
+    it('are not used before it has reported', () => {
+      expect(Routing.Endpoints.isProven(rowOf(), true)).toEqual(false)
+    })
+
+    it('are used without an order in this start', () => {
+      const row = rowOf()
+      report(row, { orderCount: 0, provenOrderCount: 0 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(true)
+    })
+
+    it('are not used after an order until the load is proven', () => {
+      const row = rowOf()
+      report(row, { orderCount: 1 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(false)
+      report(row, { orderCount: 1, provenOrderCount: 1 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(true)
+    })
+
+    it('stay in use when the agent has restarted and does not know of the proof', () => {
+      const row = rowOf()
+      report(row, { orderCount: 1, provenOrderCount: 1 })
+      report(row, { orderCount: 1 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(true)
+    })
+
+    // Guards against an order that the engine accepted while its agent was paused.
+    it('are not used if a newer version is listed than was reported', () => {
+      const row = rowOf({ weights: [{ model: 'm', version: 2 }] })
+      report(row, { orderCount: 0, provenOrderCount: 0 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(false)
+    })
+
+    it('are not judged by a report that arrives after a later one', () => {
+      const row = rowOf()
+      report(row, { orderCount: 2 })
+      report(row, { orderCount: 1, provenOrderCount: 1 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(false)
+    })
+  })
+})
--- a/testkit/fleet.ts
+++ b/testkit/fleet.ts
@@ -85,6 +85,7 @@
     const source = Store.createRowSource(() => ({ host: '127.0.0.1', port: store.port }))
     const silence = new Promise<never>(() => {})
     const lines: FleetAgent['lines'] = []
+    let orderCount = 0
     const own: Omit<FleetAgent, 'stop'> = { name, staged: engine.staged ?? new Map(), version: engine.version ?? 0, isEngineUp: engine.isEngineUp ?? true, lines }
     const agent = await Filling.Agent.open({
       name,
@@ -109,17 +110,24 @@
       service: 'llm',
       bounds: () => ({ versionMs: options.versionMs, linkBitsPerSecond: options.linkBitsPerSecond }),
       engine: {
-        report: async () => own.isEngineUp ? { activeCount: 0, queuedCount: 0, pace: 1, loading: false, bornAtMs: 1, weights: own.version === 0 ? [] : [{ model, version: own.version }] } : undefined,
+        report: async () => own.isEngineUp ? { activeCount: 0, queuedCount: 0, pace: 1, loading: false, bornAtMs: 1, orderCount, weights: own.version === 0 ? [] : [{ model, version: own.version }] } : undefined,
         listStaged: async () => own.isEngineUp ? [...own.staged.keys()] : undefined,
-        readStaged: async (_model, index) => own.isEngineUp ? own.staged.get(index) : undefined,
+        readStaged: async (_model, index) => own.isEngineUp ? own.staged.get(index) ?? 'absent' : undefined,
         stage: async (_model, index, bytes) => {
           if (own.isEngineUp) own.staged.set(index, bytes)
           return own.isEngineUp
         },
         loadStaged: async (_model, version) => {
           if (!own.isEngineUp) return 'lost'
+          orderCount++
           own.version = version
-          return 'done'
+          return 'accepted'
+        },
+        unload: async () => {
+          if (!own.isEngineUp) return 'lost'
+          orderCount++
+          own.version = 0
+          return 'accepted'
         }
       },
       originAt: () => origin,
