An answer's load header no longer says that an endpoint has stopped loading

Cause: agents tell gateways before a load that their endpoint takes no calls. Once that report was older than 1 s, the load header of any answer from the endpoint replaced it, as "not loading", so a paused or lost agent was taken for one that had said all is well.

Evidence: the test fails without the change (loading false in place of true); not seen in the real-process test, where no answer came in that time.

Change: a header's report keeps what the agent said. An endpoint whose agent does not come back gets no calls until it starts again.

--- a/src/ingress/signals.ts
+++ b/src/ingress/signals.ts
@@ -46,7 +46,8 @@
       }
       const hasFreshReport = row.load !== undefined && nowMs - row.loadAtMs < Routing.Endpoints.LOAD_MAX_AGE_MS
       if (metadata.load !== undefined && !hasFreshReport) {
-        Routing.Endpoints.applyLoadReport(row, { ...metadata.load, pace: row.load?.pace ?? 1, loading: false, weights: undefined }, nowMs, random.next())
+        // Only the agent tells when an endpoint that is about to load takes calls again: answers to earlier calls say nothing of that.
+        Routing.Endpoints.applyLoadReport(row, { ...metadata.load, pace: row.load?.pace ?? 1, loading: row.load?.loading ?? false, retiring: row.load?.retiring, weights: undefined }, nowMs, random.next())
       }
     },
     applyAvailability: (call, attempt, { status, metadata }, nowMs) => {
--- a/test/load-proof.test.ts
+++ b/test/load-proof.test.ts
@@ -1,6 +1,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Core from '../src/core/index.ts'
 import * as Filling from '../src/filling/index.ts'
+import * as Signals from '../src/ingress/signals.ts'
 import * as Routing from '../src/routing/index.ts'
 import * as Direct from '../testkit/direct.ts'
 
@@ -173,3 +175,16 @@
     })
   })
 })
+
+describe('an endpoint whose agent said that it is about to load', () => {
+  // Guards against calls on layers that are not proven, after an agent that is paused or gone could no longer say so.
+  it('gets no calls on the word of an answer', () => {
+    const { endpoints, notices } = Direct.surroundingsOf([Direct.listingOf('e1')])
+    const row = endpoints.get('e1')
+    if (row === undefined) throw new Error('no row')
+    const reader = Signals.createSignalReader({ notices: { ...notices, take: () => undefined }, random: Core.Random.createRandom(1), log: () => {}, onLimit: () => {} })
+    Routing.Endpoints.applyLoadReport(row, { activeCount: 3, queuedCount: 0, pace: 1, loading: true, retiring: true, weights: [{ model: 'm', version: 1 }], orderCount: 0, provenOrderCount: 0 }, 0, 0)
+    reader.applyState(row, { load: { activeCount: 2, queuedCount: 0 }, coldForMs: undefined, isSealed: true, isProvenNotRun: false, callId: undefined, weightsVersion: undefined, limitPerSecond: undefined, isLeaving: false, quietForMs: 0 }, 2 * Routing.Endpoints.LOAD_MAX_AGE_MS)
+    expect([row.load?.loading, row.load?.retiring, row.load?.activeCount]).toEqual([true, true, 2])
+  })
+})
