A call names the version of the weights that its endpoint was chosen for

Cause: a gateway's belief in the version of an endpoint can be as old as the last report of a paused agent or the last entry in the platform's list. Calls were sent on it without a word of the version, so whatever the endpoint held when the call began answered it.

Change: calls carry X-Fescuespread-Expect-Version, so the age of the belief is bounded where the call begins: an endpoint with another version answers 421, not run, and the call goes elsewhere. Where an agent reports, its report decides over the list, which is older.

--- a/src/ingress/dialect.ts
+++ b/src/ingress/dialect.ts
@@ -26,6 +26,8 @@
   readonly leftMs: number
   /** Id of the event after which a resumed stream continues. */
   readonly lastEventId: string | undefined
+  /** Version of the weights for which the endpoint was chosen; undefined if it holds none. An endpoint with another version does not run the call. */
+  readonly weightsVersion?: number | undefined
   /** Position in the endpoint's queue, from 0 (first) to 9; undefined to leave the order to the endpoint. */
   readonly queuePosition?: number | undefined
   /** Length of the body; undefined for a method without one. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -319,7 +319,7 @@
       port: listing.port,
       method: call.request.method ?? 'GET',
       path: call.request.url ?? '/',
-      rawHeaders: dialect.forwardHeaders(call.request.rawHeaders, { endpointId: listing.endpointId, workspace: call.workspace?.name, leftMs, lastEventId: call.lastEventId, queuePosition: call.rank === undefined ? undefined : Routing.Ranks.queuePositionOf(call.rank, call), bodyBytes: call.body?.length ?? (BODILESS_METHODS.has(call.request.method ?? 'GET') ? undefined : 0) }),
+      rawHeaders: dialect.forwardHeaders(call.request.rawHeaders, { endpointId: listing.endpointId, workspace: call.workspace?.name, leftMs, lastEventId: call.lastEventId, weightsVersion: Routing.Endpoints.findWeights(row, call.requirements.model)?.version, queuePosition: call.rank === undefined ? undefined : Routing.Ranks.queuePositionOf(call.rank, call), bodyBytes: call.body?.length ?? (BODILESS_METHODS.has(call.request.method ?? 'GET') ? undefined : 0) }),
       body: call.body,
       maxIdleMs: call.route.kind === 'nonIdempotent' ? NON_IDEMPOTENT_MAX_IDLE_MS : MAX_IDLE_MS
     }, {
--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -134,7 +134,8 @@
   const restarted = existing !== undefined && existing.listing.bornAtMs !== listing.bornAtMs
   const row: EndpointRow = existing === undefined || restarted
     ? createRow(listing, nowMs)
-    : Object.assign(existing, { listing, keptUntilMs: undefined, weights: listing.weights })
+    // Reports of an agent are more recent than the list.
+    : Object.assign(existing, { listing, keptUntilMs: undefined, weights: existing.loaded === undefined ? listing.weights : existing.weights })
   if (listing.coldForMs > 0) row.coldUntilMs = nowMs + listing.coldForMs
   endpoints.set(listing.endpointId, row)
   return row
--- a/test/stale-checks.test.ts
+++ b/test/stale-checks.test.ts
@@ -93,6 +93,17 @@
       void stage.replaceGateway()
     })
   },
+  'the order reaches the engine late, the agent is killed, and the next one is paused after its first reports': stage => {
+    holdOrders(stage, () => {
+      stage.engine.area.spoil(SPOILT)
+      void stage.restartAgent()
+      setTimeout(() => { pauseAgent(stage) }, HELD_MS - 1_500)
+    })
+  },
+  'a late order is accepted while the agent is paused and gateways believe in version 1': stage => {
+    pauseAgent(stage)
+    setTimeout(() => { stage.engine.area.order({ operation: 'start', version: 2 }) }, EngineStage.TOLERATED_BAD_MS + 200)
+  },
   'the engine restarts without its chunks between the check and the order': stage => {
     holdOrders(stage, () => { stage.engine.restart(false) })
   }
--- a/testkit/engineStage.ts
+++ b/testkit/engineStage.ts
@@ -36,7 +36,8 @@
 const LAYER_COUNT = 4
 /** Loading takes so long at the users' engines. */
 const LOAD_MS = 300
-const BEAT_INTERVAL_MS = 300
+/** An endpoint's entry is written about so often. */
+const BEAT_INTERVAL_MS = 1_200
 const CALLER_COUNT = 4
 const PAUSE_MS = 20
 const READY_LIMIT_MS = 20_000
