A call is not sent on a choice of its endpoint that is old when the connection opens

Callers saw: a call that was chosen an endpoint just before the gateway stood still was written to its new connection when the gateway ran again. The endpoint had the whole deadline of before, and began on a version that was overdue by then.

Cause: the choice is made, and the deadline computed, before the connection opens; Node writes the call when it does. The timer bounds that to 400 ms, but lets a connection pass that opened while the process stood still, so that no endpoint is blamed for it. Nothing asked how old the choice was then: the wait was unbounded.

Change: when a new connection opens, the ingress is asked whether the call may still be sent. A choice older than 500 ms is not acted on: nothing is written, and the endpoint is chosen anew from what is known then. No endpoint has seen the call, so that is no repeat: it takes nothing from the retry budget and rules no endpoint out, but counts among the three attempts, so that it ends. `Attempt ended.` with the reason `outdated` names the age in tookMs. On a kept connection the call is written in the turn of the choice.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -81,6 +81,8 @@
 const NON_IDEMPOTENT_MAX_IDLE_MS = 800
 /** Time after a call's deadline at which the gateway itself answers, in milliseconds: an endpoint's answer after the deadline would be of no use. */
 const DEADLINE_GRACE_MS = 20
+/** Maximum time from the choice of an endpoint until the call is written to a new connection, in milliseconds: longer than a connection takes to open, unless this process stood still meanwhile. */
+const SEND_DELAY_LIMIT_MS = 500
 /** Maximum size of an answer that is not streamed, in bytes: an instance has some 220 MB, and several such answers may arrive at once. */
 const ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
 /** Maximum size of an event of a stream, in bytes: an event holds a few tokens. */
@@ -323,6 +325,7 @@
       body: call.body,
       maxIdleMs: call.route.kind === 'nonIdempotent' ? NON_IDEMPOTENT_MAX_IDLE_MS : MAX_IDLE_MS
     }, {
+      mayStillSend: () => clock() - nowMs <= SEND_DELAY_LIMIT_MS,
       onHead: (status, headers, rawHeaders) => { containCall(call, () => { onHead(call, attempt, status, headers, rawHeaders) }) },
       onData: bytes => { containCall(call, () => { onData(call, attempt, bytes) }) },
       onEnd: () => { containCall(call, () => { onEnd(call, attempt) }) },
@@ -436,6 +439,11 @@
 
   const onFailed = (call: Calls.Call, attempt: Calls.Attempt, stage: Upstream.ExchangeStage, reason: string): void => {
     const { row, listing } = attempt
+    if (stage === 'outdated') {
+      call.requirements.triedIds.delete(listing.endpointId)
+      endAttempt(call, attempt, 'notSent', `${stage}: ${reason}`)
+      return
+    }
     const wasSent = stage === 'sent' || stage === 'answering'
     const end: Routing.Retries.AttemptEnd = !wasSent ? 'notRun' : call.eventCount > 0 ? 'broken' : 'unknown'
     reportFailure(row, `${stage}: ${reason}`, call)
@@ -546,12 +554,12 @@
     if (call.done || call.attempt !== attempt) return
     const nowMs = clock()
     releaseAttempt(call)
-    if (end !== 'notRun') call.possibleRunCount++
+    if (end !== 'notRun' && end !== 'notSent') call.possibleRunCount++
     if (mayHaveCrashed) quarantine.recordInterruption(keysOf(call), attempt.listing)
     const history = historyOf(call, nowMs)
     const isQuarantined = call.isQuarantineProbe || quarantineActionOf(call) !== 'send' || (mayHaveCrashed && quarantine.isSuspected(keysOf(call)))
     const step = isQuarantined ? Routing.Retries.finalStep(end, history) : Routing.Retries.nextStep(end, history)
-    const isRetry = step === 'retry' && options.budget.take(call.service, Routing.Choice.sharingGatewayCount(options.routingContext()), nowMs)
+    const isRetry = step === 'retry' && (end === 'notSent' || options.budget.take(call.service, Routing.Choice.sharingGatewayCount(options.routingContext()), nowMs))
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : isQuarantined ? 'quarantined' : step
     log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, attemptCount: call.attemptCount, ...(mayHaveCrashed ? requestFields(call) : {}) })
     metrics.count('attempts_ended_total', { end, next })
--- a/src/ingress/upstream.ts
+++ b/src/ingress/upstream.ts
@@ -22,11 +22,13 @@
   readonly maxIdleMs: number
 }
 
-/** Stage of an exchange at its failure; `refused` if nothing listens at the address. */
-export type ExchangeStage = 'connecting' | 'refused' | 'sent' | 'answering'
+/** Stage of an exchange at its failure; `refused` if nothing listens at the address, `outdated` if the connection opened when the call was no longer to be sent. */
+export type ExchangeStage = 'connecting' | 'refused' | 'outdated' | 'sent' | 'answering'
 
 /** Handlers for the events of an exchange. Exactly one of `onEnd` and `onFailed` is called, unless the exchange is aborted. */
 export interface ExchangeListener {
+  /** Called when a new connection has opened, before the call is written to it. Returns whether the call may still be sent; without it, the call is sent. */
+  mayStillSend?: () => boolean
   onHead: (status: number, headers: Http.IncomingHttpHeaders, rawHeaders: string[]) => void
   onData: (bytes: Buffer) => void
   /** Called when the answer is complete. */
@@ -148,7 +150,13 @@
       clearTimeout(timer)
       if (stage === 'connecting') stage = 'sent'
     }
-    if (socket.connecting) socket.once('connect', onConnected)
+    // Node writes the call only after this listener, which was added first.
+    const onOpened = (): void => {
+      if (isSettled || listener.mayStillSend?.() !== false) { onConnected(); return }
+      stage = 'outdated'
+      fail('connection opened too late')
+    }
+    if (socket.connecting) socket.once('connect', onOpened)
     else onConnected()
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
--- a/src/routing/retries.ts
+++ b/src/routing/retries.ts
@@ -13,6 +13,8 @@
 export type AttemptEnd =
   /** The endpoint confirmed that it did not run the call, or no byte of the call was sent. */
   | 'notRun'
+  /** The call was kept back when its connection opened, so that no endpoint has seen it. */
+  | 'notSent'
   /** The endpoint itself answered with a failure. */
   | 'failed'
   /** The call was sent and its outcome is unknown. */
@@ -35,6 +37,8 @@
 /** The next step for a call. */
 export type NextStep = 'retry' | 'refuse' | 'answerFailure' | 'fail'
 
+/** Ends after which it is certain that the attempt did not run. */
+const NOT_RUN_ENDS: ReadonlySet<AttemptEnd> = new Set(['notRun', 'notSent'])
 /** Maximum number of attempts for one call, including those that did not run: each refused attempt costs time and budget. */
 const ATTEMPT_LIMIT_COUNT = 3
 /** Minimum remaining time for a retry, in milliseconds: with less, it is unlikely to succeed and would waste budget. */
@@ -45,13 +49,14 @@
  *
  * @param end - How the last attempt ended.
  * @param call - The history of the call, including that attempt.
- * @returns The next step; a retry is still subject to the retry budget.
+ * @returns The next step; a retry is still subject to the retry budget, unless the call was not sent.
  */
 export function nextStep (end: AttemptEnd, call: CallHistory): NextStep {
   const isRepeatable = call.kind === 'idempotent' || (call.kind === 'stream' && call.resumable)
   const isWithinLimits = call.ranCount < call.runLimitCount && call.sentCount < ATTEMPT_LIMIT_COUNT && call.leftMs >= MIN_RETRY_LEFT_MS
-  if (end === 'notRun' && isWithinLimits && (isRepeatable || call.ranCount === 0)) return 'retry'
-  if (end !== 'notRun' && isWithinLimits && isRepeatable) return 'retry'
+  const isNotRun = NOT_RUN_ENDS.has(end)
+  if (isNotRun && isWithinLimits && (isRepeatable || call.ranCount === 0)) return 'retry'
+  if (!isNotRun && isWithinLimits && isRepeatable) return 'retry'
   return finalStep(end, call)
 }
 
@@ -64,5 +69,5 @@
  */
 export function finalStep (end: AttemptEnd, call: CallHistory): Exclude<NextStep, 'retry'> {
   if (end === 'failed') return 'answerFailure'
-  return end === 'notRun' && call.ranCount === 0 ? 'refuse' : 'fail'
+  return NOT_RUN_ENDS.has(end) && call.ranCount === 0 ? 'refuse' : 'fail'
 }
--- a/test/direct-connect.test.ts
+++ b/test/direct-connect.test.ts
@@ -1,5 +1,5 @@
 import * as Http from 'node:http'
-import type * as Net from 'node:net'
+import * as Net from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Upstream from '../src/ingress/upstream.ts'
@@ -33,4 +33,29 @@
     server.close()
     expect(outcome).toEqual('answered with 200')
   })
+
+  it('writes nothing to a connection that opened when its call was no longer to be sent', async () => {
+    let receivedBytes = 0
+    const closed: Array<Promise<void>> = []
+    const server = Net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', bytes => { receivedBytes += bytes.length })
+      closed.push(new Promise(resolve => { socket.once('close', () => { resolve() }) }))
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const upstream = Upstream.createUpstream()
+    const outcome = await new Promise<string>(resolve => {
+      upstream.send({ host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port, method: 'POST', path: '/', rawHeaders: ['Host', 'h', 'Content-Length', '4'], body: Buffer.from('body'), maxIdleMs: 0 }, {
+        mayStillSend: () => false,
+        onHead: status => { resolve(`answered with ${status}`) },
+        onData: () => {},
+        onEnd: () => {},
+        onFailed: (stage, reason) => { resolve(`${stage}: ${reason}`) }
+      })
+    })
+    server.close()
+    await Promise.all(closed)
+    upstream.close()
+    expect([outcome, receivedBytes]).toEqual(['outdated: connection opened too late', 0])
+  })
 })
--- a/test/direct-routing.test.ts
+++ b/test/direct-routing.test.ts
@@ -268,7 +268,7 @@
   })
 
   it('never reports that a call did not run if one of its attempts may have run', () => {
-    const ends: Routing.Retries.AttemptEnd[] = ['notRun', 'failed', 'unknown', 'broken']
+    const ends: Routing.Retries.AttemptEnd[] = ['notRun', 'notSent', 'failed', 'unknown', 'broken']
     const steps = ends.map(end => Routing.Retries.finalStep(end, history({ ranCount: 1 })))
     expect(steps.includes('refuse')).toEqual(false)
   })
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -294,17 +294,31 @@
   {
     name: 'direct: runs of a call that must not run twice',
     file: 'src/routing/retries.ts',
-    text: "if (end !== 'notRun' && isWithinLimits && isRepeatable) return 'retry'",
-    replacement: "if (end !== 'notRun' && isWithinLimits) return 'retry'",
+    text: "if (!isNotRun && isWithinLimits && isRepeatable) return 'retry'",
+    replacement: "if (!isNotRun && isWithinLimits) return 'retry'",
     checks: [test('direct-routing')]
   },
   {
     name: 'direct: promise only what is proved',
     file: 'src/routing/retries.ts',
-    text: "return end === 'notRun' && call.ranCount === 0 ? 'refuse' : 'fail'",
+    text: "return NOT_RUN_ENDS.has(end) && call.ranCount === 0 ? 'refuse' : 'fail'",
     replacement: "return 'refuse'",
     checks: [test('direct-routing')]
   },
+  {
+    name: 'direct: a decision that is old when its connection opens',
+    file: 'src/ingress/ingress.ts',
+    text: 'mayStillSend: () => clock() - nowMs <= SEND_DELAY_LIMIT_MS',
+    replacement: 'mayStillSend: () => true',
+    checks: [test('stale-decisions')]
+  },
+  {
+    name: 'direct: a call that is not sent is kept off its connection',
+    file: 'src/ingress/upstream.ts',
+    text: "      stage = 'outdated'\n      fail('connection opened too late')",
+    replacement: "      listener.onFailed('outdated', 'connection opened too late')\n      isSettled = true",
+    checks: [test('direct-connect')]
+  },
   {
     name: 'direct: answer of another call',
     file: 'src/ingress/ingress.ts',
