After a standstill, a gateway reads what arrived before it sends calls

Callers saw: a caller left while the gateway stood still, and its call was sent to an endpoint when the gateway ran again. A call that arrived meanwhile was sent to a zone that had been taken out of service while the gateway stood still.

Cause: what arrives during a standstill is read connection by connection. A call was placed as soon as it was read, on kept connections written at once, although the close of its caller's connection and the change of the zone lay unread beside it. The same holds for calls that waited here.

Evidence: test/stale-decisions.test.ts, "a call that arrived while the gateway stood still", event loop blocked for 600 ms. Before: the call of the caller that left arrived at the endpoint (true in place of false); the call after the evacuation got 200 and had arrived there ([["HTTP/1.1 200 OK"], true] in place of [["HTTP/1.1 503 Service Unavailable"], false]). A caller that still waits is served, before and after.

Change: for 50 ms after a standstill that routing/standstill detects, new calls, calls that waited and calls that are sent again are held in the waiting queue, and then placed by what is known. A call is held once, so that a process that stands still again and again still places it. `Gateway stood still.` tells how old the calls and changes can be. What the store has to be asked for again is not waited for: this covers what had arrived.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -83,6 +83,8 @@
 const DEADLINE_GRACE_MS = 20
 /** Maximum time from the choice of an endpoint until the call is written to a new connection, in milliseconds: longer than a connection takes to open, unless this process stood still meanwhile. */
 const SEND_DELAY_LIMIT_MS = 500
+/** Time for which calls are held after a standstill of this process, in milliseconds: changes and the closes of callers' connections that arrived meanwhile are read first. */
+const CATCH_UP_MS = 50
 /** Maximum size of an answer that is not streamed, in bytes: an instance has some 220 MB, and several such answers may arrive at once. */
 const ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
 /** Maximum size of an event of a stream, in bytes: an event holds a few tokens. */
@@ -121,6 +123,7 @@
   const { write, writeEndpointAnswer, withConnectionHeader } = Replies.createReplies(options.isStopping)
   const faults = Faults.createFaults(options)
   let isPlacingScheduled = false
+  let caughtUpAtMs = -Infinity
 
   /** Runs the work for one call: an unexpected error in it ends that call alone. */
   const containCall = (call: Calls.Call, work: () => void): void => { faults.contain('call', work, () => { endFaulty(call) }) }
@@ -240,7 +243,14 @@
     options.demand.recordCall(nowMs)
     response.once('close', () => { if (!call.done) containCall(call, () => { cancel(call) }) })
     call.deadlineTimer = setTimeout(() => { containCall(call, () => { onDeadline(call) }) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_GRACE_MS))
-    containCall(call, () => { place(call) })
+    containCall(call, () => { placeOnceCaughtUp(call) })
+  }
+
+  /** Places a call, after a standstill of this process only once what arrived meanwhile was read. */
+  const placeOnceCaughtUp = (call: Calls.Call): void => {
+    if (isCaughtUp(clock())) { place(call); return }
+    waiting.add(call)
+    retryWaiting()
   }
 
   const choose = ({ engine }: Routing.Deployment.Service, candidates: readonly Routing.Choice.Candidate[], context: Routing.Choice.RoutingContext, nowMs: number): Routing.Choice.Candidate | undefined =>
@@ -251,7 +261,6 @@
   /** Sends a call, queues it or refuses it. */
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
-    adjustForStandstill(nowMs)
     const quarantineAction = quarantineActionOf(call)
     if (quarantineAction === 'keepBack') {
       waiting.remove(call)
@@ -297,12 +306,16 @@
 
   const placeWaiting = (): void => {
     isPlacingScheduled = false
+    adjustForStandstill(clock())
     for (const call of waiting.inOrder()) if (!call.done && call.attempt === undefined) containCall(call, () => { place(call) })
   }
   const retryWaiting = (): void => {
     if (isPlacingScheduled || waiting.count() === 0) return
     isPlacingScheduled = true
-    setImmediate(placeWaiting)
+    setImmediate(() => {
+      if (isCaughtUp(clock())) placeWaiting()
+      else setTimeout(placeWaiting, CATCH_UP_MS)
+    })
   }
 
   const send = (call: Calls.Call, candidate: Routing.Choice.Candidate, nowMs: number): void => {
@@ -567,7 +580,7 @@
     if (isRetry) {
       call.resuming = call.stream !== undefined
       call.waitingSinceMs = nowMs
-      place(call)
+      placeOnceCaughtUp(call)
       return
     }
     endCall(call, step === 'retry' ? Routing.Retries.finalStep(end, history) : step, step === 'retry' ? 'retriesUsedUp' : isQuarantined ? 'quarantined' : 'overCapacity')
@@ -694,6 +707,7 @@
   const adjustForStandstill = (nowMs: number): void => {
     const standstillMs = standstill.recordTick(nowMs)
     if (standstillMs === 0) return
+    caughtUpAtMs = nowMs + CATCH_UP_MS
     log('gateway', 'Gateway stood still.', { tookMs: Math.round(standstillMs), activeCount: calls.size })
     for (const row of options.routingContext().endpoints.rows()) row.heardAtMs = Routing.Standstill.shiftByPause(row.heardAtMs, standstillMs, nowMs)
     for (const { attempt: currentAttempt, stalledAttempt } of calls) {
@@ -701,6 +715,12 @@
     }
   }
 
+  /** Returns whether what arrived during a standstill of this process has been read. */
+  const isCaughtUp = (nowMs: number): boolean => {
+    adjustForStandstill(nowMs)
+    return nowMs >= caughtUpAtMs
+  }
+
   const checkSilence = (call: Calls.Call, nowMs: number): void => {
     const { attempt, route } = call
     if (attempt === undefined) return
--- a/test/stale-decisions.test.ts
+++ b/test/stale-decisions.test.ts
@@ -1,3 +1,4 @@
+import * as Net from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Direct from '../testkit/direct.ts'
@@ -7,6 +8,15 @@
 /** Time that passes between a decision and its effect, in milliseconds: an instance freezes for so long. */
 const STANDSTILL_MS = 5_000
 const DEADLINE_MS = 60_000
+/** Real time for which the event loop is blocked, in milliseconds: longer than the delays of a busy process. */
+const BLOCKED_MS = 600
+const SETTLED_MS = 300
+
+/** Blocks the process for a time, as a standstill does. */
+function blockEventLoop (forMs: number): void {
+  const untilMs = performance.now() + forMs
+  while (performance.now() < untilMs);
+}
 
 describe('a call whose connection opens long after the endpoint was chosen', () => {
   let stage: Direct.DirectStage
@@ -52,3 +62,54 @@
     expect(leftOutCount()).toEqual(0)
   })
 })
+
+describe('a call that arrived while the gateway stood still', () => {
+  let stage: Direct.DirectStage
+  const requestOf = (id: string): string => `POST /read/1 HTTP/1.1\r\nHost: h\r\nX-Fescuespread-Attempt-Id: ${id}\r\nX-Fescuespread-Deadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\nContent-Length: 1\r\n\r\nx`
+  const arrivedIds = (): unknown[] => stage.runners.flatMap(runner => runner.arrived).map(headers => headers['x-fescuespread-attempt-id'])
+  /** Connects a caller, whose requests are written at once. */
+  const connect = async (): Promise<Net.Socket> => {
+    const socket = Net.connect(stage.port, '127.0.0.1')
+    socket.on('error', () => {})
+    await new Promise<void>(resolve => { socket.once('connect', resolve) })
+    await TestKit.Wait.sleep(SETTLED_MS)
+    return socket
+  }
+
+  beforeEach(async () => {
+    stage = await Direct.startDirectStage([{ instanceId: 'e1', service: 'plain' }])
+    // Leaves a connection to the endpoint open, on which a call is written as soon as it is sent.
+    await TestKit.Wait.until('a call is served', WAIT_TIMEOUT_MS, async () => (await stage.call({ path: '/read/1' })).status === 200)
+  })
+  afterEach(async () => { await stage.stop() })
+
+  it('does not reach an endpoint if its caller has left meanwhile', async () => {
+    const socket = await connect()
+    socket.write(requestOf('left'))
+    socket.destroy()
+    blockEventLoop(BLOCKED_MS)
+    await TestKit.Wait.sleep(SETTLED_MS)
+    expect(arrivedIds().includes('left')).toEqual(false)
+  })
+  it('does not reach an endpoint of a zone that was taken out of service meanwhile', async () => {
+    const socket = await connect()
+    let answer = ''
+    socket.on('data', bytes => { answer += bytes.toString() })
+    socket.write(requestOf('late'))
+    stage.store.put('op', 'evacuate/a', {})
+    blockEventLoop(BLOCKED_MS)
+    await TestKit.Wait.until('the call is answered', WAIT_TIMEOUT_MS, () => answer !== '')
+    expect([answer.split('\r\n', 1), arrivedIds().includes('late')]).toEqual([['HTTP/1.1 503 Service Unavailable'], false])
+    socket.destroy()
+  })
+  it('is served if its caller still waits', async () => {
+    const socket = await connect()
+    let answer = ''
+    socket.on('data', bytes => { answer += bytes.toString() })
+    socket.write(requestOf('waits'))
+    blockEventLoop(BLOCKED_MS)
+    await TestKit.Wait.until('the call is answered', WAIT_TIMEOUT_MS, () => answer !== '')
+    expect(answer.split('\r\n', 1)).toEqual(['HTTP/1.1 200 OK'])
+    socket.destroy()
+  })
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -312,6 +312,13 @@
     replacement: 'mayStillSend: () => true',
     checks: [test('stale-decisions')]
   },
+  {
+    name: 'direct: what arrived during a standstill is read before a call is sent',
+    file: 'src/ingress/ingress.ts',
+    text: 'caughtUpAtMs = nowMs + CATCH_UP_MS',
+    replacement: '',
+    checks: [test('stale-decisions')]
+  },
   {
     name: 'direct: a call that is not sent is kept off its connection',
     file: 'src/ingress/upstream.ts',
