An answer that arrived during a standstill is not replaced by 504

Callers saw: 504 at the route's timeout for a read and for a call that must not run twice, although the endpoint's answer had arrived before the timeout.

Cause: the gateway stood still past the timeout. When it ran again, the timer came before the answer was read, and ended the call as unanswered: "no answer yet" was as old as the standstill.

Before: [504, "{"error":"deadlineRunning"}"] in place of [200, "answer to prompt"] on both routes.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -242,7 +242,7 @@
     options.budget.recordCall(service.name, nowMs)
     options.demand.recordCall(nowMs)
     response.once('close', () => { if (!call.done) containCall(call, () => { cancel(call) }) })
-    call.deadlineTimer = setTimeout(() => { containCall(call, () => { onDeadline(call) }) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_GRACE_MS))
+    call.deadlineTimer = setTimeout(() => { containCall(call, () => { onDeadlineTimer(call) }) }, Math.max(0, deadlineAtMs - nowMs + DEADLINE_GRACE_MS))
     containCall(call, () => { placeOnceCaughtUp(call) })
   }
 
@@ -640,6 +640,12 @@
     write(call.response, 503, dialect.refusalHeaders(call.callId, returnMs), reason)
   }
 
+  /** Ends a call whose deadline has passed. After a standstill of this process, its answer may have arrived and is read first. */
+  const onDeadlineTimer = (call: Calls.Call): void => {
+    if (isCaughtUp(clock())) onDeadline(call)
+    else call.deadlineTimer = setTimeout(() => { containCall(call, () => { onDeadline(call) }) }, CATCH_UP_MS)
+  }
+
   const onDeadline = (call: Calls.Call): void => {
     if (call.done) return
     const { attempt } = call
--- a/test/stale-decisions.test.ts
+++ b/test/stale-decisions.test.ts
@@ -113,3 +113,32 @@
     socket.destroy()
   })
 })
+
+describe('an answer that arrived while the gateway stood still', () => {
+  let stage: Direct.DirectStage
+  const TIMEOUT_MS = 400
+
+  beforeEach(async () => {
+    stage = await Direct.startDirectStage([{ instanceId: 'e1', service: 'plain' }])
+    const deployment = Direct.deploymentOf({ origin: '127.0.0.1:1' }) as { readonly routes: readonly object[] }
+    stage.deploy({ ...deployment, version: 2, routes: deployment.routes.map(route => ({ ...route, timeout_ms: TIMEOUT_MS })) })
+    await TestKit.Wait.until('the deployment is in force', WAIT_TIMEOUT_MS, () => stage.lines.some(line => line.sentence === 'Deployment in force.' && line.fields.version === 2))
+    await TestKit.Wait.until('a call is served', WAIT_TIMEOUT_MS, async () => (await stage.call({ path: '/read/1' })).status === 200)
+  })
+  afterEach(async () => { await stage.stop() })
+
+  for (const path of ['/read/1', '/book/1']) {
+    it(`is passed on, although the route's timeout has passed: ${path}`, async () => {
+      const [runner] = stage.runners
+      if (runner === undefined) throw new Error('no runner')
+      const push = runner.ran.push.bind(runner.ran)
+      // The endpoint has answered by then, and the gateway has not read the answer yet.
+      runner.ran.push = (...ids) => {
+        setImmediate(() => { blockEventLoop(BLOCKED_MS) })
+        return push(...ids)
+      }
+      const answer = await stage.call({ path, deadlineMs: DEADLINE_MS })
+      expect([answer.status, answer.text]).toEqual([200, 'answer to prompt'])
+    })
+  }
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -319,6 +319,13 @@
     replacement: '',
     checks: [test('stale-decisions')]
   },
+  {
+    name: 'direct: an answer that arrived during a standstill is read before the deadline ends its call',
+    file: 'src/ingress/ingress.ts',
+    text: 'if (isCaughtUp(clock())) onDeadline(call)',
+    replacement: 'if (!call.done) onDeadline(call)',
+    checks: [test('stale-decisions')]
+  },
   {
     name: 'direct: a call that is not sent is kept off its connection',
     file: 'src/ingress/upstream.ts',
