A new holder does not take the plan back to an earlier manifest

Operators and callers saw: after a change of the lease, a plan that names the models of the manifest before, although a plan from the newer one was in force. Agents follow it, since its version and fencing number are higher: they fetch and load the old weights again, until the holder learns of the newer manifest.

Cause: the holder computes a plan from the documents that it holds, and the commit is conditional on the lease alone. How old those documents are was never asked; a gateway that was paused, or that hears neither its peers nor its watcher, holds them for as long as that lasts.

Change: before it commits a plan, the holder reads the versions in the store. If the store holds a newer manifest or plan, it logs "Plan put off." with both sets of versions, adopts the documents, and computes the plan at its next poll. From that read on, the lease in the commit's condition bounds the age. It costs one small read for each change of the plan. onPlan is onDocument now.

Evidence: test/lease.test.ts, "a holder whose documents are older than those in the store". Without the check both of its tests fail: "The value [1, "v1"] is not equal to [2, "v2"]" and "The value [2, 1, 2] is not equal to [2, 2, 2]" (fencing number, manifest, assignments).

--- a/src/control/placementHolder.ts
+++ b/src/control/placementHolder.ts
@@ -20,8 +20,8 @@
   readonly clock: () => number
   readonly held: Documents.HeldDocuments
   readonly instances: () => readonly Schemas.Platform.Instance[]
-  /** Called with each plan that was committed here. */
-  readonly onPlan: (document: Schemas.Control.Document) => void
+  /** Called with each plan that was committed here, and with each document in the store that is newer than the one held. */
+  readonly onDocument: (document: Schemas.Control.Document) => void
   readonly log: (sentence: string, fields: object) => void
 }
 
@@ -35,6 +35,8 @@
 
 /** The name of the lease under which plans are committed. */
 export const PLACEMENT_LEASE = 'placement'
+/** The kinds of documents from which a plan is computed. */
+const PLANNED_FROM: readonly Schemas.Control.DocumentKind[] = ['manifest', 'placement']
 
 /**
  * Creates a holder.
@@ -56,10 +58,20 @@
     const manifest = options.held.manifest()
     if (grant === undefined || manifest === undefined) return
     const previous = options.held.placement()
-    const manifestVersion = options.held.versions().manifest
+    const heldVersions = options.held.versions()
+    const manifestVersion = heldVersions.manifest
     const assignments = Placement.placeReplicas({ manifest, instances: options.instances(), previous })
     if (previous !== undefined && previous.manifestVersion === manifestVersion && Placement.areAssignmentsEqual(previous.assignments, assignments)) return
     const body: Schemas.Control.PlacementPlan = { fencingNumber: grant.fencingNumber, manifestVersion, assignments }
+    // A plan from still newer documents takes another holder, and the commit is conditional on the lease.
+    const stored = await Commits.readVersions(options.tables)
+    if (stored.isErr()) { options.log('Plan refused.', { code: 'storeUnavailable', reason: stored.error }); return }
+    const newerKinds = PLANNED_FROM.filter(kind => stored.value[kind] > heldVersions[kind])
+    if (newerKinds.length > 0) {
+      options.log('Plan put off.', { heldVersions, versions: stored.value, reason: 'the store holds newer documents than the plan was computed from' })
+      await adoptDocuments(newerKinds)
+      return
+    }
     const committed = await Commits.commit(options.tables, {
       kind: 'placement',
       change: () => body,
@@ -68,7 +80,11 @@
     })
     if (committed.isErr()) { options.log('Plan refused.', { code: committed.error.code, reason: committed.error.message }); return }
     options.log('Plan committed.', { version: committed.value.version, manifestVersion, assignmentCount: assignments.length, fencingNumber: grant.fencingNumber })
-    options.onPlan(committed.value)
+    options.onDocument(committed.value)
+  }
+  const adoptDocuments = async (kinds: readonly Schemas.Control.DocumentKind[]): Promise<void> => {
+    const documents = await Commits.readDocuments(options.tables, kinds)
+    if (documents.isOk()) documents.value.forEach(options.onDocument)
   }
   return {
     poll: async () => {
--- a/src/gateway/app.ts
+++ b/src/gateway/app.ts
@@ -135,7 +135,7 @@
     clock,
     held: node.held,
     instances: node.instances,
-    onPlan: node.adopt,
+    onDocument: node.adopt,
     log: (sentence, fields) => { log.info('placement', sentence, fields) }
   })
   let holding = false
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -2,6 +2,8 @@
 import { expect } from 'earl'
 import * as FastCheck from 'fast-check'
 import * as Control from '../src/control/index.ts'
+import * as Core from '../src/core/index.ts'
+import type * as Schemas from '../src/schema/index.ts'
 import * as TestKit from '../testkit/index.ts'
 
 const DURATION_MS = 1_000
@@ -125,7 +127,7 @@
       clock: () => nowMs,
       held,
       instances: () => [],
-      onPlan: () => {},
+      onDocument: () => {},
       log: (_sentence, fields) => { refusals.push((fields as { code?: string }).code ?? 'none') }
     })
     // The first holder is paused between its grant and its commit of a plan; meanwhile the second takes over.
@@ -148,4 +150,58 @@
     const stored = table.peek('control', 'placement')?.value as { version: number, body: { fencingNumber: number } }
     expect([stored.version, stored.body.fencingNumber]).toEqual([1, 2])
   })
+
+  describe('a holder whose documents are older than those in the store', () => {
+    const manifestOf = (version: string) => TestKit.Manifests.makeManifest(TestKit.Shapes.CONSORTIUM, { version, digest: Core.Hash.sha256(version), sizeBytes: 1 })
+    const instancesOf = (count: number): Schemas.Platform.Instance[] => Array.from({ length: count }, (_, index) => ({
+      instanceId: `fescue-llm-${index}`, kind: 'agent', service: 'fescue-llm', zone: 'kartli', region: 'kartli', host: '127.0.0.1', port: 1, state: 'live'
+    }))
+    const commitManifest = async (table: TestKit.Tables.MemoryTables, version: string) =>
+      (await Control.Commits.commit(table, { kind: 'manifest', change: () => manifestOf(version), nonce: version }))._unsafeUnwrap()
+
+    /** A holder that held all documents, then heard no more of them; meanwhile another one places version v2 and gives up the lease. */
+    async function createLateHolder () {
+      const table = TestKit.Tables.createMemoryTables()
+      let nowMs = 0
+      const sentences: string[] = []
+      const makeHolder = (instanceId: string, instances: () => Schemas.Platform.Instance[]) => {
+        const held = Control.Documents.createHeldDocuments()
+        const holder = Control.PlacementHolder.createHolder({
+          tables: table, instanceId, leaseDurationMs: DURATION_MS, clock: () => nowMs, held, instances, onDocument: held.adopt, log: sentence => { sentences.push(sentence) }
+        })
+        return { held, ...holder }
+      }
+      let instanceCount = 1
+      const first = makeHolder('first', () => instancesOf(1))
+      const late = makeHolder('late', () => instancesOf(instanceCount))
+      const oldManifest = await commitManifest(table, 'v1')
+      first.held.adopt(oldManifest)
+      late.held.adopt(oldManifest)
+      await first.poll()
+      for (const document of (await Control.Commits.readDocuments(table))._unsafeUnwrap()) late.held.adopt(document)
+      first.held.adopt(await commitManifest(table, 'v2'))
+      await first.poll()
+      await first.close()
+      instanceCount = 2
+      sentences.length = 0
+      const planInForce = () => (table.peek('control', 'placement')?.value as { body: Schemas.Control.PlacementPlan }).body
+      return { late, sentences, planInForce, poll: async () => { nowMs += 1; await late.poll() } }
+    }
+
+    it('does not take the plan back to the manifest before', async () => {
+      const { late, sentences, planInForce, poll } = await createLateHolder()
+      expect(planInForce().manifestVersion).toEqual(2)
+      await poll()
+      await poll()
+      expect([planInForce().manifestVersion, planInForce().assignments[0]?.model?.version]).toEqual([2, 'v2'])
+      expect(sentences).toEqual(['Plan put off.'])
+      expect(late.held.versions().manifest).toEqual(2)
+    })
+
+    it('commits its plan from the newer documents at the next poll', async () => {
+      const { planInForce, poll } = await createLateHolder()
+      for (let count = 0; count < 3; count++) await poll()
+      expect([planInForce().fencingNumber, planInForce().manifestVersion, planInForce().assignments.length]).toEqual([2, 2, 2])
+    })
+  })
 })
--- a/tools/soak/worlds/control.ts
+++ b/tools/soak/worlds/control.ts
@@ -148,7 +148,7 @@
   const clock = harness.time.nowMs
   const held = Control.Documents.createHeldDocuments()
   const client = store.clientOf(name)
-  const holder = Control.PlacementHolder.createHolder({ tables: client, instanceId: name, leaseDurationMs: LEASE_MS, clock, held, instances, onPlan: document => { held.adopt(document) }, log: () => {} })
+  const holder = Control.PlacementHolder.createHolder({ tables: client, instanceId: name, leaseDurationMs: LEASE_MS, clock, held, instances, onDocument: document => { held.adopt(document) }, log: () => {} })
   const contender = Control.Lease.createLease({ tables: client, name: 'watched', holder: name, durationMs: LEASE_MS, clock, makeNonce: harness.makeId })
   const repeat = async (work: () => Promise<void>): Promise<void> => {
     for (;;) {
