A load report that is overtaken by a later one does not undo a restart

Callers saw: after an endpoint restarted, the agent could take the model, the "not cold" and the incarnation of before for the newest state. It counted a second crash that never was, with the calls in flight; two crashes put a call into quarantine for half an hour.

Cause: polls of /load start each 200 ms and may each take 1 s, so that up to five overlap. Reports were applied in the order in which their answers came.

Change: reading load reports is a module of its own, src/agent/loadReports.ts, which discards a report that was asked for before one that it has passed on, and logs "Load report discarded." with its age. A poll without an answer is passed on as before.

Evidence: test/load-reports.test.ts, "of an incarnation before a restart do not undo it when they are overtaken". Without the check: "The value [[3 entries], [3 entries]] is not equal to [[3 entries]]". What followed, with the agent's systems and one call running: crashes endpoint-1 and endpoint-2 where the endpoint restarted once, model v1 and not cold where it reported none and cold. The files load, limits, placement.agent, path, prompt-tokens, drain and quarantine pass: 53 tests, none failed.

--- a/src/agent/app.ts
+++ b/src/agent/app.ts
@@ -6,16 +6,16 @@
 import * as Crypto from 'node:crypto'
 import type * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
-import * as Schema from 'effect/Schema'
 import * as Control from '../control/index.ts'
 import * as Core from '../core/index.ts'
 import * as Edge from '../edge/index.ts'
 import * as Process from '../process/index.ts'
-import * as Schemas from '../schema/index.ts'
+import type * as Schemas from '../schema/index.ts'
 import * as Weights from '../weights/index.ts'
 import * as Calls from './calls.ts'
 import * as CacheEvents from './cacheEvents.ts'
 import * as Explain from './explain.ts'
+import * as LoadReports from './loadReports.ts'
 import type * as Messages from './messages.ts'
 import * as Orders from './orders.ts'
 import * as Procedures from './procedures.ts'
@@ -33,26 +33,8 @@
 
 /** Longest time between ticks of the loop, in milliseconds; also the interval at which stream pace is sampled. */
 const LOOP_INTERVAL_MS = 50
-const LOAD_TIMEOUT_MS = 1_000
 const WEIGHT_EXCHANGE_TIMEOUT_MS = 2_000
 
-const EndpointLoad = Schema.Struct({
-  incarnation: Schema.String,
-  modelName: Schema.optional(Schema.String),
-  modelVersion: Schema.optional(Schema.String),
-  modelDigest: Schema.optional(Schema.String),
-  adapterDigests: Schema.optional(Schema.Array(Schema.String)),
-  fencingNumber: Schema.optional(Schema.Int),
-  role: Schema.optional(Schema.String),
-  activeCount: Schema.Int,
-  queuedCount: Schema.Int,
-  capacityCount: Schema.Int,
-  cold: Schema.Boolean
-})
-/** Load assumed for an endpoint that answers but does not report its load. */
-const UNREPORTED_LOAD: Messages.EndpointLoad = { incarnation: '', activeCount: 0, queuedCount: 0, capacityCount: 0, cold: false }
-const decodeLoad = Schemas.Decode.lenient(EndpointLoad)
-
 /**
  * Starts an agent in a scope. Closing the scope stops it gracefully.
  *
@@ -145,16 +127,10 @@
     clock,
     maxTickIntervalMs: LOOP_INTERVAL_MS
   })
-  const pollEndpoint = async (): Promise<void> => {
-    const askedAtMs = clock()
-    const answer = await Edge.HttpClient.sendJson(endpoint, 'GET', '/load', undefined, LOAD_TIMEOUT_MS).catch(() => undefined)
-    const load = answer?.status === 200 ? decodeLoad(answer.value) : undefined
-    if (load?.isOk() === true) push({ kind: 'endpointSeen', load: load.value, askedAtMs })
-    else push({ kind: 'endpointSeen', load: answer !== undefined && Tables.serviceOf(tables)?.reportsLoad === false ? UNREPORTED_LOAD : undefined, askedAtMs })
-  }
+  const loadReports = LoadReports.createReader({ endpoint, reportsLoad: () => Tables.serviceOf(tables)?.reportsLoad, clock, log, push })
   const cacheEvents = CacheEvents.createReader(endpoint, () => tables.endpoint.incarnation, events => { push({ kind: 'cacheEvents', events }) })
   const endpointTimer = setInterval(() => {
-    void pollEndpoint()
+    void loadReports.poll()
     if (Tables.serviceOf(tables)?.kind === 'engine') void cacheEvents.poll()
   }, settings.endpointPollMs)
   const paceTimer = setInterval(() => {
