A call that is quarantined while it waits at an agent is not run

Callers saw: an endpoint that crashes once more under a call although the quarantine was in force at its agent; and two suspects side by side, so that the calls of two workspaces were lost where one suspect is to run alone.

Cause: the agent asks the quarantine when a call is offered. The call may then wait in the queue for up to its deadline, and it was admitted without asking again. Version, drain and deadline are asked again in each tick.

Change: so is the quarantine. A queued attempt whose digest was quarantined since is refused as quarantined, and one whose digest became suspect is marked, so that it is not run beside another.

Evidence: test/quarantine.test.ts, "whose queue holds a call when its digest is judged". Before: the quarantined call was not refused ("The value [["first"], []] is not equal to [["first"], [[2 entries]]]"), and the suspect ran beside the other ("[["first"], ["p", "n"]] is not equal to [["first"], ["n"]]").

--- a/src/agent/attempts.ts
+++ b/src/agent/attempts.ts
@@ -8,7 +8,8 @@
 
 /** An attempt that was offered to this agent and has not finished. */
 export interface AttemptRow {
-  readonly envelope: Schemas.Calls.CallEnvelope
+  /** Replaced only while the attempt is queued. */
+  envelope: Schemas.Calls.CallEnvelope
   state: 'queued' | 'running'
   readonly offeredAtMs: number
   readonly deadlineMs: number
--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -22,6 +22,7 @@
 const MAX_OVER_SHARE_WAIT_MS = 1_500
 const MIN_RETRY_AFTER_MS = 1_000
 const MAX_RETRY_AFTER_MS = 30_000
+const QUARANTINED_REASON = 'Calls with this digest have crashed endpoints.'
 
 /** Queues or refuses offered attempts, admits as many as the limit allows, and records how they end. */
 export const admissionSystem: Tables.System = {
@@ -33,6 +34,7 @@
       if (input.kind === 'callEnded') finish(tables, tick, input.attemptId, input.ending, input.outcome)
       if (input.kind === 'callerGone') withdraw(tables, tick, input.attemptId)
     }
+    markSuspects(tables)
     refuseUnservable(tables, tick)
     admit(tables, tick)
   }
@@ -42,7 +44,7 @@
 
 function enqueue (tables: Tables.Tables, tick: Tables.Tick, offeredEnvelope: Schemas.Calls.CallEnvelope): void {
   if (offeredEnvelope.supersedes !== undefined) withdraw(tables, tick, offeredEnvelope.supersedes)
-  const quarantineEntry = Control.Quarantines.entryInForce(tables.held.quarantine(), offeredEnvelope.digest, tables.wallClock)
+  const quarantineEntry = quarantineEntryOf(tables, offeredEnvelope)
   const envelope = quarantineEntry?.suspect === true ? { ...offeredEnvelope, suspect: true } : offeredEnvelope
   const refuse: Refuse = (code, reason) => { refuseAttempt(tables, tick, envelope, code, reason) }
   const state = Tables.stateOf(tables)
@@ -50,7 +52,7 @@
   if (tables.finished.has(envelope.attemptId)) { refuse('fenced', 'The attempt was fenced.'); return }
   if (state === 'draining') { refuse('draining', 'The endpoint is leaving.'); return }
   if (state !== 'live') { refuse('noEndpoint', `The endpoint is ${state}.`); return }
-  if (quarantineEntry !== undefined && quarantineEntry.suspect !== true) { refuse('quarantined', 'Calls with this digest have crashed endpoints.'); return }
+  if (isQuarantined(quarantineEntry)) { refuse('quarantined', QUARANTINED_REASON); return }
   if (isOtherVersion(tables, envelope)) { refuse('modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'}.`); return }
   if (envelope.timeLeftMs <= 0) { refuse('deadlinePassed', 'The deadline has passed.'); return }
   if (!makeRoom(tables, tick, envelope, refuse)) return
@@ -114,7 +116,26 @@
   return envelope.modelVersion !== undefined && envelope.modelVersion !== tables.endpoint.modelVersion
 }
 
-/** Refuses queued attempts that the endpoint can no longer run, and those whose deadline has passed. */
+function quarantineEntryOf (tables: Tables.Tables, envelope: Schemas.Calls.CallEnvelope): Schemas.Control.QuarantineEntry | undefined {
+  return Control.Quarantines.entryInForce(tables.held.quarantine(), envelope.digest, tables.wallClock)
+}
+
+function isQuarantined (entry: Schemas.Control.QuarantineEntry | undefined): boolean {
+  return entry !== undefined && entry.suspect !== true
+}
+
+/** Marks queued attempts whose digest has become suspect since they were offered. */
+function markSuspects (tables: Tables.Tables): void {
+  if (tables.attempts.queuedCount() === 0 || tables.held.quarantine().entries.length === 0) return
+  for (const row of tables.attempts.workspaces()) {
+    for (const attempt of row.queue.values()) {
+      const { envelope } = attempt
+      if (envelope.suspect !== true && quarantineEntryOf(tables, envelope)?.suspect === true) attempt.envelope = { ...envelope, suspect: true }
+    }
+  }
+}
+
+/** Refuses queued attempts that the endpoint can no longer run, those that were quarantined since they were offered, and those whose deadline has passed. */
 function refuseUnservable (tables: Tables.Tables, tick: Tables.Tick): void {
   if (tables.attempts.queuedCount() === 0) return
   const state = Tables.stateOf(tables)
@@ -123,6 +144,7 @@
       if (state === 'draining') refuseAttempt(tables, tick, envelope, 'draining', 'The endpoint is leaving.')
       else if (state !== 'live') refuseAttempt(tables, tick, envelope, 'noEndpoint', `The endpoint is ${state}.`)
       else if (isOtherVersion(tables, envelope)) refuseAttempt(tables, tick, envelope, 'modelNotLoaded', `The endpoint holds version ${tables.endpoint.modelVersion ?? 'none'} now.`)
+      else if (isQuarantined(quarantineEntryOf(tables, envelope))) refuseAttempt(tables, tick, envelope, 'quarantined', QUARANTINED_REASON)
       else if (tick.nowMs >= deadlineMs) refuseAttempt(tables, tick, envelope, 'deadlinePassed', 'The deadline passed in the queue.')
     }
   }
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -128,6 +128,32 @@
     expect(refusedBy(agent.run([offerOf('p')])).map(({ refusal }) => refusal.code)).toEqual(['quarantined'])
   })
 
+  describe('whose queue holds a call when its digest is judged', () => {
+    /** An agent that runs one call, and then learns of a digest that it holds in its queue. */
+    function createQueueingAgent (suspect: boolean) {
+      const agent = createAgent()
+      const admitted = admittedBy(agent.run([offerOf('first', 'operator-1', suspect ? { suspect } : {}), offerOf('p', 'operator-2'), offerOf('n', 'operator-3')]))
+      const entry = { digest: digestOf('p'), service: 'fescue-llm', crashCount: 2, expiresAtMs: Date.now() + 1e9, ...suspect ? { suspect } : {} }
+      agent.tables.held.adopt({ kind: 'quarantine', version: 1, body: { entries: [entry] } })
+      return { agent, admitted }
+    }
+
+    it('refuses it as quarantined and does not run it', () => {
+      const { agent, admitted } = createQueueingAgent(false)
+      const step = agent.run()
+      expect([admitted, refusedBy(step).map(({ attemptId, refusal }) => [attemptId, refusal.code])]).toEqual([['first'], [['p', 'quarantined']]])
+      agent.warm(8)
+      expect(admittedBy(agent.run([{ kind: 'callEnded', attemptId: 'first', ending: 'whole' }]))).toEqual(['n'])
+    })
+
+    it('does not run it beside another suspect', () => {
+      const { agent, admitted } = createQueueingAgent(true)
+      agent.warm(8)
+      expect([admitted, admittedBy(agent.run())]).toEqual([['first'], ['n']])
+      expect(admittedBy(agent.run([{ kind: 'callEnded', attemptId: 'first', ending: 'whole' }]))).toEqual(['p'])
+    })
+  })
+
   it('reports the calls in flight at a crash, and none at a clean restart', () => {
     const agent = createAgent()
     agent.warm(8)
