A call that is quarantined while its key is claimed is not sent

Callers saw: a keyed call that crashes one more endpoint although its gateway had quarantined it already; the agent refuses it only once it holds the document.

Cause: routing asks for evidence against a call and then claims its key. The table service may answer the claim up to the call's deadline later. Deadline, agent and drain were asked again at that point, the quarantine was not, and whether the call is a suspect had been noted when it arrived.

Change: a call whose digest was quarantined in between goes back to routing, which refuses it and releases the key. Whether it is a suspect is asked at each dispatch.

Evidence: test/quarantine.test.ts, "while its key is claimed", with the answer to the claim 20 s late. Before: it was sent ("The value [1, []] is not equal to [0, ["quarant..."]]"), and not as a suspect ("[undefined] is not equal to [true]"). The files quarantine, claims, keyed-calls, routing, proof.guards, streams and soak pass.

--- a/src/gateway/systems/routing.ts
+++ b/src/gateway/systems/routing.ts
@@ -56,7 +56,7 @@
 export function send (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow): void {
   const { current } = row
   const endpoint = current === undefined ? undefined : tables.endpoints.get(current.endpointId)
-  if (current === undefined || endpoint === undefined || !Choice.takesNewWork(tables, endpoint)) {
+  if (current === undefined || endpoint === undefined || !Choice.takesNewWork(tables, endpoint) || Suspicion.isQuarantined(tables, row.call.digest)) {
     row.current = undefined
     Sending.wait(tables, row)
     return
--- a/src/gateway/systems/sending.ts
+++ b/src/gateway/systems/sending.ts
@@ -6,6 +6,7 @@
 import * as Choice from '../choice.ts'
 import * as ClaimRecords from '../claimRecords.ts'
 import * as Finish from '../finish.ts'
+import * as Suspicion from '../suspicion.ts'
 import type * as Tables from '../tables.ts'
 import * as Clocks from './clocks.ts'
 
@@ -49,6 +50,7 @@
 export function dispatch (tables: Tables.Tables, tick: Tables.Tick, row: Tables.CallRow, attempt: Tables.CurrentAttempt, endpoint: Tables.EndpointRow): void {
   const { call } = row
   const { endpointId } = endpoint
+  row.suspect ||= Suspicion.isSuspect(tables, call.digest)
   attempt.expiresAtMs ??= Clocks.expiryOf(tables, tick, row, attempt)
   row.openAttempts.add(attempt.attemptId)
   Finish.occupy(endpoint, call.workspace)
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -102,6 +102,29 @@
     expect(again.entries.map(({ crashCount, suspect }) => [crashCount, suspect])).toEqual([[1, true]])
   })
 
+  describe('while its key is claimed', () => {
+    const claimsBy = (step: ReturnType<Gateway['run']>) => step.commands.flatMap(command => command.kind === 'writeClaim' ? [command.write] : [])
+    /** A gateway that hears of crashes between the claim of a key and its answer; returns what it does at the answer. */
+    function answerClaimAfter (crashIds: readonly string[]) {
+      const gateway = createGateway()
+      gateway.list(ENDPOINTS)
+      const [write] = claimsBy(gateway.run([arrivalOf('p', { idempotencyKey: 'k' })]))
+      if (write === undefined) throw new Error('no claim was written')
+      for (const crashId of crashIds) gateway.report('kartli-1', { crashes: [{ crashId, digests: [digestOf('p')] }] })
+      return gateway.run([{ kind: 'claimAnswered', callId: 'p', claimKey: write.claimKey, result: { kind: 'granted', revision: 1, record: write.record } }], 20_000)
+    }
+
+    it('is refused when it is quarantined, and its key is released', () => {
+      const answered = answerClaimAfter(['k1', 'k2'])
+      expect([dispatchedBy(answered).length, finishedBy(answered).map(({ code }) => code)]).toEqual([0, ['quarantined']])
+      expect(claimsBy(answered).map(({ kind, record }) => [kind, record.state])).toEqual([['release', 'released']])
+    })
+
+    it('is sent as a suspect when it became one', () => {
+      expect(dispatchedBy(answerClaimAfter(['k1'])).map(({ envelope }) => envelope.suspect)).toEqual([true])
+    })
+  })
+
   it('expires', () => {
     const gateway = createGateway()
     gateway.list(ENDPOINTS)
