A whole answer clears the crashes that were known to it and no later ones

Callers saw: a call that had crashed two endpoints was run again and crashed a third one: its quarantine was gone, and its crashes counted nowhere any more.

Cause: a suspect that is answered whole is cleared by its gateway, which commits that a second later, or as late as the table service comes back. The commit named the digest alone and removed what it then found: also a quarantine that other gateways had committed meanwhile, with crashes from after the answer.

Change: the commit names the crashes that were known when the answer was whole. Only these are taken out of the entry and recorded as lifted; the entry stays for the others, as a suspect for one. What an operator lifts is lifted whole, as before.

Evidence: test/quarantine.test.ts, "cleared by a whole answer that is committed late". Before, three of its four tests fail: with one later crash "The value [[], [[2 entries]]] is not equal to [[[2 entries]], [["k1..."]]]", with two "The value [] is not equal to [[[2 entries], false]]", and after a failed commit "The value [] is not equal to [[["a1..."], true]]".

--- a/src/control/quarantines.ts
+++ b/src/control/quarantines.ts
@@ -21,8 +21,10 @@
 export interface QuarantineChange {
   /** Entries to add or to merge with the existing entries of their digests. */
   readonly put: readonly Schemas.Control.QuarantineEntry[]
-  /** Digests whose entries are to be removed. */
+  /** Digests whose entries are to be removed, whatever they record. */
   readonly lift: readonly string[]
+  /** Crashes that no longer count, because a call with the digest was answered whole after them. */
+  readonly clear?: readonly Schemas.Control.LiftedEvidence[]
 }
 
 const entriesByDigest = Core.Memo.memoizeByIdentity((quarantine: Schemas.Control.Quarantine) => new Map(quarantine.entries.map(entry => [entry.digest, entry])))
@@ -96,7 +98,8 @@
     entries.delete(digest)
     return crashIds.length === 0 ? [] : [{ digest, crashIds }]
   })
-  const lifted = [...(quarantine?.lifted ?? []), ...newlyLifted].slice(-MAX_LIFTED_COUNT)
+  const cleared = change.clear?.filter(evidence => clearEntry(entries, evidence) && evidence.crashIds.length > 0) ?? []
+  const lifted = [...(quarantine?.lifted ?? []), ...newlyLifted, ...cleared].slice(-MAX_LIFTED_COUNT)
   for (const entry of change.put) {
     const remaining = withoutLiftedCrashes({ entries: [], lifted }, entry)
     if (remaining !== undefined) entries.set(entry.digest, mergeEntry(entries.get(entry.digest), remaining))
@@ -105,6 +108,18 @@
   return { entries: ordered.slice(0, MAX_ENTRY_COUNT), ...(lifted.length === 0 ? {} : { lifted }) }
 }
 
+/** Takes crashes out of the entry of their digest, whose other crashes go on counting. Returns whether there is an entry. */
+function clearEntry (entries: Map<string, Schemas.Control.QuarantineEntry>, evidence: Schemas.Control.LiftedEvidence): boolean {
+  const entry = entries.get(evidence.digest)
+  if (entry === undefined) return false
+  const reportedCrashIds = entry.crashIds ?? []
+  const crashIds = reportedCrashIds.filter(crashId => !evidence.crashIds.includes(crashId))
+  const hasLost = crashIds.length < reportedCrashIds.length
+  if (crashIds.length === 0 && (hasLost || entry.suspect === true)) entries.delete(evidence.digest)
+  else if (hasLost) entries.set(evidence.digest, { ...entry, crashIds, crashCount: crashIds.length, suspect: crashIds.length > 1 ? entry.suspect : true })
+  return true
+}
+
 /** Removes crashes that no longer count. An entry that loses some becomes a suspect; without any left, it is undefined. */
 function withoutLiftedCrashes (quarantine: Schemas.Control.Quarantine, entry: Schemas.Control.QuarantineEntry): Schemas.Control.QuarantineEntry | undefined {
   const reportedCrashIds = entry.crashIds ?? []
--- a/src/gateway/suspicion.ts
+++ b/src/gateway/suspicion.ts
@@ -79,10 +79,12 @@
  * @param digest - The digest.
  */
 export function clear (tables: Tables.Tables, tick: Tables.Tick, digest: string): void {
+  const entry = Control.Quarantines.entryOf(tables.held.quarantine(), digest)
+  const crashIds = [...(entry?.crashIds ?? []), ...(tables.suspects.get(digest)?.crashIds ?? [])]
   const known = drop(tables, digest)
-  const documented = Control.Quarantines.entryOf(tables.held.quarantine(), digest)?.suspect === true
+  const documented = entry?.suspect === true
   if (!known && !documented) return
-  if (documented) tables.quarantine.lift.add(digest)
+  if (documented) noteCleared(tables, digest, crashIds)
   tick.log('quarantine', 'Suspect cleared.', { digest, reason: 'a call with the digest was answered whole' })
 }
 
@@ -168,8 +170,19 @@
   return tables.suspects.remove(digest)
 }
 
+/**
+ * Notes crashes that a whole answer has cleared, for the next commit.
+ *
+ * @param tables - The gateway's tables.
+ * @param digest - The digest.
+ * @param crashIds - The crashes that were known when the answer was whole.
+ */
+export function noteCleared (tables: Tables.Tables, digest: string, crashIds: readonly string[]): void {
+  tables.quarantine.clear.set(digest, new Set([...(tables.quarantine.clear.get(digest) ?? []), ...crashIds]))
+}
+
 function note (tables: Tables.Tables, row: Tables.SuspectRow): void {
-  tables.quarantine.lift.delete(row.digest)
+  tables.quarantine.clear.delete(row.digest)
   tables.quarantine.put.set(row.digest, {
     digest: row.digest,
     service: row.service,
--- a/src/gateway/systems/quarantine.ts
+++ b/src/gateway/systems/quarantine.ts
@@ -19,7 +19,7 @@
       if (input.kind === 'document' && input.document.kind === 'quarantine') follow(tables, tick, input.document.body)
       if (input.kind === 'quarantineFailed') {
         for (const entry of input.change.put) if (!tables.quarantine.put.has(entry.digest)) tables.quarantine.put.set(entry.digest, entry)
-        input.change.lift.forEach(digest => tables.quarantine.lift.add(digest))
+        input.change.clear?.forEach(({ digest, crashIds }) => { Suspicion.noteCleared(tables, digest, crashIds) })
       }
     }
     Suspicion.forget(tables, tick.nowMs)
@@ -47,9 +47,10 @@
 
 function commit (tables: Tables.Tables, tick: Tables.Tick): void {
   const { quarantine } = tables
-  if (tick.nowMs < quarantine.notBeforeMs || quarantine.put.size + quarantine.lift.size === 0) return
+  if (tick.nowMs < quarantine.notBeforeMs || quarantine.put.size + quarantine.clear.size === 0) return
   quarantine.notBeforeMs = tick.nowMs + COMMIT_INTERVAL_MS
-  tick.emit({ kind: 'commitQuarantine', change: { put: [...quarantine.put.values()], lift: [...quarantine.lift] } })
+  const clear = [...quarantine.clear].map(([digest, crashIds]) => ({ digest, crashIds: [...crashIds] }))
+  tick.emit({ kind: 'commitQuarantine', change: { put: [...quarantine.put.values()], lift: [], clear } })
   quarantine.put.clear()
-  quarantine.lift.clear()
+  quarantine.clear.clear()
 }
--- a/src/gateway/tables.ts
+++ b/src/gateway/tables.ts
@@ -143,7 +143,8 @@
 /** What the gateway has yet to commit to the quarantine. */
 export interface QuarantineRow {
   readonly put: Map<string, Schemas.Control.QuarantineEntry>
-  readonly lift: Set<string>
+  /** Crashes by digest that a whole answer has cleared. */
+  readonly clear: Map<string, ReadonlySet<string>>
   notBeforeMs: number
   /** Crashes that were counted, the oldest first. */
   readonly seenCrashIds: Set<string>
@@ -234,7 +235,7 @@
     affinity: Core.Table.createTable('affinity'),
     suspects: Core.Table.createTable('suspects'),
     suspectTimes: Core.Deadlines.createDeadlines(SUSPECT_STEP_MS),
-    quarantine: { put: new Map(), lift: new Set(), notBeforeMs: 0, seenCrashIds: new Set(), documented: new Set() },
+    quarantine: { put: new Map(), clear: new Map(), notBeforeMs: 0, seenCrashIds: new Set(), documented: new Set() },
     clocks: Core.Table.createTable('clocks'),
     firstListedAtMs: undefined,
     wallClock,
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -79,6 +79,45 @@
     expect(finishedBy(gateway.run([arrivalOf('p2', { digest: digestOf('p') })])).length).toEqual(0)
   })
 
+  describe('cleared by a whole answer that is committed late', () => {
+    const crash = (crashId: string) => ({ crashes: [{ crashId, digests: [digestOf('p')] }] })
+
+    /** One gateway sees a crash and then a whole answer; until it commits, another one sees further crashes. */
+    function commitClearAfter (crashIds: readonly string[], failCommit = false) {
+      const [one, two] = [createGateway(1), createGateway(2)]
+      for (const gateway of [one, two]) gateway.list(ENDPOINTS)
+      let body = commitAll([one, two], 1, { entries: [] }, [one.report('kartli-1', crash('k1')), one.run([], 1_100)])
+      const [dispatch] = dispatchedBy(one.run([arrivalOf('p')]))
+      if (dispatch === undefined) throw new Error('not dispatched')
+      const answered = [one.run([endOf(dispatch, { run: 'ran', code: 'ok' })]), one.run([], 1_100)]
+      const [change] = answered.flatMap(step => step.commands).flatMap(command => command.kind === 'commitQuarantine' ? [command.change] : [])
+      if (change === undefined) throw new Error('nothing was committed')
+      body = commitAll([two], 2, body, [...crashIds.map(crashId => two.report('adjara-1', crash(crashId))), two.run([], 1_100)])
+      const late = failCommit ? [one.run([{ kind: 'quarantineFailed', change }]), one.run([], 1_100)] : answered
+      return { two, body: commitAll([one, two], 3, body, late) }
+    }
+    const entriesOf = (body: Schemas.Control.Quarantine) => body.entries.map(({ crashIds, suspect }) => [crashIds, suspect ?? false])
+
+    it('does not clear a crash that came after it', () => {
+      const { body } = commitClearAfter(['a1'])
+      expect([entriesOf(body), body.lifted?.map(({ crashIds }) => crashIds)]).toEqual([[[['a1'], true]], [['k1']]])
+    })
+
+    it('does not lift the quarantine that two crashes after it caused', () => {
+      const { two, body } = commitClearAfter(['a1', 'a2'])
+      expect(entriesOf(body)).toEqual([[['a1', 'a2'], false]])
+      expect(finishedBy(two.run([arrivalOf('p2', { digest: digestOf('p') })]))[0]?.code).toEqual('quarantined')
+    })
+
+    it('does not clear them when its commit failed at first', () => {
+      expect(entriesOf(commitClearAfter(['a1'], true).body)).toEqual([[['a1'], true]])
+    })
+
+    it('clears the entry when no crash came after it', () => {
+      expect(entriesOf(commitClearAfter([]).body)).toEqual([])
+    })
+  })
+
   it('runs again once an operator has lifted it', () => {
     const gateway = createGateway()
     gateway.list(ENDPOINTS)
