Waiting for a manifest waits for its plan

Cause: once the manifest is in force everywhere, the command waits for the assigned endpoints. Before the first plan none is assigned, and all of none are live. The plan follows the manifest by a poll of the holder, which nothing waited for.

Change: the status names the manifest of the plan in force, and the command waits for it between the two ("plan of version 3 in force").

--- a/src/ctl/progress.ts
+++ b/src/ctl/progress.ts
@@ -18,7 +18,7 @@
 const POLL_MS = 500
 
 /**
- * Waits until a manifest is in force at every process that answers, and its endpoints are live.
+ * Waits until a manifest is in force at every process that answers, its plan is made, and its endpoints are live.
  *
  * @param options - Common options; the time for each call bounds the wait.
  * @param version - The manifest's version.
@@ -30,6 +30,11 @@
     progressOf: status => progress([...status.gateways, ...status.endpoints], report => report.versions.manifest >= version)
   })
   if (inForce !== Client.EXIT.ok) return inForce
+  const planned = await waitFor(options, {
+    what: `plan of version ${version} in force`,
+    progressOf: status => ({ doneCount: status.plannedManifestVersion >= version ? 1 : 0, wantedCount: 1 })
+  })
+  if (planned !== Client.EXIT.ok) return planned
   return await waitFor(options, {
     what: 'endpoints live',
     progressOf: status => progress(status.assigned, report => report.state === 'live' && report.upToDate)
--- a/src/gateway/reads.ts
+++ b/src/gateway/reads.ts
@@ -30,6 +30,8 @@
     gateway: options.report(),
     gateways,
     endpoints: agents,
+    /** The manifest from which the plan in force was made; 0 without a plan. */
+    plannedManifestVersion: options.node.held.placement()?.manifestVersion ?? 0,
     assigned: assignedOf(options, agents),
     silentInstanceIds,
     laggingInstanceIds: [...agents, ...gateways].filter(report => report.versions.manifest < newest).map(report => report.instanceId),
