A drain is checked against the drains that are in force when it takes effect

Callers saw: every call of a service refused after two operators each drained a zone without force, at the same time or at two gateways of which one had not heard of the other's drain yet; each of the two changes had passed its check.

Cause: the check asks every agent, which takes a second or more, and is made for the drains that the gateway holds. The commit was made on whatever drains the store then held.

Change: without force, the commit is conditional on the version of the drains that were checked. At a conflict the change is checked again with those in force, four times at most ("Drain is checked again.", with both versions), then refused as a conflict. With force and at a return to service nothing changes.

Evidence: test/drain-check.test.ts, changeDrain. Before, "refuses a drain that passed its check, when another one since leaves no endpoint" fails: accepted, and both zones drained.

--- a/src/gateway/changes.ts
+++ b/src/gateway/changes.ts
@@ -28,6 +28,14 @@
   readonly force: boolean
 }
 
+/** The drains on which a check is based. */
+interface BaseDrains {
+  readonly version: number
+  readonly drains: Schemas.Control.Drains
+}
+
+/** Maximum number of checks of one change while others change the drains. */
+const MAX_DRAIN_CHECK_COUNT = 4
 const NO_DRAINS: Schemas.Control.Drains = { zones: [], instanceIds: [] }
 const decodeManifest = Schemas.Decode.strict(Schemas.Manifest.Manifest)
 
@@ -64,17 +72,26 @@
   const manifest = options.node.held.manifest()
   if (manifest === undefined) return refused('notReady', 'no manifest is in force here')
   if (!isKnown(options, manifest, input)) return refused('notFound', `there is no ${input.what} "${input.name}"`)
-  const drains = Control.DrainCheck.applyChange(options.node.held.drains(), input)
-  const shortfalls = input.drained
-    ? Control.DrainCheck.findShortfalls({ manifest, drains, reports: (await Survey.survey(options.node.instances(), options.peerKey)).agents })
-    : []
-  if (shortfalls.length > 0 && !input.force) return { ...refused('wouldRefuse', ''), shortfalls }
-  const committed = await Control.Commits.commit(options.tables, {
-    kind: 'drains',
-    nonce: Crypto.randomUUID(),
-    change: body => Control.DrainCheck.applyChange((body ?? NO_DRAINS) as Schemas.Control.Drains, input)
-  })
-  return { ...conclude(options, committed), shortfalls }
+  let base: BaseDrains = { version: options.node.held.versions().drains, drains: options.node.held.drains() }
+  for (let checkCount = 1; ; checkCount++) {
+    const drains = Control.DrainCheck.applyChange(base.drains, input)
+    const shortfalls = input.drained
+      ? Control.DrainCheck.findShortfalls({ manifest, drains, reports: (await Survey.survey(options.node.instances(), options.peerKey)).agents })
+      : []
+    if (shortfalls.length > 0 && !input.force) return { ...refused('wouldRefuse', ''), shortfalls }
+    const isConditional = input.drained && !input.force
+    const committed = await Control.Commits.commit(options.tables, {
+      kind: 'drains',
+      nonce: Crypto.randomUUID(),
+      change: body => Control.DrainCheck.applyChange((body ?? NO_DRAINS) as Schemas.Control.Drains, input),
+      ...(isConditional ? { expectedVersion: base.version } : {})
+    })
+    const hasChanged = committed.isErr() && committed.error.code === 'versionConflict'
+    if (!isConditional || !hasChanged || checkCount >= MAX_DRAIN_CHECK_COUNT) return { ...conclude(options, committed), shortfalls }
+    const { current } = committed.error
+    options.log.info('control', 'Drain is checked again.', { checkedVersion: base.version, version: current?.version ?? 0, reason: 'the drains changed since the check' })
+    base = current?.kind === 'drains' ? { version: current.version, drains: current.body } : { version: 0, drains: NO_DRAINS }
+  }
 }
 
 /**
