A lost answer to a load order is followed by a report before calls are admitted

Callers saw: after the answer to a load order was lost, calls for the old version went to an endpoint that held the new one, and failed there; without a key and not idempotent, their outcome is unknown. If no report came within a second, the load was sent again; an endpoint that has loaded a set has freed its chunks, refuses it as not whole, and is sent all of them anew.

Cause: an answer that was lost ended the wait of admission like one that refuses. Which version the endpoint holds was known only from before the order.

Change: after a lost answer to an order that replaces the model, admission and orders wait for a load report that was requested since, or for a new incarnation. "Order not accepted." tells how long the answer was awaited (tookMs).

Evidence: test/placement.agent.test.ts, "whose answer is lost". Before, three of its four tests fail: a call is admitted at once ("The value ["admit"] is not equal to []"), the load is sent again without a report ("The value [{ 4 entries }] is not equal to []"), and the queued call is gone when the report comes.

--- a/src/agent/systems/admission.ts
+++ b/src/agent/systems/admission.ts
@@ -84,7 +84,7 @@
 
 function admit (tables: Tables.Tables, tick: Tables.Tick): void {
   const { attempts, endpoint, limiter } = tables
-  if (Tables.stateOf(tables) !== 'live' || endpoint.switchingSinceMs !== undefined) return
+  if (Tables.stateOf(tables) !== 'live' || endpoint.switchingSinceMs !== undefined || endpoint.isModelUnconfirmed) return
   while (attempts.queuedCount() > 0 && attempts.runningCount() < Limiter.allowedCount(limiter, attempts.runningCount())) {
     const attempt = Shares.pickNext(tables)
     if (attempt === undefined) return
--- a/src/agent/systems/endpoint.ts
+++ b/src/agent/systems/endpoint.ts
@@ -40,6 +40,7 @@
   endpoint.lastSeenMs = tick.nowMs
   tables.fencingNumber = Math.max(tables.fencingNumber, load.fencingNumber ?? 0)
   if (!restarted && (endpoint.orderPending || askedAtMs < endpoint.orderAnsweredAtMs)) return
+  endpoint.isModelUnconfirmed = false
   endpoint.modelName = load.modelName
   endpoint.modelVersion = load.modelVersion
   endpoint.modelDigest = load.modelDigest
--- a/src/agent/systems/placement.ts
+++ b/src/agent/systems/placement.ts
@@ -23,7 +23,7 @@
     const plan = tables.held.placement()
     const { endpoint } = tables
     if (!endpoint.reachable) endpoint.switchingSinceMs = undefined
-    if (plan === undefined || !endpoint.reachable || endpoint.orderPending || tick.nowMs < endpoint.nextOrderAtMs) return
+    if (plan === undefined || !endpoint.reachable || endpoint.orderPending || endpoint.isModelUnconfirmed || tick.nowMs < endpoint.nextOrderAtMs) return
     if (plan.fencingNumber < tables.fencingNumber || Tables.serviceOf(tables)?.kind !== 'engine') { endpoint.switchingSinceMs = undefined; return }
     const order = nextOrder(tables, plan)
     if (order === undefined) { endpoint.switchingSinceMs = undefined; return }
@@ -58,6 +58,7 @@
   endpoint.orderPending = false
   endpoint.orderAnsweredAtMs = tick.nowMs
   endpoint.switchingSinceMs = undefined
+  endpoint.isModelUnconfirmed = input.answer === 'lost' && REPLACES_MODEL[input.order.kind]
   if (input.answer === 'accepted') {
     ORDER_APPLIERS[input.order.kind](tables, tick, input.order)
     tick.log('placement', 'Order accepted.', { order: input.order.kind, version: endpoint.modelVersion, fencingNumber: input.order.fencingNumber })
@@ -65,7 +66,7 @@
   }
   endpoint.nextOrderAtMs = tick.nowMs + ORDER_RETRY_DELAY_MS
   if (input.answer === 'notWhole') Weights.Tables.forgetDelivered(tables.weights)
-  tick.log('placement', 'Order not accepted.', { order: input.order.kind, answer: input.answer, reason: input.reason, fencingNumber: input.order.fencingNumber })
+  tick.log('placement', 'Order not accepted.', { order: input.order.kind, answer: input.answer, reason: input.reason, fencingNumber: input.order.fencingNumber, tookMs: Math.round(tick.nowMs - endpoint.orderedAtMs) })
 }
 
 function nextOrder (tables: Tables.Tables, plan: Schemas.Control.PlacementPlan): Messages.Order | undefined {
--- a/src/agent/tables.ts
+++ b/src/agent/tables.ts
@@ -61,6 +61,8 @@
   orderedAtMs: number
   /** Time of the answer to the last order; load reports requested before it are stale. */
   orderAnsweredAtMs: number
+  /** Whether the answer to an order that replaces the model was lost, and no load report requested since then has told which model the endpoint holds. */
+  isModelUnconfirmed: boolean
   /** Earliest time of the next order. */
   nextOrderAtMs: number
   /** Time since which admission is paused for a switch to another version; undefined if there is no switch. */
@@ -177,6 +179,7 @@
       orderPending: false,
       orderedAtMs: 0,
       orderAnsweredAtMs: -Infinity,
+      isModelUnconfirmed: false,
       nextOrderAtMs: 0,
       switchingSinceMs: undefined
     },
--- a/test/placement.agent.test.ts
+++ b/test/placement.agent.test.ts
@@ -158,6 +158,46 @@
       expect(commands.map(command => command.kind)).toEqual(['admit'])
     })
 
+    describe('whose answer is lost', () => {
+      const kindsOf = (commands: readonly Messages.Command[]) => commands.map(command => command.kind === 'refuse' ? command.refusal.code : command.kind)
+      const v1 = { modelVersion: 'v1', modelDigest: modelOf('v1').digest }
+      const v2 = { modelVersion: 'v2', modelDigest: modelOf('v2').digest }
+      const startLostSwitch = (...attemptIds: readonly string[]) => {
+        const { agent, order } = startSwitch()
+        for (const attemptId of attemptIds) agent.offerCall(attemptId, 'v1')
+        const commands = agent.tick({ kind: 'orderAnswered', order: order as Messages.Order, answer: 'lost', reason: 'timed out' })
+        const report = (load: Partial<Messages.EndpointLoad>, askedAtMs?: number) => agent.tick({
+          kind: 'endpointSeen',
+          load: { incarnation: 'e1', activeCount: 0, queuedCount: 0, capacityCount: 4, cold: false, ...load },
+          ...askedAtMs === undefined ? {} : { askedAtMs }
+        })
+        return { agent, commands, report }
+      }
+
+      it('admits no call before the endpoint has told which version it holds', () => {
+        const { commands, report } = startLostSwitch('c1')
+        expect(kindsOf(commands)).toEqual([])
+        expect(kindsOf(report(v1, 0))).toEqual([])
+        expect(kindsOf(report(v2))).toEqual(['modelNotLoaded'])
+      })
+
+      it('is not sent again before the endpoint has told that it still holds the old version', () => {
+        const { agent, report } = startLostSwitch()
+        expect(agent.advance(2_000)).toEqual([])
+        expect(kindsOf(report(v1))).toEqual(['order'])
+      })
+
+      it('is not sent again when the endpoint has told that it holds the new version', () => {
+        const { agent, report } = startLostSwitch()
+        report(v2)
+        expect(agent.advance(2_000)).toEqual([])
+      })
+
+      it('admits calls again when the endpoint still holds the old version', () => {
+        expect(kindsOf(startLostSwitch('c1').report(v1))).toEqual(['admit'])
+      })
+    })
+
     it('is not undone by a load report that was requested before it', () => {
       const { agent, order } = startSwitch()
       agent.answer(order, 'accepted')
