--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -263,6 +263,76 @@
     replacement: 'record.value.fencingNumber)',
     checks: [test('lease'), soak('control')]
   },
+  {
+    name: 'plan from documents as new as the store holds',
+    file: 'src/control/placementHolder.ts',
+    text: 'stored.value[kind] > heldVersions[kind]',
+    replacement: 'stored.value[kind] < 0',
+    checks: [test('lease')]
+  },
+  {
+    name: 'load reports: none that was overtaken',
+    file: 'src/agent/loadReports.ts',
+    text: 'load !== undefined && askedAtMs < newestAskedAtMs',
+    replacement: 'load === undefined && askedAtMs < 0',
+    checks: [test('load-reports')]
+  },
+  {
+    name: 'quarantine: asked again in the queue of an agent',
+    file: 'src/agent/systems/admission.ts',
+    text: "else if (isQuarantined(quarantineEntryOf(tables, envelope))) refuseAttempt(tables, tick, envelope, 'quarantined', QUARANTINED_REASON)",
+    replacement: '',
+    checks: [test('quarantine')]
+  },
+  {
+    name: 'quarantine: suspects of the queue of an agent are marked',
+    file: 'src/agent/systems/admission.ts',
+    text: '    markSuspects(tables)\n',
+    replacement: '',
+    checks: [test('quarantine')]
+  },
+  {
+    name: 'quarantine: asked again after a claim',
+    file: 'src/gateway/systems/routing.ts',
+    text: ' || Suspicion.isQuarantined(tables, row.call.digest)) {',
+    replacement: ') {',
+    checks: [test('quarantine')]
+  },
+  {
+    name: 'quarantine: a whole answer clears the crashes before it alone',
+    file: 'src/control/quarantines.ts',
+    text: 'filter(crashId => !evidence.crashIds.includes(crashId))',
+    replacement: 'filter(() => false)',
+    checks: [test('quarantine')]
+  },
+  {
+    name: 'drain: conditional on the drains that were checked',
+    file: 'src/gateway/changes.ts',
+    text: '...(isConditional ? { expectedVersion: base.version } : {})',
+    replacement: '',
+    checks: [test('drain-check')]
+  },
+  {
+    name: 'orders: a report after a lost answer, for admission',
+    file: 'src/agent/systems/admission.ts',
+    text: ' || endpoint.isModelUnconfirmed) return',
+    replacement: ') return',
+    checks: [test('placement.agent')]
+  },
+  {
+    name: 'orders: a report after a lost answer, for the next order',
+    file: 'src/agent/systems/placement.ts',
+    text: ' || endpoint.isModelUnconfirmed ||',
+    replacement: ' ||',
+    checks: [test('placement.agent')]
+  },
+  {
+    name: 'wait for the plan of a manifest',
+    file: 'src/ctl/progress.ts',
+    text: 'status.plannedManifestVersion >= version ? 1 : 0',
+    replacement: '1',
+    checks: [test('progress')]
+  },
   {
     name: 'plan under its lease',
     file: 'src/control/placementHolder.ts',
