--- a/test/load-proof.test.ts
+++ b/test/load-proof.test.ts
@@ -1,9 +1,13 @@
+import * as Http from 'node:http'
+import type * as Net from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as Core from '../src/core/index.ts'
 import * as Filling from '../src/filling/index.ts'
 import * as Signals from '../src/ingress/signals.ts'
 import * as Routing from '../src/routing/index.ts'
+import * as Dialect from '../platform/dialect.ts'
+import * as Engine from '../platform/engine.ts'
 import * as Direct from '../testkit/direct.ts'
 
 const BORN_MS = 7
@@ -176,6 +180,61 @@
   })
 })
 
+describe('a call', () => {
+  const requirements: Routing.Choice.CallRequirements = { service: Direct.ENGINE_SERVICE, model: 'm', promptTokens: 100, regions: [], triedIds: new Set() }
+
+  // Guards against tokens from layers that are not known to be sound.
+  it('is not sent to an endpoint whose last load is not proven', () => {
+    const context = Direct.surroundingsOf([Direct.listingOf('e1'), Direct.listingOf('e2')], { isManaged: () => true })
+    const report: Routing.Endpoints.LoadReport = { activeCount: 0, queuedCount: 0, pace: 1, loading: false, weights: [{ model: 'm', version: 1 }] }
+    for (const row of context.endpoints.rows()) Routing.Endpoints.applyLoadReport(row, { ...report, orderCount: 1, ...(row.listing.endpointId === 'e2' ? { provenOrderCount: 1 } : {}) }, 0, 0)
+    const candidates = Routing.Choice.findCandidates(requirements, context, 0)
+    expect([candidates.map(({ row }) => row.listing.endpointId), Routing.Choice.countExcluded(requirements, context, 0)]).toEqual([['e2'], { unproven: 1 }])
+  })
+
+  // Guards against a call that begins on another version than the one for which its endpoint was chosen.
+  it('names the version for which its endpoint was chosen, whatever its caller named', () => {
+    const headers = Dialect.createDialect().forwardHeaders(['X-Fescuespread-Expect-Version', '9'], { endpointId: 'e1', workspace: undefined, leftMs: 1, lastEventId: undefined, weightsVersion: 2, bodyBytes: undefined })
+    expect(headers.flatMap((name, at) => name === 'X-Fescuespread-Expect-Version' ? [headers[at + 1]] : [])).toEqual(['2'])
+  })
+
+  // Guards against a version from the list that hides what the agent has reported since.
+  it('is placed by the version that the agent reported, not by an older entry of the list', () => {
+    const { endpoints } = Direct.surroundingsOf([Direct.listingOf('e1')])
+    for (const row of endpoints.rows()) Routing.Endpoints.applyLoadReport(row, { activeCount: 0, queuedCount: 0, pace: 1, loading: false, weights: [{ model: 'm', version: 2 }], orderCount: 1, provenOrderCount: 1 }, 0, 0)
+    const row = Routing.Endpoints.applyListing(endpoints, Direct.listingOf('e1', { weights: [{ model: 'm', version: 1 }] }), 1)
+    expect(Routing.Endpoints.findWeights(row, 'm')).toEqual({ model: 'm', version: 2 })
+  })
+})
+
+describe('an order to an engine', () => {
+  /** Sends an order to an engine that accepts it, and returns what the engine got. */
+  const sent = async (order: (engine: Filling.Ports.Engine) => Promise<unknown>): Promise<unknown> => {
+    let received: unknown
+    const server = Http.createServer((request, response) => {
+      const parts: Buffer[] = []
+      request.on('data', (part: Buffer) => { parts.push(part) })
+      request.on('end', () => {
+        received = JSON.parse(Buffer.concat(parts).toString())
+        response.writeHead(202, { connection: 'close' }).end()
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    await order(Engine.createEngine({ host: '127.0.0.1', port: (server.address() as Net.AddressInfo).port }))
+    await new Promise(resolve => { server.close(resolve) })
+    return received
+  }
+
+  // Guards against two orders that are both accepted, of which the first was counted as lost.
+  it('to load is accepted only after as many orders as were counted', async () => {
+    expect(await sent(async engine => await engine.loadStaged('m', 2, 'cutting', 3))).toEqual({ operation: 'start', model: 'm', version: 2, switch_mode: 'truncate', precondition: 3 })
+  })
+
+  it('to unload takes no chunks, and is accepted under the same condition', async () => {
+    expect(await sent(async engine => await engine.unload('m', 1, 3))).toEqual({ operation: 'start', model: 'm', version: 1, switch_mode: 'queue', from: 0, target: 0, precondition: 3 })
+  })
+})
+
 describe('an endpoint whose agent said that it is about to load', () => {
   // Guards against calls on layers that are not proven, after an agent that is paused or gone could no longer say so.
   it('gets no calls on the word of an answer', () => {
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -851,6 +851,48 @@
     replacement: 'false',
     checks: [test('unexpected-errors')]
   },
+  {
+    name: 'loads: a check is too old when the chunks were taken long after it',
+    file: 'src/filling/filler.ts',
+    text: 'load.acceptedByMs - LoadProof.MAX_CHECK_AGE_MS',
+    replacement: '-Infinity',
+    checks: [test('direct-filler')]
+  },
+  {
+    name: 'loads: nothing is staged while a lost order may be accepted',
+    file: 'src/filling/filler.ts',
+    text: 'if (!proofs.hasPendingOrder()) await staging.stage(chunkSet)',
+    replacement: 'await staging.stage(chunkSet)',
+    checks: [test('direct-filler')]
+  },
+  {
+    name: 'loads: an order of another start of the engine is not its own',
+    file: 'src/filling/loadProof.ts',
+    text: 'sent.state.bornAtMs === state.bornAtMs && ',
+    replacement: '',
+    checks: [test('load-proof')]
+  },
+  {
+    name: 'loads: calls begin on proven ones only',
+    file: 'src/routing/choice.ts',
+    text: '!Endpoints.isProven(row, context.isManaged?.(row.listing) === true)',
+    replacement: 'false',
+    checks: [test('load-proof')]
+  },
+  {
+    name: 'loads: orders are conditional',
+    file: 'platform/engine.ts',
+    text: 'switch_mode: SWITCH_MODES[mode], precondition: orderCount',
+    replacement: 'switch_mode: SWITCH_MODES[mode]',
+    checks: [test('load-proof')]
+  },
+  {
+    name: 'loads: calls name the version',
+    file: 'platform/dialect.ts',
+    text: 'if (sending.weightsVersion !== undefined) forwarded',
+    replacement: 'if (sending.weightsVersion === -1) forwarded',
+    checks: [test('load-proof')]
+  },
   {
     name: 'manifests: compared with what was asked for',
     file: 'src/filling/manifests.ts',
