A load that another order may have caused is judged from the last report without it

Callers would see tokens made with a layer whose chunk was missing or bad when the engine took it.

Cause: LoadProof took a higher count of orders for the order that this process had sent last, whatever its answer. An order of the agent's predecessor can still be on its way when the predecessor is killed. If the engine accepts it after the last report, and the new agent stages a missing or bad chunk and sends its own order before the next report, that order is refused, and the load still counted as accepted after it. So the chunk that was staged in between passed for the one that the engine took, without being read again. Likewise the version was that of the refused order, not the one that was loaded.

Change: only an order whose answer says that it was accepted tells the version and the time after which it was accepted, which is then that of this order and not of an earlier refused one (there, sound layers were unloaded if a chunk had been staged anew in between). In all other cases the load is judged from the request for the last report without it, or the first order under the same condition if that is earlier, and the engine's report tells the version. The test of a lost answer expects no version any more for this reason; its times are as before. The test of two orders has a report between them, as there is in use: without one the bound is now earlier than the test asked for.

--- a/src/filling/loadProof.ts
+++ b/src/filling/loadProof.ts
@@ -12,7 +12,7 @@
 
 /** A load whose chunks are not known to have been sound. */
 export interface UnprovenLoad {
-  /** The version, if this process sent the order; otherwise only the engine's report tells it. */
+  /** The version, if the engine has told this process that it accepted its order; otherwise only the engine's report tells it. */
   readonly version: number | undefined
   /** The engine accepted the order after this time, in milliseconds. */
   readonly acceptedAfterMs: number
@@ -49,6 +49,8 @@
   readonly version: number
   readonly state: OrderState
   readonly sentAtMs: number
+  /** When the first order under the same condition was sent, in milliseconds. */
+  readonly firstSentAtMs: number
   readonly result: Ports.LoadOrderResult | undefined
   readonly answeredAtMs: number
 }
@@ -75,7 +77,7 @@
   let order: SentOrder | undefined
 
   const isSame = (a: OrderState, b: OrderState | undefined): boolean => a.bornAtMs === b?.bornAtMs && a.orderCount === b?.orderCount
-  /** Whether the last accepted order is the one that this process sent last. */
+  /** Whether the last accepted order is one that this process sent, or one of an earlier process under the same condition. */
   const isOwn = (sent: SentOrder): boolean => sent.state.bornAtMs === state.bornAtMs && sent.state.orderCount !== undefined && sent.state.orderCount + 1 === state.orderCount
   return {
     observe: (report, askedAtMs, nowMs) => {
@@ -90,15 +92,17 @@
     },
     recordOrder: (version, nowMs) => {
       // A repeated order leaves open which of the two the engine accepts.
-      const sentAtMs = order !== undefined && isSame(order.state, state) ? order.sentAtMs : nowMs
-      order = { version, state, sentAtMs, result: undefined, answeredAtMs: Infinity }
+      const firstSentAtMs = order !== undefined && isSame(order.state, state) ? order.firstSentAtMs : nowMs
+      order = { version, state, sentAtMs: nowMs, firstSentAtMs, result: undefined, answeredAtMs: Infinity }
     },
     recordAnswer: (result, nowMs) => { if (order !== undefined) order = { ...order, result, answeredAtMs: nowMs } },
     hasPendingOrder: () => order?.result === 'lost' && isSame(order.state, state),
     unprovenLoad: () => {
       if (state.orderCount === undefined || state.orderCount === 0 || isEmpty || isSame(state, proven)) return undefined
       if (order === undefined || !isOwn(order)) return { version: undefined, acceptedAfterMs: otherUntilMs, acceptedByMs: sinceMs }
-      return { version: order.version, acceptedAfterMs: order.sentAtMs, acceptedByMs: order.result === 'accepted' ? Math.min(order.answeredAtMs, sinceMs) : sinceMs }
+      if (order.result === 'accepted') return { version: order.version, acceptedAfterMs: order.sentAtMs, acceptedByMs: Math.min(order.answeredAtMs, sinceMs) }
+      // It may be an order of an earlier process, accepted before the own one was sent.
+      return { version: undefined, acceptedAfterMs: Math.min(order.firstSentAtMs, otherUntilMs), acceptedByMs: sinceMs }
     },
     recordProof: judged => { if (isSame(judged, state)) proven = judged },
     state: () => state
