A gateway that does not know the agents yet uses no listed weights on trust

Callers would see tokens made with a layer whose chunk had turned bad long before the engine took it.

Cause: beside which endpoint an agent stands is in the list of processes. A gateway is ready without that list. Until the list is read, no endpoint counted as one with an agent, so what the platform lists was used, also a load that its agent had not judged. A store that answers reads of that table late, or refuses them, makes that last.

Change: until a gateway knows the list, each endpoint with an engine counts as one beside which an agent stands, and is used once its agent has reported. The stand-in of the store can refuse reads of single tables.

--- a/src/ingress/gateway.ts
+++ b/src/ingress/gateway.ts
@@ -283,7 +283,8 @@
       region: options.region,
       drainedZones: operators.drainedZones,
       oldestVersionOf: model => versions.oldestSendableOf(model, node.storeClock.now()),
-      isManaged: ({ host, port }) => managedAddressesOf(members()).has(`${host}:${port}`),
+      // Until the list of processes is known, an agent may be beside any endpoint.
+      isManaged: ({ host, port }) => !node.knowsMembers() || managedAddressesOf(members()).has(`${host}:${port}`),
       gatewayCount: gatewayCount(members()),
       zoneGatewayCount: gatewayCount(members().filter(member => member.zone === options.zone)),
       sharers: node.knowsMembers() ? sharersOf(members()) : undefined,
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -23,6 +23,8 @@
 export interface StoreFaults {
   /** Answers 503 to everything. */
   down: boolean
+  /** Answers 503 to reads of these tables. */
+  readonly unreadableTables: Set<string>
   /** Takes requests and answers none. */
   silent: boolean
   /** Begins its answers so many milliseconds late. */
@@ -75,7 +77,7 @@
  */
 export async function startPlatformStore (nowMs: () => number = () => performance.now()): Promise<PlatformStore> {
   const rows = new Map<string, StoredRow>()
-  const faults: StoreFaults = { down: false, silent: false, lateMs: 0, pieceMs: 0, link: Link.createLink(Infinity), era: undefined, historyFrom: 0, arrival: undefined, holdsTransactions: false }
+  const faults: StoreFaults = { down: false, unreadableTables: new Set(), silent: false, lateMs: 0, pieceMs: 0, link: Link.createLink(Infinity), era: undefined, historyFrom: 0, arrival: undefined, holdsTransactions: false }
   const held: string[] = []
   const waiting = new Set<() => void>()
   const reads: Array<{ readonly table: string, readonly keys: readonly string[] }> = []
@@ -150,7 +152,7 @@
     })
     const take = (): void => {
       if (faults.silent) return
-      if (faults.down) { answer(503, {}); return }
+      if (faults.down || faults.unreadableTables.has(url.searchParams.get('table') ?? '')) { answer(503, {}); return }
       const handlers: Record<string, () => void> = {
         '/rows-get': () => { answer(200, { rows: noteRead(url.searchParams.get('table') ?? '', live(url.searchParams.get('table') ?? '')), has_more: false, schema_version: revision, now_ms: nowMs() }) },
         '/rows-feed': () => { feed(url.searchParams, answer) },
--- a/test/stale-checks.test.ts
+++ b/test/stale-checks.test.ts
@@ -1,5 +1,6 @@
 import { after, afterEach, before, describe, it } from 'node:test'
 import { expect } from 'earl'
+import * as Follow from '../src/follow/index.ts'
 import * as EngineStage from '../testkit/engineStage.ts'
 import * as Program from '../testkit/program.ts'
 import * as TestKit from '../testkit/index.ts'
@@ -104,6 +105,19 @@
     pauseAgent(stage)
     setTimeout(() => { stage.engine.area.order({ operation: 'start', version: 2 }) }, EngineStage.TOLERATED_BAD_MS + 200)
   },
+  'the order reaches the engine late, the agent is paused, and a gateway takes over that cannot read the list of agents': stage => {
+    holdOrders(stage, () => {
+      stage.engine.area.spoil(SPOILT)
+      const agent = stage.agent()
+      agent.signal('SIGSTOP')
+      stage.store.faults.unreadableTables.add(Follow.Members.MEMBERS_TABLE)
+      setTimeout(() => {
+        agent.signal('SIGCONT')
+        stage.store.faults.unreadableTables.clear()
+      }, 2 * HELD_MS)
+      void stage.replaceGateway()
+    })
+  },
   'the engine restarts without its chunks between the check and the order': stage => {
     holdOrders(stage, () => { stage.engine.restart(false) })
   }
