An agent that stops before a load is judged stays listed

Callers would see tokens made with a layer whose chunk had turned bad long before the engine took it.

Cause: an agent that gets SIGTERM removes its entry, and without one a gateway that has heard nothing of the endpoint uses what the platform lists. If the agent stops while an order is on its way, or between the load and its proof, a gateway that starts before the agent is back used a load that nobody had judged. Besides, a check that was under way when the stop began still ended in an order.

Change: an agent that stops sends no further order, and leaves its entry if a load is not proven or an order was sent that no report has shown yet, as if it had been killed. Its next start writes the entry anew.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -242,7 +242,9 @@
     stop: async () => {
       clearInterval(reportTimer)
       operators.follower.stop()
-      await node.close()
+      // Without the entry, gateways that start now would use what the platform lists.
+      const keepsEntry = !filler.stop()
+      await node.close({ keepsEntry })
       log('agent', 'Agent stopped.')
     }
   }
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -46,6 +46,8 @@
   provenOrderCount: () => number | undefined
   /** Records that the loads of a start of the engine were shown to be sound before this process started. */
   adoptProof: (state: Follow.News.ProofNews) => void
+  /** Sends no further orders. Returns whether the engine's loads are known to be sound and none can follow. */
+  stop: () => boolean
 }
 
 /** Time after which a load order without effect is repeated, in milliseconds; the engine is on the same machine, so its reports are recent. */
@@ -69,6 +71,7 @@
   let latest: Ports.EngineReport | undefined
   let reportCount = 0
   let isBusy = false
+  let isStopped = false
   let orderedAtMs = -Infinity
   /** When the engine stopped getting new calls, in milliseconds, and with which report. */
   let retired: { readonly atMs: number, readonly reportCount: number } | undefined
@@ -77,7 +80,7 @@
   const isUnchanged = ({ bornAtMs, orderCount }: LoadProof.OrderState): boolean => latest?.bornAtMs === bornAtMs && latest?.orderCount === orderCount
   /** Orders the engine to give up its layers: those of a load that was not sound, or so that it no longer accepts a lost order. */
   const unload = async (model: string, version: number, reason: string): Promise<void> => {
-    if (clock() - orderedAtMs < LOAD_RETRY_MS || latest === undefined || latest.loading) return
+    if (isStopped || clock() - orderedAtMs < LOAD_RETRY_MS || latest === undefined || latest.loading) return
     orderedAtMs = clock()
     const { orderCount } = latest
     const answer = await engine.unload(model, version, orderCount)
@@ -118,7 +121,7 @@
     const mode = isServing ? Switching.loadMode(report.activeCount, nowMs - (retired?.atMs ?? nowMs), options.isResumable()) : 'afterRunning'
     if (mode === undefined) return
     const { spoiltCount } = await staging.check(chunkSet, nowMs, nowMs + CHECK_LIMIT_MS)
-    if (spoiltCount > 0 || !isUnchanged(report)) return
+    if (isStopped || spoiltCount > 0 || !isUnchanged(report)) return
     const checkedAtMs = staging.oldestCheckAtMs(chunkSet)
     orderedAtMs = clock()
     proofs.recordOrder(goal.version, orderedAtMs)
@@ -171,6 +174,10 @@
     loadedVersionOf: model => loadedVersions.get(model) ?? 0,
     isRetiring: () => retired !== undefined,
     provenOrderCount: () => proofs.unprovenLoad() === undefined ? proofs.state().orderCount : undefined,
-    adoptProof: ({ bornAtMs, orderCount }) => { proofs.recordProof({ bornAtMs, orderCount }) }
+    adoptProof: ({ bornAtMs, orderCount }) => { proofs.recordProof({ bornAtMs, orderCount }) },
+    stop: () => {
+      isStopped = true
+      return proofs.unprovenLoad() === undefined && !proofs.hasOpenOrder()
+    }
   }
 }
--- a/src/filling/loadProof.ts
+++ b/src/filling/loadProof.ts
@@ -36,6 +36,8 @@
   recordAnswer: (result: Ports.LoadOrderResult, nowMs: number) => void
   /** Whether an order was lost that the engine may still accept. */
   hasPendingOrder: () => boolean
+  /** Whether an order was sent since the engine last reported another state, whatever its answer: a load may follow that no report shows yet. */
+  hasOpenOrder: () => boolean
   /** The load to judge; undefined if the engine holds no layers of which it is not known whether they are sound. */
   unprovenLoad: () => UnprovenLoad | undefined
   /** Records that the chunks of the last load were sound, for this start of the engine and count of orders. */
@@ -97,6 +99,7 @@
     },
     recordAnswer: (result, nowMs) => { if (order !== undefined) order = { ...order, result, answeredAtMs: nowMs } },
     hasPendingOrder: () => order?.result === 'lost' && isSame(order.state, state),
+    hasOpenOrder: () => order !== undefined && isSame(order.state, state),
     unprovenLoad: () => {
       if (state.orderCount === undefined || state.orderCount === 0 || isEmpty || isSame(state, proven)) return undefined
       if (order === undefined || !isOwn(order)) return { version: undefined, acceptedAfterMs: otherUntilMs, acceptedByMs: sinceMs }
--- a/src/follow/entry.ts
+++ b/src/follow/entry.ts
@@ -26,6 +26,8 @@
   restore: (row: Rows.Row | undefined) => Promise<void>
   /** Removes the entry and stops writing it. */
   remove: () => Promise<void>
+  /** Stops writing the entry and leaves it as it is. */
+  leave: () => void
 }
 
 /** Mean delay before a failed write of the entry is retried, in milliseconds. */
@@ -46,7 +48,7 @@
   const { name } = member
   /** The last known revision of the row; 0 while it is not known to exist. */
   let revision = 0
-  let removing = false
+  let isEnding = false
   let writing = false
 
   const write = async (): Promise<void> => {
@@ -59,7 +61,7 @@
     }
   }
   const writeUntilAccepted = async (): Promise<void> => {
-    const isActive = (): boolean => !removing
+    const isActive = (): boolean => !isEnding
     while (isActive()) {
       const written = await store.write(Members.MEMBERS_TABLE, name, member, revision)
       if (written.isOk()) {
@@ -84,8 +86,9 @@
       revision = row === undefined || row.deleted ? 0 : row.revision
       await write()
     },
+    leave: () => { isEnding = true },
     remove: async () => {
-      removing = true
+      isEnding = true
       for (let count = 0; count < REMOVE_ATTEMPT_LIMIT_COUNT; count++) {
         const removed = await store.remove(Members.MEMBERS_TABLE, name, revision)
         if (removed.isOk()) return
--- a/src/follow/node.ts
+++ b/src/follow/node.ts
@@ -55,8 +55,8 @@
   receiveNews: (handler: (news: News.News) => void) => void
   /** Sends news to the other processes of a kind, optionally only to some of them. */
   sendNews: (news: Omit<News.News, 'sender' | 'storeMs' | 'reading'>, kind: Members.Member['kind'], isTarget?: (member: Members.Member) => boolean) => void
-  /** Removes the process's entry and stops. */
-  close: () => Promise<void>
+  /** Removes the process's entry, unless it is to stay listed, and stops. */
+  close: (options?: { readonly keepsEntry: boolean }) => Promise<void>
 }
 
 /** Delay between reads of the list of processes, in milliseconds: processes often start together, and their entries are read in one batch. */
@@ -171,10 +171,11 @@
     receiveNews: handler => { onNews = handler },
     relayTable: (table, relayedTable) => { relayedTables.set(table, relayedTable) },
     sendNews: (news, targetKind, isTarget = () => true) => { channel.send({ sender: name, storeMs: storeClock.nowByAnswers(), reading: readings.latest(), ...news }, members.filter(member => member.kind === targetKind && isTarget(member))) },
-    close: async () => {
+    close: async ({ keepsEntry } = { keepsEntry: false }) => {
       follower?.stop()
       relayRoute.close()
-      await entry.remove()
+      if (keepsEntry) entry.leave()
+      else await entry.remove()
       channel.close()
       await server.close(0)
     }
--- a/test/stale-checks.test.ts
+++ b/test/stale-checks.test.ts
@@ -105,6 +105,13 @@
     pauseAgent(stage)
     setTimeout(() => { stage.engine.area.order({ operation: 'start', version: 2 }) }, EngineStage.TOLERATED_BAD_MS + 200)
   },
+  'the order reaches the engine late, the agent is stopped meanwhile, and another gateway takes over': stage => {
+    holdOrders(stage, () => {
+      stage.engine.area.spoil(SPOILT)
+      void stage.restartAgent({ signal: 'SIGTERM', pauseMs: 2 * HELD_MS })
+      void stage.replaceGateway()
+    })
+  },
   'the order reaches the engine late, the agent is paused, and a gateway takes over that cannot read the list of agents': stage => {
     holdOrders(stage, () => {
       stage.engine.area.spoil(SPOILT)
--- a/testkit/engineStage.ts
+++ b/testkit/engineStage.ts
@@ -18,8 +18,8 @@
   readonly store: PlatformStore.PlatformStore
   readonly engine: WeightEngine.WeightEngine
   readonly agent: () => Program.Process
-  /** Kills the agent and starts it again. */
-  restartAgent: () => Promise<void>
+  /** Ends the agent, by killing it unless told otherwise, and starts it again, after `pauseMs` milliseconds at the earliest. */
+  restartAgent: (options?: { readonly signal?: 'SIGKILL' | 'SIGTERM', readonly pauseMs?: number }) => Promise<void>
   /** Starts a further gateway, which gets the calls from then on. */
   replaceGateway: () => Promise<void>
   nameVersion: (version: number) => void
@@ -106,9 +106,9 @@
     store,
     engine,
     agent: () => agent,
-    restartAgent: async () => {
-      agent.signal('SIGKILL')
-      await agent.ended
+    restartAgent: async ({ signal = 'SIGKILL', pauseMs = 0 } = {}) => {
+      agent.signal(signal)
+      await Promise.all([agent.ended, Wait.sleep(pauseMs)])
       agent = startAgent()
     },
     replaceGateway: async () => { gateway = await startGateway() },
