A restarted agent waits for what gateways know before it has sound layers unloaded

Callers would see an engine out of use for two orders and a load, though its layers were sound and in use.

Cause: an agent that restarts does not know that its engine's load was proven; gateways tell it. It waited for that for 1 s after its engine's first report. But gateways answer only once the agent knows them and they have read its entry, which they collect for 1 s and read from a store that may be slow. If a staged chunk had turned bad since the load, the agent told the engine to unload.

Change: the agent waits for 4 s from when it knows a gateway, 8 s in all.

--- a/src/filling/agent.ts
+++ b/src/filling/agent.ts
@@ -137,6 +137,7 @@
     engine: options.engine,
     cache,
     members: otherAgents,
+    knowsGateways: () => node.members().some(member => member.kind === 'gateway'),
     versionMs: () => options.bounds().versionMs,
     isResumable: () => (operators.deployment()?.routes ?? []).every(route => route.resumable || !route.targets.some(target => target.service === options.service)),
     progressOf: fetcher.progressOf,
--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -19,6 +19,8 @@
   readonly cache: ChunkCache.ChunkCache
   /** The other agents. */
   readonly members: () => readonly Follow.Members.Member[]
+  /** Whether a gateway is known that the load reports go to. */
+  readonly knowsGateways: () => boolean
   /** Time allowed for a named version to reach all endpoints, in milliseconds. */
   readonly versionMs: () => number
   /** Whether every stream of the engine's service may be resumed at another endpoint. */
@@ -54,8 +56,10 @@
 const LOAD_RETRY_MS = 1_500
 /** Time for reading chunks back before an order, in milliseconds. Those of a slower engine are read after it has loaded, so that the version arrives in time. */
 const CHECK_LIMIT_MS = 1_000
-/** Time for which gateways may tell that a load was shown to be sound before this process started, in milliseconds: they answer load reports. */
-const EARLIER_PROOF_WAIT_MS = 1_000
+/** Time for which gateways may tell that a load was shown to be sound before this process started, in milliseconds, once this process knows them: they answer load reports, but have to read its entry first, from a store that may be slow. */
+const EARLIER_PROOF_WAIT_MS = 4_000
+/** Maximum time for that if no gateway becomes known, in milliseconds. */
+const EARLIER_PROOF_LIMIT_MS = 8_000
 
 /**
  * Creates a filler.
@@ -72,6 +76,8 @@
   let reportCount = 0
   let isBusy = false
   let isStopped = false
+  /** When this process first knew a gateway, in milliseconds. */
+  let knewGatewaysAtMs = Infinity
   let orderedAtMs = -Infinity
   /** When the engine stopped getting new calls, in milliseconds, and with which report. */
   let retired: { readonly atMs: number, readonly reportCount: number } | undefined
@@ -101,7 +107,8 @@
     if (!isUnchanged(state)) return false
     if (spoiltCount > 0 || staging.writtenCountAfter(load.acceptedAfterMs) > 0) {
       const isOfEarlierProcess = load.acceptedAfterMs === -Infinity
-      if (!isOfEarlierProcess || clock() - load.acceptedByMs > EARLIER_PROOF_WAIT_MS) await unload(model, version, 'its chunks are not known to have been sound when they were taken')
+      const waitUntilMs = Math.min(Math.max(load.acceptedByMs, knewGatewaysAtMs) + EARLIER_PROOF_WAIT_MS, load.acceptedByMs + EARLIER_PROOF_LIMIT_MS)
+      if (!isOfEarlierProcess || clock() > waitUntilMs) await unload(model, version, 'its chunks are not known to have been sound when they were taken')
       return false
     }
     if (openCount > 0) return false
@@ -157,6 +164,7 @@
       latest = report
       reportCount++
       proofs.observe(report, askedAtMs, clock())
+      if (knewGatewaysAtMs === Infinity && options.knowsGateways()) knewGatewaysAtMs = clock()
       const newest = goals.at(-1)
       if (newest === undefined) return
       const { model } = newest
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -133,6 +133,7 @@
     },
     cache,
     members: () => [],
+    knowsGateways: () => true,
     versionMs: () => VERSION_MS,
     isResumable: () => true,
     progressOf: fetcher.progressOf,
--- a/test/stale-checks.test.ts
+++ b/test/stale-checks.test.ts
@@ -10,6 +10,10 @@
 /** Time for which something is held up, in milliseconds: longer than chunks may have been bad. */
 const HELD_MS = EngineStage.TOLERATED_BAD_MS + 1_500
 const TEST_TIMEOUT_MS = 60_000
+/** Time by which the store answers late, in milliseconds. */
+const STORE_LATE_MS = 1_500
+/** Time in which a restarted agent judges what its engine holds, in milliseconds. */
+const RESTARTED_MS = 12_000
 /** Chunk that turns bad. */
 const SPOILT = 0
 
@@ -150,4 +154,22 @@
       })
     }
   })
+
+  describe('keeps the layers that were shown to be sound', () => {
+    // Guards against an engine that is out of use for a load since a gateway's answer to the agent came late.
+    for (const signal of ['SIGTERM', 'SIGKILL'] as const) {
+      it(`when its agent is restarted with ${signal} after a staged chunk has turned bad, and the store is slow`, { timeout: TEST_TIMEOUT_MS }, async () => {
+        const started = await EngineStage.start(folder)
+        stage = started
+        started.nameVersion(2)
+        await TestKit.Wait.until('version 2 answers calls', SERVED_LIMIT_MS, () => (started.answeredCounts.get(2) ?? 0) > 0)
+        const orderCount = started.engine.area.orderCount()
+        started.engine.area.spoil(SPOILT)
+        started.store.faults.lateMs = STORE_LATE_MS
+        await started.restartAgent({ signal })
+        await TestKit.Wait.sleep(RESTARTED_MS)
+        expect(started.engine.area.orderCount()).toEqual(orderCount)
+      })
+    }
+  })
 })
