A chunk counts as written when its write was answered, not when it was sent

Callers would see tokens made with a layer whose chunk was missing or bad when the engine took it.

Cause: a write counted from when it was sent. If the engine takes long for it, the agent reads further reports meanwhile. An order of the agent's predecessor that the engine accepts after the last of them, and before it carries the write out, then counted as accepted after the write, and the chunk as read back afterwards passed for the one that the engine took.

Change: the time is taken when the write was answered or given up. The test of the predecessor's order waits for the proof of the earlier load or of the own one; before, it could end at the empty engine between the two.

--- a/src/filling/staging.ts
+++ b/src/filling/staging.ts
@@ -41,7 +41,7 @@
   check: (chunkSet: ChunkCache.ChunkSet, sinceMs: number, untilMs: number) => Promise<CheckResult>
   /** Time at which the oldest of the last comparisons began, in milliseconds; -Infinity if a chunk has not been compared. */
   oldestCheckAtMs: (chunkSet: ChunkCache.ChunkSet) => number
-  /** Number of chunks that were written after a time, in milliseconds. */
+  /** Number of chunks that may have been written after a time, in milliseconds. */
   writtenCountAfter: (sinceMs: number) => number
   /** Forgets everything, for instance because the engine has started again. */
   reset: () => void
@@ -63,7 +63,7 @@
   const staged = new Set<number>()
   /** When the read of the last matching comparison began, in milliseconds, by index. */
   const checkedAtMs = new Map<number, number>()
-  /** When the last write began, in milliseconds, by index; of all versions, since they overwrite each other. */
+  /** When the last write was answered or given up, in milliseconds, by index; of all versions, since they overwrite each other. */
   const writtenAtMs = new Map<number, number>()
 
   const use = (chunkSet: ChunkCache.ChunkSet): void => {
@@ -97,8 +97,9 @@
       for (const [index, bytes] of chunkSet.chunks.entries()) {
         if (bytes === undefined || staged.has(index)) continue
         checkedAtMs.delete(index)
+        const isWritten = await engine.stage(chunkSet.manifest.model, index, bytes)
         writtenAtMs.set(index, clock())
-        if (!await engine.stage(chunkSet.manifest.model, index, bytes)) return
+        if (!isWritten) return
         staged.add(index)
       }
     },
--- a/test/direct-filler.test.ts
+++ b/test/direct-filler.test.ts
@@ -14,6 +14,8 @@
 const CHUNK_COUNT = 8
 const TICK_MS = 5
 const VERSION_MS = 400
+/** Numbers of the load by an earlier process and of the own one, after the order to unload. */
+const EARLIER_OR_OWN_ORDER = [1, 3]
 const chunkOf = (version: number, index: number): Buffer => Buffer.from(`weights ${version} ${index}`)
 const manifestOf = (version: number): Filling.Ports.WeightManifest => ({
   model: 'm',
@@ -49,7 +51,7 @@
 }
 
 /** Runs a fetcher and a filler against an engine and an origin in memory. */
-function startFiller (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (run: FillerRun) => void, readonly beforeStage?: (run: FillerRun) => void, readonly onOrder?: (run: FillerRun, orderNumber: number) => Filling.Ports.LoadOrderResult, readonly originHas?: (index: number) => boolean, readonly supersededVersions?: ReadonlyArray<{ readonly version: number, readonly namedAtMs: number }>, readonly namedAtMs?: number, readonly firstManifests?: ReadonlyArray<Filling.Ports.WeightManifest | undefined>, readonly members?: readonly Follow.Members.Member[] } = {}): FillerRun {
+function startFiller (version: number, changes: { readonly engineVersion?: number, readonly activeCount?: number, readonly beforeOrder?: (run: FillerRun) => void, readonly beforeStage?: (run: FillerRun) => Promise<void>, readonly onOrder?: (run: FillerRun, orderNumber: number) => Filling.Ports.LoadOrderResult, readonly originHas?: (index: number) => boolean, readonly supersededVersions?: ReadonlyArray<{ readonly version: number, readonly namedAtMs: number }>, readonly namedAtMs?: number, readonly firstManifests?: ReadonlyArray<Filling.Ports.WeightManifest | undefined>, readonly members?: readonly Follow.Members.Member[] } = {}): FillerRun {
   const run: FillerRun = { staged: new Map(), orders: [], orderedAtMs: [], fetchedFromOrigin: [], engineVersion: changes.engineVersion ?? 0, activeCount: changes.activeCount ?? 0, wrongChunks: new Map(), readCount: 0, unloadCount: 0, takenEarlier: undefined, acceptEarlierOrder: () => { take(version) }, provenOrderCount: () => filler.provenOrderCount(), nameVersion: next => { goals.push({ model: 'm', version: next, namedAtMs: clockMs }) }, pass: ms => { clockMs += ms }, stop: () => { clearInterval(timer) } }
   /** Number of orders that the engine has accepted. */
   let orderCount = 0
@@ -110,7 +112,7 @@
         return run.staged.get(index)
       },
       stage: async (_model, index, bytes) => {
-        changes.beforeStage?.(run)
+        await changes.beforeStage?.(run)
         run.staged.set(index, bytes)
         return true
       },
@@ -274,8 +276,24 @@
   describe('whose predecessor was killed before the engine accepted its order', () => {
     // Guards against a load that counts as this process's own: what was staged after it, and before the own order, then passes for what it took.
     it('does not take the layers for sound by what it has staged since, and loads sound ones', async () => {
-      const run = startFiller(2, { beforeStage: current => { if (current.staged.size === CHUNK_COUNT - 1 && current.takenEarlier === undefined) current.acceptEarlierOrder() } })
-      await TestKit.Wait.until('a load is proven', LIMIT_MS, () => run.engineVersion === 2 && (run.provenOrderCount() ?? 0) > 0)
+      const run = startFiller(2, { beforeStage: async current => { if (current.staged.size === CHUNK_COUNT - 1 && current.takenEarlier === undefined) current.acceptEarlierOrder() } })
+      await TestKit.Wait.until('a load is proven', LIMIT_MS, () => EARLIER_OR_OWN_ORDER.includes(run.provenOrderCount() ?? 0))
+      run.stop()
+      expect([run.takenEarlier?.length, run.provenOrderCount(), run.unloadCount, run.orders.map(order => order.staged)]).toEqual([CHUNK_COUNT - 1, 3, 1, [allChunksOf(2)]])
+    })
+  })
+
+  describe('whose predecessor was killed, and at which a write of a chunk takes long', () => {
+    // Guards against a write that counts from when it was sent: the engine still had no order then, took the chunk as it was, and only then wrote it.
+    it('does not take the layers for sound by a chunk that was written after they were taken', async () => {
+      const run = startFiller(2, {
+        beforeStage: async current => {
+          if (current.staged.size < CHUNK_COUNT - 1 || current.takenEarlier !== undefined) return
+          await TestKit.Wait.sleep(10 * TICK_MS)
+          current.acceptEarlierOrder()
+        }
+      })
+      await TestKit.Wait.until('a load is proven', LIMIT_MS, () => EARLIER_OR_OWN_ORDER.includes(run.provenOrderCount() ?? 0))
       run.stop()
       expect([run.takenEarlier?.length, run.provenOrderCount(), run.unloadCount, run.orders.map(order => order.staged)]).toEqual([CHUNK_COUNT - 1, 3, 1, [allChunksOf(2)]])
     })
