What was proven of a start is not carried over to a later one under the same id

Callers could see tokens made with a layer that nobody has judged, from a gateway that is cut off from the store.

Cause: an endpoint may start again under its id. A gateway that hears of the later start from the agent, and still has the entry of the earlier one, leaves the endpoint out for 4.5 s, and then took the earlier start's proof for that of the later one, and its version for the one that is loaded there.

Evidence: test/load-proof.test.ts, "are not used once a later start was seen at the address": proven without the change, not with it.

Change: once a later start was seen, nothing counts as proven until the agent reports on the start that is listed, or the list names the later one. Endpoints without an agent's reports are used as before.

--- a/src/routing/endpoints.ts
+++ b/src/routing/endpoints.ts
@@ -110,6 +110,8 @@
 export const LOAD_MAX_AGE_MS = 1_000
 /** Time after the return of the store within which entries that expired during an outage are listed again, in milliseconds, as guaranteed by the platform. */
 export const LAPSED_ENTRY_GRACE_MS = 2_000
+/** Loads of an endpoint of whose start nothing is known any more: no version that it lists is proven. */
+const UNKNOWN_LOADS: LoadedState = { orderCount: 0, provenOrderCount: undefined, version: 0 }
 /** Time for which the entry of a start that has ended may stay listed, in milliseconds: three heartbeats and a margin. The clocks that date starts may jump back, so the exclusion ends by itself. */
 const ENDED_ENTRY_LIFETIME_MS = 4_500
 /** Time for which a gateway may use its turn at an endpoint with a rate limit, in milliseconds: any four seconds then contain at most the calls of five and a half seconds, and the platform allows those of six. */
@@ -149,7 +151,10 @@
  * @param nowMs - The current time, in milliseconds.
  */
 export function recordOtherStart (row: EndpointRow, bornAtMs: number | undefined, nowMs: number): void {
-  if (bornAtMs !== undefined && row.listing.bornAtMs !== undefined && bornAtMs > row.listing.bornAtMs) row.endedUntilMs = nowMs + ENDED_ENTRY_LIFETIME_MS
+  if (bornAtMs === undefined || row.listing.bornAtMs === undefined || bornAtMs <= row.listing.bornAtMs) return
+  row.endedUntilMs = nowMs + ENDED_ENTRY_LIFETIME_MS
+  // What was proven of this start says nothing about the other one, which may have the same id.
+  if (row.loaded !== undefined) row.loaded = UNKNOWN_LOADS
 }
 
 /**
--- a/test/load-proof.test.ts
+++ b/test/load-proof.test.ts
@@ -194,6 +194,16 @@
       expect(Routing.Endpoints.isProven(row, true)).toEqual(false)
     })
 
+    // Guards against layers that a later start of the endpoint under the same id has loaded, at a gateway that is cut off from the store and knows the earlier start only.
+    it('are not used once a later start was seen at the address, until the listed one reports again', () => {
+      const row = rowOf({ bornAtMs: BORN_MS })
+      report(row, { orderCount: 1, provenOrderCount: 1 })
+      Routing.Endpoints.recordOtherStart(row, BORN_MS + 1, 0)
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(false)
+      report(row, { orderCount: 1, provenOrderCount: 1 })
+      expect(Routing.Endpoints.isProven(row, true)).toEqual(true)
+    })
+
     it('are not judged by a report that arrives after a later one', () => {
       const row = rowOf()
       report(row, { orderCount: 2 })
