A staged chunk counts as spoilt only if it does not match its digest twice

An engine's answers may be spoilt on the way; one such answer to a read after a load had sound layers unloaded and loaded anew.

Evidence: test/direct-filler.test.ts, "uses the layers if a chunk that did not match its digest matches it when it is read again": 4 orders, 2 of them to unload, before; none to unload after.

Change: a chunk that does not match is read once more.

--- a/src/filling/staging.ts
+++ b/src/filling/staging.ts
@@ -49,6 +49,8 @@
 
 /** Maximum number of reads under way: an engine that is slow to answer is read in time, and one that answers in turn keeps the report waiting for a few reads only. */
 const READ_LIMIT_COUNT = 4
+/** Number of reads after which a chunk that does not match its digest counts as spoilt: the answer may have been spoilt instead. */
+const MISMATCH_READ_COUNT = 2
 
 /**
  * Creates the staging area of an engine.
@@ -113,15 +115,16 @@
       let openCount = 0
       let readCount = 0
       await forEachConcurrently(stale, async index => {
-        const startedAtMs = clock()
-        if (startedAtMs > untilMs) { openCount++; return }
-        const bytes = await engine.readStaged(model, index)
-        if (bytes === undefined) { openCount++; return }
-        readCount++
-        if (bytes !== 'absent' && Core.Hash.sha256(bytes) === digests[index]) {
-          staged.add(index)
-          checkedAtMs.set(index, startedAtMs)
-          return
+        for (let tryCount = 1; tryCount <= MISMATCH_READ_COUNT; tryCount++) {
+          const startedAtMs = clock()
+          const bytes = startedAtMs > untilMs ? undefined : await engine.readStaged(model, index)
+          if (bytes === undefined) { openCount++; return }
+          readCount++
+          if (bytes !== 'absent' && Core.Hash.sha256(bytes) === digests[index]) {
+            staged.add(index)
+            checkedAtMs.set(index, startedAtMs)
+            return
+          }
         }
         staged.delete(index)
         checkedAtMs.delete(index)
