A chunk that was read for one version is not counted for the next one

Chunks of a new version can be adopted while reads for the old one are under way, and their results were entered for the new one. Reads after a load also had no end while an engine answered reports but no reads (48 s for 64 chunks), and a newer version waited for them.

Change: the version is compared after each read and write; reads after a load go on with the next report after 1 s.

--- a/src/filling/filler.ts
+++ b/src/filling/filler.ts
@@ -54,7 +54,7 @@
 
 /** Time after which a load order without effect is repeated, in milliseconds; the engine is on the same machine, so its reports are recent. */
 const LOAD_RETRY_MS = 1_500
-/** Time for reading chunks back before an order, in milliseconds. Those of a slower engine are read after it has loaded, so that the version arrives in time. */
+/** Time for reading chunks back before an order, and with one report after it, in milliseconds. Those of a slower engine are read after it has loaded, so that the version arrives in time. */
 const CHECK_LIMIT_MS = 1_000
 /** Time for which gateways may tell that a load was shown to be sound before this process started, in milliseconds, once this process knows them: they answer load reports, but have to read its entry first, from a store that may be slow. */
 const EARLIER_PROOF_WAIT_MS = 4_000
@@ -103,7 +103,7 @@
     const isOverwritten = staging.version() !== version && version !== newest.version
     if (chunkSet === undefined || isOverwritten) return true
     const startedAtMs = clock()
-    const { readCount, spoiltCount, openCount } = await staging.check(chunkSet, load.acceptedByMs - LoadProof.MAX_CHECK_AGE_MS, Infinity)
+    const { readCount, spoiltCount, openCount } = await staging.check(chunkSet, load.acceptedByMs - LoadProof.MAX_CHECK_AGE_MS, startedAtMs + CHECK_LIMIT_MS)
     if (!isUnchanged(state)) return false
     if (spoiltCount > 0 || staging.writtenCountAfter(load.acceptedAfterMs) > 0) {
       const isOfEarlierProcess = load.acceptedAfterMs === -Infinity
--- a/src/filling/staging.ts
+++ b/src/filling/staging.ts
@@ -101,7 +101,7 @@
         checkedAtMs.delete(index)
         const isWritten = await engine.stage(chunkSet.manifest.model, index, bytes)
         writtenAtMs.set(index, clock())
-        if (!isWritten) return
+        if (!isWritten || version !== chunkSet.manifest.version) return
         staged.add(index)
       }
     },
@@ -118,7 +118,8 @@
         for (let tryCount = 1; tryCount <= MISMATCH_READ_COUNT; tryCount++) {
           const startedAtMs = clock()
           const bytes = startedAtMs > untilMs ? undefined : await engine.readStaged(model, index)
-          if (bytes === undefined) { openCount++; return }
+          // What was read says nothing about a version that is staged since.
+          if (bytes === undefined || version !== chunkSet.manifest.version) { openCount++; return }
           readCount++
           if (bytes !== 'absent' && Core.Hash.sha256(bytes) === digests[index]) {
             staged.add(index)
