A probe is not sent to a start of an endpoint that its request ended

Callers saw: 503 for the first call with a quarantined request once its time to be probed had come, although endpoints were free; the next probe came after a minute.

Cause: endpoints that the request ended stay listed under their old ids until their new entries are read. Nobody sends there, so they look least busy, and the first one in the table gets the probe. It refuses it with 421, or its port does not listen.

Change: the endpoint for a probe is chosen among those whose start is in none of the cuts of the request; among all only where there is no other.

A probe that is refused for another cause is still used up, so the entries stay.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -48,7 +48,7 @@
   /** What endpoints announced to this gateway: that they are shutting down, or want no calls for a while. */
   readonly notices: Routing.Notices.Notices
   /** Quarantine of requests that crash endpoints. */
-  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
+  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'wasCutAt' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Metrics.Metrics
@@ -258,6 +258,12 @@
       ? Routing.Choice.chooseAmongMany(candidates, engine, context, random, nowMs)
       : Routing.Choice.choose(candidates, random)
 
+  /** Chooses the endpoint for a probe. Starts that the request crashed may still be listed and look idle, and would refuse the probe. */
+  const chooseForProbe = (call: Calls.Call, candidates: readonly Routing.Choice.Candidate[], nowMs: number): Routing.Choice.Candidate | undefined => {
+    const uncut = candidates.filter(({ row }) => !quarantine.wasCutAt(keysOf(call), row.listing))
+    return Routing.Choice.leastBusy(uncut.length > 0 ? uncut : candidates, nowMs)
+  }
+
   /** Sends a call, queues it or refuses it. */
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
@@ -271,7 +277,7 @@
     const context = options.routingContext()
     call.late = call.ageAtArrivalMs + nowMs - call.arrivedAtMs > call.route.goalMs
     const candidates = Routing.Choice.findCandidates(call.requirements, context, nowMs)
-    const best = quarantineAction === 'try' ? Routing.Choice.leastBusy(candidates, nowMs) : choose(call.requirements.service, candidates, context, nowMs)
+    const best = quarantineAction === 'try' ? chooseForProbe(call, candidates, nowMs) : choose(call.requirements.service, candidates, context, nowMs)
     const opensInMs = best === undefined ? Routing.Choice.opensInMs(call.requirements, context, nowMs, call.route.goalMs) : undefined
     const admissionInput: Routing.Admission.PendingCall = {
       ageMs: call.ageAtArrivalMs + nowMs - call.arrivedAtMs,
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -38,6 +38,8 @@
   recordAbandoned: (keys: RequestKeys, start: Routing.Endpoints.EndpointStart) => void
   /** Records that a start of an endpoint has ended, and when it was last known to be alive, in milliseconds. */
   recordEndpointEnd: (start: Routing.Endpoints.EndpointStart, aliveAtMs: number) => void
+  /** Returns whether a quarantined request was cut at a start of an endpoint, which may be listed although it has ended. */
+  wasCutAt: (keys: RequestKeys, start: Routing.Endpoints.EndpointStart) => boolean
   /** Records that a quarantined request is sent as a probe. */
   recordProbe: (keys: RequestKeys) => void
   /** Records that a request got a complete answer, which its endpoint began at the given time or later, in milliseconds. */
@@ -175,6 +177,10 @@
     },
     recordAbandoned: (keys, start) => { if (!abandoned.record({ digest: keys.join(KEY_SEPARATOR), start, atMs: clock() })) recordCuts(keys, start) },
     recordEndpointEnd,
+    wasCutAt: (keys, start) => suspects.quarantinedKeysOf(keys).some(key => {
+      const evidence = suspects.get(key)
+      return evidence !== undefined && Routing.Evidence.wasCutAt(evidence, start)
+    }),
     recordProbe: keys => {
       for (const digest of suspects.quarantinedKeysOf(keys)) {
         const part = Routing.Evidence.partIdOf(digest)
--- a/src/routing/evidence.ts
+++ b/src/routing/evidence.ts
@@ -107,6 +107,17 @@
   return a.bornAtMs === undefined || b.bornAtMs === undefined ? Math.abs(a.atMs - b.atMs) < SAME_CRASH_MS : a.bornAtMs === b.bornAtMs
 }
 
+/**
+ * Checks whether a request or part was cut at a start of an endpoint, which has ended or may have.
+ *
+ * @param evidence - The evidence on it.
+ * @param start - The start of the endpoint.
+ * @returns Whether it was; also if only the endpoint is known to be the same.
+ */
+export function wasCutAt ({ cuts }: Evidence, { endpointId, bornAtMs }: Pick<Cut, 'endpointId' | 'bornAtMs'>): boolean {
+  return cuts.some(cut => cut.endpointId === endpointId && (cut.bornAtMs === undefined || bornAtMs === undefined || cut.bornAtMs === bornAtMs))
+}
+
 /**
  * Returns when a request or part was last cut or sent as a trial.
  *
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,6 +1,7 @@
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
+import type * as Runner from '../standins/runner.ts'
 import * as CrashPlay from '../testkit/crashPlay.ts'
 import * as Crashes from '../testkit/crashes.ts'
 import * as Direct from '../testkit/direct.ts'
@@ -97,3 +98,34 @@
     expect([answer.status, crashCount() - before, await isQuarantined(stage.first), await isQuarantined(gateways[1] as Direct.StartedGateway), crashCount() - before]).toEqual([502, 1, true, true, 1])
   })
 })
+
+describe('a probe of a quarantined request', () => {
+  let stage: Direct.DirectStage
+  const path = '/read/1'
+  const ended = (): readonly Runner.Runner[] => stage.runners.slice(0, Crashes.FREE_CRASH_COUNT)
+  const others = (): readonly Runner.Runner[] => stage.runners.slice(Crashes.FREE_CRASH_COUNT)
+  const callCrashing = async (): Promise<Direct.CallAnswer> => await stage.call({ path, body: CrashPlay.CRASHING })
+  const sendCount = (): number => others().flatMap(runner => runner.arrivedBodies.filter(body => body === CrashPlay.CRASHING)).length
+
+  // The endpoints that it ended stay listed under the ids of their ended starts, before the others.
+  beforeEach(async () => {
+    stage = await Direct.startDirectStage(Array.from({ length: 5 }, (_, at) => ({ instanceId: `e${at}`, service: 'plain' })))
+    for (const runner of others()) stage.store.drop('servers', runner.instanceId)
+    await TestKit.Wait.until('the gateway serves calls', WAIT_TIMEOUT_MS, async () => (await stage.call({ path })).status === 200)
+    await sleep(1_500)
+    for (const runner of ended()) Object.assign(runner, { onBack: () => {} }).faults.crashBody = CrashPlay.CRASHING
+    await TestKit.Wait.until('it is quarantined', WAIT_TIMEOUT_MS, async () => (await callCrashing()).text.includes('quarantined'))
+    for (const runner of ended()) runner.faults.crashBody = undefined
+    for (const runner of others()) stage.list(runner)
+    await TestKit.Wait.until('the others serve calls', WAIT_TIMEOUT_MS, async () => {
+      await stage.call({ path })
+      return others().every(runner => runner.arrived.length > 0)
+    })
+  })
+  afterEach(async () => { await stage.stop() })
+
+  it('is not sent to a start of an endpoint that the request ended', async () => {
+    stage.pass(PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([200, 1])
+  })
+})
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1040,6 +1040,13 @@
     replacement: 'if (news === undefined) changes.push',
     checks: [test('crashing-requests')]
   },
+  {
+    name: 'quarantine: a probe is not sent to a start that its request ended',
+    file: 'src/ingress/ingress.ts',
+    text: 'uncut.length > 0 ? uncut : candidates',
+    replacement: 'candidates',
+    checks: [test('crashing-requests')]
+  },
   {
     name: 'quarantine: no repeat of a call that was tried',
     file: 'src/ingress/ingress.ts',
