A probe that provably did not run is repeated

Callers saw: 503 for a quarantined request whose probe was refused by an endpoint (421, or 503 with the promise that it was not run) or could not be sent, although other endpoints were free.

Cause: a probe is never repeated, whether or not it ran, and counts when it is sent.

Ruled out: counting it only once it ran, by which endpoints that refuse would get it again with each call; the platform may count a refused request as sent (asked in docs/design/platform.md).

Change: a probe that did not run is sent to another endpoint at once, within the limits of any repeat, unless a crash or another probe of the request became known since. A send that an endpoint turned away counts as a probe of its own, so no more reach endpoints than before: two, or three for a part. It is dated back by two seconds so that gateways do not take it for the same one. A connection that was refused costs nothing.

--- a/src/ingress/calls.ts
+++ b/src/ingress/calls.ts
@@ -68,8 +68,8 @@
   failure: EndpointFailure | undefined
   /** Identify the request and its shared parts, the same for each attempt of its caller; undefined until they are needed. */
   keys: Quarantine.RequestKeys | undefined
-  /** Whether the call was sent to test whether its quarantined request still crashes endpoints. */
-  isQuarantineProbe: boolean
+  /** The probe that tests whether the call's quarantined request still crashes endpoints; undefined if the call is none. */
+  probe: Routing.Evidence.Trial | undefined
   /** The body of the stream that answers the call; undefined until its first event. */
   stream: Bodies.StreamBody | undefined
   lastEventId: string | undefined
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -48,7 +48,7 @@
   /** What endpoints announced to this gateway: that they are shutting down, or want no calls for a while. */
   readonly notices: Routing.Notices.Notices
   /** Quarantine of requests that crash endpoints. */
-  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'wasCutAt' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'recordAnswered'>
+  readonly quarantine: Pick<Quarantine.Quarantine, 'isEmpty' | 'actionOf' | 'isSuspected' | 'quarantinedPartsOf' | 'wasCutAt' | 'recordInterruption' | 'recordAbandoned' | 'recordEndpointEnd' | 'recordProbe' | 'mayRepeatProbe' | 'recordAnswered'>
   readonly clock: () => number
   readonly random: Core.Random.Random
   readonly metrics: Metrics.Metrics
@@ -228,7 +228,7 @@
       possibleRunCount: 0,
       failure: undefined,
       keys: undefined,
-      isQuarantineProbe: false,
+      probe: undefined,
       stream: undefined,
       lastEventId: metadata.lastEventId,
       eventCount: 0,
@@ -267,7 +267,7 @@
   /** Sends a call, queues it or refuses it. */
   const place = (call: Calls.Call): void => {
     const nowMs = clock()
-    const quarantineAction = quarantineActionOf(call)
+    const quarantineAction = call.probe === undefined ? quarantineActionOf(call) : repeatActionOf(call, call.probe)
     if (quarantineAction === 'keepBack') {
       waiting.remove(call)
       if (call.possibleRunCount > 0 || call.failure !== undefined) endUnanswered(call, 'quarantined')
@@ -295,8 +295,8 @@
     if (decision.kind === 'send') {
       waiting.remove(call)
       if (quarantineAction === 'try') {
-        call.isQuarantineProbe = true
-        quarantine.recordProbe(keysOf(call))
+        call.probe ??= { sentAtMs: nowMs, refusedCount: 0 }
+        quarantine.recordProbe(keysOf(call), call.probe)
       }
       send(call, decision.candidate, nowMs)
     } else if (decision.kind === 'wait') {
@@ -539,6 +539,8 @@
 
   const quarantineActionOf = (call: Calls.Call): Routing.Suspects.RequestAction => quarantine.isEmpty() ? 'send' : quarantine.actionOf(keysOf(call))
 
+  const repeatActionOf = (call: Calls.Call, probe: Routing.Evidence.Trial): Routing.Suspects.RequestAction => quarantine.mayRepeatProbe(keysOf(call), probe) ? 'try' : 'keepBack'
+
   /** Records a complete successful answer. One with a length or chunked encoding shows that the request does not crash endpoints; another one may have been ended by a crash. */
   const recordAnswered = (call: Calls.Call, attempt: Calls.Attempt, head: NonNullable<Calls.Attempt['head']>): void => {
     const isSuccess = head.status >= 200 && head.status < 300
@@ -573,11 +575,14 @@
     if (call.done || call.attempt !== attempt) return
     const nowMs = clock()
     releaseAttempt(call)
-    if (end !== 'notRun' && end !== 'notSent') call.possibleRunCount++
+    const isNotRun = end === 'notRun' || end === 'notSent'
+    if (!isNotRun) call.possibleRunCount++
     if (mayHaveCrashed) quarantine.recordInterruption(keysOf(call), attempt.listing)
     const history = historyOf(call, nowMs)
-    const isQuarantined = call.isQuarantineProbe || quarantineActionOf(call) !== 'send' || (mayHaveCrashed && quarantine.isSuspected(keysOf(call)))
-    const step = isQuarantined ? Routing.Retries.finalStep(end, history) : Routing.Retries.nextStep(end, history)
+    if (call.probe !== undefined && end === 'notRun' && attempt.exchange.isSent()) call.probe = { ...call.probe, refusedCount: call.probe.refusedCount + 1 }
+    const isProbeRepeatable = call.probe !== undefined && isNotRun && repeatActionOf(call, call.probe) === 'try'
+    const isQuarantined = call.probe !== undefined || quarantineActionOf(call) !== 'send' || (mayHaveCrashed && quarantine.isSuspected(keysOf(call)))
+    const step = isQuarantined && !isProbeRepeatable ? Routing.Retries.finalStep(end, history) : Routing.Retries.nextStep(end, history)
     const isRetry = step === 'retry' && (end === 'notSent' || options.budget.take(call.service, Routing.Choice.sharingGatewayCount(options.routingContext()), nowMs))
     const next = isRetry ? 'retry' : step === 'retry' ? 'budgetUsedUp' : isQuarantined ? 'quarantined' : step
     log('routing', 'Attempt ended.', { callId: call.callId, endpointId: attempt.row.listing.endpointId, end, reason, tookMs: Math.round(nowMs - attempt.sentAtMs), next, attemptCount: call.attemptCount, ...(mayHaveCrashed ? requestFields(call) : {}) })
--- a/src/ingress/quarantine.ts
+++ b/src/ingress/quarantine.ts
@@ -41,7 +41,9 @@
   /** Returns whether a quarantined request was cut at a start of an endpoint, which may be listed although it has ended. */
   wasCutAt: (keys: RequestKeys, start: Routing.Endpoints.EndpointStart) => boolean
   /** Records that a quarantined request is sent as a probe. */
-  recordProbe: (keys: RequestKeys) => void
+  recordProbe: (keys: RequestKeys, probe: Routing.Evidence.Trial) => void
+  /** Returns whether a probe that provably did not run is repeated. */
+  mayRepeatProbe: (keys: RequestKeys, probe: Routing.Evidence.Trial) => boolean
   /** Records that a request got a complete answer, which its endpoint began at the given time or later, in milliseconds. */
   recordAnswered: (keys: RequestKeys, begunAtMs: number) => void
   /** Merges evidence received from another gateway. */
@@ -181,12 +183,13 @@
       const evidence = suspects.get(key)
       return evidence !== undefined && Routing.Evidence.wasCutAt(evidence, start)
     }),
-    recordProbe: keys => {
+    mayRepeatProbe: suspects.mayRepeatTrial,
+    recordProbe: (keys, probe) => {
       for (const digest of suspects.quarantinedKeysOf(keys)) {
         const part = Routing.Evidence.partIdOf(digest)
         if (part === undefined) log('quarantine', 'Request tried again.', { digest })
         else log('quarantine', 'Part of prompts tried again.', { part })
-        recordEvidence({ digest, cuts: [], triedAtMs: [clock()], answeredAtMs: -Infinity })
+        recordEvidence({ digest, cuts: [], triedAtMs: Routing.Evidence.datesOfTrial(probe), answeredAtMs: -Infinity })
       }
     },
     recordAnswered: ([digest, ...partKeys], begunAtMs) => {
--- a/src/routing/evidence.ts
+++ b/src/routing/evidence.ts
@@ -28,12 +28,21 @@
   readonly sharedWith?: readonly string[] | undefined
 }
 
+/** A call with a quarantined request that is sent as a trial. */
+export interface Trial {
+  readonly sentAtMs: number
+  /** Number of its sends that endpoints turned away as not run. */
+  readonly refusedCount: number
+}
+
 /** Prefix of the keys of parts. Messages and rows carry keys in place of digests, so that builds without parts can read them. */
 const PART_PREFIX = 'part:'
 /** Time within which cuts at an endpoint that does not report its start time count as one crash, in milliseconds: a crashed endpoint takes seconds to return. */
 const SAME_CRASH_MS = 1_000
 /** Time within which two reported trials count as the same one, in milliseconds: clocks differ by less. */
 const SAME_TRIAL_MS = 1_000
+/** Interval at which the sends of one trial are dated, in milliseconds. */
+const SEND_DATING_INTERVAL_MS = 2 * SAME_TRIAL_MS
 /** Time after a complete answer within which cuts do not count against a request, in milliseconds. */
 export const ANSWER_TRUST_MS = 60_000
 /** Maximum number of other parts that are kept with a part. */
@@ -107,6 +116,16 @@
   return a.bornAtMs === undefined || b.bornAtMs === undefined ? Math.abs(a.atMs - b.atMs) < SAME_CRASH_MS : a.bornAtMs === b.bornAtMs
 }
 
+/**
+ * Returns the times under which the sends of a trial are reported. Each send that an endpoint turned away counts as a trial, and is dated back so that it is not taken for the same one.
+ *
+ * @param trial - The trial.
+ * @returns The times, in milliseconds, from newest to oldest.
+ */
+export function datesOfTrial ({ sentAtMs, refusedCount }: Trial): number[] {
+  return Array.from({ length: 1 + refusedCount }, (_, at) => sentAtMs - at * SEND_DATING_INTERVAL_MS)
+}
+
 /**
  * Checks whether a request or part was cut at a start of an endpoint, which has ended or may have.
  *
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -50,6 +50,14 @@
    * @returns The action.
    */
   actionOf: (keys: readonly string[], nowMs: number, isFirstToTry: (key: string) => boolean) => RequestAction
+  /**
+   * Decides whether a trial that provably did not run is repeated at once: if nothing was learned since, and not more sends reach endpoints than there are trials.
+   *
+   * @param keys - The digest of the request and the keys of its shared parts.
+   * @param trial - The trial so far.
+   * @returns Whether it is repeated; true if the request is not quarantined any more.
+   */
+  mayRepeatTrial: (keys: readonly string[], trial: Evidence.Trial) => boolean
   /** Removes evidence whose retention time has passed. */
   removeExpired: (nowMs: number) => void
   /** Returns the changes of the quarantine since the last call. */
@@ -172,7 +180,7 @@
   const actionFor = (reason: readonly string[], keys: readonly string[], nowMs: number, isFirstToTry: (key: string) => boolean): RequestAction => {
     const evidence = reason.map(key => table.get(key) ?? emptyEvidenceOf(key))
     const [firstKey = ''] = reason
-    const delaysMs = Evidence.partIdOf(firstKey) === undefined ? TRIAL_DELAYS_MS : PART_TRIAL_DELAYS_MS
+    const delaysMs = trialDelaysMsOf(firstKey)
     const waitMs = delaysMs[Math.max(...evidence.map(({ triedAtMs }) => triedAtMs.length))] ?? Infinity
     // A crash of a request with another suspected part would not tell which of them caused it; so such a request is tried only if no other one comes.
     const isConclusive = !keys.some(key => !reason.includes(key) && isSuspected(key))
@@ -214,6 +222,14 @@
       const actions = reasonsOf(keys).map(reason => actionFor(reason, keys, nowMs, isFirstToTry))
       return actions.includes('keepBack') ? 'keepBack' : actions[0] ?? 'send'
     },
+    mayRepeatTrial: (keys, trial) => {
+      const dates = Evidence.datesOfTrial(trial)
+      return reasonsOf(keys).flat().every(key => {
+        const evidence = table.get(key) ?? emptyEvidenceOf(key)
+        const otherCount = evidence.triedAtMs.filter(atMs => !dates.includes(atMs)).length
+        return Evidence.lastActivityAtMs(evidence) <= trial.sentAtMs && otherCount + dates.length <= trialDelaysMsOf(key).length
+      })
+    },
     removeExpired: nowMs => {
       updateQuarantine()
       const isStale = (evidence: Evidence.Evidence): boolean =>
@@ -233,6 +249,10 @@
   }
 }
 
+function trialDelaysMsOf (key: string): readonly number[] {
+  return Evidence.partIdOf(key) === undefined ? TRIAL_DELAYS_MS : PART_TRIAL_DELAYS_MS
+}
+
 function isPart ({ digest }: Evidence.Evidence): boolean {
   return Evidence.partIdOf(digest) !== undefined
 }
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -12,6 +12,8 @@
 const WAIT_TIMEOUT_MS = 5_000
 /** Time after which any gateway probes a quarantined request, in milliseconds. */
 const PROBE_AFTER_MS = 20_000
+/** Time after a probe after which any gateway sends the next one, in milliseconds. */
+const NEXT_PROBE_AFTER_MS = 120_000
 
 for (const path of ['/stream/1', '/read/1', '/book/1']) {
   describe(`a request to ${path} that crashes each endpoint that runs it`, () => {
@@ -109,7 +111,7 @@
 
   // The endpoints that it ended stay listed under the ids of their ended starts, before the others.
   beforeEach(async () => {
-    stage = await Direct.startDirectStage(Array.from({ length: 5 }, (_, at) => ({ instanceId: `e${at}`, service: 'plain' })))
+    stage = await Direct.startDirectStage(Array.from({ length: 6 }, (_, at) => ({ instanceId: `e${at}`, service: 'plain' })))
     for (const runner of others()) stage.store.drop('servers', runner.instanceId)
     await TestKit.Wait.until('the gateway serves calls', WAIT_TIMEOUT_MS, async () => (await stage.call({ path })).status === 200)
     await sleep(1_500)
@@ -128,4 +130,31 @@
     stage.pass(PROBE_AFTER_MS)
     expect([(await callCrashing()).status, sendCount()]).toEqual([200, 1])
   })
+
+  it('is repeated at another endpoint when one turned it away', async () => {
+    const [first] = others() as [Runner.Runner]
+    first.faults.full = true
+    stage.pass(PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([200, 2])
+  })
+
+  it('is repeated when an endpoint could not be reached, which leaves the next one', async () => {
+    const [first] = others() as [Runner.Runner]
+    await first.close()
+    for (const runner of others()) runner.faults.crashBody = CrashPlay.CRASHING
+    stage.pass(PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([502, 1])
+    for (const runner of others()) runner.faults.crashBody = undefined
+    stage.pass(NEXT_PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([200, 2])
+  })
+
+  it('reaches no more endpoints that turn it away than there are probes', async () => {
+    for (const runner of others()) runner.faults.full = true
+    stage.pass(PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([503, 2])
+    for (const runner of others()) runner.faults.full = false
+    stage.pass(NEXT_PROBE_AFTER_MS)
+    expect([(await callCrashing()).status, sendCount()]).toEqual([503, 2])
+  })
 })
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -127,6 +127,38 @@
     })
   })
 
+  describe('mayRepeatTrial', () => {
+    const mayRepeat = (refusedCount: number, later: readonly Routing.Evidence.Evidence[] = [], triedAtMs: readonly number[] = []): boolean => {
+      const suspects = suspectsOf(THREE_CUTS)
+      const trial = { sentAtMs: 80_000, refusedCount }
+      for (const atMs of triedAtMs) suspects.addEvidence(trialEvidence('bad', atMs))
+      for (const evidence of [{ ...trialEvidence('bad', 0), triedAtMs: [trial.sentAtMs] }, ...later]) suspects.addEvidence(evidence)
+      return suspects.mayRepeatTrial(['bad'], trial)
+    }
+
+    it('counts sends that endpoints turned away as trials, and allows two in all', () => {
+      expect([mayRepeat(0), mayRepeat(1), mayRepeat(2), mayRepeat(0, [], [15_000]), mayRepeat(1, [], [15_000])]).toEqual([true, true, false, true, false])
+    })
+
+    it('forbids a repeat after another crash or trial', () => {
+      expect([mayRepeat(0, [cutEvidence('bad', 'd', 80_100)]), mayRepeat(0, [trialEvidence('bad', 81_100)])]).toEqual([false, false])
+    })
+
+    it('allows a repeat of a request that is not quarantined any more', () => {
+      expect([mayRepeat(5, [answerEvidence('bad', 80_100)]), suspectsOf([]).mayRepeatTrial(['bad'], { sentAtMs: 0, refusedCount: 5 })]).toEqual([true, true])
+    })
+
+    it('is told to other gateways with each send that was turned away', () => {
+      const [here, there] = [suspectsOf(THREE_CUTS), suspectsOf(THREE_CUTS)]
+      const tried = { ...trialEvidence('bad', 0), triedAtMs: Routing.Evidence.datesOfTrial({ sentAtMs: 15_000, refusedCount: 1 }) }
+      for (const suspects of [here, there]) suspects.addEvidence({ ...tried, triedAtMs: [15_000] })
+      here.addEvidence(tried)
+      const told = here.get('bad')
+      if (told !== undefined) there.addEvidence({ ...told, triedAtMs: told.triedAtMs.map(atMs => atMs + 400) })
+      expect([there.get('bad')?.triedAtMs.length, there.actionOf(['bad'], 1_000_000, () => true)]).toEqual([2, 'keepBack'])
+    })
+  })
+
   describe('addEvidence', () => {
     it('ignores an answer to a request without crashes', () => {
       const suspects = Suspects.createSuspects()
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1047,10 +1047,31 @@
     replacement: 'candidates',
     checks: [test('crashing-requests')]
   },
+  {
+    name: 'quarantine: a probe that provably did not run is repeated',
+    file: 'src/ingress/ingress.ts',
+    text: 'isQuarantined && !isProbeRepeatable',
+    replacement: 'isQuarantined',
+    checks: [test('crashing-requests')]
+  },
+  {
+    name: 'quarantine: sends that endpoints turned away count as probes',
+    file: 'src/routing/suspects.ts',
+    text: 'otherCount + dates.length <= trialDelaysMsOf(key).length',
+    replacement: 'true',
+    checks: [test('suspects'), test('crashing-requests')]
+  },
+  {
+    name: 'quarantine: a probe is not repeated when its request was cut since',
+    file: 'src/routing/suspects.ts',
+    text: 'Evidence.lastActivityAtMs(evidence) <= trial.sentAtMs && otherCount',
+    replacement: 'otherCount',
+    checks: [test('suspects')]
+  },
   {
     name: 'quarantine: no repeat of a call that was tried',
     file: 'src/ingress/ingress.ts',
-    text: 'call.isQuarantineProbe || quarantineActionOf(call)',
+    text: 'call.probe !== undefined || quarantineActionOf(call)',
     replacement: 'quarantineActionOf(call)',
     checks: [test('crashing-requests')]
   },
