A read that began after the first sign of silence is tested to stay unrepeated

The guard "held reads: a repeat starts no further ones" was missed by no test: no read was held any more when the repeat of another one failed. In the new test one begins after the first sign of silence; it must not be sent twice because both sends of the earlier read get no answer.

Without the guard the new test alone fails of the four.

--- a/test/silent-feeds.test.ts
+++ b/test/silent-feeds.test.ts
@@ -60,6 +60,19 @@
     expect(reads.length).toEqual(5)
   })
 
+  it('is not repeated when it began after the first sign of silence and both sends of an earlier read get no answer', async () => {
+    const { secured, reads } = secure()
+    const held = secured.readSince('op', 1, 8_000)
+    const other = secured.readSince('servers', 1, 500)
+    reads[1]?.answer(SILENT)
+    await other
+    const later = secured.readSince('members', 1, 20_000)
+    for (const at of [2, 0]) reads[at]?.answer(SILENT)
+    expect([await held, tablesOf(reads)]).toEqual([SILENT, ['op', 'servers', 'op', 'members']])
+    reads[3]?.answer(pageOf(2))
+    expect([await later, reads.length]).toEqual([pageOf(2), 4])
+  })
+
   it('is not repeated when another read is refused', async () => {
     const { secured, reads } = secure()
     void secured.readSince('op', 1, 8_000)
