Rows that the own region does not have are tested to come from another one

The guard "shared rows: a process that is behind in a region that is all behind asks elsewhere" was missed by no test: in those of direct-shared the store or a neighbour delivers the rows in time anyway. The two new tests ask the source itself, with a neighbour that is as far behind and a gateway of another region that has the rows: they are taken from there, and not once the store has delivered them meanwhile.

--- a/test/direct-shared.test.ts
+++ b/test/direct-shared.test.ts
@@ -259,6 +259,46 @@
     expect(await ask([[behind], [holder]], ['a process that is gone'])).toEqual(['b'])
   })
 
+  describe('for a process in whose region all others are as far behind', () => {
+    const start = async (): Promise<{ readonly mirror: Follow.Rows.Mirror, readonly far: { readonly requestCount: () => number }, readonly readsNear: () => number, readonly ask: () => Promise<Follow.Rows.Page | undefined> }> => {
+      const [near, far] = [await servePage('near', page([])), await servePage('far', page(['a']))]
+      const mirror = Follow.Rows.createMirror()
+      mirror.applySnapshot({ rows: [], revision: 1 })
+      const read = async (): ReturnType<Follow.Rows.RowSource['readAll']> => Neverthrow.err({ kind: 'unavailable', reason: 'not asked' })
+      const source = Follow.Shared.createSharedSource({
+        table: 't',
+        store: { readAll: read, readSince: read, write: async () => Neverthrow.ok(0), remove: async () => Neverthrow.ok(0) },
+        own: { name: 'own', region: REGION },
+        members: () => [memberOf('near', near.port), { ...memberOf('far', far.port), region: 'rb' }],
+        knowsMembers: () => true,
+        awaitsMembers: () => false,
+        seeds: () => [],
+        isPart: false,
+        mayReadStore: true,
+        neighbourWaitMs: BOUND_MS,
+        clock: () => performance.now(),
+        random: Core.Random.createRandom(1),
+        metrics: Metrics.createMetrics(),
+        log: () => {}
+      })
+      source.relayed({ mirror, isKnown: () => true, isStoreReachable: () => true }, whole => whole)
+      return { mirror, far, readsNear: near.requestCount, ask: async () => await source.askPeer('t', 1, new Set(['far'])) }
+    }
+
+    it('takes the rows from another region', async () => {
+      const { ask, readsNear } = await start()
+      expect([(await ask())?.rows.map(pageRow => pageRow.key), readsNear() > 0]).toEqual([['a'], true])
+    })
+
+    it('does not cross to another region once the store has delivered the rows', async () => {
+      const { ask, far, mirror, readsNear } = await start()
+      const asked = ask()
+      await TestKit.Wait.until('the own region is asked', BOUND_MS, () => readsNear() > 0)
+      mirror.apply({ rows: [row('a', 9)], revision: 9 })
+      expect([await asked, far.requestCount()]).toEqual([undefined, 0])
+    })
+  })
+
   it('gives up when no process has the table', async () => {
     const unknown = await servePage('unknown', JSON.stringify({ known: false, revision: 0, rows: [] }))
     expect([await ask([[unknown], [unknown]]), await ask([])]).toEqual([undefined, undefined])
