--- a/test/stale-checks.test.ts
+++ b/test/stale-checks.test.ts
@@ -60,6 +60,10 @@
     onReadBack(stage, 'first', () => { stage.engine.area.spoil(SPOILT) })
   },
   'the engine answers slowly, one request after the other': stage => {
+    Object.assign(stage.engine.faults, { requestDelayMs: 60, isSerial: true })
+    onReadBack(stage, 'first', () => { stage.engine.area.spoil(SPOILT) })
+  },
+  'the engine answers less slowly, one request after the other': stage => {
     Object.assign(stage.engine.faults, { requestDelayMs: 45, isSerial: true })
     onReadBack(stage, 'first', () => { stage.engine.area.spoil(SPOILT) })
   },
