--- a/review/kit-3.mjs
+++ b/review/kit-3.mjs
@@ -56,7 +56,9 @@
   const watchers = new Set()
   const held = new Set()
   let revision = 1
+  let era = 1
   let isSilent = false
+  let isAway = false
   const rowOf = (table, part, key) => rows.get(JSON.stringify([table, part, key]))
   const set = (table, part, key, value) => {
     rows.set(JSON.stringify([table, part, key]), { table, part, key, ...(value === undefined ? { deleted: true } : { value }), schema_version: revision })
@@ -76,6 +78,7 @@
     },
     'GET /rows-feed': (query, _body, answer, response) => {
       const after = Number(query.get('after_revision'))
+      if (after > revision) { answer(410, {}); return }
       const changed = () => [...rows.values()].filter(row => row.table === query.get('table') && row.schema_version > after).sort((a, b) => a.schema_version - b.schema_version)
       const end = () => {
         watchers.delete(look)
@@ -109,6 +112,7 @@
   const readAtMs = new Map()
   const servers = []
   const serve = (request, response) => {
+    if (isAway) { request.socket.destroy(); return }
     const url = new URL(request.url, 'http://store')
     if (url.searchParams.has('table')) readAtMs.set(`${request.socket.localPort} ${url.searchParams.get('table')}`, now())
     let body = ''
@@ -119,7 +123,7 @@
       const send = (status, value) => {
         if (isSilent) { held.add(response); return }
         if (response.destroyed) return
-        response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...value, schema_version: revision, now_ms: Math.round(now()) }))
+        response.writeHead(status, { 'content-type': 'application/json', 'Store-Era': String(era) }).end(JSON.stringify({ ...value, schema_version: revision, now_ms: Math.round(now()) }))
       }
       const handle = handlers[`${request.method} ${url.pathname}`]
       if (isSilent) { held.add(response); return }
@@ -144,6 +148,20 @@
     drop: (table, key) => commit([[table, '', key]]),
     rows: table => [...rows.values()].filter(row => row.table === table && row.deleted !== true),
     /** Takes requests and answers none, or answers again; the held ones end with their connections. */
+    /** Makes a copy of all rows. */
+    copy: () => ({ rows: new Map(rows), revision }),
+    /** Is away for a time, in milliseconds, and comes back from a copy, in the next era. */
+    restore: async (copy, awayMs) => {
+      isAway = true
+      for (const server of servers) server.closeAllConnections()
+      watchers.clear()
+      await sleep(awayMs)
+      rows.clear()
+      for (const [id, row] of copy.rows) rows.set(id, row)
+      revision = copy.revision
+      era++
+      isAway = false
+    },
     isSilent: () => isSilent,
     silence: silent => {
       isSilent = silent
