--- a/review/kit-3.mjs
+++ b/review/kit-3.mjs
@@ -276,13 +276,13 @@
 }
 
 /**
- * Sends one request as a client does, on a connection of its own unless an agent is given.
+ * Sends one request as a client does, on a connection of its own.
  *
  * @returns The status, 0 for a connection that closed without a whole answer; the headers and the body.
  */
-export async function sendRequest ({ port, id, method = 'GET', path, host = 'app.example', headers = {}, body, deadlineMs = 2_500, agent = false }) {
+export async function sendRequest ({ port, id, method = 'GET', path, host = 'app.example', headers = {}, body, deadlineMs = 2_500 }) {
   return await new Promise(resolve => {
-    const request = Http.request({ host: HOST, port, method, path, agent, headers: { Host: host, 'X-Fescuespread-Attempt-Id': id, 'X-Fescuespread-Deadline-Ms': String(deadlineMs), ...headers, ...(body === undefined ? {} : { 'Content-Length': Buffer.byteLength(body) }) } })
+    const request = Http.request({ host: HOST, port, method, path, agent: false, headers: { Host: host, 'X-Fescuespread-Attempt-Id': id, 'X-Fescuespread-Deadline-Ms': String(deadlineMs), ...headers, ...(body === undefined ? {} : { 'Content-Length': Buffer.byteLength(body) }) } })
     const fail = () => {
       clearTimeout(timer)
       request.destroy()
